--- /dev/null
+++ b/Makefile
@@ -0,0 +1,34 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+
+.PHONY: run test lint generate build site measure clean
+
+$(VENV)/ready: requirements.lock pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --requirement requirements.lock
+	$(BIN)/pip install --quiet --no-deps --no-build-isolation --editable .
+	touch $@
+
+run: $(VENV)/ready
+	$(BIN)/python -m tests.standins.demo
+
+test: $(VENV)/ready
+	$(BIN)/python -m pytest
+
+lint: $(VENV)/ready
+	$(BIN)/ruff format --check src tests
+	$(BIN)/ruff check src tests
+	PATH="$(CURDIR)/$(BIN):$$PATH" scripts/check-generated.sh
+
+generate: $(VENV)/ready
+	PATH="$(CURDIR)/$(BIN):$$PATH" scripts/generate.sh
+
+build: $(VENV)/ready
+	mkdir -p dist
+	$(BIN)/shiv --quiet --reproducible --no-deps --output-file dist/foxtaildrum \
+	  --console-script foxtaildrum --python '/usr/bin/env python3' \
+	  --requirement requirements.runtime.lock .
+
+clean:
+	rm -rf $(VENV) build dist
--- /dev/null
+++ b/scripts/check-generated.sh
@@ -0,0 +1,8 @@
+#!/usr/bin/env bash
+# Fails when the committed records differ from what the schema generates.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+fresh="$(mktemp -d)"
+trap 'rm -rf "$fresh"' EXIT
+scripts/generate.sh "$fresh/records.py"
+diff -u src/foxtaildrum/records.py "$fresh/records.py"
--- /dev/null
+++ b/src/foxtaildrum/admin.py
@@ -0,0 +1,256 @@
+"""Admin HTTP interface for operators, upstreams and the platform's balancer."""
+
+from __future__ import annotations
+
+import hmac
+import http.client
+import json
+import uuid
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from .exceptions import FieldError, InvalidTableError
+from .node_api import ChangeAnswer, NodeApi
+from .problem import StartResponse, format_status
+from .records import Announcement
+from .tables import TABLE_NAMES, Change
+from .validation import find_problems
+
+MAX_CHANGE_ID = 128
+MAX_UPSTREAM_ID = 128
+ALLOW_STALE = "stale=allow"
+JSON_TYPE = "application/json"
+
+
+class Reply:
+    """Answer of an admin handler."""
+
+    __slots__ = ("document", "headers", "status")
+
+    def __init__(
+        self, status: int, document: Any, headers: list[tuple[str, str]] | None = None
+    ) -> None:
+        self.status = status
+        self.document = document
+        self.headers = headers or []
+
+
+class AdminError(Exception):
+    """Refusal of an admin request."""
+
+    def __init__(self, status: int, title: str, **extra: Any) -> None:
+        super().__init__(title)
+        self.reply = Reply(status, {"title": title, "status": status, **extra})
+
+
+Handler = Callable[["Admin", dict[str, Any], str], Reply]
+
+_HANDLERS: dict[tuple[str, str], Handler] = {}
+
+
+def register_handler(method: str, path: str) -> Callable[[Handler], Handler]:
+    """Register the decorated function for a method and a path.
+
+    A path that ends with ``/`` takes one further segment.
+    """
+
+    def register(function: Handler) -> Handler:
+        _HANDLERS[method, path] = function
+        return function
+
+    return register
+
+
+class Admin:
+    """Serves the admin interface.
+
+    Parameters
+    ----------
+    node : NodeApi
+        State of the instance.
+    operator_token : bytes
+        Token for the tables; empty asks for none.
+    """
+
+    def __init__(self, node: NodeApi, operator_token: bytes) -> None:
+        self.node = node
+        self._token = operator_token
+
+    def __call__(
+        self, environ: dict[str, Any], start_response: StartResponse
+    ) -> Iterable[bytes]:
+        """Serve one request."""
+        try:
+            reply = self._handle(environ)
+        except AdminError as error:
+            reply = error.reply
+        return _send(start_response, reply)
+
+    def check_token(self, environ: dict[str, Any]) -> None:
+        """Refuse a request that does not carry the operator token."""
+        if not self._token:
+            return
+        given = environ.get("HTTP_AUTHORIZATION", "").removeprefix("Bearer ").strip()
+        if not hmac.compare_digest(given.encode("latin-1"), self._token):
+            raise AdminError(http.client.UNAUTHORIZED, "The operator token is missing or wrong")
+
+    def _handle(self, environ: dict[str, Any]) -> Reply:
+        method = environ["REQUEST_METHOD"]
+        path = environ.get("PATH_INFO") or "/"
+        prefix, _, segment = path.rpartition("/")
+        handler = _HANDLERS.get((method, path))
+        if handler is None and segment:
+            handler = _HANDLERS.get((method, prefix + "/"))
+        if handler is not None:
+            return handler(self, environ, segment)
+        known = [m for m, p in _HANDLERS if p in (path, prefix + "/")]
+        if known:
+            raise AdminError(http.client.METHOD_NOT_ALLOWED, f"Use one of {sorted(known)}")
+        raise AdminError(http.client.NOT_FOUND, "No such page")
+
+
+@register_handler("GET", "/livez")
+def get_liveness(admin: Admin, environ: dict[str, Any], segment: str) -> Reply:
+    """Tell that the process answers."""
+    return Reply(http.client.OK, {"live": True})
+
+
+@register_handler("GET", "/readyz")
+def get_readiness(admin: Admin, environ: dict[str, Any], segment: str) -> Reply:
+    """Tell whether the instance should receive callers."""
+    reasons = admin.node.list_unready_reasons()
+    status = http.client.SERVICE_UNAVAILABLE if reasons else http.client.OK
+    return Reply(status, {"ready": not reasons, "reasons": reasons})
+
+
+@register_handler("GET", "/v1/status")
+def get_status(admin: Admin, environ: dict[str, Any], segment: str) -> Reply:
+    """Describe the instance."""
+    return Reply(http.client.OK, admin.node.describe_status())
+
+
+@register_handler("GET", "/v1/report")
+def get_report(admin: Admin, environ: dict[str, Any], segment: str) -> Reply:
+    """Describe the service levels of the instance."""
+    return Reply(http.client.OK, {"routes": admin.node.describe_levels()})
+
+
+def get_table(admin: Admin, environ: dict[str, Any], segment: str) -> Reply:
+    """Return a table with its version as the entity tag."""
+    admin.check_token(environ)
+    rows, version, current = admin.node.get_table(segment)
+    if not current and environ.get("QUERY_STRING") != ALLOW_STALE:
+        raise AdminError(
+            http.client.SERVICE_UNAVAILABLE,
+            f"The table is not known to be current; add ?{ALLOW_STALE} to read it all the same",
+        )
+    return Reply(http.client.OK, {segment: rows}, [("ETag", f'"{version}"')])
+
+
+def put_table(admin: Admin, environ: dict[str, Any], segment: str) -> Reply:
+    """Replace a table under the version that the operator read."""
+    admin.check_token(environ)
+    if_version = _read_if_match(environ)
+    change_id = environ.get("HTTP_IDEMPOTENCY_KEY") or uuid.uuid4().hex
+    if len(change_id) > MAX_CHANGE_ID:
+        raise AdminError(http.client.BAD_REQUEST, "Idempotency-Key is too long")
+    rows = _read_rows(environ, segment)
+    answer = admin.node.change_table(Change(segment, rows, if_version, change_id))
+    return _describe_answer(segment, answer)
+
+
+for _name in TABLE_NAMES:
+    register_handler("GET", f"/v1/{_name}")(get_table)
+    register_handler("PUT", f"/v1/{_name}")(put_table)
+
+
+@register_handler("PUT", "/v1/upstreams/")
+def put_upstream(admin: Admin, environ: dict[str, Any], segment: str) -> Reply:
+    """Take or renew the announcement of an upstream."""
+    if len(segment) > MAX_UPSTREAM_ID:
+        raise AdminError(http.client.BAD_REQUEST, "The upstream identifier is too long")
+    value = _read_json(environ)
+    problems = find_problems("Announcement", value, "")
+    if problems:
+        listed = [{"field": p.field, "reason": p.reason} for p in problems]
+        raise AdminError(
+            http.client.UNPROCESSABLE_ENTITY, "Invalid announcement", problems=listed
+        )
+    refusal = admin.node.announce(segment, Announcement(**value))
+    if refusal:
+        raise AdminError(http.client.CONFLICT, refusal)
+    return Reply(http.client.OK, {"upstream": segment})
+
+
+@register_handler("DELETE", "/v1/upstreams/")
+def delete_upstream(admin: Admin, environ: dict[str, Any], segment: str) -> Reply:
+    """Take an upstream out of its pool for good."""
+    if not admin.node.leave(segment):
+        raise AdminError(http.client.NOT_FOUND, f"No upstream {segment!r} is known")
+    return Reply(http.client.OK, {"upstream": segment})
+
+
+def _describe_answer(table: str, answer: ChangeAnswer) -> Reply:
+    etag = [("ETag", f'"{answer.version}"')]
+    document = {
+        "table": table,
+        "verdict": answer.verdict,
+        "version": answer.version,
+        "changed_by": answer.changed_by,
+    }
+    if answer.verdict == "accepted":
+        return Reply(http.client.OK, document, etag)
+    if answer.verdict == "stale":
+        document["title"] = (
+            f"The table is at version {answer.version}, changed by {answer.changed_by!r}"
+        )
+        return Reply(http.client.PRECONDITION_FAILED, document, etag)
+    if answer.verdict == "invalid":
+        document["title"] = "Invalid table"
+        document["problems"] = answer.problems
+        return Reply(http.client.UNPROCESSABLE_ENTITY, document, etag)
+    if answer.verdict == "reused":
+        document["title"] = "The change identifier belongs to another change"
+        return Reply(http.client.UNPROCESSABLE_ENTITY, document, etag)
+    document["title"] = answer.detail
+    return Reply(http.client.SERVICE_UNAVAILABLE, document)
+
+
+def _read_if_match(environ: dict[str, Any]) -> int:
+    text = environ.get("HTTP_IF_MATCH")
+    if text is None:
+        raise AdminError(
+            http.client.PRECONDITION_REQUIRED, "If-Match with the version read is required"
+        )
+    number = text.strip().removeprefix("W/").strip('"')
+    if not (number.isascii() and number.isdigit()):
+        raise AdminError(http.client.BAD_REQUEST, f"If-Match {text!r} is not a version")
+    return int(number)
+
+
+def _read_json(environ: dict[str, Any]) -> Any:
+    try:
+        return json.loads(environ["wsgi.input"].read() or b"null")
+    except (ValueError, RecursionError) as error:
+        raise AdminError(http.client.BAD_REQUEST, f"The body is not JSON: {error}") from error
+
+
+def _read_rows(environ: dict[str, Any], table: str) -> list[dict[str, Any]]:
+    value = _read_json(environ)
+    if not isinstance(value, dict) or set(value) != {table}:
+        error = InvalidTableError(
+            "invalid table", [FieldError(table, f'the body must be {{"{table}": [...]}}')]
+        )
+        raise AdminError(
+            http.client.UNPROCESSABLE_ENTITY, "Invalid table", problems=error.list_problems()
+        )
+    return value[table]
+
+
+def _send(start_response: StartResponse, reply: Reply) -> Iterable[bytes]:
+    body = json.dumps(reply.document, indent=2).encode() + b"\n"
+    is_problem = reply.status >= http.client.BAD_REQUEST
+    content_type = "application/problem+json" if is_problem else JSON_TYPE
+    headers = [("Content-Type", content_type), ("Content-Length", str(len(body)))]
+    start_response(format_status(reply.status), headers + reply.headers)
+    return [body]
--- /dev/null
+++ b/src/foxtaildrum/balancer.py
@@ -0,0 +1,329 @@
+"""Balancer of one pool: slots, queue, ejection and the state policies read."""
+
+from __future__ import annotations
+
+import enum
+import random
+from collections import OrderedDict
+from collections.abc import Iterable
+
+from .budget import Budget
+from .kinds import ErrorKind
+from .policies import get_policy
+from .records import Pool
+from .upstreams import READY, Entry
+
+RAMP_S = 5.0
+RAMP_FLOOR = 0.1
+EJECT_AFTER_FAILURES = 5
+EJECT_BASE_S = 1.0
+EJECT_MAX_S = 30.0
+MAX_EJECTED_RATIO = 0.5
+MAX_FAILURE_LEVEL = 16.0
+SHED_PAUSE_S = 0.05
+INITIAL_SERVICE_S = 0.01
+MEAN_WEIGHT = 0.05
+RETRY_TOKENS = 10.0
+HEDGE_TOKENS_SERVICE_TIMES = 10.0
+
+
+class Result(enum.Enum):
+    """How an attempt on an upstream ended."""
+
+    OK = "ok"
+    FAILED = "failed"
+    SHED = "shed"
+    UNREACHABLE = "unreachable"
+    CANCELLED = "cancelled"
+
+
+class UpstreamLoad:
+    """What one instance knows of the load of one upstream.
+
+    Attributes
+    ----------
+    in_flight : int
+        Own requests that hold a slot.
+    reported_others : float
+        Slots that others used according to the last report.
+    reported_at : float
+        Time of the last report, in seconds.
+    """
+
+    __slots__ = (
+        "address",
+        "ejected_until",
+        "ejections",
+        "failed_at",
+        "failure_level",
+        "failures",
+        "in_flight",
+        "incarnation",
+        "last_turn",
+        "ramp_until",
+        "remote",
+        "reported_at",
+        "reported_others",
+        "slots",
+        "state",
+        "upstream_id",
+    )
+
+    def __init__(self, upstream_id: str) -> None:
+        self.upstream_id = upstream_id
+        self.address = ""
+        self.state = READY
+        self.slots = 1
+        self.incarnation = -1
+        self.remote = False
+        self.in_flight = 0
+        self.last_turn = 0
+        self.reported_others = 0.0
+        self.reported_at = float("-inf")
+        self.failures = 0
+        self.failure_level = 0.0
+        self.failed_at = float("-inf")
+        self.ejected_until = float("-inf")
+        self.ejections = 0
+        self.ramp_until = float("-inf")
+
+    def compute_ramp(self, now: float) -> float:
+        """Return the share of its slots that a starting upstream may use."""
+        if now >= self.ramp_until:
+            return 1.0
+        return max(RAMP_FLOOR, 1.0 - (self.ramp_until - now) / RAMP_S)
+
+    def has_free_slot(self, now: float) -> bool:
+        """Return whether one more request may be sent."""
+        if now >= self.ramp_until:
+            return self.in_flight < self.slots
+        return self.in_flight < max(1, int(self.slots * self.compute_ramp(now)))
+
+
+class PoolLoad:
+    """Averages over a pool that policies read.
+
+    Attributes
+    ----------
+    mean_service_s : float
+        Mean time that an attempt holds a slot, in seconds.
+    mean_others : float
+        Mean of the slots that others use at an upstream.
+    """
+
+    __slots__ = ("mean_others", "mean_service_s")
+
+    def __init__(self) -> None:
+        self.mean_service_s = INITIAL_SERVICE_S
+        self.mean_others = 0.0
+
+
+class Ticket:
+    """A request that asks for a slot.
+
+    Attributes
+    ----------
+    granted : UpstreamLoad or None
+        Upstream whose slot was granted.
+    refused : ErrorKind or None
+        Kind of the refusal.
+    """
+
+    __slots__ = ("deadline", "excluded", "granted", "refused", "wake")
+
+    def __init__(self, deadline: float, excluded: frozenset[str]) -> None:
+        self.deadline = deadline
+        self.excluded = excluded
+        self.granted: UpstreamLoad | None = None
+        self.refused: ErrorKind | None = None
+        self.wake = None
+
+    @property
+    def settled(self) -> bool:
+        """Whether the ticket was granted or refused."""
+        return self.granted is not None or self.refused is not None
+
+
+class Balancer:
+    """Gives slots of a pool's upstreams to requests.
+
+    The caller holds a lock; every method returns at once.
+
+    Parameters
+    ----------
+    pool : Pool
+        Row of the pools table.
+    availability_zone : str
+        Availability zone of this instance.
+    queue_limit : int
+        Requests that may wait for a slot.
+    rng : random.Random
+        Source of random choices.
+    """
+
+    def __init__(
+        self, pool: Pool, availability_zone: str, queue_limit: int, rng: random.Random
+    ) -> None:
+        self.availability_zone = availability_zone
+        self.queue_limit = queue_limit
+        self.rng = rng
+        self.load = PoolLoad()
+        self.turn = 0
+        self.upstreams: dict[str, UpstreamLoad] = {}
+        self.queue: OrderedDict[int, Ticket] = OrderedDict()
+        self.retry_budget = Budget(pool.retry_budget_ratio, RETRY_TOKENS)
+        self.measuring_budget = Budget(pool.measuring_budget_ratio, 0.0)
+        self.configure(pool)
+
+    def configure(self, pool: Pool) -> None:
+        """Take over a changed row of the pools table."""
+        self.pool = pool
+        self.choose = get_policy(pool.policy)
+        self.retry_budget.ratio = pool.retry_budget_ratio
+        self.measuring_budget.ratio = pool.measuring_budget_ratio
+
+    def update_members(self, now: float, entries: Iterable[Entry]) -> list[Ticket]:
+        """Take over the current members; return tickets that are now settled."""
+        seen = set()
+        first_view = not self.upstreams
+        for entry in entries:
+            seen.add(entry.upstream_id)
+            self._update_member(now, entry, first_view)
+        for upstream_id in set(self.upstreams) - seen:
+            del self.upstreams[upstream_id]
+        return self.serve_queue(now)
+
+    def request_slot(self, now: float, ticket: Ticket, may_wait: bool) -> None:
+        """Grant, queue or refuse ``ticket``."""
+        if not self.queue:
+            self._try_grant(now, ticket)
+        if ticket.settled:
+            return
+        ticket.refused = self._find_refusal(now, ticket, may_wait)
+        if ticket.refused is None:
+            self.queue[id(ticket)] = ticket
+
+    def cancel_ticket(self, ticket: Ticket, kind: ErrorKind) -> None:
+        """Refuse a waiting ticket with ``kind``; no effect once settled."""
+        if ticket.settled:
+            return
+        self.queue.pop(id(ticket), None)
+        ticket.refused = kind
+
+    def release(
+        self, now: float, upstream: UpstreamLoad, result: Result, held_s: float
+    ) -> list[Ticket]:
+        """Give a slot back and return tickets that are now settled."""
+        upstream.in_flight -= 1
+        self._learn(now, upstream, result, held_s)
+        return self.serve_queue(now)
+
+    def report_load(self, now: float, upstream: UpstreamLoad, slots_in_use: float) -> None:
+        """Take the load that an answer reported.
+
+        Parameters
+        ----------
+        slots_in_use : float
+            Slots in use, the one of the answered request included.
+        """
+        others = max(0.0, slots_in_use - upstream.in_flight)
+        upstream.reported_others = others
+        upstream.reported_at = now
+        load = self.load
+        load.mean_others += (others - load.mean_others) * MEAN_WEIGHT
+
+    def serve_queue(self, now: float) -> list[Ticket]:
+        """Grant slots to waiting tickets in order; return the settled ones."""
+        settled = []
+        while self.queue:
+            key, ticket = next(iter(self.queue.items()))
+            if ticket.deadline <= now:
+                ticket.refused = ErrorKind.DEADLINE_BEFORE_SEND
+            elif not self.upstreams:
+                ticket.refused = ErrorKind.NO_UPSTREAM
+            else:
+                self._try_grant(now, ticket)
+            if not ticket.settled:
+                break
+            del self.queue[key]
+            settled.append(ticket)
+        return settled
+
+    def count_slots(self, now: float) -> int:
+        """Return the slots of upstreams that take requests."""
+        return sum(u.slots for u in self.upstreams.values() if u.state == READY)
+
+    def earn_budgets(self, held_s: float) -> None:
+        """Credit the budgets for one finished request."""
+        self.retry_budget.earn(1.0)
+        self.measuring_budget.capacity = HEDGE_TOKENS_SERVICE_TIMES * self.load.mean_service_s
+        self.measuring_budget.earn(held_s)
+
+    def _update_member(self, now: float, entry: Entry, first_view: bool) -> None:
+        announcement = entry.announcement
+        upstream = self.upstreams.get(entry.upstream_id)
+        if upstream is None:
+            upstream = self.upstreams[entry.upstream_id] = UpstreamLoad(entry.upstream_id)
+        if announcement.incarnation > upstream.incarnation and not first_view:
+            upstream.ramp_until = now + RAMP_S
+            upstream.failures = 0
+            upstream.failure_level = 0.0
+            upstream.ejected_until = float("-inf")
+        upstream.incarnation = announcement.incarnation
+        upstream.address = announcement.address
+        upstream.state = entry.state
+        upstream.slots = announcement.slots or self.pool.slots_per_upstream
+        zone = announcement.availability_zone
+        upstream.remote = bool(zone) and zone != self.availability_zone
+
+    def _try_grant(self, now: float, ticket: Ticket) -> None:
+        candidates = self._list_candidates(now, ticket.excluded)
+        if not candidates:
+            return
+        chosen = self.choose(now, candidates, self.load, self.rng)
+        chosen.in_flight += 1
+        self.turn += 1
+        chosen.last_turn = self.turn
+        ticket.granted = chosen
+
+    def _list_candidates(self, now: float, excluded: frozenset[str]) -> list[UpstreamLoad]:
+        ready = [u for u in self.upstreams.values() if u.state == READY]
+        healthy = [u for u in ready if u.ejected_until <= now]
+        if len(healthy) < len(ready) * (1 - MAX_EJECTED_RATIO):
+            healthy = ready
+        if excluded:
+            others = [u for u in healthy if u.upstream_id not in excluded]
+            healthy = others or healthy
+        return [u for u in healthy if u.has_free_slot(now)]
+
+    def _find_refusal(self, now: float, ticket: Ticket, may_wait: bool) -> ErrorKind | None:
+        slots = self.count_slots(now)
+        if not slots:
+            return ErrorKind.NO_UPSTREAM
+        if not may_wait or len(self.queue) >= self.queue_limit:
+            return ErrorKind.OVERLOADED
+        wait_s = (len(self.queue) + 1) * self.load.mean_service_s / slots
+        if now + wait_s + self.load.mean_service_s > ticket.deadline:
+            return ErrorKind.DEADLINE_UNREACHABLE
+        return None
+
+    def _learn(self, now: float, upstream: UpstreamLoad, result: Result, held_s: float) -> None:
+        if result is Result.OK:
+            upstream.failures = 0
+            upstream.ejections = 0
+            upstream.failure_level *= 0.5
+            load = self.load
+            load.mean_service_s += (held_s - load.mean_service_s) * MEAN_WEIGHT
+            return
+        if result is Result.CANCELLED:
+            return
+        if result is Result.SHED:
+            upstream.ejected_until = max(upstream.ejected_until, now + SHED_PAUSE_S)
+            return
+        upstream.failures += 1
+        upstream.failure_level = min(MAX_FAILURE_LEVEL, upstream.failure_level + 1.0)
+        upstream.failed_at = now
+        if result is Result.UNREACHABLE or upstream.failures >= EJECT_AFTER_FAILURES:
+            upstream.ejections += 1
+            pause_s = min(EJECT_MAX_S, EJECT_BASE_S * 2 ** (upstream.ejections - 1))
+            upstream.ejected_until = now + pause_s
--- /dev/null
+++ b/src/foxtaildrum/budget.py
@@ -0,0 +1,37 @@
+"""Token budgets for retries, hedges and probes."""
+
+from __future__ import annotations
+
+
+class Budget:
+    """Spends at most a fixed share of what is earned.
+
+    Parameters
+    ----------
+    ratio : float
+        Tokens earned for each unit of useful work.
+    capacity : float
+        Most tokens held at once.
+    """
+
+    __slots__ = ("_tokens", "capacity", "ratio")
+
+    def __init__(self, ratio: float, capacity: float) -> None:
+        self.ratio = ratio
+        self.capacity = capacity
+        self._tokens = 0.0
+
+    def earn(self, amount: float) -> None:
+        """Credit the share of ``amount`` units of useful work."""
+        self._tokens = min(self.capacity, self._tokens + amount * self.ratio)
+
+    def spend(self, cost: float) -> bool:
+        """Take ``cost`` tokens if they are there; return whether they were."""
+        if self.ratio <= 0 or self._tokens < cost:
+            return False
+        self._tokens -= cost
+        return True
+
+    def refund(self, cost: float) -> None:
+        """Return tokens that were spent on work that did not happen."""
+        self._tokens = min(self.capacity, self._tokens + cost)
--- /dev/null
+++ b/src/foxtaildrum/cli.py
@@ -0,0 +1,309 @@
+"""Command line of foxtaildrum."""
+
+from __future__ import annotations
+
+import argparse
+import json
+import os
+import signal
+import sys
+import threading
+import tomllib
+import uuid
+from collections.abc import Callable, Sequence
+from pathlib import Path
+from typing import Any
+
+from . import __version__
+from .client import AdminClient
+from .exceptions import (
+    AdminRequestError,
+    CorruptJournalError,
+    FieldError,
+    FoxtaildrumError,
+    InvalidFieldsError,
+    InvalidSettingsError,
+    InvalidTableError,
+    StaleVersionError,
+)
+from .instance import Instance
+from .logs import configure_logs
+from .objectives import merge_levels
+from .report import format_report, list_formats
+from .settings import add_flags, list_flag, load_settings, read_secret
+from .tables import TABLE_NAMES, check_references, check_table
+
+EXIT_OK = 0
+EXIT_FAILED = 1
+EXIT_USAGE = 2
+EXIT_LOST_RACE = 3
+DEFAULT_ADMIN = "127.0.0.1:8081"
+
+Command = Callable[[argparse.Namespace], int]
+
+
+def main(argv: Sequence[str] | None = None) -> int:
+    """Run the command line and return its exit status."""
+    arguments = build_parser().parse_args(argv)
+    try:
+        return arguments.run(arguments)
+    except InvalidSettingsError as error:
+        for problem in error.exceptions:
+            _complain(f"{list_flag(problem.field)}: {problem.reason}")
+        return EXIT_USAGE
+    except InvalidFieldsError as error:
+        for problem in error.exceptions:
+            _complain(str(problem))
+        return EXIT_FAILED
+    except StaleVersionError as error:
+        _complain(f"not applied: {error}")
+        return EXIT_LOST_RACE
+    except (FoxtaildrumError, OSError) as error:
+        _complain(str(error))
+        return EXIT_FAILED
+
+
+def build_parser() -> argparse.ArgumentParser:
+    """Return the parser of the command line."""
+    parser = argparse.ArgumentParser(
+        prog="foxtaildrum", description="Load balancer for servers whose load shifts quickly."
+    )
+    parser.add_argument("--version", action="version", version=__version__)
+    commands = parser.add_subparsers(metavar="COMMAND", required=True)
+    serve = commands.add_parser("serve", help="run an instance")
+    add_flags(serve)
+    serve.set_defaults(run=run_serve)
+    for name in TABLE_NAMES:
+        _add_table_commands(commands, name)
+    check = commands.add_parser("check", help="validate table files without an instance")
+    check.add_argument("files", nargs="+", metavar="FILE")
+    check.set_defaults(run=run_check)
+    status = commands.add_parser("status", help="show the state of an instance")
+    _add_admin_flags(status)
+    status.add_argument("--format", choices=("text", "json"), default="text")
+    status.set_defaults(run=run_status)
+    report = commands.add_parser("report", help="report on service-level burn")
+    _add_admin_flags(report)
+    report.add_argument("--format", choices=list_formats(), default="text")
+    report.set_defaults(run=run_report)
+    return parser
+
+
+def run_serve(arguments: argparse.Namespace) -> int:
+    """Run an instance until a signal stops it."""
+    settings = load_settings(vars(arguments), os.environ)
+    configure_logs(settings.log_level, settings.log_format)
+    stop_requested = threading.Event()
+
+    def handle_signal(number: int, frame: Any) -> None:
+        if stop_requested.is_set():
+            os._exit(EXIT_FAILED)
+        stop_requested.set()
+
+    signal.signal(signal.SIGTERM, handle_signal)
+    signal.signal(signal.SIGINT, handle_signal)
+    try:
+        instance = Instance.from_settings(settings)
+    except CorruptJournalError as error:
+        _complain(f"{settings.data_dir}: {error}; replace the disk as docs/operations.md says")
+        return EXIT_FAILED
+    instance.start()
+    stop_requested.wait()
+    return EXIT_OK if instance.stop() else EXIT_FAILED
+
+
+def run_get(arguments: argparse.Namespace) -> int:
+    """Print a table as TOML."""
+    rows, version = _build_client(arguments).get_table(arguments.table)
+    print(f"# {arguments.table}, version {version}")
+    print(format_table(arguments.table, rows), end="")
+    return EXIT_OK
+
+
+def run_apply(arguments: argparse.Namespace) -> int:
+    """Replace a table by the content of a file."""
+    rows = read_table(arguments.file, arguments.table)
+    check_table(arguments.table, rows)
+    client = _build_client(arguments)
+    version = arguments.if_version
+    if version is None:
+        _, version = client.get_table(arguments.table)
+    change_id = arguments.change_id or uuid.uuid4().hex
+    try:
+        print(client.put_table(arguments.table, rows, version, change_id))
+    except AdminRequestError as error:
+        raise AdminRequestError(
+            error.status,
+            f"{error.detail}\nresend with --if-version {version} --change-id {change_id}",
+        ) from error
+    return EXIT_OK
+
+
+def run_check(arguments: argparse.Namespace) -> int:
+    """Validate table files; references are checked when both tables are given."""
+    problems: list[Exception] = []
+    found: dict[str, list[dict[str, Any]]] = {}
+    for path in arguments.files:
+        for name, rows in read_tables(path).items():
+            try:
+                check_table(name, rows)
+                found[name] = rows
+            except InvalidTableError as error:
+                problems += [
+                    FieldError(f"{path}: {p.field}", p.reason) for p in error.exceptions
+                ]
+    if len(found) == len(TABLE_NAMES):
+        try:
+            check_references(*({r["name"]: r for r in found[n]} for n in TABLE_NAMES))
+        except InvalidTableError as error:
+            problems += error.exceptions
+    if problems:
+        raise InvalidTableError("invalid tables", problems)
+    print("ok: " + ", ".join(f"{len(rows)} {name}" for name, rows in found.items()))
+    return EXIT_OK
+
+
+def run_status(arguments: argparse.Namespace) -> int:
+    """Show the state of an instance."""
+    status = _build_client(arguments).get_status()
+    if arguments.format == "json":
+        print(json.dumps(status, indent=2))
+    else:
+        print("\n".join(format_status_lines(status)))
+    return EXIT_OK
+
+
+def run_report(arguments: argparse.Namespace) -> int:
+    """Report on service-level burn, added up over the given instances."""
+    by_route: dict[str, list[dict[str, Any]]] = {}
+    for address in arguments.admin.split(","):
+        for level in _build_client(arguments, address).get_report():
+            by_route.setdefault(level["route"], []).append(level)
+    levels = [merge_levels(documents) for documents in by_route.values()]
+    print(format_report(levels, arguments.format), end="")
+    return EXIT_OK
+
+
+def read_tables(path: str) -> dict[str, Any]:
+    """Return the tables in a TOML file.
+
+    Raises
+    ------
+    InvalidTableError
+        When the file is not TOML or holds something else.
+    """
+    try:
+        document = tomllib.loads(Path(path).read_text("utf-8"))
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        raise InvalidTableError("invalid file", [FieldError(path, str(error))]) from error
+    unknown = [
+        FieldError(f"{path}: {name}", "is neither routes nor pools")
+        for name in document
+        if name not in TABLE_NAMES
+    ]
+    if unknown:
+        raise InvalidTableError("invalid file", unknown)
+    if not document:
+        raise InvalidTableError("invalid file", [FieldError(path, "holds no table")])
+    return document
+
+
+def read_table(path: str, name: str) -> Any:
+    """Return the rows of one table in a TOML file."""
+    tables = read_tables(path)
+    if name not in tables:
+        raise InvalidTableError("invalid file", [FieldError(path, f"holds no {name}")])
+    return tables[name]
+
+
+def format_table(name: str, rows: list[dict[str, Any]]) -> str:
+    """Return a table as TOML."""
+    blocks = []
+    for row in rows:
+        lines = [f"[[{name}]]"]
+        lines += [f"{k} = {json.dumps(v)}" for k, v in row.items() if v is not None]
+        blocks.append("\n".join(lines) + "\n")
+    return "\n".join(blocks)
+
+
+def format_status_lines(status: dict[str, Any]) -> list[str]:
+    """Return the status document as text lines."""
+    ready = "ready" if status["ready"] else "unready: " + "; ".join(status["unready_reasons"])
+    age_s = status["table_age_s"]
+    age = "unknown" if age_s is None else f"{age_s:.1f} s"
+    lines = [
+        f"instance {status['instance']} ({status['role']}, "
+        f"zone {status['availability_zone']}): {ready}",
+        f"tables: index {status['table_index']}, age {age}",
+    ]
+    for name, table in status["tables"].items():
+        lines.append(
+            f"  {name}: version {table['version']}, {table['rows']} rows, "
+            f"changed by {table['changed_by'] or '-'}"
+        )
+    control = status.get("control")
+    if control:
+        lines.append(
+            f"control: {control['role']}, term {control['term']}, "
+            f"leader {control['leader'] or '-'}, commit {control['commit_index']}, "
+            f"disk {'admitted' if control['disk_admitted'] else 'not admitted'}, "
+            f"{control['claims']} claims"
+        )
+    lines.append("members:")
+    lines += [
+        f"  {m['instance']}: {m['state']}, {m['role']}, zone {m['availability_zone']}"
+        for m in status["members"]
+    ]
+    for pool in status["pools"]:
+        lines.append(
+            f"pool {pool['pool']}: policy {pool['policy']}, {pool['waiting']} waiting, "
+            f"mean service {pool['mean_service_ms']:.1f} ms"
+        )
+        lines += [
+            f"  {u['upstream']}: {u['state']}{', ejected' if u['ejected'] else ''}, "
+            f"{u['in_flight']}/{u['slots']} slots"
+            for u in pool["upstreams"]
+        ]
+    return lines
+
+
+def _add_table_commands(commands: Any, name: str) -> None:
+    table = commands.add_parser(name, help=f"read or change the {name} table")
+    actions = table.add_subparsers(metavar="ACTION", required=True)
+    get = actions.add_parser("get", help="print the table as TOML")
+    _add_admin_flags(get)
+    get.set_defaults(run=run_get, table=name)
+    apply = actions.add_parser("apply", help="replace the table by a file")
+    apply.add_argument("file", metavar="FILE")
+    apply.add_argument("--if-version", type=int, help="version that the change is based on")
+    apply.add_argument("--change-id", help="identifier that makes a resent change idempotent")
+    _add_admin_flags(apply)
+    apply.set_defaults(run=run_apply, table=name)
+
+
+def _add_admin_flags(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument(
+        "--admin",
+        default=os.environ.get("FOXTAILDRUM_ADMIN", DEFAULT_ADMIN),
+        metavar="HOST:PORT",
+        help="admin interface; report takes several, separated by commas [FOXTAILDRUM_ADMIN]",
+    )
+    parser.add_argument(
+        "--operator-token-file",
+        default=os.environ.get("FOXTAILDRUM_OPERATOR_TOKEN_FILE", ""),
+        metavar="FILE",
+        help="file with the operator token [FOXTAILDRUM_OPERATOR_TOKEN_FILE]",
+    )
+
+
+def _build_client(arguments: argparse.Namespace, address: str = "") -> AdminClient:
+    token = read_secret(arguments.operator_token_file).decode()
+    return AdminClient(address or arguments.admin, token)
+
+
+def _complain(text: str) -> None:
+    print(f"foxtaildrum: {text}", file=sys.stderr)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/src/foxtaildrum/client.py
@@ -0,0 +1,117 @@
+"""Client of the admin interface, used by the command line."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+import urllib3
+
+from .exceptions import AdminRequestError, FieldError, InvalidTableError, StaleVersionError
+
+TIMEOUT_S = 15.0
+
+
+class AdminClient:
+    """Reads and changes an instance through its admin interface.
+
+    Parameters
+    ----------
+    address : str
+        ``HOST:PORT`` of the admin interface.
+    token : str
+        Operator token; empty sends none.
+    """
+
+    def __init__(self, address: str, token: str = "") -> None:
+        self._base = f"http://{address}"
+        self._headers = {"Authorization": f"Bearer {token}"} if token else {}
+        self._http = urllib3.PoolManager(timeout=TIMEOUT_S, retries=False)
+
+    def get_table(self, name: str) -> tuple[list[dict[str, Any]], int]:
+        """Return the rows of a table and its version."""
+        response = self._request("GET", f"/v1/{name}")
+        document = _read_document(response)
+        return document[name], int(response.headers["ETag"].strip('"'))
+
+    def put_table(
+        self, name: str, rows: list[dict[str, Any]], if_version: int, change_id: str
+    ) -> int:
+        """Replace a table and return its new version.
+
+        Raises
+        ------
+        StaleVersionError
+            When another change came first.
+        InvalidTableError
+            When the table is not valid.
+        """
+        headers = {"If-Match": f'"{if_version}"', "Idempotency-Key": change_id}
+        response = self._request("PUT", f"/v1/{name}", {name: rows}, headers)
+        if response.status == 412:
+            document = json.loads(response.data)
+            raise StaleVersionError(document["version"], document["changed_by"])
+        if response.status == 422:
+            _raise_invalid(json.loads(response.data))
+        return _read_document(response)["version"]
+
+    def announce(self, upstream_id: str, announcement: dict[str, Any]) -> None:
+        """Announce or renew an upstream."""
+        _read_document(self._request("PUT", f"/v1/upstreams/{upstream_id}", announcement))
+
+    def leave(self, upstream_id: str) -> None:
+        """Take an upstream out of its pool."""
+        _read_document(self._request("DELETE", f"/v1/upstreams/{upstream_id}"))
+
+    def get_status(self) -> dict[str, Any]:
+        """Return the status document."""
+        return _read_document(self._request("GET", "/v1/status"))
+
+    def get_report(self) -> list[dict[str, Any]]:
+        """Return the service level of each route."""
+        return _read_document(self._request("GET", "/v1/report"))["routes"]
+
+    def is_ready(self) -> bool:
+        """Return whether the instance says that it is ready."""
+        try:
+            return self._request("GET", "/readyz").status == 200
+        except AdminRequestError:
+            return False
+
+    def _request(
+        self,
+        method: str,
+        path: str,
+        document: Any = None,
+        headers: dict[str, str] | None = None,
+    ) -> urllib3.BaseHTTPResponse:
+        body = None if document is None else json.dumps(document).encode()
+        try:
+            return self._http.request(
+                method,
+                self._base + path,
+                body=body,
+                headers={**self._headers, **(headers or {})},
+            )
+        except urllib3.exceptions.HTTPError as error:
+            raise AdminRequestError(0, f"no answer from {self._base}: {error}") from error
+
+
+def _read_document(response: urllib3.BaseHTTPResponse) -> Any:
+    try:
+        document = json.loads(response.data)
+    except ValueError as error:
+        raise AdminRequestError(response.status, "the answer is not JSON") from error
+    if response.status >= 400:
+        detail = document.get("title", response.reason)
+        raise AdminRequestError(response.status, f"{response.status}: {detail}")
+    return document
+
+
+def _raise_invalid(document: dict[str, Any]) -> None:
+    problems = document.get("problems") or [
+        {"field": document.get("table", "table"), "reason": document.get("title", "invalid")}
+    ]
+    raise InvalidTableError(
+        "invalid table", [FieldError(p["field"], p["reason"]) for p in problems]
+    )
--- /dev/null
+++ b/src/foxtaildrum/consensus.py
@@ -0,0 +1,900 @@
+"""Replicated log among the control instances, without I/O.
+
+Leader election with pre-vote, quorum commit, and a sync before every vote and every
+acknowledgement. An instance whose disk is new to the group is a learner: it neither
+votes nor counts until the group has admitted its disk, which takes an entry committed
+by a quorum of the others.
+"""
+
+from __future__ import annotations
+
+import enum
+import random
+from collections.abc import Mapping
+from typing import Any, Protocol
+
+import msgpack
+
+from .events import (
+    Action,
+    Committed,
+    Event,
+    HandoverRequested,
+    Persist,
+    Persisted,
+    PersistFailed,
+    Proposed,
+    Received,
+    Rewrite,
+    Send,
+    Settled,
+    StateReplaced,
+    Tick,
+)
+from .records import (
+    AppendReply,
+    AppendRequest,
+    ControlProbe,
+    Handover,
+    SnapshotPiece,
+    SnapshotReply,
+    VoteReply,
+    VoteRequest,
+)
+
+HEARTBEAT_S = 0.4
+ELECTION_MIN_S = 1.5
+ELECTION_MAX_S = 3.0
+PROBE_S = 0.5
+MAX_ENTRIES_PER_MESSAGE = 64
+PIECE_BYTES = 65_536
+COMPACT_ENTRIES = 1024
+
+NOOP = "noop"
+ADMIT = "admit"
+
+
+class Role(enum.StrEnum):
+    """What an instance is in the group."""
+
+    LEARNER = "learner"
+    FOLLOWER = "follower"
+    CANDIDATE = "candidate"
+    LEADER = "leader"
+    FAILED = "failed"
+
+
+class Unsettled(enum.StrEnum):
+    """Result of a proposal that was not decided here."""
+
+    NOT_LEADER = "not_leader"
+    UNKNOWN = "unknown"
+
+
+class ReplicatedState(Protocol):
+    """State machine that the log drives; deterministic."""
+
+    def apply(self, kind: str, payload: Any) -> Any:
+        """Apply one entry and return its result."""
+
+    def capture(self) -> Any:
+        """Return the state as a value that msgpack can encode."""
+
+    def restore(self, captured: Any) -> None:
+        """Replace the state by a captured one."""
+
+
+class Entry:
+    """One entry of the log."""
+
+    __slots__ = ("index", "kind", "payload", "term")
+
+    def __init__(self, index: int, term: int, kind: str, payload: Any) -> None:
+        self.index = index
+        self.term = term
+        self.kind = kind
+        self.payload = payload
+
+    def to_wire(self) -> list[Any]:
+        """Return the entry as a list that msgpack can encode."""
+        return [self.index, self.term, self.kind, self.payload]
+
+
+class Log:
+    """Entries after the last snapshot."""
+
+    __slots__ = ("_entries", "snapshot_index", "snapshot_term")
+
+    def __init__(self) -> None:
+        self._entries: list[Entry] = []
+        self.snapshot_index = 0
+        self.snapshot_term = 0
+
+    def __len__(self) -> int:
+        """Return the number of entries after the snapshot."""
+        return len(self._entries)
+
+    @property
+    def last_index(self) -> int:
+        """Index of the last entry."""
+        return self.snapshot_index + len(self._entries)
+
+    @property
+    def last_term(self) -> int:
+        """Term of the last entry."""
+        return self._entries[-1].term if self._entries else self.snapshot_term
+
+    def get_term(self, index: int) -> int | None:
+        """Return the term at ``index``, or None where it is not held."""
+        if index == self.snapshot_index:
+            return self.snapshot_term
+        if self.snapshot_index < index <= self.last_index:
+            return self.get(index).term
+        return None
+
+    def get(self, index: int) -> Entry:
+        """Return the entry at ``index``."""
+        return self._entries[index - self.snapshot_index - 1]
+
+    def list_from(self, index: int, limit: int) -> list[Entry]:
+        """Return up to ``limit`` entries from ``index`` on."""
+        start = index - self.snapshot_index - 1
+        return self._entries[start : start + limit]
+
+    def append(self, entry: Entry) -> None:
+        """Append one entry."""
+        self._entries.append(entry)
+
+    def cut(self, last_index: int) -> None:
+        """Drop every entry after ``last_index``."""
+        del self._entries[max(0, last_index - self.snapshot_index) :]
+
+    def compact(self, index: int, term: int) -> None:
+        """Drop entries up to ``index``, which a snapshot now holds."""
+        if index >= self.last_index:
+            self._entries = []
+        else:
+            self._entries = self._entries[index - self.snapshot_index :]
+        self.snapshot_index = index
+        self.snapshot_term = term
+
+
+class Saved:
+    """What the journal holds of one control instance.
+
+    Parameters
+    ----------
+    records : list
+        Decoded journal records; empty for a new disk.
+    """
+
+    def __init__(self, records: list[list[Any]]) -> None:
+        self.disk_id = ""
+        self.formed: dict[str, str] = {}
+        self.term = 0
+        self.voted_for = ""
+        self.log = Log()
+        self.snapshot: bytes = b""
+        for kind, *fields in records:
+            getattr(self, f"_load_{kind}")(*fields)
+
+    def _load_batch(self, *records: list[Any]) -> None:
+        for kind, *fields in records:
+            getattr(self, f"_load_{kind}")(*fields)
+
+    def _load_disk(self, disk_id: str) -> None:
+        self.disk_id = disk_id
+
+    def _load_formed(self, disks: dict[str, str]) -> None:
+        self.formed = disks
+
+    def _load_vote(self, term: int, voted_for: str) -> None:
+        self.term, self.voted_for = term, voted_for
+
+    def _load_entries(self, entries: list[list[Any]]) -> None:
+        for fields in entries:
+            entry = Entry(*fields)
+            if entry.index <= self.log.snapshot_index:
+                continue
+            self.log.cut(entry.index - 1)
+            self.log.append(entry)
+
+    def _load_snapshot(self, index: int, term: int, state: bytes) -> None:
+        self.log.compact(index, term)
+        self.snapshot = state
+
+
+class _Peer:
+    """What the leader knows of another control instance."""
+
+    __slots__ = ("confirmed_at", "disk_id", "match_index", "next_index", "offset")
+
+    def __init__(self, next_index: int) -> None:
+        self.next_index = next_index
+        self.match_index = 0
+        self.disk_id = ""
+        self.offset = 0
+        self.confirmed_at = float("-inf")
+
+
+class _Write:
+    """A write whose sync is outstanding."""
+
+    __slots__ = ("last_index", "sends")
+
+    def __init__(self, last_index: int) -> None:
+        self.last_index = last_index
+        self.sends: list[Send] = []
+
+
+class Consensus:
+    """One control instance's part in the replicated log.
+
+    Parameters
+    ----------
+    instance_id : str
+        This instance.
+    members : list of str
+        Every control instance, this one included.
+    state : ReplicatedState
+        State machine that the log drives.
+    saved : Saved
+        Content of the journal.
+    rng : random.Random
+        Source of election timeouts.
+    now : float
+        Present time in seconds.
+    """
+
+    def __init__(
+        self,
+        instance_id: str,
+        members: list[str],
+        state: ReplicatedState,
+        saved: Saved,
+        rng: random.Random,
+        now: float,
+    ) -> None:
+        self.instance_id = instance_id
+        self.members = sorted(members)
+        self.others = [m for m in self.members if m != instance_id]
+        self.disk_id = saved.disk_id
+        self.term = saved.term
+        self.voted_for = saved.voted_for
+        self.log = saved.log
+        self.state = state
+        self.leader_id = ""
+        self.commit_index = self.log.snapshot_index
+        self.applied_index = self.log.snapshot_index
+        self.admitted: dict[str, str] = {}
+        self._formed = saved.formed
+        self.formed_here = False
+        self._snapshot = saved.snapshot
+        self._rng = rng
+        self._synced_index = self.log.last_index
+        self._token = 0
+        self._writes: dict[int, _Write] = {}
+        self._batch: list[list[Any]] = []
+        self._rewrite = False
+        self._gated: list[Send] = []
+        self._out: list[Action] = []
+        self._probed: dict[str, str] = {}
+        self._peers: dict[str, _Peer] = {}
+        self._votes: set[str] = set()
+        self._pre = False
+        self._pending: dict[int, str] = {}
+        self._term_start = 0
+        self._incoming = bytearray()
+        self._incoming_index = 0
+        self._heard_at = float("-inf")
+        self._led_since = now
+        self._heartbeat_at = now
+        self._probe_at = now
+        if self._snapshot:
+            self._restore_snapshot()
+        self.role = Role.FOLLOWER if self.is_voter() else Role.LEARNER
+        self._election_at = now
+        self._reset_election(now)
+
+    @property
+    def quorum(self) -> int:
+        """Number of instances that decide."""
+        return len(self.members) // 2 + 1
+
+    @property
+    def pristine(self) -> bool:
+        """Whether this disk never took part in an election or held an entry."""
+        return self.term == 0 and self.log.last_index == 0
+
+    def handle(self, now: float, event: Event) -> list[Action]:
+        """Take one event and return the actions that follow from it."""
+        if self.role is not Role.FAILED:
+            _HANDLERS[type(event)](self, now, event)
+        return self._flush()
+
+    def compute_confirmed_at(self, now: float) -> float | None:
+        """Return when a quorum last confirmed this leader, or None.
+
+        Every change accepted by that time has an index up to ``commit_index``.
+        """
+        if self.role is not Role.LEADER or self.commit_index < self._term_start:
+            return None
+        return self._find_confirmed_at(now)
+
+    def can_propose(self) -> bool:
+        """Whether this leader has applied every entry of earlier terms."""
+        return self.role is Role.LEADER and self.applied_index >= self._term_start
+
+    def has_pending(self) -> bool:
+        """Whether entries wait for their commit."""
+        return self.log.last_index > self.applied_index
+
+    # Events.
+
+    def _on_tick(self, now: float, event: Tick) -> None:
+        if self.role is Role.LEADER:
+            self._tick_leader(now)
+            return
+        if self.pristine and not self._formed:
+            self._probe_group(now)
+            return
+        if now >= self._election_at and self.is_voter():
+            self._start_election(now, pre=True)
+
+    def _on_received(self, now: float, event: Received) -> None:
+        if event.peer_id not in self.others:
+            return
+        handler = _MESSAGE_HANDLERS.get(type(event.message))
+        if handler is not None:
+            handler(self, now, event.peer_id, event.message)
+
+    def _on_persisted(self, now: float, event: Persisted) -> None:
+        write = self._writes.pop(event.token, None)
+        if write is None:
+            return
+        self._synced_index = max(self._synced_index, write.last_index)
+        self._out.extend(write.sends)
+        if self.role is Role.LEADER:
+            self._advance_commit(now)
+
+    def _on_persist_failed(self, now: float, event: PersistFailed) -> None:
+        self._leave_leadership()
+        self.role = Role.FAILED
+        self.leader_id = ""
+        self._writes.clear()
+        self._gated.clear()
+        self._batch.clear()
+        self._rewrite = False
+
+    def _on_proposed(self, now: float, event: Proposed) -> None:
+        if self.role is not Role.LEADER:
+            self._out.append(Settled(event.token, Unsettled.NOT_LEADER))
+            return
+        index = self._append_own(event.kind, event.payload)
+        self._pending[index] = event.token
+        self._replicate(now)
+
+    def _on_handover(self, now: float, event: HandoverRequested) -> None:
+        if self.role is not Role.LEADER or not self.others:
+            return
+        ready = [p for p in self.others if self._counts(p)]
+        if ready:
+            best = max(ready, key=lambda p: self._peers[p].match_index)
+            self._out.append(Send(best, Handover(term=self.term)))
+
+    # Formation of a new group.
+
+    def _probe_group(self, now: float) -> None:
+        if not self.others:
+            self._form({self.instance_id: self.disk_id}, now)
+            return
+        if now < self._probe_at:
+            return
+        self._probe_at = now + PROBE_S
+        probe = ControlProbe(disk_id=self.disk_id, pristine=True, reply=False)
+        self._out.extend(Send(p, probe) for p in self.others)
+
+    def _on_probe(self, now: float, peer: str, message: ControlProbe) -> None:
+        if message.pristine:
+            self._probed[peer] = message.disk_id
+        else:
+            self._probed.pop(peer, None)
+        if not message.reply:
+            answer = ControlProbe(disk_id=self.disk_id, pristine=self.pristine, reply=True)
+            self._out.append(Send(peer, answer))
+        if self.pristine and len(self._probed) == len(self.others):
+            self._form({**self._probed, self.instance_id: self.disk_id}, now)
+
+    def _form(self, disks: dict[str, str], now: float) -> None:
+        self.formed_here = True
+        if self._formed == disks:
+            return
+        self._formed = disks
+        self._persist(["formed", disks])
+        self.role = Role.FOLLOWER
+        if not self.others:
+            self._become_leader_alone(now)
+
+    def _become_leader_alone(self, now: float) -> None:
+        self._start_election(now, pre=False)
+
+    def _get_admitted(self) -> Mapping[str, str]:
+        return self.admitted or self._formed
+
+    def is_voter(self) -> bool:
+        """Return whether the group has admitted this disk."""
+        return self._get_admitted().get(self.instance_id) == self.disk_id
+
+    def _counts(self, peer: str) -> bool:
+        known = self._peers.get(peer)
+        return (
+            known is not None
+            and bool(known.disk_id)
+            and self._get_admitted().get(peer) == known.disk_id
+        )
+
+    # Elections.
+
+    def _reset_election(self, now: float) -> None:
+        span_s = ELECTION_MAX_S - ELECTION_MIN_S
+        self._election_at = now + ELECTION_MIN_S + self._rng.random() * span_s
+        if not self.others:
+            self._election_at = now
+
+    def _start_election(self, now: float, pre: bool) -> None:
+        self._reset_election(now)
+        self.role = Role.CANDIDATE
+        self.leader_id = ""
+        self._pre = pre
+        self._votes = {self.instance_id}
+        if not pre:
+            self.term += 1
+            self.voted_for = self.instance_id
+            self._persist(["vote", self.term, self.voted_for])
+        request = VoteRequest(
+            term=self.term + 1 if pre else self.term,
+            last_index=self.log.last_index,
+            last_term=self.log.last_term,
+            pre=pre,
+        )
+        self._gated.extend(Send(p, request) for p in self.others)
+        self._count_votes(now)
+
+    def _count_votes(self, now: float) -> None:
+        if len(self._votes) < self.quorum:
+            return
+        if self._pre:
+            self._start_election(now, pre=False)
+        else:
+            self._become_leader(now)
+
+    def _on_vote_request(self, now: float, peer: str, message: VoteRequest) -> None:
+        if not self.is_voter():
+            return
+        if message.pre:
+            self._answer_pre_vote(now, peer, message)
+            return
+        if message.term > self.term:
+            self._follow_term(now, message.term)
+        granted = (
+            message.term == self.term
+            and self.voted_for in ("", peer)
+            and self._is_up_to_date(message)
+        )
+        if granted and not self.voted_for:
+            self.voted_for = peer
+            self._persist(["vote", self.term, peer])
+        if granted:
+            self._reset_election(now)
+        self._reply_vote(peer, self.term, granted, pre=False)
+
+    def _answer_pre_vote(self, now: float, peer: str, message: VoteRequest) -> None:
+        leader_alive = now - self._heard_at < ELECTION_MIN_S or self.role is Role.LEADER
+        granted = message.term > self.term and not leader_alive and self._is_up_to_date(message)
+        term = message.term if granted else self.term
+        self._reply_vote(peer, term, granted, pre=True)
+
+    def _reply_vote(self, peer: str, term: int, granted: bool, pre: bool) -> None:
+        reply = VoteReply(term=term, granted=granted, pre=pre, disk_id=self.disk_id)
+        self._gated.append(Send(peer, reply))
+
+    def _is_up_to_date(self, message: VoteRequest) -> bool:
+        mine = (self.log.last_term, self.log.last_index)
+        return (message.last_term, message.last_index) >= mine
+
+    def _on_vote_reply(self, now: float, peer: str, message: VoteReply) -> None:
+        if not message.granted and message.term > self.term:
+            self._follow_term(now, message.term)
+            return
+        if self.role is not Role.CANDIDATE or message.pre != self._pre:
+            return
+        expected = self.term + 1 if self._pre else self.term
+        if not message.granted or message.term != expected:
+            return
+        if self._get_admitted().get(peer) != message.disk_id:
+            return
+        self._votes.add(peer)
+        self._count_votes(now)
+
+    def _on_handover_message(self, now: float, peer: str, message: Handover) -> None:
+        if message.term == self.term and self.is_voter() and self.role is Role.FOLLOWER:
+            self._start_election(now, pre=False)
+
+    def _follow_term(self, now: float, term: int) -> None:
+        self._leave_leadership()
+        self.term = term
+        self.voted_for = ""
+        self._persist(["vote", term, ""])
+        self.leader_id = ""
+        self.role = Role.FOLLOWER if self.is_voter() else Role.LEARNER
+        self._reset_election(now)
+
+    def _step_down(self, now: float) -> None:
+        self._leave_leadership()
+        self.leader_id = ""
+        self.role = Role.FOLLOWER
+        self._reset_election(now)
+
+    def _leave_leadership(self) -> None:
+        for token in self._pending.values():
+            self._out.append(Settled(token, Unsettled.UNKNOWN))
+        self._pending.clear()
+        self._peers.clear()
+
+    # Leadership.
+
+    def _become_leader(self, now: float) -> None:
+        self.role = Role.LEADER
+        self.leader_id = self.instance_id
+        self._led_since = now
+        self._peers = {p: _Peer(self.log.last_index + 1) for p in self.others}
+        if self.admitted:
+            self._term_start = self._append_own(NOOP, None)
+        else:
+            group_id = f"{self._rng.getrandbits(64):016x}"
+            payload = {"group_id": group_id, "disks": dict(self._formed)}
+            self._term_start = self._append_own(ADMIT, payload)
+        self._replicate(now)
+
+    def _append_own(self, kind: str, payload: Any) -> int:
+        entry = Entry(self.log.last_index + 1, self.term, kind, payload)
+        self.log.append(entry)
+        self._persist(["entries", [entry.to_wire()]])
+        return entry.index
+
+    def _tick_leader(self, now: float) -> None:
+        if now - max(self._find_confirmed_at(now), self._led_since) > ELECTION_MIN_S:
+            self._step_down(now)
+            return
+        if now >= self._heartbeat_at:
+            self._replicate(now)
+
+    def _find_confirmed_at(self, now: float) -> float:
+        times = [self._peers[p].confirmed_at for p in self.others if self._counts(p)]
+        times.append(now)
+        times += [float("-inf")] * (len(self.members) - len(times))
+        return sorted(times, reverse=True)[self.quorum - 1]
+
+    def _replicate(self, now: float) -> None:
+        self._heartbeat_at = now + HEARTBEAT_S
+        for peer in self.others:
+            self._send_append(now, peer)
+
+    def _send_append(self, now: float, peer: str) -> None:
+        known = self._peers[peer]
+        previous = known.next_index - 1
+        previous_term = self.log.get_term(previous)
+        if previous_term is None:
+            self._send_piece(now, peer)
+            return
+        entries = self.log.list_from(known.next_index, MAX_ENTRIES_PER_MESSAGE)
+        request = AppendRequest(
+            term=self.term,
+            previous_index=previous,
+            previous_term=previous_term,
+            entries=[e.to_wire() for e in entries],
+            commit_index=self.commit_index,
+            sent_at=now,
+        )
+        known.next_index += len(entries)
+        self._out.append(Send(peer, request))
+
+    def _send_piece(self, now: float, peer: str) -> None:
+        known = self._peers[peer]
+        if known.offset > len(self._snapshot):
+            known.offset = 0
+        end = known.offset + PIECE_BYTES
+        message = SnapshotPiece(
+            term=self.term,
+            index=self.log.snapshot_index,
+            last_term=self.log.snapshot_term,
+            offset=known.offset,
+            piece=self._snapshot[known.offset : end],
+            final=end >= len(self._snapshot),
+            sent_at=now,
+        )
+        self._out.append(Send(peer, message))
+
+    def _on_append_reply(self, now: float, peer: str, message: AppendReply) -> None:
+        known = self._accept_reply(now, peer, message)
+        if known is None:
+            return
+        if not message.matched:
+            known.next_index = max(1, min(known.next_index - 1, message.match_index + 1))
+            self._send_append(now, peer)
+            return
+        known.match_index = max(known.match_index, message.match_index)
+        known.next_index = max(known.next_index, known.match_index + 1)
+        self._advance_commit(now)
+        self._admit_learner(now, peer)
+        if self.role is Role.LEADER and known.next_index <= self.log.last_index:
+            self._send_append(now, peer)
+
+    def _accept_reply(
+        self, now: float, peer: str, message: AppendReply | SnapshotReply
+    ) -> _Peer | None:
+        if message.term > self.term:
+            self._follow_term(now, message.term)
+            return None
+        if self.role is not Role.LEADER or message.term != self.term:
+            return None
+        known = self._peers[peer]
+        if known.disk_id != message.disk_id:
+            known.disk_id = message.disk_id
+            known.match_index = 0
+            known.offset = 0
+        known.confirmed_at = max(known.confirmed_at, message.sent_at)
+        return known
+
+    def _on_snapshot_reply(self, now: float, peer: str, message: SnapshotReply) -> None:
+        known = self._accept_reply(now, peer, message)
+        if known is None:
+            return
+        if message.index != self.log.snapshot_index:
+            known.offset = 0
+            return
+        known.offset = message.offset
+        if message.offset >= len(self._snapshot):
+            known.offset = 0
+            known.match_index = max(known.match_index, message.index)
+            known.next_index = known.match_index + 1
+        self._send_append(now, peer)
+
+    def _admit_learner(self, now: float, peer: str) -> None:
+        known = self._peers.get(peer)
+        if known is None or self._counts(peer) or not self.can_propose():
+            return
+        if known.match_index < self.commit_index or self._has_pending_admission():
+            return
+        self._append_own(ADMIT, {"disks": {peer: known.disk_id}})
+        self._replicate(now)
+
+    def _has_pending_admission(self) -> bool:
+        first = self.applied_index + 1
+        return any(
+            e.kind == ADMIT for e in self.log.list_from(first, self.log.last_index - first + 1)
+        )
+
+    def _advance_commit(self, now: float) -> None:
+        matches = [self._peers[p].match_index for p in self.others if self._counts(p)]
+        matches.append(min(self._synced_index, self.log.last_index))
+        matches += [0] * (len(self.members) - len(matches))
+        index = sorted(matches, reverse=True)[self.quorum - 1]
+        if index > self.commit_index and self.log.get_term(index) == self.term:
+            self.commit_index = index
+            self._apply_committed()
+            self._replicate(now)
+
+    # Following.
+
+    def _on_append_request(self, now: float, peer: str, message: AppendRequest) -> None:
+        if not self._accept_leader(now, peer, message.term):
+            self._reply_append(peer, message, matched=False, index=0)
+            return
+        if not self._fits(message):
+            hint = min(self.log.last_index, message.previous_index - 1)
+            self._reply_append(peer, message, matched=False, index=max(0, hint))
+            return
+        entries = [Entry(*fields) for fields in message.entries]
+        self._take_entries(entries)
+        last = message.previous_index + len(entries)
+        if min(message.commit_index, last) > self.commit_index:
+            self.commit_index = min(message.commit_index, last)
+            self._apply_committed()
+        self._reply_append(peer, message, matched=True, index=last)
+
+    def _accept_leader(self, now: float, peer: str, term: int) -> bool:
+        if term < self.term:
+            return False
+        if term > self.term:
+            self._follow_term(now, term)
+        self.leader_id = peer
+        self.role = Role.FOLLOWER if self.is_voter() else Role.LEARNER
+        self._heard_at = now
+        self._reset_election(now)
+        return True
+
+    def _fits(self, message: AppendRequest) -> bool:
+        if message.previous_index < self.log.snapshot_index:
+            return True
+        return self.log.get_term(message.previous_index) == message.previous_term
+
+    def _take_entries(self, entries: list[Entry]) -> None:
+        fresh = []
+        for entry in entries:
+            if entry.index <= self.log.snapshot_index:
+                continue
+            if not fresh and self.log.get_term(entry.index) == entry.term:
+                continue
+            fresh.append(entry)
+        if not fresh:
+            return
+        self._cut_log(fresh[0].index - 1)
+        for entry in fresh:
+            self.log.append(entry)
+        self._persist(["entries", [e.to_wire() for e in fresh]])
+
+    def _cut_log(self, last_index: int) -> None:
+        if last_index >= self.log.last_index:
+            return
+        self.log.cut(last_index)
+        self._synced_index = min(self._synced_index, last_index)
+        for write in self._writes.values():
+            write.last_index = min(write.last_index, last_index)
+
+    def _reply_append(
+        self, peer: str, message: AppendRequest, matched: bool, index: int
+    ) -> None:
+        reply = AppendReply(
+            term=self.term,
+            matched=matched,
+            match_index=index,
+            sent_at=message.sent_at,
+            disk_id=self.disk_id,
+        )
+        self._gated.append(Send(peer, reply))
+
+    def _on_snapshot_piece(self, now: float, peer: str, message: SnapshotPiece) -> None:
+        if not self._accept_leader(now, peer, message.term):
+            self._reply_snapshot(peer, message, 0)
+            return
+        if message.index <= self.commit_index:
+            self._reply_append_at(peer, message, self.commit_index)
+            return
+        if self._incoming_index != message.index or message.offset == 0:
+            self._incoming_index = message.index
+            self._incoming.clear()
+        if message.offset == len(self._incoming):
+            self._incoming += message.piece
+            if message.final:
+                self._install_snapshot(message)
+                self._reply_append_at(peer, message, message.index)
+                return
+        self._reply_snapshot(peer, message, len(self._incoming))
+
+    def _reply_append_at(self, peer: str, message: SnapshotPiece, index: int) -> None:
+        reply = AppendReply(
+            term=self.term,
+            matched=True,
+            match_index=index,
+            sent_at=message.sent_at,
+            disk_id=self.disk_id,
+        )
+        self._gated.append(Send(peer, reply))
+
+    def _reply_snapshot(self, peer: str, message: SnapshotPiece, offset: int) -> None:
+        reply = SnapshotReply(
+            term=self.term,
+            index=message.index,
+            offset=offset,
+            sent_at=message.sent_at,
+            disk_id=self.disk_id,
+        )
+        self._gated.append(Send(peer, reply))
+
+    def _install_snapshot(self, message: SnapshotPiece) -> None:
+        self._snapshot = bytes(self._incoming)
+        self._incoming.clear()
+        self._incoming_index = 0
+        if self.log.get_term(message.index) == message.last_term:
+            self.log.compact(message.index, message.last_term)
+        else:
+            self._cut_log(self.log.snapshot_index)
+            self.log.compact(message.index, message.last_term)
+        self.commit_index = message.index
+        self.applied_index = message.index
+        self._restore_snapshot()
+        self._rewrite = True
+        self._out.append(StateReplaced(message.index))
+
+    # State machine and journal.
+
+    def _restore_snapshot(self) -> None:
+        admitted, captured = msgpack.unpackb(self._snapshot, strict_map_key=False)
+        self.admitted = admitted
+        self.state.restore(captured)
+
+    def _apply_committed(self) -> None:
+        applied = []
+        while self.applied_index < self.commit_index:
+            self.applied_index += 1
+            entry = self.log.get(self.applied_index)
+            if entry.kind == ADMIT:
+                self.admitted = {**self.admitted, **entry.payload["disks"]}
+            result = self.state.apply(entry.kind, entry.payload)
+            applied.append((entry.index, entry.kind, entry.payload))
+            token = self._pending.pop(entry.index, None)
+            if token is not None:
+                self._out.append(Settled(token, result))
+        if applied:
+            self._out.append(Committed(applied))
+        if self.role is Role.LEARNER and self.is_voter():
+            self.role = Role.FOLLOWER
+        if self.applied_index - self.log.snapshot_index >= COMPACT_ENTRIES:
+            self._compact()
+
+    def _compact(self) -> None:
+        term = self.log.get_term(self.applied_index)
+        self._snapshot = msgpack.packb([self.admitted, self.state.capture()])
+        self.log.compact(self.applied_index, term)
+        for peer in self._peers.values():
+            peer.offset = 0
+        self._rewrite = True
+
+    def _persist(self, record: list[Any]) -> None:
+        self._batch.append(record)
+
+    def _list_journal(self) -> list[list[Any]]:
+        records = [["disk", self.disk_id], ["formed", self._formed]]
+        if self._snapshot:
+            index, term = self.log.snapshot_index, self.log.snapshot_term
+            records.append(["snapshot", index, term, self._snapshot])
+        records.append(["vote", self.term, self.voted_for])
+        entries = self.log.list_from(self.log.snapshot_index + 1, len(self.log))
+        if entries:
+            records.append(["entries", [e.to_wire() for e in entries]])
+        return records
+
+    def _flush(self) -> list[Action]:
+        out, self._out = self._out, []
+        if self._batch or self._rewrite:
+            out.append(self._build_write())
+        if self._gated:
+            gated, self._gated = self._gated, []
+            if self._writes:
+                self._writes[max(self._writes)].sends.extend(gated)
+            else:
+                out.extend(gated)
+        return out
+
+    def _build_write(self) -> Persist | Rewrite:
+        self._token += 1
+        self._writes[self._token] = _Write(self.log.last_index)
+        if self._rewrite:
+            action: Persist | Rewrite = Rewrite(self._token, self._list_journal())
+        else:
+            action = Persist(self._token, ["batch", *self._batch])
+        self._rewrite = False
+        self._batch = []
+        return action
+
+
+_HANDLERS = {
+    Tick: Consensus._on_tick,
+    Received: Consensus._on_received,
+    Persisted: Consensus._on_persisted,
+    PersistFailed: Consensus._on_persist_failed,
+    Proposed: Consensus._on_proposed,
+    HandoverRequested: Consensus._on_handover,
+}
+
+_MESSAGE_HANDLERS = {
+    ControlProbe: Consensus._on_probe,
+    VoteRequest: Consensus._on_vote_request,
+    VoteReply: Consensus._on_vote_reply,
+    AppendRequest: Consensus._on_append_request,
+    AppendReply: Consensus._on_append_reply,
+    SnapshotPiece: Consensus._on_snapshot_piece,
+    SnapshotReply: Consensus._on_snapshot_reply,
+    Handover: Consensus._on_handover_message,
+}
--- /dev/null
+++ b/src/foxtaildrum/dispatch.py
@@ -0,0 +1,363 @@
+"""Drives one exchange: performs its actions and feeds back what happens."""
+
+from __future__ import annotations
+
+import select
+import tempfile
+from collections import deque
+from collections.abc import Callable, Iterator
+from typing import IO
+
+from . import exchange as x
+from .balancer import Result, Ticket, UpstreamLoad
+from .kinds import ErrorKind, Outcome
+from .pools import UpstreamPool, read_clock
+from .transport import (
+    CHUNK_BYTES,
+    Connection,
+    Head,
+    OutgoingRequest,
+    TransportError,
+    parse_slots_in_use,
+)
+
+CONNECT_TIMEOUT_S = 1.0
+CALLER_POLL_S = 0.05
+ATTEMPT_HEADER = "Foxtaildrum-Attempt"
+TIMEOUT_HEADER = "X-Request-Timeout-Ms"
+
+
+class TruncatedAnswerError(Exception):
+    """Raised into the server so that the caller sees a broken answer."""
+
+
+class Refusal:
+    """An answer made by the system itself."""
+
+    __slots__ = ("kind", "outcome")
+
+    def __init__(self, kind: ErrorKind, outcome: Outcome) -> None:
+        self.kind = kind
+        self.outcome = outcome
+
+
+class UpstreamAnswer:
+    """An upstream's answer on its way to the caller.
+
+    Parameters
+    ----------
+    head : Head
+        Status and headers.
+    body : iterator of bytes
+        Raises :class:`TruncatedAnswerError` when the answer breaks off.
+    whole : bytes or None
+        The body when it is known whole already.
+    """
+
+    __slots__ = ("body", "head", "whole")
+
+    def __init__(self, head: Head, body: Iterator[bytes], whole: bytes | None = None) -> None:
+        self.head = head
+        self.body = body
+        self.whole = whole
+
+
+class StreamedBody:
+    """Body that is relayed while it arrives.
+
+    Parameters
+    ----------
+    dispatch : Dispatch
+        Told how the relay ended, exactly once.
+    number : int
+        Number of the attempt.
+    chunks : iterator of bytes
+        Body as the transport yields it.
+    """
+
+    __slots__ = ("_chunks", "_dispatch", "_ended", "_number")
+
+    def __init__(self, dispatch: Dispatch, number: int, chunks: Iterator[bytes]) -> None:
+        self._dispatch = dispatch
+        self._number = number
+        self._chunks = chunks
+        self._ended = False
+
+    def __iter__(self) -> StreamedBody:
+        """Return the iterator itself."""
+        return self
+
+    def __next__(self) -> bytes:
+        """Return the next chunk; raise :class:`TruncatedAnswerError` on a break."""
+        try:
+            return next(self._chunks)
+        except StopIteration:
+            self._end(x.BodyEnded(self._number))
+            raise
+        except TransportError as error:
+            self._end(x.BodyFailed(self._number))
+            raise TruncatedAnswerError from error
+
+    def close(self) -> None:
+        """Cancel the upstream's work unless the body was read to its end."""
+        self._end(x.CallerLeft())
+
+    def _end(self, event: x.Event) -> None:
+        if self._ended:
+            return
+        self._ended = True
+        self._dispatch.end_stream(event)
+
+
+class _Try:
+    """Resources of one attempt."""
+
+    __slots__ = ("body", "connection", "granted_at", "head", "upstream")
+
+    def __init__(self, upstream: UpstreamLoad, granted_at: float) -> None:
+        self.upstream = upstream
+        self.granted_at = granted_at
+        self.connection: Connection | None = None
+        self.head: Head | None = None
+        self.body: IO[bytes] | bytes | None = None
+
+
+_RESULTS = {
+    x.Ended.OK: Result.OK,
+    x.Ended.FAILED: Result.FAILED,
+    x.Ended.SHED: Result.SHED,
+    x.Ended.UNREACHABLE: Result.UNREACHABLE,
+    x.Ended.CANCELLED: Result.CANCELLED,
+}
+
+
+class Dispatch:
+    """Runs one request to its answer.
+
+    Parameters
+    ----------
+    exchange : Exchange
+        Machine that decides.
+    pool : UpstreamPool
+        Pool that serves the request.
+    request : OutgoingRequest
+        What is sent.
+    caller_left : callable
+        Returns whether the caller closed its connection.
+    stall_s : float
+        Longest wait for the next part of a body, in seconds.
+    spool_chunked : bool
+        Whether a chunked answer must be read whole before it is relayed.
+    """
+
+    def __init__(
+        self,
+        exchange: x.Exchange,
+        pool: UpstreamPool,
+        request: OutgoingRequest,
+        caller_left: Callable[[], bool],
+        stall_s: float,
+        spool_chunked: bool,
+    ) -> None:
+        self._exchange = exchange
+        self._pool = pool
+        self._request = request
+        self._caller_left = caller_left
+        self._stall_s = stall_s
+        self._spool_chunked = spool_chunked
+        self._tries: dict[int, _Try] = {}
+        self._actions: deque[x.Action] = deque()
+        self._result: Refusal | UpstreamAnswer | None = None
+        self.upstream_id = ""
+
+    @property
+    def attempts(self) -> int:
+        """Number of attempts that held a slot."""
+        return len(self._tries)
+
+    def run(self) -> Refusal | UpstreamAnswer:
+        """Return the answer to the caller; its body may still be on its way."""
+        self._feed(x.Start())
+        while self._result is None:
+            if self._actions:
+                self._perform_next()
+                continue
+            self._feed(self._wait())
+        return self._result
+
+    def _feed(self, event: x.Event) -> None:
+        self._actions.extend(self._exchange.handle(read_clock(), event))
+
+    def _perform_next(self) -> None:
+        action = self._actions.popleft()
+        event = _PERFORMERS[type(action)](self, action)
+        if event is not None:
+            self._feed(event)
+
+    def _acquire_slot(self, action: x.AcquireSlot) -> x.Event:
+        ticket = Ticket(self._exchange.deadline, action.excluded)
+        self._pool.request_slot(read_clock(), ticket, action.may_wait)
+        if not ticket.settled:
+            self._wait_for_slot(ticket)
+        if ticket.granted is None:
+            if ticket.refused is ErrorKind.CALLER_LEFT:
+                return x.CallerLeft()
+            return x.SlotRefused(action.attempt, ticket.refused)
+        upstream = ticket.granted
+        self._tries[action.attempt] = _Try(upstream, read_clock())
+        return x.SlotGranted(action.attempt, upstream.upstream_id)
+
+    def _wait_for_slot(self, ticket: Ticket) -> None:
+        while not ticket.wake.wait(self._bound_wait(ticket.deadline)):
+            if read_clock() >= ticket.deadline:
+                self._pool.cancel_ticket(ticket, ErrorKind.DEADLINE_BEFORE_SEND)
+                return
+            if self._caller_left():
+                self._pool.cancel_ticket(ticket, ErrorKind.CALLER_LEFT)
+                return
+
+    def _bound_wait(self, until: float) -> float:
+        return max(0.0, min(CALLER_POLL_S, until - read_clock()))
+
+    def _compute_left(self) -> float:
+        return max(0.001, self._exchange.deadline - read_clock())
+
+    def _connect(self, action: x.Connect) -> x.Event:
+        attempt = self._tries[action.attempt]
+        connections = self._pool.get_connections(attempt.upstream)
+        timeout_s = min(CONNECT_TIMEOUT_S, self._compute_left())
+        repeatable = self._exchange.idempotent
+        try:
+            attempt.connection = connections.take(read_clock(), timeout_s, repeatable)
+        except TransportError:
+            return x.ConnectFailed(action.attempt)
+        return x.Connected(action.attempt)
+
+    def _send(self, action: x.Send) -> x.Event:
+        attempt = self._tries[action.attempt]
+        left_s = self._compute_left()
+        headers = self._request.headers
+        headers[TIMEOUT_HEADER] = str(max(1, int(left_s * 1000)))
+        headers[ATTEMPT_HEADER] = self._name_attempt(action.attempt)
+        try:
+            attempt.connection.send(self._request, left_s)
+        except TransportError as error:
+            return x.AttemptFailed(action.attempt, error.kind)
+        return x.Sent(action.attempt)
+
+    def _name_attempt(self, number: int) -> str:
+        return f"{self._request.request_id}-{number}"
+
+    def _release(self, action: x.Release) -> None:
+        attempt = self._tries.get(action.attempt)
+        if attempt is None or action.ended is x.Ended.NO_SLOT:
+            return
+        now = read_clock()
+        connection = attempt.connection
+        if connection is not None:
+            if connection.whole:
+                self._pool.get_connections(attempt.upstream).give(now, connection)
+            else:
+                connection.close()
+        held_s = now - attempt.granted_at
+        self._pool.release(now, attempt.upstream, _RESULTS[action.ended], held_s)
+
+    def _relay(self, action: x.Relay) -> None:
+        attempt = self._tries[action.attempt]
+        self.upstream_id = attempt.upstream.upstream_id
+        if attempt.body is None:
+            chunks = attempt.connection.read_body(self._stall_s)
+            body = StreamedBody(self, action.attempt, chunks)
+        else:
+            body = _read_spooled(attempt.body)
+            self._feed(x.BodyEnded(action.attempt))
+            self._perform_rest()
+        whole = attempt.body if isinstance(attempt.body, bytes) else None
+        self._result = UpstreamAnswer(attempt.head, body, whole)
+
+    def _reply(self, action: x.Reply) -> None:
+        self._result = Refusal(action.kind, action.outcome)
+
+    def _finish(self, action: x.Truncate | x.Finish) -> None:
+        if self._result is None:
+            self._result = Refusal(ErrorKind.CALLER_LEFT, Outcome.UNKNOWN)
+
+    def _perform_rest(self) -> None:
+        while self._actions:
+            self._perform_next()
+
+    def end_stream(self, event: x.Event) -> None:
+        """Tell the exchange how the relay of a streamed body ended."""
+        self._feed(event)
+        self._perform_rest()
+
+    def _wait(self) -> x.Event:
+        poll = select.poll()
+        numbers: dict[int, int] = {}
+        for number in self._tries:
+            if self._exchange.get_attempt(number).phase is x.Phase.AWAITING_HEAD:
+                fileno = self._tries[number].connection.fileno()
+                numbers[fileno] = number
+                poll.register(fileno, select.POLLIN)
+        while True:
+            wake_at = self._exchange.compute_wake_time()
+            ready = poll.poll(self._bound_wait(wake_at) * 1000)
+            if ready:
+                return self._read_answer(numbers[ready[0][0]])
+            if read_clock() >= wake_at:
+                return x.TimePassed()
+            if self._caller_left() and self._exchange.caller_may_cancel:
+                return x.CallerLeft()
+
+    def _read_answer(self, number: int) -> x.Event:
+        attempt = self._tries[number]
+        try:
+            head = attempt.connection.read_head(self._compute_left())
+            self._check_attempt(number, head)
+            attempt.head = head
+            attempt.body = self._prefetch_body(attempt)
+        except TransportError as error:
+            return x.AttemptFailed(number, error.kind)
+        self._pool.note_answer(
+            read_clock(), attempt.upstream, parse_slots_in_use(head.headers), head.draining
+        )
+        return x.HeadReceived(number, head.status, head.not_run)
+
+    def _check_attempt(self, number: int, head: Head) -> None:
+        # An answer to another attempt means that the connection is out of step.
+        if head.attempt and head.attempt != self._name_attempt(number):
+            raise TransportError(ErrorKind.ANSWER_INVALID)
+
+    def _prefetch_body(self, attempt: _Try) -> IO[bytes] | bytes | None:
+        length = attempt.head.length
+        if length is not None:
+            if length > CHUNK_BYTES:
+                return None
+            return b"".join(attempt.connection.read_body(self._compute_left()))
+        if not self._spool_chunked:
+            return None
+        spool = tempfile.SpooledTemporaryFile(max_size=CHUNK_BYTES)  # noqa: SIM115
+        for chunk in attempt.connection.read_body(self._compute_left()):
+            spool.write(chunk)
+        attempt.head.length = spool.tell()
+        attempt.head.headers.append(("Content-Length", str(attempt.head.length)))
+        spool.seek(0)
+        return spool
+
+
+_PERFORMERS = {
+    x.AcquireSlot: Dispatch._acquire_slot,
+    x.Connect: Dispatch._connect,
+    x.Send: Dispatch._send,
+    x.Release: Dispatch._release,
+    x.Relay: Dispatch._relay,
+    x.Reply: Dispatch._reply,
+    x.Truncate: Dispatch._finish,
+    x.Finish: Dispatch._finish,
+}
+
+
+def _read_spooled(body: IO[bytes] | bytes) -> Iterator[bytes]:
+    if isinstance(body, bytes):
+        return iter((body,)) if body else iter(())
+    return iter(lambda: body.read(CHUNK_BYTES), b"")
--- /dev/null
+++ b/src/foxtaildrum/follower.py
@@ -0,0 +1,225 @@
+"""Table changes as they are followed, relayed and dated on every instance."""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import Any
+
+import msgpack
+
+from .events import Send
+from .records import FollowEntries, FollowPiece, FollowRequest
+from .tables import Patch, Tables
+
+WINDOW_ENTRIES = 256
+PIECE_BYTES = 65_536
+REQUEST_TIMEOUT_S = 0.5
+MAX_ENTRIES_PER_MESSAGE = 64
+
+CHANGE = "change"
+
+
+class TableState:
+    """State that the log drives: both tables and the identity of the group.
+
+    The answers to past changes stay with the control instances; ``with_answers`` is
+    false elsewhere.
+    """
+
+    __slots__ = ("group_id", "tables")
+
+    def __init__(self) -> None:
+        self.group_id = ""
+        self.tables = Tables()
+
+    def apply(self, kind: str, payload: Any) -> Any:
+        """Apply one entry and return the answer to a change."""
+        if kind == CHANGE:
+            return self.tables.apply_patch(Patch.from_wire(payload))
+        if payload and payload.get("group_id"):
+            self.group_id = payload["group_id"]
+        return None
+
+    def capture(self, with_answers: bool = True) -> Any:
+        """Return the state as a value that msgpack can encode."""
+        return [self.group_id, self.tables.to_wire(with_answers)]
+
+    def restore(self, captured: Any) -> None:
+        """Replace the state by a captured one."""
+        self.group_id = captured[0]
+        self.tables = Tables.from_wire(captured[1])
+
+
+class Follower:
+    """Keeps the tables at the latest index that any neighbour can give.
+
+    Parameters
+    ----------
+    state : TableState
+        Tables in force; on a control instance the state that its log drives.
+    index : int
+        Index that the state includes.
+    follows : bool
+        Whether entries are taken from neighbours; a control instance's log does it.
+    """
+
+    def __init__(self, state: TableState, index: int, follows: bool) -> None:
+        self.state = state
+        self.index = index
+        self.follows = follows
+        self.foreign_group = ""
+        self.generation = 0
+        self._window: deque[list[Any]] = deque(maxlen=WINDOW_ENTRIES)
+        self._confirmed_index = -1
+        self._confirmed_at = float("-inf")
+        self._current_at = float("-inf")
+        self._asked_at = float("-inf")
+        self._piece_index = 0
+        self._pieces = bytearray()
+        self._captured: tuple[int, bytes] = (-1, b"")
+
+    def note_applied(self, entries: list[tuple[int, str, Any]]) -> None:
+        """Take entries that the instance's own log applied."""
+        for index, kind, payload in entries:
+            self.index = index
+            self._window.append([index, kind, payload])
+        self.generation += 1
+        self._note_current()
+
+    def note_replaced(self, index: int) -> None:
+        """Take note that the instance's own log was replaced by a snapshot."""
+        self.index = index
+        self._window.clear()
+        self.generation += 1
+        self._note_current()
+
+    def note_beacon(self, group_id: str, index: int, confirmed_at: float) -> None:
+        """Take the word that a quorum confirmed ``index`` at ``confirmed_at``."""
+        if not self._accept_group(group_id):
+            return
+        if confirmed_at > self._confirmed_at:
+            self._confirmed_at = confirmed_at
+            self._confirmed_index = index
+            self._note_current()
+
+    def compute_age(self, now: float) -> float | None:
+        """Return how old the view of the tables may be, in seconds.
+
+        The view includes every change that was accepted longer ago than that. None
+        means that no such time is known.
+        """
+        if self._current_at == float("-inf"):
+            return None
+        return now - self._current_at
+
+    def get_beacon(self) -> tuple[int, float]:
+        """Return the confirmed index and when it was confirmed."""
+        return self._confirmed_index, self._confirmed_at
+
+    def ask_if_behind(self, now: float, peer: str, peer_index: int) -> list[Send]:
+        """Ask ``peer`` for entries if it has more than this instance."""
+        if not self.follows or peer_index <= self.index:
+            return []
+        if now - self._asked_at < REQUEST_TIMEOUT_S:
+            return []
+        return [self._ask(now, peer)]
+
+    def answer_request(self, peer: str, message: FollowRequest) -> list[Send]:
+        """Answer a neighbour that is behind."""
+        if message.after_index >= self.index:
+            return []
+        first = self._window[0][0] if self._window else self.index + 1
+        if message.after_index + 1 < first:
+            return [self._send_piece(peer, message)]
+        entries = [e for e in self._window if e[0] > message.after_index]
+        part = FollowEntries(
+            group_id=self.state.group_id, entries=entries[:MAX_ENTRIES_PER_MESSAGE]
+        )
+        return [Send(peer, part)]
+
+    def take_entries(self, now: float, peer: str, message: FollowEntries) -> list[Any]:
+        """Apply entries that follow on the state; return those that were applied."""
+        if not self.follows or not self._accept_group(message.group_id):
+            return []
+        applied = []
+        for index, kind, payload in message.entries:
+            if index != self.index + 1:
+                continue
+            self.state.apply(kind, payload)
+            self.index = index
+            self._window.append([index, kind, payload])
+            applied.append([index, kind, payload])
+        if applied:
+            self.generation += 1
+            self._note_current()
+            self._asked_at = float("-inf")
+        return applied
+
+    def has_gap(self, message: FollowEntries) -> bool:
+        """Return whether entries arrived that do not follow on the state."""
+        return bool(message.entries) and message.entries[0][0] > self.index + 1
+
+    def take_piece(self, now: float, peer: str, message: FollowPiece) -> list[Send]:
+        """Take a piece of the tables and ask for the next."""
+        if not self.follows or not self._accept_group(message.group_id):
+            return []
+        if message.index <= self.index:
+            return []
+        if message.index != self._piece_index or message.offset == 0:
+            self._piece_index = message.index
+            self._pieces.clear()
+        if message.offset != len(self._pieces):
+            return [self._ask(now, peer)]
+        self._pieces += message.piece
+        if not message.final:
+            return [self._ask(now, peer)]
+        self.state.restore(msgpack.unpackb(bytes(self._pieces), strict_map_key=False))
+        self._pieces.clear()
+        self.note_replaced(message.index)
+        self._asked_at = float("-inf")
+        return []
+
+    def build_push(self, entries: list[Any]) -> FollowEntries:
+        """Return the message that relays entries to neighbours."""
+        return FollowEntries(group_id=self.state.group_id, entries=entries)
+
+    def _note_current(self) -> None:
+        if 0 <= self._confirmed_index <= self.index:
+            self._current_at = self._confirmed_at
+
+    def _accept_group(self, group_id: str) -> bool:
+        if not group_id:
+            return False
+        known = self.state.group_id
+        if known and known != group_id:
+            self.foreign_group = group_id
+            return False
+        return True
+
+    def _ask(self, now: float, peer: str) -> Send:
+        self._asked_at = now
+        request = FollowRequest(
+            after_index=self.index,
+            offset=len(self._pieces),
+            snapshot_index=self._piece_index if self._pieces else 0,
+        )
+        return Send(peer, request)
+
+    def _send_piece(self, peer: str, message: FollowRequest) -> Send:
+        if message.snapshot_index and message.snapshot_index == self._captured[0]:
+            offset = message.offset
+        else:
+            offset = 0
+            if self._captured[0] != self.index:
+                captured = self.state.capture(with_answers=False)
+                self._captured = (self.index, msgpack.packb(captured))
+        index, data = self._captured
+        end = offset + PIECE_BYTES
+        part = FollowPiece(
+            group_id=self.state.group_id,
+            index=index,
+            offset=offset,
+            piece=data[offset:end],
+            final=end >= len(data),
+        )
+        return Send(peer, part)
--- /dev/null
+++ b/src/foxtaildrum/idempotency.py
@@ -0,0 +1,65 @@
+"""Claimed requests: what a request thread does with an idempotency key."""
+
+from __future__ import annotations
+
+import hashlib
+from typing import IO, Protocol
+
+from .claims import MAX_STORED_BODY_BYTES, ClaimOutcome
+from .dispatch import Refusal, UpstreamAnswer
+from .kinds import Outcome
+from .transport import CHUNK_BYTES
+
+UNKNOWN_STATUS = 0
+
+
+class ClaimedCall(Protocol):
+    """A granted claim, to be settled once the request has its result."""
+
+    def settle(self, result: Refusal | UpstreamAnswer) -> None:
+        """Give the claim back or store the answer."""
+
+
+class ClaimGate(Protocol):
+    """Makes claims for request threads; blocks until they are decided."""
+
+    def claim(self, key: str, digest: str, left_s: float) -> tuple[ClaimedCall, ClaimOutcome]:
+        """Claim an idempotency key."""
+
+
+class StoredAnswer:
+    """What is stored of the answer to a claimed request.
+
+    Parameters
+    ----------
+    status : int
+        Status of the answer; 0 when the outcome is unknown.
+    """
+
+    __slots__ = ("body", "headers", "status")
+
+    def __init__(self, status: int, headers: list[tuple[str, str]], body: bytes) -> None:
+        self.status = status
+        self.headers = headers
+        self.body = body
+
+    @classmethod
+    def from_result(cls, result: Refusal | UpstreamAnswer) -> StoredAnswer | None:
+        """Return what to store, or None when the request was not run."""
+        if isinstance(result, Refusal):
+            if result.outcome is Outcome.NOT_RUN:
+                return None
+            return cls(UNKNOWN_STATUS, [], b"")
+        if result.whole is None or len(result.whole) > MAX_STORED_BODY_BYTES:
+            return cls(UNKNOWN_STATUS, [], b"")
+        return cls(result.head.status, result.head.headers, result.whole)
+
+
+def compute_request_digest(method: str, target: str, body: IO[bytes]) -> str:
+    """Return a digest that tells a repeated request from another one."""
+    digest = hashlib.sha256(f"{method} {target}\n".encode())
+    body.seek(0)
+    while chunk := body.read(CHUNK_BYTES):
+        digest.update(chunk)
+    body.seek(0)
+    return digest.hexdigest()[:32]
--- /dev/null
+++ b/src/foxtaildrum/instance.py
@@ -0,0 +1,247 @@
+"""One running instance: composition, start and graceful stop."""
+
+from __future__ import annotations
+
+import contextlib
+import random
+import threading
+import time
+import uuid
+from typing import Any
+
+import msgpack
+import pykka
+
+from .admin import Admin
+from .consensus import Saved
+from .events import Received
+from .journal import FolderDisk, Journal
+from .logs import log_event
+from .membership import Member, MemberState
+from .metrics import Meter, StatsdSender
+from .node import CLAIM_STREAM, LOG_STREAM, Node, Write
+from .peers import PeerNetwork
+from .pools import read_clock
+from .proxy import Proxy
+from .records import Settings
+from .runtime import (
+    NodeAccess,
+    NodeActor,
+    NodeClaims,
+    StorageActor,
+    Ticker,
+    ViewPublisher,
+)
+from .server import HttpServer
+from .settings import parse_control, read_secret
+
+ADMIN_THREADS = 8
+ADMIN_MAX_BODY_BYTES = 4 * 1024 * 1024
+ADMIN_MAX_CONNECTIONS = 1000
+STATSD_PERIOD_S = 1.0
+CONNECTION_TIMEOUT_S = 120
+LEAVE_PAUSE_S = 0.3
+
+
+class Instance:
+    """One instance with its servers and actors.
+
+    Parameters
+    ----------
+    settings : Settings
+        Settings of the instance.
+    """
+
+    def __init__(self, settings: Settings) -> None:
+        self.settings = settings
+        self.meter = Meter()
+        self.proxy = Proxy(self.meter, settings.access_log)
+        self._publisher = ViewPublisher(settings, self.proxy, self.meter)
+        self._network = self._build_network()
+        self._storage: pykka.ActorRef | None = None
+        self._disk: FolderDisk | None = None
+        node, journals = self._build_node()
+        self._actor = NodeActor.start(
+            node, self._write, self._network, self._publisher, self.meter
+        )
+        if journals:
+            self._storage = StorageActor.start(journals, self._actor.tell)
+        self._node = self._actor.proxy()
+        self._publisher.tell_draining = self._node.note_draining.defer
+        self.access = NodeAccess(self._node, self.meter, self.proxy, settings)
+        self.proxy.claims = NodeClaims(self._node)
+        self._open = False
+        self.proxy.is_open = self._is_open
+        self._ticker = Ticker(self._actor.tell)
+        self._statsd = StatsdSender(settings.statsd) if settings.statsd else None
+        self._stopped = threading.Event()
+        self._read_node = node
+        self.callers = self._build_callers()
+        self.admin = self._build_admin()
+
+    @classmethod
+    def from_settings(cls, settings: Settings) -> Instance:
+        """Build an instance; nothing is served before :meth:`start`."""
+        return cls(settings)
+
+    def start(self) -> None:
+        """Serve."""
+        if self._network is not None:
+            self._network.start()
+        self._ticker.start()
+        self.admin.start()
+        if self.callers is not None:
+            self.callers.start()
+        threading.Thread(target=self._send_metrics, name="metrics", daemon=True).start()
+        log_event(
+            "started",
+            instance=self.settings.instance_id,
+            role=self.settings.role,
+            callers=self.callers.address if self.callers else "-",
+            admin=self.admin.address,
+        )
+
+    def stop(self) -> bool:
+        """Stop gracefully; return whether every request in flight ended."""
+        deadline = time.monotonic() + self.settings.shutdown_grace_s
+        log_event("stopping", grace_s=self.settings.shutdown_grace_s)
+        self._node.begin_stop().get()
+        self._pause(min(self.settings.unready_s, self.settings.shutdown_grace_s / 2))
+        idle = True
+        if self.callers is not None:
+            self.callers.announce_close()
+            self.callers.stop_accepting()
+            idle = self.callers.wait_idle(deadline)
+        self._node.end_stop().get()
+        self._pause(LEAVE_PAUSE_S)
+        self.close()
+        log_event("stopped", all_requests_ended=idle)
+        return idle
+
+    def close(self) -> None:
+        """Release threads, sockets and files without waiting for requests."""
+        self._stopped.set()
+        self._ticker.stop()
+        if self._network is not None:
+            self._network.stop()
+        for actor in (self._actor, self._storage):
+            if actor is not None:
+                with contextlib.suppress(pykka.ActorDeadError, pykka.Timeout):
+                    actor.stop(timeout=1.0)
+        if self._disk is not None:
+            self._disk.close()
+
+    def _pause(self, duration_s: float) -> None:
+        time.sleep(max(0.0, duration_s))
+
+    def _is_open(self) -> bool:
+        return self._read_node.is_open(read_clock())
+
+    def _write(self, action: Write) -> None:
+        self._storage.tell(action)
+
+    def _deliver(self, peer_id: str, message: Any) -> None:
+        with contextlib.suppress(pykka.ActorDeadError):
+            self._actor.tell(Received(peer_id, message))
+
+    def _build_network(self) -> PeerNetwork | None:
+        settings = self.settings
+        if not settings.peer_listen:
+            return None
+        fleet_key = read_secret(settings.fleet_key_file)
+        return PeerNetwork(
+            settings.instance_id, settings.peer_listen, fleet_key, self._deliver, self.meter
+        )
+
+    def _build_node(self) -> tuple[Node, dict[str, Journal]]:
+        settings = self.settings
+        me = Member(
+            settings.instance_id,
+            settings.peer_listen,
+            settings.availability_zone,
+            settings.role,
+            int(time.time() * 1000),
+            MemberState.ALIVE,
+            read_clock(),
+        )
+        control = parse_control(settings.control) or {settings.instance_id: ""}
+        saved = None
+        claim_records: list[list[Any]] = []
+        journals: dict[str, Journal] = {}
+        if settings.instance_id in control:
+            self._disk = FolderDisk(settings.data_dir)
+            journals = {
+                LOG_STREAM: Journal(self._disk, "log"),
+                CLAIM_STREAM: Journal(self._disk, "claims"),
+            }
+            saved = load_saved(journals[LOG_STREAM])
+            claim_records = _unpack(journals[CLAIM_STREAM].load())
+        rng = random.Random()
+        node = Node(me, control, saved, claim_records, rng, read_clock())
+        return node, journals
+
+    def _build_callers(self) -> HttpServer | None:
+        settings = self.settings
+        if settings.role == "control":
+            return None
+        return HttpServer(
+            self.proxy,
+            settings.listen,
+            settings.threads,
+            settings.write_deadline_s,
+            max_request_header_size=settings.max_header_bytes,
+            max_request_body_size=settings.max_body_bytes,
+            connection_limit=settings.max_connections,
+            channel_timeout=CONNECTION_TIMEOUT_S,
+        )
+
+    def _build_admin(self) -> HttpServer:
+        settings = self.settings
+        admin = Admin(self.access, read_secret(settings.operator_token_file))
+        return HttpServer(
+            admin,
+            settings.admin_listen,
+            ADMIN_THREADS,
+            settings.write_deadline_s,
+            max_request_body_size=ADMIN_MAX_BODY_BYTES,
+            connection_limit=ADMIN_MAX_CONNECTIONS,
+            channel_timeout=CONNECTION_TIMEOUT_S,
+        )
+
+    def _send_metrics(self) -> None:
+        while not self._stopped.wait(STATSD_PERIOD_S):
+            if self._statsd is None:
+                continue
+            now = read_clock()
+            try:
+                self._statsd.send(now, self.meter, self._list_gauges(now))
+            except OSError as error:
+                log_event("statsd_failed", reason=str(error))
+
+    def _list_gauges(self, now: float) -> dict[str, float]:
+        node = self._read_node
+        gauges: dict[str, float] = {
+            "table_index": node.follower.index,
+            "members": len(node.members.members),
+            "ready": float(not node.list_unready_reasons(now)),
+        }
+        for name, pool in self.proxy.view.pools.items():
+            balancer = pool.balancer
+            gauges[f"pool.{name}.waiting"] = len(balancer.queue)
+            gauges[f"pool.{name}.in_flight"] = sum(
+                u.in_flight for u in list(balancer.upstreams.values())
+            )
+        return gauges
+
+
+def load_saved(journal: Journal) -> Saved:
+    """Return the content of the log's journal; a new disk gets an identifier."""
+    records = _unpack(journal.load())
+    if not records:
+        records = [["disk", uuid.uuid4().hex]]
+        journal.append(msgpack.packb(records[0]))
+    return Saved(records)
+
+
+def _unpack(records: list[bytes]) -> list[list[Any]]:
+    return [msgpack.unpackb(record, strict_map_key=False) for record in records]
--- /dev/null
+++ b/src/foxtaildrum/journal.py
@@ -0,0 +1,205 @@
+"""Durable journal of records in one file.
+
+Each record is the result of one append and one sync, so only the last record can be
+torn by a crash. Damage before the last record is refused.
+"""
+
+from __future__ import annotations
+
+import os
+import struct
+import zlib
+from collections.abc import Iterable
+from typing import Protocol
+
+from .exceptions import CorruptJournalError
+
+MAX_RECORD_BYTES = 64 * 1024 * 1024
+
+_HEADER = struct.Struct(">II")
+
+
+class Disk(Protocol):
+    """Files of one data folder; tests pass a fake that loses unsynced bytes."""
+
+    def read(self, name: str) -> bytes:
+        """Return the content of a file; empty when it does not exist."""
+
+    def append(self, name: str, data: bytes) -> None:
+        """Append to a file and sync it."""
+
+    def replace(self, name: str, data: bytes) -> None:
+        """Replace a file as a whole, atomically, and sync it."""
+
+    def truncate(self, name: str, size: int) -> None:
+        """Cut a file to ``size`` bytes and sync it."""
+
+
+class FolderDisk:
+    """Files in a folder of the operating system.
+
+    Parameters
+    ----------
+    folder : str
+        Path of the folder; created when missing.
+    """
+
+    def __init__(self, folder: str) -> None:
+        os.makedirs(folder, exist_ok=True)
+        self._folder = folder
+        self._files: dict[str, int] = {}
+
+    def read(self, name: str) -> bytes:
+        """Return the content of a file; empty when it does not exist."""
+        try:
+            with open(self._path(name), "rb") as file:
+                return file.read()
+        except FileNotFoundError:
+            return b""
+
+    def append(self, name: str, data: bytes) -> None:
+        """Append to a file and sync it."""
+        descriptor = self._open(name)
+        view = memoryview(data)
+        while view:
+            view = view[os.write(descriptor, view) :]
+        os.fdatasync(descriptor)
+
+    def replace(self, name: str, data: bytes) -> None:
+        """Replace a file as a whole, atomically, and sync it."""
+        temporary = self._path(name + ".new")
+        with open(temporary, "wb") as file:
+            file.write(data)
+            file.flush()
+            os.fsync(file.fileno())
+        self._close(name)
+        os.replace(temporary, self._path(name))
+        self._sync_folder()
+
+    def truncate(self, name: str, size: int) -> None:
+        """Cut a file to ``size`` bytes and sync it."""
+        descriptor = self._open(name)
+        os.ftruncate(descriptor, size)
+        os.fsync(descriptor)
+
+    def close(self) -> None:
+        """Close every file."""
+        for name in list(self._files):
+            self._close(name)
+
+    def _path(self, name: str) -> str:
+        return os.path.join(self._folder, name)
+
+    def _open(self, name: str) -> int:
+        if name not in self._files:
+            flags = os.O_WRONLY | os.O_APPEND | os.O_CREAT
+            self._files[name] = os.open(self._path(name), flags, 0o600)
+            self._sync_folder()
+        return self._files[name]
+
+    def _close(self, name: str) -> None:
+        descriptor = self._files.pop(name, None)
+        if descriptor is not None:
+            os.close(descriptor)
+
+    def _sync_folder(self) -> None:
+        descriptor = os.open(self._folder, os.O_RDONLY)
+        try:
+            os.fsync(descriptor)
+        finally:
+            os.close(descriptor)
+
+
+class Journal:
+    """Append-only records with checksums.
+
+    Parameters
+    ----------
+    disk : Disk
+        Where the file lives.
+    name : str
+        Name of the file.
+    """
+
+    def __init__(self, disk: Disk, name: str) -> None:
+        self._disk = disk
+        self._name = name
+
+    def load(self) -> list[bytes]:
+        """Return the whole records and cut a torn last one.
+
+        Raises
+        ------
+        CorruptJournalError
+            When a record before the last is damaged.
+        """
+        data = self._disk.read(self._name)
+        records, size = split_records(data, self._name)
+        if size < len(data):
+            self._disk.truncate(self._name, size)
+        return records
+
+    def append(self, record: bytes) -> None:
+        """Append one record; it is durable when this returns."""
+        self._disk.append(self._name, pack_record(record))
+
+    def replace(self, records: Iterable[bytes]) -> None:
+        """Replace every record atomically."""
+        self._disk.replace(self._name, b"".join(pack_record(r) for r in records))
+
+
+def pack_record(record: bytes) -> bytes:
+    """Return a record with its header."""
+    return _HEADER.pack(len(record), zlib.crc32(record)) + record
+
+
+def split_records(data: bytes, name: str) -> tuple[list[bytes], int]:
+    """Split a journal into records; also return the bytes that hold them.
+
+    Raises
+    ------
+    CorruptJournalError
+        When a damaged record is followed by further bytes.
+    """
+    records: list[bytes] = []
+    position = 0
+    while position < len(data):
+        end = _find_end(data, position)
+        record = data[position + _HEADER.size : end]
+        if end <= len(data) and _is_intact(data, position, record):
+            records.append(record)
+            position = end
+            continue
+        if _is_torn(data, position, end):
+            break
+        raise CorruptJournalError(f"{name}: the record at byte {position} is damaged")
+    return records, position
+
+
+def _find_end(data: bytes, position: int) -> int:
+    if position + _HEADER.size > len(data):
+        return len(data) + 1
+    length, _ = _HEADER.unpack_from(data, position)
+    return position + _HEADER.size + length
+
+
+def _is_intact(data: bytes, position: int, record: bytes) -> bool:
+    _, checksum = _HEADER.unpack_from(data, position)
+    return bool(record) and zlib.crc32(record) == checksum
+
+
+def _is_torn(data: bytes, position: int, end: int) -> bool:
+    # A torn append leaves a short record or a tail that was never written.
+    if end >= len(data):
+        return not _holds_later_record(data, position)
+    return not any(data[position:])
+
+
+def _holds_later_record(data: bytes, position: int) -> bool:
+    # A damaged length can point past the end; records that follow betray it.
+    for start in range(position + 1, len(data) - _HEADER.size):
+        length, checksum = _HEADER.unpack_from(data, start)
+        end = start + _HEADER.size + length
+        if 0 < length <= MAX_RECORD_BYTES and end == len(data):
+            return zlib.crc32(data[start + _HEADER.size : end]) == checksum
+    return False
--- /dev/null
+++ b/src/foxtaildrum/kinds.py
@@ -0,0 +1,126 @@
+"""Closed list of error kinds and the table from kind to answer."""
+
+from __future__ import annotations
+
+import enum
+
+
+class Outcome(enum.StrEnum):
+    """What is known about the execution of a request."""
+
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+
+
+class Retry(enum.Enum):
+    """When a request that ended with a kind may be sent again."""
+
+    NEVER = "never"
+    IDEMPOTENT = "idempotent"
+    ALWAYS = "always"
+
+
+class ErrorKind(enum.StrEnum):
+    """Every kind of error that the system answers with."""
+
+    BAD_REQUEST = "bad_request"
+    HEADER_TOO_LARGE = "header_too_large"
+    BODY_TOO_LARGE = "body_too_large"
+    METHOD_NOT_ALLOWED = "method_not_allowed"
+    NO_ROUTE = "no_route"
+    NO_UPSTREAM = "no_upstream"
+    OVERLOADED = "overloaded"
+    DEADLINE_UNREACHABLE = "deadline_unreachable"
+    DEADLINE_BEFORE_SEND = "deadline_before_send"
+    CONNECT_FAILED = "connect_failed"
+    SHED = "shed"
+    DEADLINE_EXCEEDED = "deadline_exceeded"
+    ANSWER_LOST = "answer_lost"
+    ANSWER_INVALID = "answer_invalid"
+    CALLER_LEFT = "caller_left"
+    NOT_READY = "not_ready"
+    KEY_RUNNING = "key_running"
+    KEY_REUSED = "key_reused"
+    KEY_UNKNOWN = "key_unknown"
+    CLAIM_UNAVAILABLE = "claim_unavailable"
+    INTERNAL = "internal"
+
+
+class Answer:
+    """How an error kind is answered.
+
+    Parameters
+    ----------
+    status : int
+        HTTP status code.
+    outcome : Outcome
+        Value of ``Foxtaildrum-Outcome``.
+    retry : Retry
+        When the request may be sent to another upstream.
+    title : str
+        Title of the problem document.
+    """
+
+    __slots__ = ("outcome", "retry", "status", "title")
+
+    def __init__(self, status: int, outcome: Outcome, retry: Retry, title: str) -> None:
+        self.status = status
+        self.outcome = outcome
+        self.retry = retry
+        self.title = title
+
+
+_NOT_RUN = Outcome.NOT_RUN
+_UNKNOWN = Outcome.UNKNOWN
+
+ANSWERS: dict[ErrorKind, Answer] = {
+    ErrorKind.BAD_REQUEST: Answer(400, _NOT_RUN, Retry.NEVER, "The request is malformed"),
+    ErrorKind.HEADER_TOO_LARGE: Answer(
+        431, _NOT_RUN, Retry.NEVER, "The header section is too large"
+    ),
+    ErrorKind.BODY_TOO_LARGE: Answer(413, _NOT_RUN, Retry.NEVER, "The body is too large"),
+    ErrorKind.METHOD_NOT_ALLOWED: Answer(
+        405, _NOT_RUN, Retry.NEVER, "The route does not take this method"
+    ),
+    ErrorKind.NO_ROUTE: Answer(404, _NOT_RUN, Retry.NEVER, "No route matches the request"),
+    ErrorKind.NO_UPSTREAM: Answer(
+        503, _NOT_RUN, Retry.NEVER, "The pool has no upstream that takes requests"
+    ),
+    ErrorKind.OVERLOADED: Answer(503, _NOT_RUN, Retry.NEVER, "The queue of the pool is full"),
+    ErrorKind.DEADLINE_UNREACHABLE: Answer(
+        503, _NOT_RUN, Retry.NEVER, "The queue is too long for the deadline"
+    ),
+    ErrorKind.DEADLINE_BEFORE_SEND: Answer(
+        504, _NOT_RUN, Retry.NEVER, "The deadline passed before the request was sent"
+    ),
+    ErrorKind.CONNECT_FAILED: Answer(
+        502, _NOT_RUN, Retry.ALWAYS, "No connection to an upstream could be made"
+    ),
+    ErrorKind.SHED: Answer(503, _NOT_RUN, Retry.ALWAYS, "The upstream refused the request"),
+    ErrorKind.DEADLINE_EXCEEDED: Answer(
+        504, _UNKNOWN, Retry.NEVER, "The deadline passed after the request was sent"
+    ),
+    ErrorKind.ANSWER_LOST: Answer(
+        502, _UNKNOWN, Retry.IDEMPOTENT, "The connection closed before the answer"
+    ),
+    ErrorKind.ANSWER_INVALID: Answer(
+        502, _UNKNOWN, Retry.IDEMPOTENT, "The answer of the upstream is not valid HTTP"
+    ),
+    ErrorKind.CALLER_LEFT: Answer(
+        499, _UNKNOWN, Retry.NEVER, "The caller left before the answer"
+    ),
+    ErrorKind.NOT_READY: Answer(503, _NOT_RUN, Retry.NEVER, "The instance is not ready"),
+    ErrorKind.KEY_RUNNING: Answer(
+        409, _NOT_RUN, Retry.NEVER, "A request with this idempotency key is running"
+    ),
+    ErrorKind.KEY_REUSED: Answer(
+        422, _NOT_RUN, Retry.NEVER, "The idempotency key belongs to another request"
+    ),
+    ErrorKind.KEY_UNKNOWN: Answer(
+        409, _UNKNOWN, Retry.NEVER, "The outcome of the first request is not known"
+    ),
+    ErrorKind.CLAIM_UNAVAILABLE: Answer(
+        503, _NOT_RUN, Retry.NEVER, "The idempotency key could not be claimed"
+    ),
+    ErrorKind.INTERNAL: Answer(500, _UNKNOWN, Retry.NEVER, "The instance failed"),
+}
--- /dev/null
+++ b/src/foxtaildrum/membership.py
@@ -0,0 +1,415 @@
+"""Membership between instances: heartbeats over a ring with bounded neighbours.
+
+Instances are ordered on a ring by a hash of their identifiers. Each pings its next two
+successors and, in turn, neighbours at distances 2, 4, 8 and so on; the number of pings
+a second does not depend on the size of the fleet. News is pushed to a few neighbours
+and repaired by comparing digests that every ping and answer carries.
+"""
+
+from __future__ import annotations
+
+import enum
+import hashlib
+import random
+from collections.abc import Iterable
+from typing import Any
+
+from .digest import BucketDigest, find_bucket
+from .events import Send
+from .records import Ack, MemberNews, Ping, PingReport, PingRequest
+
+PING_PERIOD_S = 1.0
+PING_TIMEOUT_S = 0.6
+MISSES_BEFORE_HELP = 2
+MISSES_BEFORE_SUSPECT = 3
+SUSPECT_S = 3.0
+REJOIN_PERIOD_S = 5.0
+FORGET_S = 3600.0
+SUCCESSORS = 2
+PUSH_FANOUT = 4
+HELPERS = 2
+MAX_MEMBERS = 20_000
+
+
+class MemberState(enum.IntEnum):
+    """State of a member; a higher one wins within an incarnation."""
+
+    ALIVE = 0
+    SUSPECT = 1
+    DEAD = 2
+    LEFT = 3
+
+
+class Member:
+    """What is known of one instance.
+
+    Parameters
+    ----------
+    incarnation : int
+        Number that grows with each start, and to refute a suspicion.
+    changed_at : float
+        Local time of the last change, in seconds.
+    """
+
+    __slots__ = (
+        "address",
+        "availability_zone",
+        "changed_at",
+        "incarnation",
+        "instance_id",
+        "position",
+        "role",
+        "state",
+    )
+
+    def __init__(
+        self,
+        instance_id: str,
+        address: str,
+        availability_zone: str,
+        role: str,
+        incarnation: int,
+        state: MemberState,
+        changed_at: float,
+    ) -> None:
+        self.instance_id = instance_id
+        self.address = address
+        self.availability_zone = availability_zone
+        self.role = role
+        self.incarnation = incarnation
+        self.state = state
+        self.changed_at = changed_at
+        self.position = hashlib.blake2b(instance_id.encode(), digest_size=8).digest()
+
+    @property
+    def usable(self) -> bool:
+        """Whether messages should be sent to the member."""
+        return self.state <= MemberState.SUSPECT
+
+    def rank(self) -> tuple[int, int]:
+        """Return the order in which records replace each other."""
+        return (self.incarnation, int(self.state))
+
+    def to_wire(self) -> list[Any]:
+        """Return the member as a list that msgpack can encode."""
+        return [
+            self.instance_id,
+            self.address,
+            self.availability_zone,
+            self.role,
+            self.incarnation,
+            int(self.state),
+        ]
+
+    @classmethod
+    def from_wire(cls, now: float, fields: list[Any]) -> Member:
+        """Build a member from the list made by :meth:`to_wire`."""
+        instance_id, address, zone, role, incarnation, state = fields
+        return cls(instance_id, address, zone, role, incarnation, MemberState(state), now)
+
+
+class Knowledge:
+    """What an instance tells about itself in each ping and answer."""
+
+    __slots__ = ("applied_index", "beacon_age_s", "beacon_index", "group_id", "upstreams_root")
+
+    def __init__(self) -> None:
+        self.applied_index = 0
+        self.group_id = ""
+        self.beacon_index = -1
+        self.beacon_age_s = 0.0
+        self.upstreams_root = 0
+
+
+class _Sent:
+    """A ping without an answer yet."""
+
+    __slots__ = ("asked_by", "asked_nonce", "sent_at", "target")
+
+    def __init__(self, target: str, sent_at: float, asked_by: str, asked_nonce: int) -> None:
+        self.target = target
+        self.sent_at = sent_at
+        self.asked_by = asked_by
+        self.asked_nonce = asked_nonce
+
+
+class Membership:
+    """One instance's view of the members and its part in keeping it.
+
+    Parameters
+    ----------
+    me : Member
+        This instance.
+    seeds : dict
+        Addresses of a few instances by identifier.
+    rng : random.Random
+        Source of random choices.
+    now : float
+        Present time in seconds.
+    """
+
+    def __init__(
+        self, me: Member, seeds: dict[str, str], rng: random.Random, now: float
+    ) -> None:
+        self.me = me
+        self.seeds = {i: a for i, a in seeds.items() if i != me.instance_id}
+        self.members: dict[str, Member] = {}
+        self.digest = BucketDigest()
+        self.changed: list[Member] = []
+        self._rng = rng
+        self._ring: list[Member] = []
+        self._ring_is_stale = True
+        self._nonce = rng.getrandbits(32)
+        self._sent: dict[int, _Sent] = {}
+        self._misses: dict[str, int] = {}
+        self._turn = 0
+        self._ping_at = now
+        self._rejoin_at = now
+        self._news: dict[str, Member] = {}
+        self._store(me)
+
+    def tick(self, now: float, knowledge: Knowledge) -> list[Send]:
+        """Send due pings, judge silent members and spread news."""
+        out = self._check_timeouts(now)
+        self._judge_suspects(now)
+        if now >= self._ping_at:
+            self._ping_at = now + PING_PERIOD_S
+            for target in self._pick_ping_targets():
+                out.append(self._ping(now, target, knowledge))
+        if now >= self._rejoin_at:
+            self._rejoin_at = now + REJOIN_PERIOD_S
+            for target in self._pick_lost():
+                out.append(self._ping(now, target, knowledge))
+        return out + self.flush_news()
+
+    def answer_ping(
+        self, now: float, peer: str, message: Ping, knowledge: Knowledge
+    ) -> list[Send]:
+        """Answer a ping and learn its sender."""
+        sender = Member.from_wire(now, message.member)
+        out = []
+        known = self.members.get(sender.instance_id)
+        if known is not None and known.rank() > sender.rank():
+            out.append(Send(peer, MemberNews(members=[known.to_wire()])))
+        self.merge([sender])
+        answer = Ack(
+            nonce=message.nonce,
+            members_root=self.digest.compute_root(),
+            upstreams_root=knowledge.upstreams_root,
+            applied_index=knowledge.applied_index,
+            group_id=knowledge.group_id,
+            beacon_index=knowledge.beacon_index,
+            beacon_age_s=knowledge.beacon_age_s,
+        )
+        return [*out, Send(peer, answer)]
+
+    def take_ack(self, now: float, peer: str, message: Ack) -> tuple[float | None, list[Send]]:
+        """Take an answer; return when its ping was sent, or None when unasked."""
+        sent = self._sent.pop(message.nonce, None)
+        if sent is None or sent.target != peer:
+            return None, []
+        self._misses.pop(peer, None)
+        if not sent.asked_by:
+            return sent.sent_at, []
+        report = PingReport(target=peer, nonce=sent.asked_nonce)
+        return sent.sent_at, [Send(sent.asked_by, report)]
+
+    def help_ping(
+        self, now: float, peer: str, message: PingRequest, knowledge: Knowledge
+    ) -> list[Send]:
+        """Ping a member on another's behalf."""
+        target = self.members.get(message.target)
+        if target is None or target is self.me:
+            return []
+        return [self._ping(now, target.instance_id, knowledge, peer, message.nonce)]
+
+    def take_report(self, message: PingReport) -> None:
+        """Take a helper's word that a member answers."""
+        self._misses.pop(message.target, None)
+
+    def merge(self, members: Iterable[Member]) -> None:
+        """Merge records; what is news will be spread."""
+        for member in members:
+            if member.instance_id == self.me.instance_id:
+                self._refute(member)
+                continue
+            known = self.members.get(member.instance_id)
+            if known is None and len(self.members) >= MAX_MEMBERS:
+                continue
+            if known is None or member.rank() > known.rank():
+                self._store(member)
+                self._news[member.instance_id] = member
+
+    def leave(self, now: float) -> list[Send]:
+        """Tell the neighbours that this instance stops."""
+        self._change_state(now, self.me, MemberState.LEFT)
+        return self.flush_news()
+
+    def flush_news(self) -> list[Send]:
+        """Return the messages that spread what is new."""
+        if not self._news:
+            return []
+        news = MemberNews(members=[m.to_wire() for m in self._news.values()])
+        self._news.clear()
+        return [Send(target, news) for target in self.pick_push_targets()]
+
+    def pick_push_targets(self) -> list[str]:
+        """Return the neighbours that news is pushed to."""
+        neighbours = self.list_neighbours()
+        if len(neighbours) <= PUSH_FANOUT:
+            return neighbours
+        return [neighbours[0], *self._rng.sample(neighbours[1:], PUSH_FANOUT - 1)]
+
+    def list_neighbours(self) -> list[str]:
+        """Return the successors and the members at growing distances."""
+        ring = self._get_ring()
+        if len(ring) <= 1:
+            return [] if self.members.keys() - {self.me.instance_id} else list(self.seeds)
+        start = ring.index(self.me)
+        distances = list(range(1, SUCCESSORS + 1))
+        distance = SUCCESSORS * 2
+        while distance < len(ring):
+            distances.append(distance)
+            distance *= 2
+        found = [ring[(start + d) % len(ring)].instance_id for d in distances]
+        return [i for i in dict.fromkeys(found) if i != self.me.instance_id]
+
+    def is_usable(self, instance_id: str) -> bool:
+        """Return whether an instance is alive as far as is known."""
+        member = self.members.get(instance_id)
+        return member is not None and member.usable
+
+    def find_address(self, instance_id: str) -> str:
+        """Return the address of an instance; empty when unknown."""
+        member = self.members.get(instance_id)
+        if member is not None:
+            return member.address
+        return self.seeds.get(instance_id, "")
+
+    def list_bucket(self, buckets: set[int]) -> list[Member]:
+        """Return the members in any of ``buckets``."""
+        return [m for m in self.members.values() if find_bucket(m.instance_id) in buckets]
+
+    def take_changed(self) -> list[Member]:
+        """Return the members that changed since the last call."""
+        changed, self.changed = self.changed, []
+        return changed
+
+    def _pick_ping_targets(self) -> list[str]:
+        neighbours = self.list_neighbours()
+        if not neighbours:
+            return []
+        self._turn += 1
+        near, far = neighbours[:SUCCESSORS], neighbours[SUCCESSORS:]
+        targets = [near[self._turn % len(near)]]
+        if far:
+            targets.append(far[self._turn % len(far)])
+        return targets
+
+    def _pick_lost(self) -> list[str]:
+        lost = [m.instance_id for m in self.members.values() if m.state is MemberState.DEAD]
+        lost += [i for i in self.seeds if i not in self.members]
+        return [self._rng.choice(lost)] if lost else []
+
+    def _ping(
+        self,
+        now: float,
+        target: str,
+        knowledge: Knowledge,
+        asked_by: str = "",
+        asked_nonce: int = 0,
+    ) -> Send:
+        self._nonce = (self._nonce + 1) & 0xFFFFFFFF
+        self._sent[self._nonce] = _Sent(target, now, asked_by, asked_nonce)
+        message = Ping(
+            nonce=self._nonce,
+            member=self.me.to_wire(),
+            members_root=self.digest.compute_root(),
+            upstreams_root=knowledge.upstreams_root,
+            applied_index=knowledge.applied_index,
+        )
+        return Send(target, message)
+
+    def _check_timeouts(self, now: float) -> list[Send]:
+        late = [n for n, s in self._sent.items() if now - s.sent_at >= PING_TIMEOUT_S]
+        out: list[Send] = []
+        for nonce in late:
+            sent = self._sent.pop(nonce)
+            if not sent.asked_by:
+                out += self._note_miss(now, sent.target, nonce)
+        return out
+
+    def _note_miss(self, now: float, target: str, nonce: int) -> list[Send]:
+        member = self.members.get(target)
+        if member is None or not member.usable:
+            return []
+        misses = self._misses[target] = self._misses.get(target, 0) + 1
+        if misses >= MISSES_BEFORE_SUSPECT and member.state is MemberState.ALIVE:
+            self._change_state(now, member, MemberState.SUSPECT)
+        if misses < MISSES_BEFORE_HELP:
+            return []
+        others = [i for i in self._list_usable() if i != target]
+        helpers = self._rng.sample(others, min(HELPERS, len(others)))
+        return [Send(h, PingRequest(target=target, nonce=nonce)) for h in helpers]
+
+    def _judge_suspects(self, now: float) -> None:
+        for member in list(self.members.values()):
+            age_s = now - member.changed_at
+            if member.state is MemberState.SUSPECT and age_s >= SUSPECT_S:
+                self._change_state(now, member, MemberState.DEAD)
+            elif not member.usable and age_s >= FORGET_S and member is not self.me:
+                self._forget(member)
+
+    def _list_usable(self) -> list[str]:
+        return [m.instance_id for m in self._get_ring() if m is not self.me]
+
+    def _refute(self, claimed: Member) -> None:
+        if self.me.state is MemberState.LEFT:
+            return
+        if claimed.incarnation < self.me.incarnation:
+            return
+        if claimed.incarnation == self.me.incarnation and claimed.state is MemberState.ALIVE:
+            return
+        self._remove_digest(self.me)
+        self.me.incarnation = claimed.incarnation + 1
+        self._store(self.me)
+        self._news[self.me.instance_id] = self.me
+
+    def _change_state(self, now: float, member: Member, state: MemberState) -> None:
+        self._remove_digest(member)
+        member.state = state
+        member.changed_at = now
+        self._store(member)
+        self._news[member.instance_id] = member
+
+    def _store(self, member: Member) -> None:
+        known = self.members.get(member.instance_id)
+        if known is not None and known is not member:
+            self._remove_digest(known)
+        self.members[member.instance_id] = member
+        self.digest.add(member.instance_id, _describe_rank(member))
+        self._ring_is_stale = True
+        self.changed.append(member)
+
+    def _remove_digest(self, member: Member) -> None:
+        self.digest.remove(member.instance_id, _describe_rank(member))
+
+    def _forget(self, member: Member) -> None:
+        self._remove_digest(member)
+        del self.members[member.instance_id]
+        self._ring_is_stale = True
+
+    def _get_ring(self) -> list[Member]:
+        if self._ring_is_stale:
+            usable = [m for m in self.members.values() if m.usable or m is self.me]
+            self._ring = sorted(usable, key=_get_position)
+            self._ring_is_stale = False
+        return self._ring
+
+
+def _describe_rank(member: Member) -> str:
+    return f"{member.incarnation}.{int(member.state)}"
+
+
+def _get_position(member: Member) -> bytes:
+    return member.position
--- /dev/null
+++ b/src/foxtaildrum/messages.py
@@ -0,0 +1,63 @@
+"""Encoding of the messages between instances."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import Any
+
+import msgpack
+import msgspec
+
+from . import records
+from .exceptions import FrameError
+from .validation import load_schema
+
+Message = Any
+
+_TYPES: dict[int, type] = {}
+_IDS: dict[type, int] = {}
+_FIELDS: dict[type, tuple[str, ...]] = {}
+
+
+def _fill_registry() -> None:
+    for name, schema in load_schema()["$defs"].items():
+        number = schema.get("x-message-id")
+        if number is None:
+            continue
+        message_type = getattr(records, name)
+        _TYPES[number] = message_type
+        _IDS[message_type] = number
+        _FIELDS[message_type] = tuple(f.name for f in dataclasses.fields(message_type))
+
+
+_fill_registry()
+
+
+def encode_message(message: Message) -> bytes:
+    """Return a message as msgpack: its number and its fields in order."""
+    kind = type(message)
+    return msgpack.packb([_IDS[kind], *[getattr(message, f) for f in _FIELDS[kind]]])
+
+
+def decode_message(data: bytes) -> Message:
+    """Return the message in ``data``.
+
+    Raises
+    ------
+    FrameError
+        When the bytes are not a message of the schema.
+    """
+    try:
+        number, *values = msgpack.unpackb(data, strict_map_key=False)
+        message_type = _TYPES[number]
+        fields = dict(zip(_FIELDS[message_type], values, strict=True))
+        return msgspec.convert(fields, message_type)
+    except (ValueError, TypeError, KeyError, RecursionError, msgpack.UnpackException) as error:
+        raise FrameError(f"not a message: {error}") from error
+    except msgspec.ValidationError as error:
+        raise FrameError(f"invalid message: {error}") from error
+
+
+def list_message_types() -> list[type]:
+    """Return every message type, by number."""
+    return [_TYPES[number] for number in sorted(_TYPES)]
--- /dev/null
+++ b/src/foxtaildrum/metrics.py
@@ -0,0 +1,117 @@
+"""Counts of what the instance does, for statsd, status and the report."""
+
+from __future__ import annotations
+
+import threading
+from collections import Counter
+from typing import Any
+
+import statsd
+
+from .latency import RecentLatency
+from .objectives import RouteLevel
+from .records import Route
+from .settings import parse_address
+
+PREFIX = "foxtaildrum"
+PERCENTILES = (50.0, 99.0, 99.9)
+
+
+class Meter:
+    """Counters and service levels of one instance, shared by threads."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._levels: dict[str, RouteLevel] = {}
+        self._latencies: dict[str, RecentLatency] = {}
+        self._counters: Counter[str] = Counter()
+        self._unsent: Counter[str] = Counter()
+
+    def set_routes(self, routes: list[Route]) -> None:
+        """Follow the routes table; counts of kept routes stay."""
+        with self._lock:
+            levels = {}
+            for route in routes:
+                level = self._levels.get(route.name) or RouteLevel(route)
+                level.route = route
+                levels[route.name] = level
+            self._levels = levels
+            self._latencies = {
+                r.name: self._latencies.get(r.name) or RecentLatency() for r in routes
+            }
+
+    def count(self, name: str, amount: int = 1) -> None:
+        """Add to a counter."""
+        with self._lock:
+            self._counters[name] += amount
+            self._unsent[name] += amount
+
+    def record_request(
+        self, now: float, route: str, status: int, failed: bool, latency_s: float
+    ) -> None:
+        """Count one finished request of a route."""
+        with self._lock:
+            for name in ("requests", f"requests.{route}.{status // 100}xx"):
+                self._counters[name] += 1
+                self._unsent[name] += 1
+            level = self._levels.get(route)
+            if level is None:
+                return
+            level.add(now, failed, latency_s)
+            self._latencies[route].record(now, latency_s)
+
+    def describe_levels(self, now: float) -> list[dict[str, Any]]:
+        """Return the service level of each route."""
+        with self._lock:
+            return [level.describe(now) for level in self._levels.values()]
+
+    def describe_counters(self) -> dict[str, int]:
+        """Return every counter since the start."""
+        with self._lock:
+            return dict(sorted(self._counters.items()))
+
+    def describe_latencies(self, now: float) -> dict[str, dict[str, float]]:
+        """Return recent latency percentiles of each route, in milliseconds."""
+        with self._lock:
+            return {
+                route: _describe_percentiles(now, latency)
+                for route, latency in self._latencies.items()
+                if latency.count()
+            }
+
+    def take_unsent(self) -> dict[str, int]:
+        """Return the counts since the last call."""
+        with self._lock:
+            unsent, self._unsent = self._unsent, Counter()
+            return dict(unsent)
+
+
+class StatsdSender:
+    """Sends the meter to a statsd server.
+
+    Parameters
+    ----------
+    address : str
+        ``HOST:PORT`` of the server.
+    """
+
+    def __init__(self, address: str) -> None:
+        host, port = parse_address(address)
+        self._client = statsd.StatsClient(host, port, prefix=PREFIX)
+
+    def send(self, now: float, meter: Meter, gauges: dict[str, float]) -> None:
+        """Send counts since the last call, latencies and gauges."""
+        with self._client.pipeline() as pipe:
+            for name, amount in meter.take_unsent().items():
+                pipe.incr(name, amount)
+            for route, values in meter.describe_latencies(now).items():
+                for percentile, value in values.items():
+                    pipe.gauge(f"latency_ms.{route}.{percentile}", value)
+            for name, value in gauges.items():
+                pipe.gauge(name, value)
+
+
+def _describe_percentiles(now: float, latency: RecentLatency) -> dict[str, float]:
+    names = {p: f"p{p:g}".replace(".", "_") for p in PERCENTILES}
+    values = {n: latency.compute_quantile(now, p) for p, n in names.items()}
+    return {n: round(v * 1000, 3) for n, v in values.items() if v is not None}
--- /dev/null
+++ b/src/foxtaildrum/node.py
@@ -0,0 +1,686 @@
+"""State of one instance, composed of its machines, without I/O."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from . import records as r
+from .claims import (
+    Claimer,
+    ClaimHolder,
+    ClaimSettled,
+)
+from .consensus import Consensus, Role, Saved, Unsettled
+from .events import (
+    Committed,
+    HandoverRequested,
+    Persist,
+    Persisted,
+    PersistFailed,
+    Proposed,
+    Received,
+    Rewrite,
+    Send,
+    Settled,
+    StateReplaced,
+    Tick,
+)
+from .exceptions import FrameError, InvalidTableError, StaleAnnouncementError
+from .follower import CHANGE, Follower, TableState
+from .membership import Knowledge, Member, Membership, MemberState
+from .node_api import ChangeAnswer
+from .tables import Change, ChangeResult, check_table
+from .upstreams import Entry, UpstreamList
+
+START_AGE_S = 10.0
+CUT_OFF_S = 15.0
+GROUP_DOWN_START_S = 15.0
+EXPIRE_PERIOD_S = 0.5
+PROPOSAL_TIMEOUT_S = 5.0
+MAX_REDIRECTS = 3
+
+LOG_STREAM = "log"
+CLAIM_STREAM = "claims"
+REDIRECT = "redirect"
+
+
+@dataclass(slots=True)
+class Write:
+    """Append a record to a journal, or replace the journal, and sync it."""
+
+    stream: str
+    token: int
+    records: list[list[Any]]
+    replace: bool
+
+
+@dataclass(slots=True)
+class ChangeSettled:
+    """A change proposed at this instance has its answer."""
+
+    token: str
+    answer: ChangeAnswer
+
+
+@dataclass(slots=True)
+class UpstreamsLost:
+    """Leases of upstreams ran out."""
+
+    upstream_ids: list[str]
+
+
+@dataclass(slots=True)
+class MemberChanged:
+    """Another instance changed its state."""
+
+    instance_id: str
+    state: str
+
+
+Action = Send | Write | ChangeSettled | ClaimSettled | UpstreamsLost | MemberChanged
+
+
+class _Proposal:
+    """A change proposed at this instance or passed on by another."""
+
+    __slots__ = ("change", "give_up_at", "origin", "redirects", "sent")
+
+    def __init__(self, change: Change, origin: str, give_up_at: float) -> None:
+        self.change = change
+        self.origin = origin
+        self.give_up_at = give_up_at
+        self.redirects = 0
+        self.sent = False
+
+
+class Node:
+    """State of one instance.
+
+    Parameters
+    ----------
+    me : Member
+        This instance.
+    control : dict
+        Addresses of the control instances by identifier; only this instance for a
+        site of one.
+    saved : Saved or None
+        Journal of the replicated log; None on an instance without control.
+    claim_records : list
+        Decoded journal of claims.
+    rng : random.Random
+        Source of random choices.
+    now : float
+        Present time in seconds.
+    """
+
+    def __init__(
+        self,
+        me: Member,
+        control: dict[str, str],
+        saved: Saved | None,
+        claim_records: list[list[Any]],
+        rng: random.Random,
+        now: float,
+    ) -> None:
+        self.instance_id = me.instance_id
+        self.control = sorted(control)
+        self.members = Membership(me, control, rng, now)
+        self.upstreams = UpstreamList(me.instance_id)
+        self.state = TableState()
+        self.consensus: Consensus | None = None
+        self.holder: ClaimHolder | None = None
+        if saved is not None:
+            self.consensus = Consensus(
+                me.instance_id, self.control, self.state, saved, rng, now
+            )
+            self.holder = ClaimHolder(
+                me.instance_id, self.control, saved.disk_id, claim_records, now
+            )
+        index = self.consensus.applied_index if self.consensus else 0
+        self.follower = Follower(self.state, index, follows=saved is None)
+        self.claimer = Claimer(self.control)
+        self.stopping = False
+        self._rng = rng
+        self._started_at = now
+        self._started = False
+        self._proposals: dict[str, _Proposal] = {}
+        self._highest_index = 0
+        self._fleet_size = 0
+        self._expire_at = now
+        self._out: list[Action] = []
+
+    # Events.
+
+    def tick(self, now: float) -> list[Action]:
+        """Let time pass."""
+        if self.consensus is not None:
+            self._run_consensus(now, Tick())
+            self._note_own_beacon(now)
+        self._out += self.members.tick(now, self._describe_knowledge(now))
+        self._expire_leases(now)
+        if self.holder is not None:
+            self._take_claim_actions(now, self.holder.tick(now))
+        self._take_claim_actions(now, self.claimer.tick(now))
+        self._drop_late_proposals(now)
+        self._note_fleet(now)
+        self._update_started(now)
+        return self._finish(now)
+
+    def receive(self, now: float, peer: str, message: Any) -> list[Action]:
+        """Take a message of another instance.
+
+        Raises
+        ------
+        FrameError
+            When a field of the message is not usable.
+        """
+        handler = _HANDLERS.get(type(message))
+        try:
+            if handler is not None:
+                handler(self, now, peer, message)
+            elif self.consensus is not None:
+                self._run_consensus(now, Received(peer, message))
+        except (ValueError, TypeError, KeyError, IndexError) as error:
+            raise FrameError(f"unusable {type(message).__name__}: {error}") from error
+        return self._finish(now)
+
+    def note_written(self, now: float, stream: str, token: int) -> list[Action]:
+        """Take note that a write was synced."""
+        if stream == LOG_STREAM:
+            self._run_consensus(now, Persisted(token))
+        else:
+            self._take_claim_actions(now, self.holder.take_persisted(token))
+        return self._finish(now)
+
+    def note_write_failed(self, now: float, stream: str, token: int) -> list[Action]:
+        """Take note that a write failed; its disk is not used again."""
+        if stream == LOG_STREAM:
+            self._run_consensus(now, PersistFailed(token))
+        self.holder.take_persist_failed()
+        return self._finish(now)
+
+    # Operators.
+
+    def propose(self, now: float, token: str, change: Change) -> list[Action]:
+        """Propose a change; its answer comes as :class:`ChangeSettled`."""
+        self._proposals[token] = _Proposal(change, "", now + PROPOSAL_TIMEOUT_S)
+        if self._leads():
+            self._propose_here(now, token, change)
+        else:
+            self._pass_on(token, self._pick_control())
+        return self._finish(now)
+
+    # Upstreams.
+
+    def announce(
+        self, now: float, upstream_id: str, announcement: r.Announcement
+    ) -> tuple[str, list[Action]]:
+        """Take an announcement; return the reason of a refusal and the actions."""
+        try:
+            owner = self.upstreams.announce(
+                now, upstream_id, announcement, self.members.is_usable
+            )
+        except StaleAnnouncementError as error:
+            return str(error), []
+        if owner:
+            message = r.RenewRequest(
+                upstream_id=upstream_id,
+                incarnation=announcement.incarnation,
+                lease_s=announcement.lease_s,
+            )
+            self._out.append(Send(owner, message))
+        return "", self._finish(now)
+
+    def leave_upstream(self, now: float, upstream_id: str) -> tuple[bool, list[Action]]:
+        """Take an upstream out; return whether it was known and the actions."""
+        known = self.upstreams.leave(now, upstream_id)
+        return known, self._finish(now)
+
+    def note_draining(self, now: float, upstream_id: str) -> list[Action]:
+        """Take note of a drain that an answer told."""
+        self.upstreams.note_draining(now, upstream_id)
+        return self._finish(now)
+
+    # Claims.
+
+    def claim(
+        self, now: float, token: str, key: str, digest: str, left_s: float
+    ) -> list[Action]:
+        """Claim a key; the outcome comes as :class:`ClaimSettled`."""
+        self._take_claim_actions(now, self.claimer.ask(now, token, key, digest, left_s))
+        return self._finish(now)
+
+    def finish_claim(self, now: float, token: str, message: r.ClaimFinish) -> list[Action]:
+        """Store an answer; the end comes as :class:`ClaimSettled`."""
+        self._take_claim_actions(now, self.claimer.finish(now, token, message))
+        return self._finish(now)
+
+    def release_claim(self, now: float, key: str, claim_id: str) -> list[Action]:
+        """Give back the claim of a request that was not run."""
+        self._take_claim_actions(now, self.claimer.release(key, claim_id))
+        return self._finish(now)
+
+    # Life of the instance.
+
+    def begin_stop(self, now: float) -> list[Action]:
+        """Hand over leadership and leases."""
+        self.stopping = True
+        if self.consensus is not None:
+            self._run_consensus(now, HandoverRequested())
+        neighbours = [i for i in self.members.list_neighbours() if self.members.is_usable(i)]
+        if neighbours:
+            self._hand_over_leases(now, neighbours[0])
+        return self._finish(now)
+
+    def end_stop(self, now: float) -> list[Action]:
+        """Tell the others that this instance leaves."""
+        self._out += self.members.leave(now)
+        return self._finish(now)
+
+    def list_unready_reasons(self, now: float) -> list[str]:
+        """Return why callers should not be sent here; empty when ready."""
+        reasons = []
+        if self.stopping:
+            reasons.append("stopping")
+        if not self._started:
+            reasons.append("starting: the tables are not known to be current")
+        elif self.is_cut_off(now):
+            reasons.append("cut off from the control instances")
+        if self.consensus is not None and self.consensus.role is Role.FAILED:
+            reasons.append("the disk failed")
+        return reasons
+
+    def is_open(self, now: float) -> bool:
+        """Return whether callers are served."""
+        return self._started and not self.is_cut_off(now)
+
+    def is_current(self, now: float) -> bool:
+        """Return whether the tables include every change of more than a moment ago."""
+        age_s = self.follower.compute_age(now)
+        return age_s is not None and age_s <= CUT_OFF_S
+
+    def is_cut_off(self, now: float) -> bool:
+        """Return whether this instance, and not the control group, is cut off.
+
+        Without a recent word of a quorum the instance serves on as long as it sees
+        most of the fleet: then the control group is down and no change can have been
+        accepted since. Seeing only a minority it stops.
+        """
+        if self.is_current(now):
+            return False
+        return not self._sees_majority()
+
+    # Own parts.
+
+    def _leads(self) -> bool:
+        return self.consensus is not None and self.consensus.role is Role.LEADER
+
+    def _finish(self, now: float) -> list[Action]:
+        news = self.upstreams.take_news()
+        if news:
+            message = r.UpstreamNews(entries=[e.to_wire(now) for e in news])
+            self._out += [Send(t, message) for t in self.members.pick_push_targets()]
+        self._out += self.members.flush_news()
+        for member in self.members.take_changed():
+            if member is not self.members.me:
+                state = member.state.name.lower()
+                self._out.append(MemberChanged(member.instance_id, state))
+        out, self._out = self._out, []
+        return out
+
+    def _run_consensus(self, now: float, event: Any) -> None:
+        actions = self.consensus.handle(now, event)
+        if self.consensus.formed_here and not self.holder.recovered:
+            # A group that forms on new disks starts with no claims. That is written
+            # before anything the group decides, so that a crash cannot part the two.
+            self._take_claim_actions(now, self.holder.take_first_formation())
+        for action in actions:
+            if isinstance(action, Send):
+                self._out.append(action)
+            elif isinstance(action, Persist):
+                self._out.append(Write(LOG_STREAM, action.token, [action.record], False))
+            elif isinstance(action, Rewrite):
+                self._out.append(Write(LOG_STREAM, action.token, action.records, True))
+            elif isinstance(action, Settled):
+                self._settle_proposal(action)
+            elif isinstance(action, Committed):
+                self._relay_committed(now, action)
+            elif isinstance(action, StateReplaced):
+                self.follower.note_replaced(action.index)
+
+    def _relay_committed(self, now: float, action: Committed) -> None:
+        self.follower.note_applied(action.entries)
+        if not self._leads():
+            return
+        entries = [list(entry) for entry in action.entries]
+        push = self.follower.build_push(entries)
+        self._out += [Send(t, push) for t in self.members.pick_push_targets()]
+
+    def _note_own_beacon(self, now: float) -> None:
+        confirmed_at = self.consensus.compute_confirmed_at(now)
+        if confirmed_at is not None:
+            index = self.consensus.commit_index
+            self.follower.note_beacon(self.state.group_id, index, confirmed_at)
+
+    def _describe_knowledge(self, now: float) -> Knowledge:
+        knowledge = Knowledge()
+        knowledge.applied_index = self.follower.index
+        knowledge.group_id = self.state.group_id
+        index, confirmed_at = self.follower.get_beacon()
+        knowledge.beacon_index = index
+        knowledge.beacon_age_s = max(0.0, now - confirmed_at) if index >= 0 else 0.0
+        knowledge.upstreams_root = self.upstreams.digest.compute_root()
+        return knowledge
+
+    def _update_started(self, now: float) -> None:
+        if self._started:
+            return
+        age_s = self.follower.compute_age(now)
+        if age_s is not None and age_s <= START_AGE_S:
+            self._started = True
+            return
+        waited = now - self._started_at >= GROUP_DOWN_START_S
+        caught_up = 0 < self._highest_index <= self.follower.index
+        if waited and caught_up and self.consensus is None and self._sees_majority():
+            self._started = True
+
+    def _sees_majority(self) -> bool:
+        members = self.members.members.values()
+        left = sum(m.state is MemberState.LEFT for m in members)
+        usable = sum(m.usable for m in members)
+        fleet = self._fleet_size or len(members)
+        return usable * 2 > fleet - left
+
+    def _note_fleet(self, now: float) -> None:
+        # The fleet is counted while the view is current; an instance that is cut off
+        # keeps comparing with that count, however long it lasts.
+        if self.is_current(now):
+            members = self.members.members.values()
+            self._fleet_size = sum(m.state is not MemberState.DEAD for m in members)
+
+    def _expire_leases(self, now: float) -> None:
+        if now < self._expire_at:
+            return
+        self._expire_at = now + EXPIRE_PERIOD_S
+        lost = self.upstreams.expire(now, self.members.is_usable)
+        if lost:
+            self._out.append(UpstreamsLost(lost))
+
+    def _hand_over_leases(self, now: float, successor: str) -> None:
+        for entry in self.upstreams.hand_over():
+            left = Entry(
+                entry.upstream_id,
+                entry.announcement,
+                entry.state,
+                successor,
+                entry.sequence + 1,
+                False,
+                entry.expires_at,
+            )
+            self.upstreams.merge(now, left)
+
+    # Proposals.
+
+    def _pick_control(self) -> str:
+        if self.consensus is not None and self.consensus.leader_id:
+            return self.consensus.leader_id
+        others = [c for c in self.control if c != self.instance_id]
+        usable = [c for c in others if self.members.is_usable(c)]
+        choices = usable or others
+        return self._rng.choice(choices) if choices else ""
+
+    def _pass_on(self, token: str, target: str) -> None:
+        proposal = self._proposals[token]
+        if not target or target == self.instance_id:
+            self._answer_proposal(token, _build_unavailable("there is no leader"))
+            return
+        proposal.sent = True
+        message = r.ProposeRequest(token=token, change=proposal.change.to_wire())
+        self._out.append(Send(target, message))
+
+    def _propose_here(self, now: float, token: str, change: Change) -> None:
+        answer = self._judge_at_once(change)
+        if answer is not None:
+            self._answer_proposal(token, answer)
+            return
+        patch = self.state.tables.build_patch(change)
+        self._run_consensus(now, Proposed(token, CHANGE, patch.to_wire()))
+
+    def _judge_at_once(self, change: Change) -> ChangeAnswer | None:
+        known = self.state.tables.find_answer(change)
+        if known is not None:
+            return _describe_result(known)
+        table = self.state.tables.tables[change.table]
+        try:
+            check_table(change.table, change.rows)
+        except InvalidTableError as error:
+            return ChangeAnswer(
+                "invalid", table.version, table.changed_by, error.list_problems()
+            )
+        if not self.consensus.can_propose():
+            return _build_unavailable("the leader is starting")
+        if change.if_version != table.version and self.consensus.has_pending():
+            # The change may follow one whose commit is under way; its rows can be
+            # compared only after that.
+            return _build_unavailable("another change is under way")
+        return None
+
+    def _settle_proposal(self, action: Settled) -> None:
+        if isinstance(action.result, ChangeResult):
+            answer = _describe_result(action.result)
+        elif action.result is Unsettled.NOT_LEADER:
+            answer = _build_unavailable("this instance does not lead")
+        else:
+            answer = _build_unknown()
+        self._answer_proposal(action.token, answer)
+
+    def _answer_proposal(self, token: str, answer: ChangeAnswer) -> None:
+        proposal = self._proposals.pop(token, None)
+        if proposal is None:
+            return
+        if not proposal.origin:
+            self._out.append(ChangeSettled(token, answer))
+            return
+        message = r.ProposeReply(
+            token=token,
+            verdict=answer.verdict,
+            version=answer.version,
+            changed_by=answer.changed_by,
+            problems=answer.problems,
+            detail=answer.detail,
+        )
+        self._out.append(Send(proposal.origin, message))
+
+    def _drop_late_proposals(self, now: float) -> None:
+        late = [t for t, p in self._proposals.items() if now >= p.give_up_at]
+        for token in late:
+            if self._proposals[token].sent or self._leads():
+                self._answer_proposal(token, _build_unknown())
+            else:
+                self._answer_proposal(token, _build_unavailable("there is no leader"))
+
+    def _on_propose_request(self, now: float, peer: str, message: r.ProposeRequest) -> None:
+        change = Change.from_wire(message.change)
+        self._proposals[message.token] = _Proposal(change, peer, now + PROPOSAL_TIMEOUT_S)
+        if self._leads():
+            self._propose_here(now, message.token, change)
+            return
+        leader = self.consensus.leader_id if self.consensus is not None else ""
+        self._answer_proposal(message.token, ChangeAnswer(REDIRECT, 0, detail=leader))
+
+    def _on_propose_reply(self, now: float, peer: str, message: r.ProposeReply) -> None:
+        proposal = self._proposals.get(message.token)
+        if proposal is None or proposal.origin:
+            return
+        if message.verdict != REDIRECT:
+            answer = ChangeAnswer(
+                message.verdict,
+                message.version,
+                message.changed_by,
+                message.problems,
+                message.detail,
+            )
+            self._answer_proposal(message.token, answer)
+            return
+        proposal.redirects += 1
+        proposal.sent = False
+        if proposal.redirects > MAX_REDIRECTS or not message.detail:
+            self._answer_proposal(message.token, _build_unavailable("there is no leader"))
+        elif message.detail == self.instance_id and self._leads():
+            self._propose_here(now, message.token, proposal.change)
+        else:
+            self._pass_on(message.token, message.detail)
+
+    # Membership, tables and upstreams.
+
+    def _on_ping(self, now: float, peer: str, message: r.Ping) -> None:
+        knowledge = self._describe_knowledge(now)
+        self._out += self.members.answer_ping(now, peer, message, knowledge)
+        self._compare(now, peer, message)
+
+    def _on_ack(self, now: float, peer: str, message: r.Ack) -> None:
+        sent_at, out = self.members.take_ack(now, peer, message)
+        self._out += out
+        if sent_at is None:
+            return
+        if message.beacon_index >= 0:
+            # The answer is no older than its ping; a late answer is dated by it.
+            confirmed_at = sent_at - message.beacon_age_s
+            self.follower.note_beacon(message.group_id, message.beacon_index, confirmed_at)
+        self._compare(now, peer, message)
+
+    def _compare(self, now: float, peer: str, message: r.Ping | r.Ack) -> None:
+        self._highest_index = max(self._highest_index, message.applied_index)
+        self._out += self.follower.ask_if_behind(now, peer, message.applied_index)
+        if message.members_root != self.members.digest.compute_root():
+            self._out.append(Send(peer, self._build_buckets("members", reply=False)))
+        if message.upstreams_root != self.upstreams.digest.compute_root():
+            self._out.append(Send(peer, self._build_buckets("upstreams", reply=False)))
+
+    def _build_buckets(self, subject: str, reply: bool) -> r.SyncBuckets:
+        part = self.members if subject == "members" else self.upstreams
+        return r.SyncBuckets(subject=subject, hashes=list(part.digest.hashes), reply=reply)
+
+    def _on_sync_buckets(self, now: float, peer: str, message: r.SyncBuckets) -> None:
+        if message.subject == "members":
+            buckets = self.members.digest.find_differences(message.hashes)
+            found = [m.to_wire() for m in self.members.list_bucket(buckets)]
+            news: Any = r.MemberNews(members=found)
+        else:
+            buckets = self.upstreams.digest.find_differences(message.hashes)
+            found = [e.to_wire(now) for e in self.upstreams.list_bucket(buckets)]
+            news = r.UpstreamNews(entries=found)
+        if found:
+            self._out.append(Send(peer, news))
+        if buckets and not message.reply:
+            self._out.append(Send(peer, self._build_buckets(message.subject, reply=True)))
+
+    def _on_ping_request(self, now: float, peer: str, message: r.PingRequest) -> None:
+        knowledge = self._describe_knowledge(now)
+        self._out += self.members.help_ping(now, peer, message, knowledge)
+
+    def _on_ping_report(self, now: float, peer: str, message: r.PingReport) -> None:
+        self.members.take_report(message)
+
+    def _on_member_news(self, now: float, peer: str, message: r.MemberNews) -> None:
+        self.members.merge([Member.from_wire(now, fields) for fields in message.members])
+
+    def _on_upstream_news(self, now: float, peer: str, message: r.UpstreamNews) -> None:
+        for fields in message.entries:
+            self.upstreams.merge(now, Entry.from_wire(now, fields))
+
+    def _on_renew(self, now: float, peer: str, message: r.RenewRequest) -> None:
+        self.upstreams.renew(now, message.upstream_id, message.incarnation, message.lease_s)
+
+    def _on_follow_request(self, now: float, peer: str, message: r.FollowRequest) -> None:
+        self._out += self.follower.answer_request(peer, message)
+
+    def _on_follow_entries(self, now: float, peer: str, message: r.FollowEntries) -> None:
+        applied = self.follower.take_entries(now, peer, message)
+        if applied:
+            push = self.follower.build_push(applied)
+            self._out += [Send(t, push) for t in self.members.pick_push_targets() if t != peer]
+        elif self.follower.has_gap(message):
+            last = message.entries[-1][0]
+            self._out += self.follower.ask_if_behind(now, peer, last)
+
+    def _on_follow_piece(self, now: float, peer: str, message: r.FollowPiece) -> None:
+        self._out += self.follower.take_piece(now, peer, message)
+
+    # Claims.
+
+    def _take_claim_actions(self, now: float, actions: list[Any]) -> None:
+        pending = list(actions)
+        while pending:
+            action = pending.pop(0)
+            if isinstance(action, Send) and action.peer_id == self.instance_id:
+                pending += self._deliver_claim(now, self.instance_id, action.message)
+            elif isinstance(action, Persist):
+                self._out.append(Write(CLAIM_STREAM, action.token, [action.record], False))
+            elif isinstance(action, Rewrite):
+                self._out.append(Write(CLAIM_STREAM, action.token, action.records, True))
+            else:
+                self._out.append(action)
+
+    def _deliver_claim(self, now: float, peer: str, message: Any) -> list[Any]:
+        if isinstance(message, r.ClaimReply):
+            return self.claimer.take_reply(now, peer, message)
+        if isinstance(message, r.ClaimFinished):
+            return self.claimer.take_finished(peer, message)
+        if self.holder is None:
+            return []
+        if isinstance(message, r.ClaimFetch):
+            return self.holder.take_fetch(peer, message)
+        return _HOLDER_METHODS[type(message)](self.holder, now, peer, message)
+
+    def _on_claim_message(self, now: float, peer: str, message: Any) -> None:
+        self._take_claim_actions(now, self._deliver_claim(now, peer, message))
+
+
+def _describe_result(result: ChangeResult) -> ChangeAnswer:
+    return ChangeAnswer(result.verdict, result.version, result.changed_by, result.problems)
+
+
+def _build_unavailable(reason: str) -> ChangeAnswer:
+    return ChangeAnswer("unavailable", 0, detail=f"The change was not accepted: {reason}")
+
+
+def _build_unknown() -> ChangeAnswer:
+    detail = (
+        "It is not known whether the change was accepted; resend it with the same identifier"
+    )
+    return ChangeAnswer("unknown", 0, detail=detail)
+
+
+_HOLDER_METHODS: dict[type, Callable[..., list[Any]]] = {
+    r.ClaimRequest: ClaimHolder.take_request,
+    r.ClaimFinish: ClaimHolder.take_finish,
+    r.ClaimRelease: ClaimHolder.take_release,
+    r.ClaimBatch: ClaimHolder.take_batch,
+}
+
+_HANDLERS = {
+    r.ProposeRequest: Node._on_propose_request,
+    r.ProposeReply: Node._on_propose_reply,
+    r.Ping: Node._on_ping,
+    r.Ack: Node._on_ack,
+    r.PingRequest: Node._on_ping_request,
+    r.PingReport: Node._on_ping_report,
+    r.MemberNews: Node._on_member_news,
+    r.UpstreamNews: Node._on_upstream_news,
+    r.SyncBuckets: Node._on_sync_buckets,
+    r.RenewRequest: Node._on_renew,
+    r.FollowRequest: Node._on_follow_request,
+    r.FollowEntries: Node._on_follow_entries,
+    r.FollowPiece: Node._on_follow_piece,
+    r.ClaimRequest: Node._on_claim_message,
+    r.ClaimReply: Node._on_claim_message,
+    r.ClaimFinish: Node._on_claim_message,
+    r.ClaimFinished: Node._on_claim_message,
+    r.ClaimRelease: Node._on_claim_message,
+    r.ClaimFetch: Node._on_claim_message,
+    r.ClaimBatch: Node._on_claim_message,
+}
--- /dev/null
+++ b/src/foxtaildrum/objectives.py
@@ -0,0 +1,131 @@
+"""Service levels: good and bad requests per route over sliding windows."""
+
+from __future__ import annotations
+
+from array import array
+from typing import Any
+
+from .records import Route
+
+WINDOWS_S = {"5m": 300, "1h": 3600, "6h": 21600, "3d": 259200}
+FAST_BURN = 14.4
+SLOW_BURN = 1.0
+
+_FINE_BUCKET_S = 10
+_FINE_BUCKETS = 360
+_COARSE_BUCKET_S = 300
+_COARSE_BUCKETS = 864
+_LONGEST_FINE_WINDOW_S = _FINE_BUCKET_S * _FINE_BUCKETS
+
+
+class _Ring:
+    """Counts per bucket of time."""
+
+    __slots__ = ("bad", "bucket_s", "last", "size", "total")
+
+    def __init__(self, bucket_s: int, size: int) -> None:
+        self.bucket_s = bucket_s
+        self.size = size
+        self.total = array("L", bytes(8 * size))
+        self.bad = array("L", bytes(8 * size))
+        self.last = -1
+
+    def add(self, now: float, bad: bool) -> None:
+        position = self._advance(now) % self.size
+        self.total[position] += 1
+        self.bad[position] += bad
+
+    def sum(self, now: float, window_s: int) -> tuple[int, int]:
+        last = self._advance(now)
+        count = window_s // self.bucket_s
+        positions = [(last - i) % self.size for i in range(min(count, self.size))]
+        return sum(self.total[p] for p in positions), sum(self.bad[p] for p in positions)
+
+    def list_recent(self, now: float, count: int) -> list[tuple[int, int]]:
+        last = self._advance(now)
+        positions = [(last - i) % self.size for i in reversed(range(count))]
+        return [(self.total[p], self.bad[p]) for p in positions]
+
+    def _advance(self, now: float) -> int:
+        bucket = int(now // self.bucket_s)
+        if self.last < 0:
+            self.last = bucket
+        for skipped in range(max(self.last + 1, bucket - self.size + 1), bucket + 1):
+            self.total[skipped % self.size] = 0
+            self.bad[skipped % self.size] = 0
+        self.last = max(self.last, bucket)
+        return self.last
+
+
+class RouteLevel:
+    """Service level of one route."""
+
+    __slots__ = ("_coarse", "_fine", "route")
+
+    def __init__(self, route: Route) -> None:
+        self.route = route
+        self._fine = _Ring(_FINE_BUCKET_S, _FINE_BUCKETS)
+        self._coarse = _Ring(_COARSE_BUCKET_S, _COARSE_BUCKETS)
+
+    def add(self, now: float, failed: bool, latency_s: float) -> None:
+        """Count one request; it is bad if it failed or missed the objective."""
+        bad = failed or latency_s * 1000 > self.route.objective_latency_ms
+        self._fine.add(now, bad)
+        self._coarse.add(now, bad)
+
+    def describe(self, now: float) -> dict[str, Any]:
+        """Return the counts, burn rates and budget of each window."""
+        windows = {}
+        for name, window_s in WINDOWS_S.items():
+            ring = self._fine if window_s <= _LONGEST_FINE_WINDOW_S else self._coarse
+            total, bad = ring.sum(now, window_s)
+            windows[name] = {"total": total, "bad": bad}
+        return {
+            "route": self.route.name,
+            "objective_latency_ms": self.route.objective_latency_ms,
+            "objective_ratio": self.route.objective_ratio,
+            "windows": windows,
+            "recent": self._fine.list_recent(now, _FINE_BUCKETS),
+        }
+
+
+def merge_levels(documents: list[dict[str, Any]]) -> dict[str, Any]:
+    """Add up the descriptions that several instances give of one route."""
+    merged = {**documents[0]}
+    merged["windows"] = {
+        name: {
+            "total": sum(d["windows"][name]["total"] for d in documents),
+            "bad": sum(d["windows"][name]["bad"] for d in documents),
+        }
+        for name in WINDOWS_S
+    }
+    merged["recent"] = [
+        [sum(pair[0] for pair in pairs), sum(pair[1] for pair in pairs)]
+        for pairs in zip(*(d["recent"] for d in documents), strict=True)
+    ]
+    return merged
+
+
+def compute_burn(level: dict[str, Any]) -> dict[str, Any]:
+    """Return burn rates, budget left and the alert of one route.
+
+    A burn rate of 1 spends the error budget exactly over the objective's period.
+    """
+    allowed = 1.0 - level["objective_ratio"]
+    rates = {
+        name: (counts["bad"] / counts["total"] / allowed if counts["total"] else 0.0)
+        for name, counts in level["windows"].items()
+    }
+    longest = level["windows"]["3d"]
+    budget = longest["total"] * allowed
+    left = 1.0 - longest["bad"] / budget if budget else 1.0
+    return {"rates": rates, "budget_left_ratio": left, "alert": choose_alert(rates)}
+
+
+def choose_alert(rates: dict[str, float]) -> str:
+    """Return ``page``, ``ticket`` or ``none`` from both windows of each pair."""
+    if rates["5m"] >= FAST_BURN and rates["1h"] >= FAST_BURN:
+        return "page"
+    if rates["6h"] >= SLOW_BURN and rates["3d"] >= SLOW_BURN:
+        return "ticket"
+    return "none"
--- /dev/null
+++ b/src/foxtaildrum/peers.py
@@ -0,0 +1,376 @@
+"""Streams between instances: one thread moves bytes, nothing is decided here."""
+
+from __future__ import annotations
+
+import contextlib
+import os
+import selectors
+import socket
+import threading
+import time
+from collections import deque
+from collections.abc import Callable
+
+from .exceptions import FrameError
+from .frames import (
+    NONCE_BYTES,
+    FrameReader,
+    FrameWriter,
+    Greeting,
+    derive_key,
+    pack_greeting,
+)
+from .logs import log_event
+from .messages import Message
+from .metrics import Meter
+from .settings import parse_address
+
+MAX_QUEUED_MESSAGES = 2000
+MAX_INBOUND = 20_000
+RECEIVE_BYTES = 65_536
+IDLE_S = 60.0
+RETRY_S = 0.2
+HANDSHAKE_TIMEOUT_S = 2.0
+LOOP_S = 0.25
+
+Deliver = Callable[[str, Message], None]
+
+
+class _Outbound:
+    """Connection that this instance opened to send messages."""
+
+    __slots__ = (
+        "address",
+        "buffer",
+        "nonce",
+        "opened_at",
+        "peer_id",
+        "queue",
+        "reader",
+        "retry_at",
+        "sock",
+        "used_at",
+        "writer",
+    )
+
+    def __init__(self, peer_id: str, address: str) -> None:
+        self.peer_id = peer_id
+        self.address = address
+        self.queue: deque[Message] = deque(maxlen=MAX_QUEUED_MESSAGES)
+        self.sock: socket.socket | None = None
+        self.buffer = bytearray()
+        self.nonce = b""
+        self.reader = FrameReader()
+        self.writer: FrameWriter | None = None
+        self.retry_at = 0.0
+        self.opened_at = 0.0
+        self.used_at = 0.0
+
+
+class _Inbound:
+    """Connection that another instance opened to send messages."""
+
+    __slots__ = ("opened_at", "peer_id", "reader", "sock", "used_at")
+
+    def __init__(self, sock: socket.socket, now: float) -> None:
+        self.sock = sock
+        self.reader = FrameReader()
+        self.peer_id = ""
+        self.opened_at = now
+        self.used_at = now
+
+
+class PeerNetwork:
+    """Sends and receives the messages of one instance.
+
+    Parameters
+    ----------
+    instance_id : str
+        This instance.
+    listen : str
+        ``HOST:PORT`` to listen on.
+    fleet_key : bytes
+        Key that signs frames.
+    deliver : callable
+        Called with the sender and each message.
+    meter : Meter
+        Counts messages, bytes and refusals.
+    """
+
+    def __init__(
+        self,
+        instance_id: str,
+        listen: str,
+        fleet_key: bytes,
+        deliver: Deliver,
+        meter: Meter,
+    ) -> None:
+        self._instance_id = instance_id
+        self._key = fleet_key
+        self._deliver = deliver
+        self._meter = meter
+        self._selector = selectors.DefaultSelector()
+        self._outbound: dict[str, _Outbound] = {}
+        self._inbound: set[_Inbound] = set()
+        self._requests: deque[tuple[str, str, Message]] = deque()
+        self._wake_read, self._wake_write = socket.socketpair()
+        self._wake_read.setblocking(False)
+        self._selector.register(self._wake_read, selectors.EVENT_READ, None)
+        self._listener = _open_listener(listen)
+        self._selector.register(self._listener, selectors.EVENT_READ, None)
+        self._stopping = False
+        self._thread = threading.Thread(target=self._run, name="peers", daemon=True)
+
+    def start(self) -> None:
+        """Move bytes in a thread of its own."""
+        self._thread.start()
+
+    def send(self, peer_id: str, address: str, message: Message) -> None:
+        """Queue a message; it is lost when the peer cannot be reached."""
+        self._requests.append((peer_id, address, message))
+        with contextlib.suppress(BlockingIOError, OSError):
+            self._wake_write.send(b"\0")
+
+    def stop(self) -> None:
+        """Stop after the queued messages had a moment to leave."""
+        self._stopping = True
+        with contextlib.suppress(OSError):
+            self._wake_write.send(b"\0")
+        self._thread.join(timeout=2 * LOOP_S)
+
+    def _run(self) -> None:
+        while not self._stopping:
+            for key, mask in self._selector.select(LOOP_S):
+                self._serve(key.fileobj, key.data, mask)
+            now = time.monotonic()
+            self._take_requests(now)
+            self._keep_house(now)
+        self._take_requests(time.monotonic())
+        for link in list(self._outbound.values()):
+            self._close_outbound(link)
+        for link in list(self._inbound):
+            self._close_inbound(link)
+        self._listener.close()
+
+    def _serve(self, sock: socket.socket, link: _Outbound | _Inbound | None, mask: int) -> None:
+        if sock is self._wake_read:
+            with contextlib.suppress(BlockingIOError):
+                self._wake_read.recv(RECEIVE_BYTES)
+        elif sock is self._listener:
+            self._accept()
+        elif isinstance(link, _Inbound):
+            self._read_inbound(link)
+        elif link is not None:
+            self._serve_outbound(link, mask)
+
+    # Outbound.
+
+    def _take_requests(self, now: float) -> None:
+        touched = {}
+        while self._requests:
+            peer_id, address, message = self._requests.popleft()
+            link = self._outbound.get(peer_id)
+            if link is None or link.address != address:
+                link = self._replace_outbound(link, peer_id, address)
+            link.queue.append(message)
+            link.used_at = now
+            touched[peer_id] = link
+        for link in touched.values():
+            if link.sock is None:
+                self._open_outbound(link, now)
+            elif link.writer is not None:
+                self._write_outbound(link)
+
+    def _replace_outbound(
+        self, link: _Outbound | None, peer_id: str, address: str
+    ) -> _Outbound:
+        if link is not None:
+            self._close_outbound(link)
+        link = self._outbound[peer_id] = _Outbound(peer_id, address)
+        return link
+
+    def _open_outbound(self, link: _Outbound, now: float) -> None:
+        if now < link.retry_at:
+            link.queue.clear()
+            return
+        link.retry_at = now + RETRY_S
+        link.opened_at = now
+        host, port = parse_address(link.address)
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        sock = socket.socket(family, socket.SOCK_STREAM)
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        try:
+            sock.connect((host, port))
+        except BlockingIOError:
+            pass
+        except OSError:
+            sock.close()
+            link.queue.clear()
+            return
+        link.sock = sock
+        link.nonce = os.urandom(NONCE_BYTES)
+        link.reader = FrameReader()
+        link.writer = None
+        greeting = Greeting(self._instance_id, link.nonce)
+        link.buffer = bytearray(pack_greeting(self._key, greeting, b""))
+        self._selector.register(sock, selectors.EVENT_READ | selectors.EVENT_WRITE, link)
+
+    def _serve_outbound(self, link: _Outbound, mask: int) -> None:
+        if mask & selectors.EVENT_READ and not self._read_greeting(link):
+            return
+        if mask & selectors.EVENT_WRITE:
+            self._write_outbound(link)
+
+    def _read_greeting(self, link: _Outbound) -> bool:
+        try:
+            data = link.sock.recv(RECEIVE_BYTES)
+        except BlockingIOError:
+            return True
+        except OSError:
+            data = b""
+        if not data or link.writer is not None:
+            self._close_outbound(link)
+            return False
+        link.reader.feed(data)
+        try:
+            greeting = link.reader.take_greeting(self._key, link.nonce)
+            if greeting is not None:
+                self._open_session(link, greeting)
+        except FrameError as error:
+            self._refuse("outbound", link.peer_id, error)
+            self._close_outbound(link)
+            return False
+        return True
+
+    def _open_session(self, link: _Outbound, greeting: Greeting) -> None:
+        if greeting.instance_id != link.peer_id:
+            raise FrameError(f"{greeting.instance_id} answered for {link.peer_id}")
+        link.writer = FrameWriter(derive_key(self._key, link.nonce, greeting.nonce))
+        self._write_outbound(link)
+
+    def _write_outbound(self, link: _Outbound) -> None:
+        if link.writer is not None:
+            while link.queue:
+                self._pack(link, link.queue.popleft())
+        try:
+            while link.buffer:
+                sent = link.sock.send(link.buffer)
+                del link.buffer[:sent]
+        except BlockingIOError:
+            pass
+        except OSError:
+            self._close_outbound(link)
+            return
+        events = selectors.EVENT_READ
+        if link.buffer:
+            events |= selectors.EVENT_WRITE
+        self._selector.modify(link.sock, events, link)
+
+    def _pack(self, link: _Outbound, message: Message) -> None:
+        try:
+            frame = link.writer.pack(message)
+        except FrameError as error:
+            log_event("message_too_large", peer=link.peer_id, reason=str(error))
+            return
+        link.buffer += frame
+        self._meter.count("peers.sent_messages")
+        self._meter.count("peers.sent_bytes", len(frame))
+
+    def _close_outbound(self, link: _Outbound) -> None:
+        if link.sock is None:
+            return
+        self._selector.unregister(link.sock)
+        link.sock.close()
+        link.sock = None
+        link.writer = None
+        link.queue.clear()
+        link.buffer.clear()
+
+    # Inbound.
+
+    def _accept(self) -> None:
+        try:
+            sock, _ = self._listener.accept()
+        except OSError:
+            return
+        if len(self._inbound) >= MAX_INBOUND:
+            sock.close()
+            return
+        sock.setblocking(False)
+        link = _Inbound(sock, time.monotonic())
+        self._inbound.add(link)
+        self._selector.register(sock, selectors.EVENT_READ, link)
+
+    def _read_inbound(self, link: _Inbound) -> None:
+        try:
+            data = link.sock.recv(RECEIVE_BYTES)
+        except BlockingIOError:
+            return
+        except OSError:
+            data = b""
+        if not data:
+            self._close_inbound(link)
+            return
+        link.used_at = time.monotonic()
+        link.reader.feed(data)
+        self._meter.count("peers.received_bytes", len(data))
+        try:
+            self._take_frames(link)
+        except FrameError as error:
+            self._refuse("inbound", link.peer_id or "-", error)
+            self._close_inbound(link)
+
+    def _take_frames(self, link: _Inbound) -> None:
+        if not link.peer_id and not self._take_greeting(link):
+            return
+        while (message := link.reader.take_message()) is not None:
+            self._meter.count("peers.received_messages")
+            self._deliver(link.peer_id, message)
+
+    def _take_greeting(self, link: _Inbound) -> bool:
+        greeting = link.reader.take_greeting(self._key, b"")
+        if greeting is None:
+            return False
+        nonce = os.urandom(NONCE_BYTES)
+        answer = pack_greeting(self._key, Greeting(self._instance_id, nonce), greeting.nonce)
+        try:
+            link.sock.send(answer)
+        except OSError as error:
+            raise FrameError("the greeting could not be answered") from error
+        link.peer_id = greeting.instance_id
+        link.reader.set_key(derive_key(self._key, greeting.nonce, nonce))
+        return True
+
+    def _close_inbound(self, link: _Inbound) -> None:
+        self._inbound.discard(link)
+        self._selector.unregister(link.sock)
+        link.sock.close()
+
+    def _keep_house(self, now: float) -> None:
+        for link in list(self._outbound.values()):
+            handshaking = link.sock is not None and link.writer is None
+            if handshaking and now - link.opened_at > HANDSHAKE_TIMEOUT_S:
+                self._close_outbound(link)
+            elif now - link.used_at > IDLE_S:
+                self._close_outbound(link)
+                del self._outbound[link.peer_id]
+        for link in list(self._inbound):
+            limit_s = 2 * IDLE_S if link.peer_id else HANDSHAKE_TIMEOUT_S
+            if now - link.used_at > limit_s:
+                self._close_inbound(link)
+
+    def _refuse(self, direction: str, peer_id: str, error: FrameError) -> None:
+        self._meter.count("frames.refused")
+        log_event("frame_refused", direction=direction, peer=peer_id, reason=str(error))
+
+
+def _open_listener(listen: str) -> socket.socket:
+    host, port = parse_address(listen)
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    sock = socket.socket(family, socket.SOCK_STREAM)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.bind((host, port))
+    sock.listen(1024)
+    sock.setblocking(False)
+    return sock
--- /dev/null
+++ b/src/foxtaildrum/policies.py
@@ -0,0 +1,127 @@
+"""Balancing policies, kept in a registry that a decorator fills."""
+
+from __future__ import annotations
+
+import math
+import random
+from collections.abc import Callable, Sequence
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from .balancer import PoolLoad, UpstreamLoad
+
+Policy = Callable[[float, Sequence["UpstreamLoad"], "PoolLoad", random.Random], "UpstreamLoad"]
+
+REPORT_FADE_SERVICE_TIMES = 3.0
+FAILURE_FADE_S = 2.0
+REMOTE_ZONE_COST = 0.1
+
+_POLICIES: dict[str, Policy] = {}
+
+
+def register_policy(name: str) -> Callable[[Policy], Policy]:
+    """Register the decorated function as the policy ``name``."""
+
+    def register(function: Policy) -> Policy:
+        _POLICIES[name] = function
+        return function
+
+    return register
+
+
+def get_policy(name: str) -> Policy:
+    """Return the policy registered as ``name``."""
+    return _POLICIES[name]
+
+
+def list_policies() -> list[str]:
+    """Return the registered names in alphabetical order."""
+    return sorted(_POLICIES)
+
+
+@register_policy("random")
+def choose_random(
+    now: float, candidates: Sequence[UpstreamLoad], pool: PoolLoad, rng: random.Random
+) -> UpstreamLoad:
+    """Choose any candidate."""
+    return candidates[int(rng.random() * len(candidates))]
+
+
+@register_policy("round_robin")
+def choose_round_robin(
+    now: float, candidates: Sequence[UpstreamLoad], pool: PoolLoad, rng: random.Random
+) -> UpstreamLoad:
+    """Choose the candidate that was chosen longest ago."""
+    return min(candidates, key=_get_last_turn)
+
+
+@register_policy("two_choices")
+def choose_two_choices(
+    now: float, candidates: Sequence[UpstreamLoad], pool: PoolLoad, rng: random.Random
+) -> UpstreamLoad:
+    """Choose the one with fewer own requests in flight out of two at random."""
+    first = choose_random(now, candidates, pool, rng)
+    second = choose_random(now, candidates, pool, rng)
+    return second if second.in_flight < first.in_flight else first
+
+
+@register_policy("least_in_flight")
+def choose_least_in_flight(
+    now: float, candidates: Sequence[UpstreamLoad], pool: PoolLoad, rng: random.Random
+) -> UpstreamLoad:
+    """Choose the least own requests in flight of all; exact with one instance."""
+    return _choose_lowest(candidates, [float(c.in_flight) for c in candidates], rng)
+
+
+@register_policy("reported_load")
+def choose_reported_load(
+    now: float, candidates: Sequence[UpstreamLoad], pool: PoolLoad, rng: random.Random
+) -> UpstreamLoad:
+    """Choose the lower last report of two at random, at face value."""
+    first = choose_random(now, candidates, pool, rng)
+    second = choose_random(now, candidates, pool, rng)
+    lower = second.reported_others + second.in_flight < first.reported_others + first.in_flight
+    return second if lower else first
+
+
+@register_policy("aged_load")
+def choose_aged_load(
+    now: float, candidates: Sequence[UpstreamLoad], pool: PoolLoad, rng: random.Random
+) -> UpstreamLoad:
+    """Choose the lowest estimate, in which reports fade with their age."""
+    fade_s = REPORT_FADE_SERVICE_TIMES * pool.mean_service_s
+    mean_others = pool.mean_others
+    scores = []
+    for candidate in candidates:
+        weight = math.exp((candidate.reported_at - now) / fade_s)
+        others = mean_others + (candidate.reported_others - mean_others) * weight
+        score = others + candidate.in_flight
+        score += _estimate_failure_cost(now, candidate)
+        if candidate.ramp_until > now:
+            score = (score + 1.0) / candidate.compute_ramp(now)
+        if candidate.remote:
+            score += REMOTE_ZONE_COST
+        scores.append(score)
+    return _choose_lowest(candidates, scores, rng)
+
+
+def _get_last_turn(candidate: UpstreamLoad) -> int:
+    return candidate.last_turn
+
+
+def _estimate_failure_cost(now: float, candidate: UpstreamLoad) -> float:
+    # A failed request frees its slot at once; without this cost an upstream
+    # that fails fast would look idle and attract every request.
+    if not candidate.failure_level:
+        return 0.0
+    return candidate.failure_level * math.exp((candidate.failed_at - now) / FAILURE_FADE_S)
+
+
+def _choose_lowest(
+    candidates: Sequence[UpstreamLoad], scores: list[float], rng: random.Random
+) -> UpstreamLoad:
+    lowest = min(scores)
+    ties = [c for c, score in zip(candidates, scores, strict=True) if score <= lowest]
+    if len(ties) == 1:
+        return ties[0]
+    return ties[int(rng.random() * len(ties))]
--- /dev/null
+++ b/src/foxtaildrum/pools.py
@@ -0,0 +1,159 @@
+"""Pools of upstreams as the request threads use them."""
+
+from __future__ import annotations
+
+import random
+import threading
+import time
+from collections.abc import Callable, Iterable
+
+from .balancer import Balancer, Result, Ticket, UpstreamLoad
+from .exchange import Allowance
+from .kinds import ErrorKind
+from .latency import RecentLatency
+from .records import Pool
+from .transport import Adapter, ConnectionPool
+from .upstreams import DRAINING, Entry
+
+HEDGE_PERCENTILE = 95.0
+HEDGE_MIN_SAMPLES = 50
+HEDGE_MIN_SERVICE_TIMES = 2.0
+
+
+class UpstreamPool(Allowance):
+    """Balancer, connections and budgets of one pool, shared by threads.
+
+    Parameters
+    ----------
+    pool : Pool
+        Row of the pools table.
+    availability_zone : str
+        Availability zone of this instance.
+    queue_limit : int
+        Requests that may wait for a slot.
+    open_connection : Adapter
+        Opens connections to upstreams.
+    tell_draining : callable
+        Called with the identifier of an upstream whose answer told a drain.
+    rng : random.Random
+        Source of random choices.
+    """
+
+    def __init__(
+        self,
+        pool: Pool,
+        availability_zone: str,
+        queue_limit: int,
+        open_connection: Adapter,
+        tell_draining: Callable[[str], None],
+        rng: random.Random,
+    ) -> None:
+        self.name = pool.name
+        self._lock = threading.Lock()
+        self._balancer = Balancer(pool, availability_zone, queue_limit, rng)
+        self._open = open_connection
+        self._connections: dict[str, ConnectionPool] = {}
+        self._tell_draining = tell_draining
+        self._latency = RecentLatency()
+
+    @property
+    def balancer(self) -> Balancer:
+        """Balancer of the pool, for reading."""
+        return self._balancer
+
+    def configure(self, pool: Pool) -> None:
+        """Take over a changed row of the pools table."""
+        with self._lock:
+            self._balancer.configure(pool)
+
+    def update_members(self, now: float, entries: Iterable[Entry]) -> None:
+        """Take over the current members of the pool."""
+        with self._lock:
+            settled = self._balancer.update_members(now, entries)
+            addresses = {u.address for u in self._balancer.upstreams.values()}
+            gone = set(self._connections) - addresses
+            closing = [self._connections.pop(address) for address in gone]
+        _wake_all(settled)
+        for connections in closing:
+            connections.close()
+
+    def request_slot(self, now: float, ticket: Ticket, may_wait: bool) -> None:
+        """Grant, queue or refuse ``ticket``."""
+        with self._lock:
+            self._balancer.request_slot(now, ticket, may_wait)
+            if not ticket.settled:
+                ticket.wake = threading.Event()
+
+    def cancel_ticket(self, ticket: Ticket, kind: ErrorKind) -> None:
+        """Refuse a ticket that waits; no effect once it is granted."""
+        with self._lock:
+            self._balancer.cancel_ticket(ticket, kind)
+
+    def release(
+        self, now: float, upstream: UpstreamLoad, result: Result, held_s: float
+    ) -> None:
+        """Give a slot back."""
+        with self._lock:
+            settled = self._balancer.release(now, upstream, result, held_s)
+            if result is Result.OK:
+                self._latency.record(now, held_s)
+                self._balancer.earn_budgets(held_s)
+        _wake_all(settled)
+
+    def note_answer(
+        self, now: float, upstream: UpstreamLoad, slots_in_use: float | None, draining: bool
+    ) -> None:
+        """Take what an answer told about its upstream."""
+        if slots_in_use is not None:
+            with self._lock:
+                self._balancer.report_load(now, upstream, slots_in_use)
+        if draining and upstream.state != DRAINING:
+            upstream.state = DRAINING
+            self._tell_draining(upstream.upstream_id)
+
+    def get_connections(self, upstream: UpstreamLoad) -> ConnectionPool:
+        """Return the connections to an upstream."""
+        with self._lock:
+            pool = self._connections.get(upstream.address)
+            if pool is None:
+                pool = ConnectionPool(upstream.address, self._open)
+                self._connections[upstream.address] = pool
+            return pool
+
+    def compute_hedge_delay(self, now: float) -> float | None:
+        """Return the wait before a hedge in seconds, or None to send none."""
+        balancer = self._balancer
+        if balancer.pool.measuring_budget_ratio <= 0:
+            return None
+        with self._lock:
+            if self._latency.count() < HEDGE_MIN_SAMPLES:
+                return None
+            quantile = self._latency.compute_quantile(now, HEDGE_PERCENTILE)
+        return max(quantile, HEDGE_MIN_SERVICE_TIMES * balancer.load.mean_service_s)
+
+    def allow_retry(self) -> bool:
+        """Take one retry from the budget; return whether it was there."""
+        with self._lock:
+            return self._balancer.retry_budget.spend(1.0)
+
+    def allow_hedge(self) -> bool:
+        """Take one hedge from the budget; return whether it was there."""
+        with self._lock:
+            cost = self._balancer.load.mean_service_s
+            return self._balancer.measuring_budget.spend(cost)
+
+    def close(self) -> None:
+        """Close every idle connection."""
+        for connections in list(self._connections.values()):
+            connections.close()
+
+
+def _wake_all(tickets: list[Ticket]) -> None:
+    for ticket in tickets:
+        if ticket.wake is not None:
+            ticket.wake.set()
+
+
+def read_clock() -> float:
+    """Return the present time of the instance in seconds."""
+    return time.monotonic()
--- /dev/null
+++ b/src/foxtaildrum/problem.py
@@ -0,0 +1,55 @@
+"""Answers that the system itself makes, as problem documents."""
+
+from __future__ import annotations
+
+import http.client
+import json
+from collections.abc import Callable, Iterable
+
+from .kinds import ANSWERS, ErrorKind, Outcome
+
+CONTENT_TYPE = "application/problem+json"
+RETRY_AFTER_S = 1
+OUTCOME_HEADER = "Foxtaildrum-Outcome"
+
+StartResponse = Callable[[str, list[tuple[str, str]]], object]
+
+
+def build_problem(
+    kind: ErrorKind, outcome: Outcome, request_id: str
+) -> tuple[str, list[tuple[str, str]], bytes]:
+    """Return the status line, headers and body for an error kind."""
+    answer = ANSWERS[kind]
+    document = {
+        "type": "about:blank",
+        "title": answer.title,
+        "status": answer.status,
+        "kind": kind.value,
+        "outcome": outcome.value,
+        "request_id": request_id,
+    }
+    body = json.dumps(document).encode() + b"\n"
+    headers = [
+        ("Content-Type", CONTENT_TYPE),
+        ("Content-Length", str(len(body))),
+        (OUTCOME_HEADER, outcome.value),
+        ("X-Request-Id", request_id),
+    ]
+    if answer.status == http.client.SERVICE_UNAVAILABLE:
+        headers.append(("Retry-After", str(RETRY_AFTER_S)))
+    return format_status(answer.status), headers, body
+
+
+def send_problem(
+    start_response: StartResponse, kind: ErrorKind, outcome: Outcome, request_id: str
+) -> Iterable[bytes]:
+    """Start a problem answer and return its body."""
+    status, headers, body = build_problem(kind, outcome, request_id)
+    start_response(status, headers)
+    return [body]
+
+
+def format_status(status: int, reason: str = "") -> str:
+    """Return the status line of a WSGI answer."""
+    reason = reason or http.client.responses.get(status, "Unknown")
+    return f"{status} {reason}"
