--- /dev/null
+++ b/src/foxtaildrum/proxy.py
@@ -0,0 +1,350 @@
+"""WSGI application that callers reach: routes requests to upstreams."""
+
+from __future__ import annotations
+
+import uuid
+from collections.abc import Callable, Iterable, Iterator
+from typing import Any
+from urllib.parse import quote
+
+from .claims import ClaimOutcome, Verdict
+from .dispatch import Dispatch, Refusal, TruncatedAnswerError, UpstreamAnswer
+from .exchange import Exchange
+from .idempotency import ClaimedCall, ClaimGate, compute_request_digest
+from .kinds import ANSWERS, ErrorKind, Outcome
+from .logs import log_event
+from .metrics import Meter
+from .pools import UpstreamPool, read_clock
+from .problem import StartResponse, format_status, send_problem
+from .records import Route
+from .routing import Router, is_idempotent
+from .transport import HOP_BY_HOP, OutgoingRequest
+
+ARRIVED_KEY = "foxtaildrum.arrived"
+MAX_TIMEOUT_MS = 3_600_000
+MAX_REQUEST_ID = 128
+MAX_IDEMPOTENCY_KEY = 255
+SERVER_ERROR = 500
+
+_CLAIM_REFUSALS = {
+    Verdict.RUNNING: ErrorKind.KEY_RUNNING,
+    Verdict.UNKNOWN: ErrorKind.KEY_UNKNOWN,
+    Verdict.REUSED: ErrorKind.KEY_REUSED,
+    Verdict.UNAVAILABLE: ErrorKind.CLAIM_UNAVAILABLE,
+}
+
+_REPLACED_HEADERS = HOP_BY_HOP | {
+    "content-length",
+    "expect",
+    "x-forwarded-for",
+    "x-request-id",
+    "x-request-timeout-ms",
+    "foxtaildrum-attempt",
+}
+
+
+class View:
+    """Tables and upstreams in force, replaced as a whole.
+
+    Parameters
+    ----------
+    router : Router
+        Matches requests to routes.
+    pools : dict
+        Pools by name.
+    """
+
+    __slots__ = ("pools", "router")
+
+    def __init__(self, router: Router, pools: dict[str, UpstreamPool]) -> None:
+        self.router = router
+        self.pools = pools
+
+
+class _Call:
+    """One request of a caller."""
+
+    __slots__ = ("arrived", "environ", "method", "path", "request_id", "route", "target")
+
+    def __init__(self, environ: dict[str, Any]) -> None:
+        self.environ = environ
+        self.arrived = environ.get(ARRIVED_KEY) or read_clock()
+        self.method = environ["REQUEST_METHOD"]
+        self.path = environ.get("PATH_INFO") or "/"
+        self.target = _read_target(environ, self.path)
+        self.request_id = _read_request_id(environ)
+        self.route: Route | None = None
+
+
+class Proxy:
+    """Serves callers.
+
+    Parameters
+    ----------
+    meter : Meter
+        Counts requests.
+    access_log : bool
+        Whether each request is logged.
+    """
+
+    def __init__(self, meter: Meter, access_log: bool) -> None:
+        self.view = View(Router([]), {})
+        self.is_open: Callable[[], bool] = _always
+        self.claims: ClaimGate | None = None
+        self._meter = meter
+        self._access_log = access_log
+
+    def __call__(
+        self, environ: dict[str, Any], start_response: StartResponse
+    ) -> Iterable[bytes]:
+        """Serve one request."""
+        call = _Call(environ)
+        if not self.is_open():
+            return self._refuse(call, start_response, ErrorKind.NOT_READY)
+        view = self.view
+        found = view.router.find_route(environ.get("HTTP_HOST", ""), call.path, call.method)
+        if isinstance(found, ErrorKind):
+            return self._refuse(call, start_response, found)
+        call.route = found
+        timeout_s = _read_timeout(environ, found)
+        if timeout_s is None:
+            return self._refuse(call, start_response, ErrorKind.BAD_REQUEST)
+        pool = view.pools.get(found.pool)
+        if pool is None:
+            return self._refuse(call, start_response, ErrorKind.NO_UPSTREAM)
+        idempotent = is_idempotent(found, call.method)
+        key = environ.get("HTTP_IDEMPOTENCY_KEY", "")
+        if idempotent or not key or self.claims is None:
+            return self._dispatch(call, start_response, pool, timeout_s, idempotent, None)
+        if len(key) > MAX_IDEMPOTENCY_KEY:
+            return self._refuse(call, start_response, ErrorKind.BAD_REQUEST)
+        return self._claim(call, start_response, pool, timeout_s, key)
+
+    def _claim(
+        self,
+        call: _Call,
+        start_response: StartResponse,
+        pool: UpstreamPool,
+        timeout_s: float,
+        key: str,
+    ) -> Iterable[bytes]:
+        digest = compute_request_digest(call.method, call.target, call.environ["wsgi.input"])
+        left_s = call.arrived + timeout_s - read_clock()
+        if left_s <= 0:
+            return self._refuse(call, start_response, ErrorKind.DEADLINE_BEFORE_SEND)
+        claimed, outcome = self.claims.claim(key, digest, left_s)
+        if outcome.verdict is Verdict.GRANTED:
+            return self._dispatch(call, start_response, pool, timeout_s, False, claimed)
+        if outcome.verdict is Verdict.DONE:
+            return self._replay(call, start_response, outcome)
+        kind = _CLAIM_REFUSALS[outcome.verdict]
+        return self._refuse(call, start_response, kind, ANSWERS[kind].outcome)
+
+    def _replay(
+        self, call: _Call, start_response: StartResponse, outcome: ClaimOutcome
+    ) -> Iterable[bytes]:
+        headers = [(name, value) for name, value in outcome.headers]
+        headers.append(("Idempotent-Replayed", "true"))
+        start_response(format_status(outcome.status), headers)
+        latency_s = read_clock() - call.arrived
+        self._record(call, outcome.status, False, latency_s, attempts=0, kind="")
+        return [outcome.body]
+
+    def _dispatch(
+        self,
+        call: _Call,
+        start_response: StartResponse,
+        pool: UpstreamPool,
+        timeout_s: float,
+        idempotent: bool,
+        claimed: ClaimedCall | None,
+    ) -> Iterable[bytes]:
+        environ = call.environ
+        exchange = Exchange(
+            idempotent,
+            call.arrived + timeout_s,
+            pool.compute_hedge_delay(call.arrived) if idempotent else None,
+            pool,
+        )
+        dispatch = Dispatch(
+            exchange,
+            pool,
+            _build_outgoing(call),
+            environ.get("waitress.client_disconnected", _never),
+            call.route.timeout_ms / 1000,
+            environ.get("SERVER_PROTOCOL") == "HTTP/1.0",
+        )
+        result = dispatch.run()
+        if claimed is not None:
+            claimed.settle(result)
+        if isinstance(result, Refusal):
+            return self._refuse(
+                call, start_response, result.kind, result.outcome, dispatch.attempts
+            )
+        return self._answer(call, start_response, dispatch, result)
+
+    def _answer(
+        self,
+        call: _Call,
+        start_response: StartResponse,
+        dispatch: Dispatch,
+        answer: UpstreamAnswer,
+    ) -> Iterable[bytes]:
+        head = answer.head
+        headers = head.headers
+        if not any(name.lower() == "x-request-id" for name, _ in headers):
+            headers.append(("X-Request-Id", call.request_id))
+        start_response(format_status(head.status, head.reason), headers)
+        latency_s = read_clock() - call.arrived
+        failed = head.status >= SERVER_ERROR
+
+        def finish(kind: str) -> None:
+            self._record(
+                call,
+                head.status,
+                failed or bool(kind),
+                latency_s,
+                upstream=dispatch.upstream_id,
+                attempts=dispatch.attempts,
+                kind=kind,
+            )
+
+        return _Body(answer.body, finish)
+
+    def _refuse(
+        self,
+        call: _Call,
+        start_response: StartResponse,
+        kind: ErrorKind,
+        outcome: Outcome = Outcome.NOT_RUN,
+        attempts: int = 0,
+    ) -> Iterable[bytes]:
+        status = ANSWERS[kind].status
+        latency_s = read_clock() - call.arrived
+        failed = status >= SERVER_ERROR
+        self._record(call, status, failed, latency_s, attempts=attempts, kind=kind.value)
+        return send_problem(start_response, kind, outcome, call.request_id)
+
+    def _record(
+        self, call: _Call, status: int, failed: bool, latency_s: float, **fields: Any
+    ) -> None:
+        route = call.route.name if call.route else "-"
+        self._meter.record_request(read_clock(), route, status, failed, latency_s)
+        if fields["kind"]:
+            self._meter.count(f"kinds.{fields['kind']}")
+        if fields["attempts"] > 1:
+            self._meter.count("attempts.extra", fields["attempts"] - 1)
+        if self._access_log:
+            log_event(
+                "request",
+                request_id=call.request_id,
+                method=call.method,
+                path=call.path,
+                route=route,
+                status=status,
+                latency_ms=round(latency_s * 1000, 3),
+                **fields,
+            )
+
+
+class _Body:
+    """Body of an answer that reports its end exactly once."""
+
+    __slots__ = ("_chunks", "_finish", "_finished")
+
+    def __init__(self, chunks: Iterator[bytes], finish: Callable[[str], None]) -> None:
+        self._chunks = chunks
+        self._finish = finish
+        self._finished = False
+
+    def __iter__(self) -> _Body:
+        return self
+
+    def __next__(self) -> bytes:
+        try:
+            return next(self._chunks)
+        except StopIteration:
+            self._end("")
+            raise
+        except TruncatedAnswerError:
+            self._end(ErrorKind.ANSWER_LOST.value)
+            raise
+
+    def close(self) -> None:
+        close = getattr(self._chunks, "close", None)
+        if close is not None:
+            close()
+        self._end(ErrorKind.CALLER_LEFT.value)
+
+    def _end(self, kind: str) -> None:
+        if not self._finished:
+            self._finished = True
+            self._finish(kind)
+
+
+def _never() -> bool:
+    return False
+
+
+def _always() -> bool:
+    return True
+
+
+def _read_target(environ: dict[str, Any], path: str) -> str:
+    target = environ.get("REQUEST_URI") or ""
+    if target.startswith("/"):
+        return target
+    # The absolute form names a host as well, which is passed on as a header.
+    query = environ.get("QUERY_STRING") or ""
+    quoted = quote(path.encode("latin-1"))
+    return f"{quoted}?{query}" if query else quoted
+
+
+def _read_request_id(environ: dict[str, Any]) -> str:
+    given = environ.get("HTTP_X_REQUEST_ID", "")
+    if 0 < len(given) <= MAX_REQUEST_ID and given.isascii() and given.isprintable():
+        return given
+    return uuid.uuid4().hex
+
+
+def _read_timeout(environ: dict[str, Any], route: Route) -> float | None:
+    text = environ.get("HTTP_X_REQUEST_TIMEOUT_MS")
+    if text is None:
+        return route.timeout_ms / 1000
+    if not (text.isascii() and text.isdigit() and 0 < int(text) <= MAX_TIMEOUT_MS):
+        return None
+    return min(int(text), route.timeout_ms) / 1000
+
+
+def _build_outgoing(call: _Call) -> OutgoingRequest:
+    environ = call.environ
+    headers = _copy_headers(environ)
+    headers["X-Request-Id"] = call.request_id
+    forwarded = environ.get("HTTP_X_FORWARDED_FOR")
+    caller = environ.get("REMOTE_ADDR", "")
+    headers["X-Forwarded-For"] = f"{forwarded}, {caller}" if forwarded else caller
+    length_text = environ.get("CONTENT_LENGTH") or ""
+    has_body = bool(length_text)
+    return OutgoingRequest(
+        call.method,
+        call.target,
+        headers,
+        environ["wsgi.input"] if has_body else None,
+        int(length_text) if has_body else 0,
+        call.request_id,
+    )
+
+
+def _copy_headers(environ: dict[str, Any]) -> dict[str, str]:
+    nominated = {t.strip().lower() for t in environ.get("HTTP_CONNECTION", "").split(",")}
+    headers = {}
+    for key, value in environ.items():
+        if not key.startswith("HTTP_"):
+            continue
+        name = key[5:].replace("_", "-")
+        lowered = name.lower()
+        if lowered not in _REPLACED_HEADERS and lowered not in nominated:
+            headers[name.title()] = value
+    if environ.get("CONTENT_TYPE"):
+        headers["Content-Type"] = environ["CONTENT_TYPE"]
+    return headers
--- /dev/null
+++ b/src/foxtaildrum/server.py
@@ -0,0 +1,189 @@
+"""HTTP servers for callers and admin, built on waitress."""
+
+from __future__ import annotations
+
+import threading
+import time
+import uuid
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from waitress import wasyncore
+from waitress.adjustments import Adjustments
+from waitress.channel import ClientDisconnected, HTTPChannel
+from waitress.server import TcpWSGIServer
+from waitress.task import ErrorTask, ThreadedTaskDispatcher, WSGITask
+
+from .kinds import ANSWERS, ErrorKind
+from .logs import log_event
+from .problem import build_problem
+from .proxy import ARRIVED_KEY
+from .settings import parse_address
+
+OUTPUT_BUFFER_BYTES = 262_144
+SEND_BYTES = 1
+LOOP_TIMEOUT_S = 0.2
+POLL_S = 0.02
+
+_KIND_OF_STATUS = {
+    400: ErrorKind.BAD_REQUEST,
+    413: ErrorKind.BODY_TOO_LARGE,
+    431: ErrorKind.HEADER_TOO_LARGE,
+}
+
+
+class _Task(WSGITask):
+    """Task that announces the close of the connection during a shutdown."""
+
+    def build_response_header(self) -> bytes:
+        if self.channel.server.stopping:
+            self.response_headers.append(("Connection", "close"))
+            self.close_on_finish = True
+        return super().build_response_header()
+
+    def get_environment(self) -> dict[str, Any]:
+        environ = super().get_environment()
+        environ[ARRIVED_KEY] = getattr(self.request, "arrived", None)
+        return environ
+
+
+class _ErrorTask(ErrorTask):
+    """Answers a request that the parser refused with a problem document."""
+
+    def execute(self) -> None:
+        kind = _KIND_OF_STATUS.get(self.request.error.code, ErrorKind.INTERNAL)
+        status, headers, body = build_problem(kind, ANSWERS[kind].outcome, uuid.uuid4().hex)
+        log_event("refused_request", kind=kind.value)
+        self.status = status
+        self.response_headers.extend(headers)
+        self.set_close_on_finish()
+        self.content_length = len(body)
+        self.write(body)
+
+
+class _Channel(HTTPChannel):
+    """Connection of a caller with a deadline for each write."""
+
+    task_class = _Task
+    error_task_class = _ErrorTask
+
+    def received(self, data: bytes) -> bool:
+        known = len(self.requests)
+        result = super().received(data)
+        for request in self.requests[known:]:
+            request.arrived = time.monotonic()
+        return result
+
+    def _flush_outbufs_below_high_watermark(self) -> None:
+        limit = self.adj.outbuf_high_watermark
+        if self.total_outbufs_len <= limit:
+            return
+        with self.outbuf_lock:
+            left = self.total_outbufs_len
+            give_up_at = time.monotonic() + self.server.write_deadline_s
+            while self.connected and self.total_outbufs_len > limit:
+                self.server.pull_trigger()
+                self.outbuf_lock.wait(LOOP_TIMEOUT_S)
+                if self.total_outbufs_len < left:
+                    left = self.total_outbufs_len
+                    give_up_at = time.monotonic() + self.server.write_deadline_s
+                elif time.monotonic() >= give_up_at:
+                    self.will_close = True
+                    self.server.pull_trigger()
+                    raise ClientDisconnected
+
+
+class _Server(TcpWSGIServer):
+    """Listener that can stop accepting while it finishes requests."""
+
+    channel_class = _Channel
+    stopping = False
+    write_deadline_s = 30.0
+
+
+class HttpServer:
+    """One listening address with its threads.
+
+    Parameters
+    ----------
+    application : callable
+        WSGI application.
+    address : str
+        ``HOST:PORT`` to listen on.
+    threads : int
+        Requests handled at once.
+    write_deadline_s : float
+        Seconds a caller may take without reading any byte.
+    limits : dict
+        Further settings of the server library.
+    """
+
+    def __init__(
+        self,
+        application: Callable[..., Iterable[bytes]],
+        address: str,
+        threads: int,
+        write_deadline_s: float,
+        **limits: Any,
+    ) -> None:
+        host, port = parse_address(address)
+        settings = Adjustments(
+            host=host,
+            port=port,
+            threads=threads,
+            ident="foxtaildrum",
+            clear_untrusted_proxy_headers=False,
+            channel_request_lookahead=1,
+            outbuf_high_watermark=OUTPUT_BUFFER_BYTES,
+            send_bytes=SEND_BYTES,
+            asyncore_use_poll=True,
+            **limits,
+        )
+        dispatcher = ThreadedTaskDispatcher()
+        dispatcher.set_thread_count(threads)
+        self._map: dict[int, Any] = {}
+        self._server = _Server(
+            application,
+            map=self._map,
+            dispatcher=dispatcher,
+            adj=settings,
+            sockinfo=settings.listen[0],
+        )
+        self._server.write_deadline_s = write_deadline_s
+        self._thread = threading.Thread(target=self._run, name=f"http-{port}", daemon=True)
+
+    @property
+    def address(self) -> str:
+        """Address that the server listens on."""
+        host, port = self._server.socket.getsockname()[:2]
+        return f"{host}:{port}"
+
+    def start(self) -> None:
+        """Serve in a thread of its own."""
+        self._thread.start()
+
+    def announce_close(self) -> None:
+        """Tell callers to close their connection after the next answer."""
+        self._server.stopping = True
+
+    def stop_accepting(self) -> None:
+        """Close the listener; open connections stay."""
+        self._server.trigger.pull_trigger(lambda: wasyncore.dispatcher.close(self._server))
+
+    def count_busy(self) -> int:
+        """Return the connections with a request or unsent bytes."""
+        return sum(
+            bool(channel.requests or channel.total_outbufs_len or channel.request)
+            for channel in list(self._server.active_channels.values())
+        )
+
+    def wait_idle(self, until: float) -> bool:
+        """Wait until no request is in flight; return whether that came true."""
+        while self.count_busy():
+            if time.monotonic() >= until:
+                return False
+            time.sleep(POLL_S)
+        return True
+
+    def _run(self) -> None:
+        wasyncore.loop(timeout=LOOP_TIMEOUT_S, map=self._map, use_poll=True)
--- /dev/null
+++ b/src/foxtaildrum/settings.py
@@ -0,0 +1,142 @@
+"""Settings read from flags and environment variables."""
+
+from __future__ import annotations
+
+import argparse
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Any
+
+from .exceptions import FieldError, InvalidSettingsError
+from .records import Settings
+from .validation import find_problems, list_properties
+
+ENVIRONMENT_PREFIX = "FOXTAILDRUM_"
+MAX_PORT = 65535
+
+
+def list_flag(name: str) -> str:
+    """Return the command line flag of the setting ``name``."""
+    return "--" + name.replace("_", "-")
+
+
+def add_flags(parser: argparse.ArgumentParser) -> None:
+    """Add one flag for each setting to ``parser``."""
+    for name, schema in list_properties("Settings").items():
+        parser.add_argument(
+            list_flag(name),
+            dest=name,
+            default=None,
+            metavar=_describe_type(schema),
+            help=f"{schema['description']} [default: {schema['default']}; "
+            f"{ENVIRONMENT_PREFIX}{name.upper()}]",
+        )
+
+
+def load_settings(flags: Mapping[str, str | None], environ: Mapping[str, str]) -> Settings:
+    """Build the settings; a flag wins over its environment variable.
+
+    Parameters
+    ----------
+    flags : Mapping
+        Text of each flag by the name of its setting; None when absent.
+    environ : Mapping
+        Environment variables.
+
+    Raises
+    ------
+    InvalidSettingsError
+        With every invalid setting at once.
+    """
+    values: dict[str, Any] = {}
+    problems: list[FieldError] = []
+    for name, schema in list_properties("Settings").items():
+        text = flags.get(name)
+        if text is None:
+            text = environ.get(ENVIRONMENT_PREFIX + name.upper())
+        if text is None:
+            continue
+        try:
+            values[name] = _parse_text(schema["type"], text)
+        except ValueError as error:
+            problems.append(FieldError(name, str(error)))
+    problems += find_problems("Settings", values, "")
+    problems += _find_bad_ports(values)
+    problems += _find_missing_files(values)
+    if problems:
+        raise InvalidSettingsError("invalid settings", problems)
+    return Settings(**values)
+
+
+def parse_address(text: str) -> tuple[str, int]:
+    """Split ``HOST:PORT`` into the host and the port number."""
+    host, _, port = text.rpartition(":")
+    return host.strip("[]"), int(port)
+
+
+def parse_control(text: str) -> dict[str, str]:
+    """Parse ``ID=HOST:PORT,...`` into addresses by instance identifier."""
+    members = {}
+    for item in text.split(","):
+        if item:
+            identifier, _, address = item.partition("=")
+            members[identifier] = address
+    return members
+
+
+def read_secret(path: str) -> bytes:
+    """Return the content of a secret file without surrounding white space."""
+    return Path(path).read_bytes().strip() if path else b""
+
+
+def _describe_type(schema: Mapping[str, Any]) -> str:
+    if "enum" in schema:
+        return "|".join(schema["enum"])
+    return {"string": "TEXT", "integer": "N", "number": "X", "boolean": "true|false"}[
+        schema["type"]
+    ]
+
+
+def _parse_text(kind: str, text: str) -> Any:
+    if kind == "integer":
+        return int(text)
+    if kind == "number":
+        return float(text)
+    if kind == "boolean":
+        return _parse_boolean(text)
+    return text
+
+
+def _parse_boolean(text: str) -> bool:
+    lowered = text.lower()
+    if lowered in ("true", "1", "yes"):
+        return True
+    if lowered in ("false", "0", "no"):
+        return False
+    raise ValueError(f"{text!r} is neither true nor false")
+
+
+def _find_bad_ports(values: Mapping[str, Any]) -> list[FieldError]:
+    problems = []
+    for name in ("listen", "admin_listen", "peer_listen", "statsd"):
+        text = values.get(name, "")
+        port = text.rpartition(":")[2]
+        if port.isdigit() and int(port) > MAX_PORT:
+            problems.append(FieldError(name, f"port {port} is above {MAX_PORT}"))
+    return problems
+
+
+def _find_missing_files(values: Mapping[str, Any]) -> list[FieldError]:
+    problems = []
+    for name in ("operator_token_file", "fleet_key_file"):
+        path = values.get(name)
+        if not path:
+            continue
+        try:
+            empty = not read_secret(path)
+        except OSError as error:
+            problems.append(FieldError(name, f"cannot read {path}: {error.strerror}"))
+            continue
+        if empty:
+            problems.append(FieldError(name, f"{path} is empty"))
+    return problems
--- /dev/null
+++ b/src/foxtaildrum/tables.py
@@ -0,0 +1,346 @@
+"""Routes and pools tables: validation and versioned changes."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+from collections import OrderedDict
+from typing import Any
+
+from .exceptions import FieldError, InvalidTableError
+from .policies import list_policies
+from .records import Pool, Route
+from .validation import find_problems
+
+TABLE_NAMES = ("routes", "pools")
+REMEMBERED_CHANGES = 4096
+
+_RECORDS = {"routes": "Route", "pools": "Pool"}
+_TYPES = {"routes": Route, "pools": Pool}
+
+
+class Change:
+    """A proposed replacement of one table.
+
+    Parameters
+    ----------
+    table : str
+        ``routes`` or ``pools``.
+    rows : list of dict
+        Complete content of the table.
+    if_version : int
+        Version that the operator read.
+    change_id : str
+        Identifier that makes a resent change idempotent.
+    """
+
+    __slots__ = ("change_id", "if_version", "rows", "table")
+
+    def __init__(
+        self, table: str, rows: list[dict[str, Any]], if_version: int, change_id: str
+    ) -> None:
+        self.table = table
+        self.rows = rows
+        self.if_version = if_version
+        self.change_id = change_id
+
+    def compute_digest(self) -> str:
+        """Return a digest of the content, used to detect a reused identifier."""
+        text = json.dumps([self.table, self.rows, self.if_version], sort_keys=True)
+        return hashlib.sha256(text.encode()).hexdigest()
+
+    def to_wire(self) -> list[Any]:
+        """Return the change as a list that msgpack can encode."""
+        return [self.table, self.rows, self.if_version, self.change_id]
+
+    @classmethod
+    def from_wire(cls, fields: list[Any]) -> Change:
+        """Build a change from the list made by :meth:`to_wire`."""
+        return cls(*fields)
+
+
+class Patch:
+    """Rows that a change adds, replaces and removes.
+
+    Only the rows that differ travel to every instance and into every log.
+
+    Parameters
+    ----------
+    digest : str
+        Digest of the whole change.
+    upserts : list of dict
+        Rows that are new or different.
+    removals : list of str
+        Names of rows that go.
+    """
+
+    __slots__ = ("change_id", "digest", "if_version", "removals", "table", "upserts")
+
+    def __init__(
+        self,
+        table: str,
+        if_version: int,
+        change_id: str,
+        digest: str,
+        upserts: list[dict[str, Any]],
+        removals: list[str],
+    ) -> None:
+        self.table = table
+        self.if_version = if_version
+        self.change_id = change_id
+        self.digest = digest
+        self.upserts = upserts
+        self.removals = removals
+
+    def to_wire(self) -> list[Any]:
+        """Return the patch as a list that msgpack can encode."""
+        return [
+            self.table,
+            self.if_version,
+            self.change_id,
+            self.digest,
+            self.upserts,
+            self.removals,
+        ]
+
+    @classmethod
+    def from_wire(cls, fields: list[Any]) -> Patch:
+        """Build a patch from the list made by :meth:`to_wire`."""
+        return cls(*fields)
+
+
+class ChangeResult:
+    """Answer to a change, remembered under its change identifier.
+
+    Parameters
+    ----------
+    verdict : str
+        ``accepted``, ``stale``, ``invalid`` or ``reused``.
+    version : int
+        Version of the table after the change was considered.
+    changed_by : str
+        Change identifier that produced ``version``.
+    problems : list of dict
+        Problems of an invalid table.
+    """
+
+    __slots__ = ("changed_by", "problems", "verdict", "version")
+
+    def __init__(
+        self, verdict: str, version: int, changed_by: str, problems: list[dict[str, str]]
+    ) -> None:
+        self.verdict = verdict
+        self.version = version
+        self.changed_by = changed_by
+        self.problems = problems
+
+    def to_wire(self) -> list[Any]:
+        """Return the result as a list that msgpack can encode."""
+        return [self.verdict, self.version, self.changed_by, self.problems]
+
+
+class Table:
+    """One versioned table.
+
+    Attributes
+    ----------
+    rows : dict
+        Rows by name, in the order in which they were added.
+    version : int
+        Number of accepted changes.
+    changed_by : str
+        Change identifier that produced the version.
+    """
+
+    __slots__ = ("changed_by", "rows", "version")
+
+    def __init__(self, rows: dict[str, dict[str, Any]], version: int, changed_by: str) -> None:
+        self.rows = rows
+        self.version = version
+        self.changed_by = changed_by
+
+    def list_rows(self) -> list[dict[str, Any]]:
+        """Return the rows in order."""
+        return list(self.rows.values())
+
+
+class Tables:
+    """Both tables and the answers to past changes.
+
+    Deterministic: equal sequences of patches give equal states on every replica.
+    """
+
+    __slots__ = ("remembered", "tables")
+
+    def __init__(self) -> None:
+        self.tables = {name: Table({}, 0, "") for name in TABLE_NAMES}
+        self.remembered: OrderedDict[str, tuple[str, ChangeResult]] = OrderedDict()
+
+    def build_patch(self, change: Change) -> Patch:
+        """Return the patch of a validated change against the tables in force.
+
+        Under a stale version the patch is empty; applying it tells who won.
+        """
+        table = self.tables[change.table]
+        patch = Patch(
+            change.table, change.if_version, change.change_id, change.compute_digest(), [], []
+        )
+        if change.if_version != table.version:
+            return patch
+        names = {row["name"] for row in change.rows}
+        patch.upserts = [r for r in change.rows if table.rows.get(r["name"]) != r]
+        patch.removals = [name for name in table.rows if name not in names]
+        return patch
+
+    def find_answer(self, change: Change) -> ChangeResult | None:
+        """Return the answer that a resent change got the first time, or None."""
+        known = self.remembered.get(change.change_id)
+        if known is None:
+            return None
+        return self._answer_repeat(change.table, change.compute_digest(), known)
+
+    def apply_patch(self, patch: Patch) -> ChangeResult:
+        """Apply a patch once and return its answer."""
+        known = self.remembered.get(patch.change_id)
+        if known is not None:
+            return self._answer_repeat(patch.table, patch.digest, known)
+        result = self._judge_patch(patch)
+        self.remembered[patch.change_id] = (patch.digest, result)
+        while len(self.remembered) > REMEMBERED_CHANGES:
+            self.remembered.popitem(last=False)
+        return result
+
+    def list_routes(self) -> list[Route]:
+        """Return the rows of the routes table."""
+        return [Route(**row) for row in self.tables["routes"].rows.values()]
+
+    def list_pools(self) -> list[Pool]:
+        """Return the rows of the pools table."""
+        return [Pool(**row) for row in self.tables["pools"].rows.values()]
+
+    def to_wire(self, with_answers: bool) -> list[Any]:
+        """Return the state as a list that msgpack can encode.
+
+        Parameters
+        ----------
+        with_answers : bool
+            Whether the answers to past changes are included.
+        """
+        tables = [[n, t.list_rows(), t.version, t.changed_by] for n, t in self.tables.items()]
+        if not with_answers:
+            return [tables, []]
+        remembered = [[i, d, r.to_wire()] for i, (d, r) in self.remembered.items()]
+        return [tables, remembered]
+
+    @classmethod
+    def from_wire(cls, fields: list[Any]) -> Tables:
+        """Build the state from the list made by :meth:`to_wire`."""
+        state = cls()
+        for name, rows, version, changed_by in fields[0]:
+            state.tables[name] = Table({r["name"]: r for r in rows}, version, changed_by)
+        for change_id, digest, result in fields[1]:
+            state.remembered[change_id] = (digest, ChangeResult(*result))
+        return state
+
+    def _answer_repeat(
+        self, table_name: str, digest: str, known: tuple[str, ChangeResult]
+    ) -> ChangeResult:
+        if known[0] == digest:
+            return known[1]
+        table = self.tables[table_name]
+        return ChangeResult("reused", table.version, table.changed_by, [])
+
+    def _judge_patch(self, patch: Patch) -> ChangeResult:
+        table = self.tables[patch.table]
+        if patch.if_version != table.version:
+            return ChangeResult("stale", table.version, table.changed_by, [])
+        rows = {n: r for n, r in table.rows.items() if n not in patch.removals}
+        rows |= {row["name"]: row for row in patch.upserts}
+        merged = {n: t.rows for n, t in self.tables.items()} | {patch.table: rows}
+        try:
+            check_references(merged["routes"], merged["pools"])
+        except InvalidTableError as error:
+            problems = error.list_problems()
+            return ChangeResult("invalid", table.version, table.changed_by, problems)
+        self.tables[patch.table] = Table(rows, table.version + 1, patch.change_id)
+        return ChangeResult("accepted", table.version + 1, patch.change_id, [])
+
+
+def check_table(table: str, rows: Any) -> None:
+    """Validate the rows of one table.
+
+    Raises
+    ------
+    InvalidTableError
+        With every problem, each with its row and field.
+    """
+    if not isinstance(rows, list):
+        raise InvalidTableError("invalid table", [FieldError(table, "must be a list of rows")])
+    problems: list[FieldError] = []
+    for number, row in enumerate(rows):
+        problems += find_problems(_RECORDS[table], row, f"{table}[{number}]")
+    problems += _find_duplicates(table, rows)
+    if table == "pools":
+        problems += _find_unknown_policies(rows)
+    if table == "routes":
+        problems += _find_duplicate_matches(rows)
+    if problems:
+        raise InvalidTableError("invalid table", problems)
+
+
+def check_references(
+    routes: dict[str, dict[str, Any]], pools: dict[str, dict[str, Any]]
+) -> None:
+    """Check that each route names a pool that exists.
+
+    Raises
+    ------
+    InvalidTableError
+        With every route whose pool is missing.
+    """
+    problems = [
+        FieldError(f"routes[{number}].pool", f"pool {row['pool']!r} does not exist")
+        for number, row in enumerate(routes.values())
+        if row["pool"] not in pools
+    ]
+    if problems:
+        raise InvalidTableError("invalid table", problems)
+
+
+def _list_rows(rows: list[Any]) -> list[tuple[int, dict[str, Any]]]:
+    return [(n, row) for n, row in enumerate(rows) if isinstance(row, dict)]
+
+
+def _find_duplicates(table: str, rows: list[Any]) -> list[FieldError]:
+    seen: set[str] = set()
+    problems = []
+    for number, row in _list_rows(rows):
+        name = str(row.get("name"))
+        if name in seen:
+            problems.append(FieldError(f"{table}[{number}].name", f"duplicate name {name!r}"))
+        seen.add(name)
+    return problems
+
+
+def _find_unknown_policies(rows: list[Any]) -> list[FieldError]:
+    known = list_policies()
+    return [
+        FieldError(f"pools[{number}].policy", f"{row['policy']!r} is not one of {known}")
+        for number, row in _list_rows(rows)
+        if isinstance(row.get("policy"), str) and row["policy"] not in known
+    ]
+
+
+def _find_duplicate_matches(rows: list[Any]) -> list[FieldError]:
+    seen: dict[tuple[str, str, str], int] = {}
+    problems = []
+    for number, row in _list_rows(rows):
+        methods = row.get("methods")
+        for method in methods if isinstance(methods, list) and methods else [""]:
+            key = (str(row.get("host", "")), str(row.get("path_prefix", "/")), str(method))
+            first = seen.setdefault(key, number)
+            if first != number:
+                problems.append(
+                    FieldError(f"routes[{number}]", f"matches the same requests as row {first}")
+                )
+    return problems
--- /dev/null
+++ b/src/foxtaildrum/transport.py
@@ -0,0 +1,420 @@
+"""Seam between the policy and the HTTP library that reaches upstreams."""
+
+from __future__ import annotations
+
+import http.client
+import json
+import select
+import socket
+import threading
+from collections.abc import Callable, Iterator, Mapping
+from typing import IO, Protocol
+
+import urllib3
+from urllib3.connection import HTTPConnection
+from urllib3.util import SKIP_HEADER
+
+from .kinds import ErrorKind
+from .settings import parse_address
+
+CHUNK_BYTES = 65536
+MAX_IDLE_S = 30.0
+MAX_IDLE_UNREPEATABLE_S = 1.0
+MAX_IDLE_CONNECTIONS = 64
+BODYLESS_STATUSES = frozenset({204, 304})
+HOP_BY_HOP = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+PRIVATE_HEADERS = frozenset({"x-upstream-state", "foxtaildrum-attempt"})
+
+_HTTP_ERRORS = (OSError, http.client.HTTPException, urllib3.exceptions.HTTPError)
+
+
+class TransportError(Exception):
+    """A connection to an upstream failed.
+
+    Parameters
+    ----------
+    kind : ErrorKind
+        What the failure means for the request.
+    """
+
+    def __init__(self, kind: ErrorKind) -> None:
+        super().__init__(kind)
+        self.kind = kind
+
+
+class Head:
+    """Status and headers of an upstream's answer.
+
+    Attributes
+    ----------
+    length : int or None
+        Bytes of the body; None for a chunked body.
+    """
+
+    __slots__ = ("attempt", "draining", "headers", "length", "not_run", "reason", "status")
+
+    def __init__(self, status: int, reason: str, length: int | None) -> None:
+        self.status = status
+        self.reason = reason
+        self.length = length
+        self.headers: list[tuple[str, str]] = []
+        self.draining = False
+        self.not_run = False
+        self.attempt = ""
+
+
+class OutgoingRequest:
+    """A request as it is sent to an upstream.
+
+    Parameters
+    ----------
+    body : file or None
+        Seekable body of ``length`` bytes.
+    """
+
+    __slots__ = ("body", "headers", "length", "method", "request_id", "target")
+
+    def __init__(
+        self,
+        method: str,
+        target: str,
+        headers: dict[str, str],
+        body: IO[bytes] | None,
+        length: int,
+        request_id: str,
+    ) -> None:
+        self.method = method
+        self.target = target
+        self.headers = headers
+        self.body = body
+        self.length = length
+        self.request_id = request_id
+
+
+class Connection(Protocol):
+    """What the policy needs of a connection to an upstream."""
+
+    whole: bool
+
+    def send(self, request: OutgoingRequest, timeout_s: float) -> None:
+        """Send the whole request; raise :class:`TransportError` on failure."""
+
+    def fileno(self) -> int:
+        """Return the file descriptor to wait on for the answer."""
+
+    def read_head(self, timeout_s: float) -> Head:
+        """Read the status and headers; raise :class:`TransportError` on failure."""
+
+    def read_body(self, timeout_s: float) -> Iterator[bytes]:
+        """Yield the body; raise :class:`TransportError` if it is not whole."""
+
+    def close(self) -> None:
+        """Close the connection, which cancels the work of the upstream."""
+
+
+Adapter = Callable[[str, float], Connection]
+
+_ADAPTERS: dict[str, Adapter] = {}
+
+
+def register_adapter(scheme: str) -> Callable[[Adapter], Adapter]:
+    """Register the decorated function as the adapter of ``scheme``."""
+
+    def register(function: Adapter) -> Adapter:
+        _ADAPTERS[scheme] = function
+        return function
+
+    return register
+
+
+def get_adapter(scheme: str) -> Adapter:
+    """Return the adapter registered for ``scheme``."""
+    return _ADAPTERS[scheme]
+
+
+class ConnectionPool:
+    """Idle connections to one address, the last used first.
+
+    Parameters
+    ----------
+    address : str
+        ``IP:PORT`` of the upstream.
+    open_connection : Adapter
+        Opens a connection to the address.
+    """
+
+    __slots__ = ("_address", "_idle", "_lock", "_open")
+
+    def __init__(self, address: str, open_connection: Adapter) -> None:
+        self._address = address
+        self._open = open_connection
+        self._idle: list[tuple[float, Connection]] = []
+        self._lock = threading.Lock()
+
+    def take(self, now: float, timeout_s: float, repeatable: bool) -> Connection:
+        """Return an idle connection or open one.
+
+        A request that may not be repeated takes only a connection that was in use
+        a moment ago: on an older one the upstream's close may be under way.
+
+        Raises
+        ------
+        TransportError
+            When no connection can be opened.
+        """
+        max_idle_s = MAX_IDLE_S if repeatable else MAX_IDLE_UNREPEATABLE_S
+        while True:
+            with self._lock:
+                if not self._idle:
+                    break
+                returned_at, connection = self._idle.pop()
+            if now - returned_at <= max_idle_s and not has_input(connection.fileno()):
+                return connection
+            connection.close()
+        return self._open(self._address, timeout_s)
+
+    def give(self, now: float, connection: Connection) -> None:
+        """Keep a connection whose last answer was read to its end."""
+        with self._lock:
+            if len(self._idle) < MAX_IDLE_CONNECTIONS:
+                self._idle.append((now, connection))
+                return
+        connection.close()
+
+    def close(self) -> None:
+        """Close every idle connection."""
+        with self._lock:
+            idle, self._idle = self._idle, []
+        for _, connection in idle:
+            connection.close()
+
+
+def has_input(fileno: int) -> bool:
+    """Return whether a socket has bytes or an end of file to read."""
+    poll = select.poll()
+    poll.register(fileno, select.POLLIN)
+    return bool(poll.poll(0))
+
+
+class _BodyResponse(http.client.HTTPResponse):
+    """Answer that notices bytes beyond its declared length."""
+
+    has_excess = False
+
+    def _close_conn(self) -> None:
+        if self.fp is not None and self.length == 0 and not self.chunked:
+            self.has_excess = self._find_excess()
+        super()._close_conn()
+
+    def _find_excess(self) -> bool:
+        raw = getattr(self.fp, "raw", None)
+        sock = getattr(raw, "_sock", None)
+        if sock is None:
+            return False
+        timeout = sock.gettimeout()
+        sock.settimeout(0)
+        try:
+            return bool(self.fp.peek(1))
+        except OSError:
+            return False
+        finally:
+            sock.settimeout(timeout)
+
+
+class _BodyConnection(HTTPConnection):
+    response_class = _BodyResponse
+
+
+class Urllib3Connection:
+    """Connection to an upstream through urllib3.
+
+    Raises
+    ------
+    TransportError
+        When the connection cannot be opened.
+    """
+
+    __slots__ = ("_connection", "_method", "_response", "whole")
+
+    def __init__(self, address: str, timeout_s: float) -> None:
+        host, port = parse_address(address)
+        self._connection = _BodyConnection(host, port, timeout=timeout_s)
+        self._method = ""
+        self._response: urllib3.HTTPResponse | None = None
+        self.whole = False
+        try:
+            self._connection.connect()
+        except _HTTP_ERRORS as error:
+            raise TransportError(ErrorKind.CONNECT_FAILED) from error
+        self._connection.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+    def send(self, request: OutgoingRequest, timeout_s: float) -> None:
+        """Send the whole request; raise :class:`TransportError` on failure."""
+        self.whole = False
+        self._method = request.method
+        self._connection.timeout = timeout_s
+        headers = {"User-Agent": SKIP_HEADER, "Accept-Encoding": SKIP_HEADER}
+        headers |= request.headers
+        if request.body is not None:
+            request.body.seek(0)
+            headers["Content-Length"] = str(request.length)
+        try:
+            self._connection.request(
+                request.method,
+                request.target,
+                body=request.body if request.length else None,
+                headers=headers,
+                preload_content=False,
+                decode_content=False,
+            )
+        except _HTTP_ERRORS as error:
+            # An upstream may answer and close before it has read the whole body.
+            if not self._has_early_answer():
+                raise TransportError(ErrorKind.ANSWER_LOST) from error
+
+    def fileno(self) -> int:
+        """Return the file descriptor to wait on for the answer."""
+        return self._connection.sock.fileno()
+
+    def read_head(self, timeout_s: float) -> Head:
+        """Read the status and headers; raise :class:`TransportError` on failure."""
+        self._connection.timeout = max(timeout_s, 0.001)
+        try:
+            self._response = self._connection.getresponse()
+        except (http.client.RemoteDisconnected, OSError) as error:
+            raise TransportError(ErrorKind.ANSWER_LOST) from error
+        except _HTTP_ERRORS as error:
+            raise TransportError(ErrorKind.ANSWER_INVALID) from error
+        return self._build_head(self._response)
+
+    def read_body(self, timeout_s: float) -> Iterator[bytes]:
+        """Yield the body; raise :class:`TransportError` if it is not whole."""
+        response = self._response
+        if self._connection.sock is not None:
+            self._connection.sock.settimeout(timeout_s)
+        try:
+            if response.chunked:
+                yield from response.read_chunked(decode_content=False)
+            else:
+                yield from self._read_sized(response)
+        except _HTTP_ERRORS as error:
+            raise TransportError(ErrorKind.ANSWER_LOST) from error
+        self.whole = self._connection.sock is not None
+
+    def close(self) -> None:
+        """Close the connection, which cancels the work of the upstream."""
+        self._connection.close()
+        if self._response is not None:
+            self._response.close()
+
+    def _read_sized(self, response: urllib3.HTTPResponse) -> Iterator[bytes]:
+        # The last chunk is held back until the length has been verified.
+        held = b""
+        while chunk := response.read(CHUNK_BYTES, decode_content=False):
+            if held:
+                yield held
+            held = chunk
+        if getattr(response._original_response, "has_excess", False):
+            raise TransportError(ErrorKind.ANSWER_INVALID)
+        if held:
+            yield held
+
+    def _has_early_answer(self) -> bool:
+        sock = self._connection.sock
+        if sock is None or not has_input(sock.fileno()):
+            return False
+        try:
+            return bool(sock.recv(1, socket.MSG_PEEK))
+        except OSError:
+            return False
+
+    def _build_head(self, response: urllib3.HTTPResponse) -> Head:
+        length = self._find_length(response)
+        head = Head(response.status, response.reason or "", length)
+        nominated = _list_nominated(response.headers.get("Connection", ""))
+        for name, value in response.headers.iteritems():
+            lowered = name.lower()
+            if lowered in HOP_BY_HOP or lowered in nominated or lowered in PRIVATE_HEADERS:
+                continue
+            head.headers.append((name, value))
+        head.draining = response.headers.get("X-Upstream-State", "").lower() == "draining"
+        stated = response.headers.get("Foxtaildrum-Outcome", "").lower()
+        head.not_run = response.status == 503 and stated == "not-run"
+        head.attempt = response.headers.get("Foxtaildrum-Attempt", "")
+        return head
+
+    def _find_length(self, response: urllib3.HTTPResponse) -> int | None:
+        if response.status < 200 or response._original_response.msg.defects:
+            raise TransportError(ErrorKind.ANSWER_INVALID)
+        bodyless = self._method == "HEAD" or response.status in BODYLESS_STATUSES
+        encoding = response.headers.get("Transfer-Encoding", "").strip().lower()
+        declared = response.headers.get("Content-Length")
+        if encoding and (encoding != "chunked" or declared is not None):
+            raise TransportError(ErrorKind.ANSWER_INVALID)
+        if declared is not None and not (declared.isascii() and declared.isdigit()):
+            raise TransportError(ErrorKind.ANSWER_INVALID)
+        if bodyless:
+            return 0
+        if encoding:
+            return None
+        if declared is None:
+            # Without a length a truncated answer cannot be told from a whole one.
+            raise TransportError(ErrorKind.ANSWER_INVALID)
+        return int(declared)
+
+
+@register_adapter("http")
+def open_http(address: str, timeout_s: float) -> Urllib3Connection:
+    """Open an HTTP connection to ``address``."""
+    return Urllib3Connection(address, timeout_s)
+
+
+def parse_slots_in_use(headers: Mapping[str, str] | list[tuple[str, str]]) -> float | None:
+    """Return the slots in use that an answer reports, or None.
+
+    Reads the JSON and TEXT forms of ``endpoint-load-metrics``.
+    """
+    for name, value in headers:
+        if name.lower() == "endpoint-load-metrics":
+            return _parse_metrics(value)
+    return None
+
+
+def _parse_metrics(value: str) -> float | None:
+    form, _, text = value.strip().partition(" ")
+    try:
+        if form.upper() == "JSON":
+            number = float(json.loads(text)["named_metrics"]["slots_in_use"])
+        elif form.upper() == "TEXT":
+            number = _parse_text_metrics(text)
+        else:
+            return None
+    except (ValueError, KeyError, TypeError):
+        return None
+    return number if 0 <= number < 1e6 else None
+
+
+def _parse_text_metrics(text: str) -> float:
+    for item in text.split(","):
+        name, _, number = item.strip().partition("=")
+        if name == "named_metrics.slots_in_use":
+            return float(number)
+    raise KeyError("named_metrics.slots_in_use")
+
+
+def _list_nominated(connection: str) -> frozenset[str]:
+    if not connection:
+        return frozenset()
+    return frozenset(token.strip().lower() for token in connection.split(","))
--- /dev/null
+++ b/src/foxtaildrum/upstreams.py
@@ -0,0 +1,313 @@
+"""Upstream list: what upstreams announced, as mergeable soft state.
+
+The instance that hears an announcement owns its lease. Renewals stay with the owner;
+only changes travel, so a fleet at rest sends nothing. An entry is in force while its
+owner is alive and, when the owner is lost, for one further lease in which the upstream
+announces itself to another instance.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from .digest import BucketDigest, find_bucket
+from .exceptions import StaleAnnouncementError
+from .records import Announcement
+
+READY = "ready"
+DRAINING = "draining"
+LEFT = "left"
+TOMBSTONE_S = 900.0
+MAX_ENTRIES = 100_000
+
+_STATE_RANK = {READY: 0, DRAINING: 1, LEFT: 2}
+
+
+class Entry:
+    """Latest known announcement of one upstream.
+
+    Within one incarnation the state only moves from ready to draining to left, so
+    that merging entries in any order gives the same result on every instance.
+
+    Parameters
+    ----------
+    owner : str
+        Instance that holds the lease.
+    sequence : int
+        Number that grows with each change.
+    lost : bool
+        Whether the lease ran out.
+    expires_at : float
+        Local time of expiry, in seconds; for the owner and for dead entries.
+    """
+
+    __slots__ = (
+        "announcement",
+        "expires_at",
+        "lost",
+        "owner",
+        "sequence",
+        "state",
+        "upstream_id",
+    )
+
+    def __init__(
+        self,
+        upstream_id: str,
+        announcement: Announcement,
+        state: str,
+        owner: str,
+        sequence: int,
+        lost: bool,
+        expires_at: float,
+    ) -> None:
+        self.upstream_id = upstream_id
+        self.announcement = announcement
+        self.state = state
+        self.owner = owner
+        self.sequence = sequence
+        self.lost = lost
+        self.expires_at = expires_at
+
+    @property
+    def dead(self) -> bool:
+        """Whether the entry is kept only to outrank older ones."""
+        return self.lost or self.state == LEFT
+
+    def rank(self) -> tuple[int, int, int, str, bool]:
+        """Return the order in which entries replace each other."""
+        incarnation = self.announcement.incarnation
+        return (incarnation, _STATE_RANK[self.state], self.sequence, self.owner, self.lost)
+
+    def describe_offer(self) -> tuple[Any, ...]:
+        """Return what balancing depends on."""
+        a = self.announcement
+        return (
+            self.state,
+            self.lost,
+            a.pool,
+            a.address,
+            a.availability_zone,
+            a.slots,
+            a.incarnation,
+        )
+
+    def to_wire(self, now: float) -> list[Any]:
+        """Return the entry for another instance."""
+        a = self.announcement
+        left_s = max(0.0, self.expires_at - now) if self.dead else a.lease_s
+        return [
+            self.upstream_id,
+            a.pool,
+            a.address,
+            a.availability_zone,
+            a.slots,
+            a.incarnation,
+            self.state,
+            self.owner,
+            self.sequence,
+            self.lost,
+            round(left_s, 3),
+        ]
+
+    @classmethod
+    def from_wire(cls, now: float, fields: list[Any]) -> Entry:
+        """Build an entry from the list made by :meth:`to_wire`."""
+        upstream_id, pool, address, zone, slots, incarnation, state = fields[:7]
+        owner, sequence, lost, left_s = fields[7:]
+        if state not in _STATE_RANK:
+            raise ValueError(f"unknown state {state!r}")
+        announcement = Announcement(
+            pool=pool,
+            address=address,
+            availability_zone=zone,
+            slots=slots,
+            incarnation=incarnation,
+            lease_s=left_s,
+        )
+        return cls(upstream_id, announcement, state, owner, sequence, lost, now + left_s)
+
+
+class UpstreamList:
+    """Mergeable map of upstreams; the entry of highest rank wins.
+
+    Parameters
+    ----------
+    instance_id : str
+        This instance.
+    """
+
+    __slots__ = ("_news", "digest", "entries", "generation", "instance_id")
+
+    def __init__(self, instance_id: str) -> None:
+        self.instance_id = instance_id
+        self.entries: dict[str, Entry] = {}
+        self.digest = BucketDigest()
+        self.generation = 0
+        self._news: dict[str, Entry] = {}
+
+    def announce(
+        self,
+        now: float,
+        upstream_id: str,
+        announcement: Announcement,
+        is_usable: Callable[[str], bool],
+    ) -> str:
+        """Record an announcement made to this instance.
+
+        Parameters
+        ----------
+        is_usable : callable
+            Returns whether an instance is alive.
+
+        Returns
+        -------
+        str
+            The other instance that holds the lease and must hear of the renewal;
+            empty when this instance holds it.
+
+        Raises
+        ------
+        StaleAnnouncementError
+            When a later incarnation is known, or this one has drained or left.
+        """
+        known = self.entries.get(upstream_id)
+        entry = self._build_next(now, upstream_id, announcement, announcement.state, known)
+        if known is None:
+            self._store(entry, spread=True)
+            return ""
+        if entry.rank()[:2] < known.rank()[:2]:
+            raise StaleAnnouncementError(
+                f"{upstream_id} is known as {known.state} under incarnation "
+                f"{known.announcement.incarnation}; announce a higher incarnation"
+            )
+        same = known.describe_offer() == entry.describe_offer()
+        if same and known.owner == self.instance_id:
+            known.announcement.lease_s = announcement.lease_s
+            known.expires_at = entry.expires_at
+            return ""
+        if same and is_usable(known.owner):
+            return known.owner
+        self._store(entry, spread=True)
+        return ""
+
+    def renew(self, now: float, upstream_id: str, incarnation: int, lease_s: float) -> None:
+        """Renew a lease that this instance holds."""
+        known = self.entries.get(upstream_id)
+        if known is None or known.owner != self.instance_id or known.dead:
+            return
+        if known.announcement.incarnation == incarnation:
+            known.announcement.lease_s = lease_s
+            known.expires_at = now + lease_s
+
+    def leave(self, now: float, upstream_id: str) -> bool:
+        """Record that an upstream left; return whether it was known."""
+        known = self.entries.get(upstream_id)
+        if known is None or known.dead:
+            return False
+        entry = self._build_next(now, upstream_id, known.announcement, LEFT, known)
+        self._store(entry, spread=True)
+        return True
+
+    def note_draining(self, now: float, upstream_id: str) -> bool:
+        """Record a drain that an answer told; return whether it is news."""
+        known = self.entries.get(upstream_id)
+        if known is None or known.state != READY or known.lost:
+            return False
+        entry = self._build_next(now, upstream_id, known.announcement, DRAINING, known)
+        entry.owner = known.owner
+        self._store(entry, spread=True)
+        return True
+
+    def merge(self, now: float, entry: Entry) -> bool:
+        """Merge an entry from another instance; return whether it is news."""
+        known = self.entries.get(entry.upstream_id)
+        if known is not None and entry.rank() <= known.rank():
+            return False
+        if known is None and len(self.entries) >= MAX_ENTRIES:
+            return False
+        if known is None and entry.dead and entry.expires_at <= now:
+            return False
+        self._store(entry, spread=True)
+        return True
+
+    def expire(self, now: float, is_usable: Callable[[str], bool]) -> list[str]:
+        """Judge leases and return the identifiers of upstreams lost here.
+
+        The owner tells everyone that a lease ran out. When the owner itself is gone,
+        every instance lets the entry run out alone.
+        """
+        lost = []
+        for entry in list(self.entries.values()):
+            if not entry.dead and entry.owner != self.instance_id and is_usable(entry.owner):
+                entry.expires_at = now + entry.announcement.lease_s
+                continue
+            if entry.expires_at > now:
+                continue
+            if entry.dead or entry.owner != self.instance_id:
+                self._drop(entry)
+            else:
+                self._mark_lost(now, entry)
+            if not entry.dead:
+                lost.append(entry.upstream_id)
+        return lost
+
+    def hand_over(self) -> list[Entry]:
+        """Return the live entries whose lease this instance holds."""
+        return [e for e in self.entries.values() if e.owner == self.instance_id and not e.dead]
+
+    def list_members(self, pool: str) -> list[Entry]:
+        """Return the entries of ``pool`` that are in force."""
+        return [e for e in self.entries.values() if e.announcement.pool == pool and not e.dead]
+
+    def list_bucket(self, buckets: set[int]) -> list[Entry]:
+        """Return the entries in any of ``buckets``."""
+        return [e for e in self.entries.values() if find_bucket(e.upstream_id) in buckets]
+
+    def take_news(self) -> list[Entry]:
+        """Return the entries that changed since the last call."""
+        news = list(self._news.values())
+        self._news.clear()
+        return news
+
+    def _mark_lost(self, now: float, known: Entry) -> None:
+        entry = self._build_next(now, known.upstream_id, known.announcement, known.state, known)
+        entry.lost = True
+        entry.expires_at = now + TOMBSTONE_S
+        self._store(entry, spread=True)
+
+    def _drop(self, entry: Entry) -> None:
+        del self.entries[entry.upstream_id]
+        self.digest.remove(entry.upstream_id, _describe_rank(entry))
+        self.generation += 1
+
+    def _store(self, entry: Entry, spread: bool) -> None:
+        known = self.entries.get(entry.upstream_id)
+        if known is not None:
+            self.digest.remove(known.upstream_id, _describe_rank(known))
+        self.entries[entry.upstream_id] = entry
+        self.digest.add(entry.upstream_id, _describe_rank(entry))
+        if known is None or known.describe_offer() != entry.describe_offer():
+            self.generation += 1
+        if spread:
+            self._news[entry.upstream_id] = entry
+
+    def _build_next(
+        self,
+        now: float,
+        upstream_id: str,
+        announcement: Announcement,
+        state: str,
+        known: Entry | None,
+    ) -> Entry:
+        sequence = known.sequence + 1 if known else 1
+        lease_s = TOMBSTONE_S if state == LEFT else announcement.lease_s
+        return Entry(
+            upstream_id, announcement, state, self.instance_id, sequence, False, now + lease_s
+        )
+
+
+def _describe_rank(entry: Entry) -> str:
+    incarnation, state, sequence, owner, lost = entry.rank()
+    return f"{incarnation}.{state}.{sequence}.{owner}.{lost:d}"
--- /dev/null
+++ b/src/foxtaildrum/validation.py
@@ -0,0 +1,69 @@
+"""Validation of settings, tables and announcements against the schema."""
+
+from __future__ import annotations
+
+import functools
+import json
+from importlib import resources
+from typing import Any
+
+import jsonschema
+
+from .exceptions import FieldError
+
+
+@functools.cache
+def load_schema() -> dict[str, Any]:
+    """Return the packaged schema."""
+    text = resources.files(__package__).joinpath("schema.json").read_text("utf-8")
+    return json.loads(text)
+
+
+@functools.cache
+def _build_validator(record: str) -> jsonschema.Draft202012Validator:
+    schema = load_schema()
+    return jsonschema.Draft202012Validator(
+        {"$ref": f"#/$defs/{record}", "$defs": schema["$defs"]}
+    )
+
+
+def list_properties(record: str) -> dict[str, dict[str, Any]]:
+    """Return the schema of each property of ``record``."""
+    return load_schema()["$defs"][record]["properties"]
+
+
+def find_problems(record: str, value: Any, prefix: str) -> list[FieldError]:
+    """Validate ``value`` and return every problem.
+
+    Parameters
+    ----------
+    record : str
+        Name of the record in the schema.
+    value : Any
+        Decoded value.
+    prefix : str
+        Path of the value, put before the name of each field.
+
+    Returns
+    -------
+    list of FieldError
+        Empty when the value is valid.
+    """
+    errors = _build_validator(record).iter_errors(value)
+    return [FieldError(_describe_path(prefix, e), _describe_reason(e)) for e in errors]
+
+
+def _describe_path(prefix: str, error: jsonschema.ValidationError) -> str:
+    path = prefix
+    for part in error.absolute_path:
+        if isinstance(part, int):
+            path += f"[{part}]"
+        else:
+            path = f"{path}.{part}" if path else part
+    return path
+
+
+def _describe_reason(error: jsonschema.ValidationError) -> str:
+    if error.validator == "additionalProperties":
+        return "unknown field: " + error.message
+    return error.message
--- /dev/null
+++ b/tests/standins/demo.py
@@ -0,0 +1,64 @@
+"""One-process site with stand-in upstreams, left serving until it is interrupted."""
+
+from __future__ import annotations
+
+import signal
+import sys
+import tempfile
+import tomllib
+from pathlib import Path
+
+import urllib3
+
+from .processes import InstanceProcess, UpstreamProcess, wait_until
+
+EXAMPLES = Path(__file__).parents[2] / "examples"
+POOLS = {"lookup": 3, "dispatch": 2, "document": 2}
+
+
+def apply_examples(instance: InstanceProcess) -> None:
+    """Put the example tables in force."""
+    for name in ("pools", "routes"):
+        rows = tomllib.loads((EXAMPLES / f"{name}.toml").read_text())[name]
+        _, version = instance.client.get_table(name)
+        instance.client.put_table(name, rows, version, f"demo-{name}-{version}")
+
+
+def show(http: urllib3.PoolManager, method: str, url: str, **headers: str) -> bool:
+    """Send one request, print its answer and return whether it went well."""
+    answer = http.request(
+        method, url, headers=headers, body=b"{}" if method == "POST" else None
+    )
+    print(f"{method} {url}\n  {answer.status} {answer.data.decode()[:160]}")
+    return answer.status == 200
+
+
+def main() -> int:
+    folder = Path(tempfile.mkdtemp(prefix="foxtaildrum-demo-"))
+    instance = InstanceProcess(folder, "demo", access_log="false")
+    processes = [instance]
+    try:
+        instance.wait_ready()
+        apply_examples(instance)
+        for pool, count in POOLS.items():
+            processes.append(UpstreamProcess(folder, pool, count, [instance.admin_listen]))
+        wanted = sum(POOLS.values())
+        wait_until(lambda: len(instance.status().get("upstreams", [])) == wanted)
+        http = urllib3.PoolManager(retries=False, timeout=10)
+        base = f"http://{instance.listen}"
+        done = show(http, "GET", f"{base}/lookup/boiler-7")
+        done &= show(http, "POST", f"{base}/dispatch", **{"Idempotency-Key": "demo-1"})
+        if not done:
+            return 1
+        print(f"\nserving callers on {base}, admin on http://{instance.admin_listen}")
+        print(f"logs and state in {folder}; interrupt to stop", flush=True)
+        signal.sigwait({signal.SIGINT, signal.SIGTERM})
+        return 0
+    finally:
+        for process in reversed(processes):
+            process.stop()
+
+
+if __name__ == "__main__":
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGINT, signal.SIGTERM})
+    sys.exit(main())
--- /dev/null
+++ b/tests/standins/upstream.py
@@ -0,0 +1,415 @@
+"""Stand-in of an upstream: slots, a queue, noise and every fault the tests ask for.
+
+Runs several upstreams in one process. A request may name its fault in ``X-Fault``; an
+upstream's behaviour is changed with ``PUT /_control``.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import json
+import random
+import signal
+import time
+from collections import Counter
+
+from foxtaildrum.client import AdminClient
+from foxtaildrum.exceptions import AdminRequestError
+
+REPORT_LAG_S = 0.0
+HEAD_END = b"\r\n\r\n"
+
+
+class Behaviour:
+    """How an upstream answers; every field can be set with ``PUT /_control``."""
+
+    def __init__(self) -> None:
+        self.slots = 6
+        self.service_ms = 10.0
+        self.slow_factor = 8.0
+        self.slow_ms = 60.0
+        self.slow_every_ms = 0.0
+        self.forced_factor = 1.0
+        self.cold_ms = 0.0
+        self.fail_status = 0
+        self.shed = False
+        self.report = "json"
+        self.lie = -1.0
+        self.draining = False
+        self.max_queue = 1000
+        self.fixed = False
+
+
+class Upstream:
+    """One upstream with its own port."""
+
+    def __init__(self, upstream_id: str, rng: random.Random) -> None:
+        self.upstream_id = upstream_id
+        self.behaviour = Behaviour()
+        self.rng = rng
+        self.started_at = time.monotonic()
+        self.busy = 0
+        self.busy_s = 0.0
+        self.waiting: list[asyncio.Future] = []
+        self.runs: Counter[str] = Counter()
+        self.served = 0
+        self.cancelled = 0
+        self.probes = 0
+        self.slow_until = 0.0
+        self.next_slow_at = 0.0
+        self.server: asyncio.Server | None = None
+        self.port = 0
+
+    async def listen(self, port: int) -> None:
+        loop = asyncio.get_running_loop()
+        self.server = await loop.create_server(lambda: Connection(self), "127.0.0.1", port)
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    def describe(self) -> dict:
+        return {
+            "upstream": self.upstream_id,
+            "served": self.served,
+            "cancelled": self.cancelled,
+            "busy": self.busy,
+            "busy_s": round(self.busy_s, 4),
+            "waiting": len(self.waiting),
+            "probes": self.probes,
+            "runs": dict(self.runs),
+        }
+
+    def control(self, document: dict) -> None:
+        for name, value in document.items():
+            if not hasattr(self.behaviour, name):
+                raise ValueError(f"unknown behaviour {name!r}")
+            setattr(self.behaviour, name, value)
+        if document.get("cold_ms"):
+            self.started_at = time.monotonic()
+
+    async def take_slot(self) -> None:
+        if self.busy < self.behaviour.slots:
+            self.busy += 1
+            return
+        future = asyncio.get_running_loop().create_future()
+        self.waiting.append(future)
+        try:
+            await future
+        except asyncio.CancelledError:
+            if future in self.waiting:
+                self.waiting.remove(future)
+            elif future.done() and not future.cancelled():
+                self.free_slot()
+            raise
+
+    def free_slot(self) -> None:
+        while self.waiting:
+            future = self.waiting.pop(0)
+            if not future.done():
+                future.set_result(None)
+                return
+        self.busy -= 1
+
+    def pick_service_s(self, now: float) -> float:
+        b = self.behaviour
+        base = b.service_ms / 1000
+        duration = base if b.fixed else self.rng.expovariate(1 / base)
+        factor = b.forced_factor
+        if b.slow_every_ms:
+            self._advance_noise(now)
+            if now < self.slow_until:
+                factor *= b.slow_factor
+        if b.cold_ms and now - self.started_at < b.cold_ms / 1000:
+            factor *= 5.0
+        return duration * factor
+
+    def report_load(self) -> str:
+        used = self.busy + len(self.waiting) if self.behaviour.lie < 0 else self.behaviour.lie
+        if self.behaviour.report == "text":
+            return f"TEXT named_metrics.slots_in_use={used}"
+        return "JSON " + json.dumps({"named_metrics": {"slots_in_use": used}})
+
+    def _advance_noise(self, now: float) -> None:
+        b = self.behaviour
+        if not self.next_slow_at:
+            self.next_slow_at = now + self.rng.expovariate(1000 / b.slow_every_ms)
+        while now >= self.next_slow_at:
+            self.slow_until = self.next_slow_at + b.slow_ms / 1000
+            self.next_slow_at = self.slow_until + self.rng.expovariate(1000 / b.slow_every_ms)
+
+
+class Connection(asyncio.Protocol):
+    """One connection; requests on it are served one after the other."""
+
+    def __init__(self, upstream: Upstream) -> None:
+        self.upstream = upstream
+        self.buffer = bytearray()
+        self.task: asyncio.Task | None = None
+        self.transport: asyncio.Transport | None = None
+        self.headers: dict[str, str] = {}
+        self.line: list[str] = []
+        self.need = -1
+        self.body_seen = 0
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        self.transport = transport
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        if self.task is not None and not self.task.done():
+            self.task.cancel()
+            self.upstream.cancelled += 1
+
+    def data_received(self, data: bytes) -> None:
+        self.buffer += data
+        if self.task is None:
+            self.advance()
+
+    def advance(self) -> None:
+        if self.need < 0 and not self.read_head():
+            return
+        taken = min(len(self.buffer), self.need - self.body_seen)
+        self.body_seen += taken
+        del self.buffer[:taken]
+        if self.body_seen < self.need:
+            return
+        self.need = -1
+        self.task = asyncio.get_running_loop().create_task(self.serve())
+        self.task.add_done_callback(self.finish)
+
+    def read_head(self) -> bool:
+        end = self.buffer.find(HEAD_END)
+        if end < 0:
+            return False
+        lines = bytes(self.buffer[:end]).decode("latin-1").split("\r\n")
+        del self.buffer[: end + len(HEAD_END)]
+        self.line = lines[0].split(" ")
+        self.headers = {}
+        for line in lines[1:]:
+            name, _, value = line.partition(":")
+            self.headers[name.lower()] = value.strip()
+        self.need = int(self.headers.get("content-length", "0"))
+        self.body_seen = 0
+        if self.headers.get("x-fault") == "answer-before-body":
+            self.send(413, b"too large", close=True)
+            return False
+        return True
+
+    def finish(self, task: asyncio.Task) -> None:
+        self.task = None
+        if task.cancelled() or self.transport.is_closing():
+            return
+        if task.exception() is not None:
+            self.transport.abort()
+            raise task.exception()
+        if self.buffer:
+            self.advance()
+
+    async def serve(self) -> None:
+        method, target = self.line[0], self.line[1]
+        upstream = self.upstream
+        if target.startswith("/_"):
+            self.serve_control(method, target)
+            return
+        fault = self.headers.get("x-fault", "")
+        b = upstream.behaviour
+        if fault == "reset-before-run":
+            self.transport.abort()
+            return
+        if b.shed or fault == "shed" or len(upstream.waiting) >= b.max_queue:
+            self.send(503, b"shed", [("Foxtaildrum-Outcome", "not-run")])
+            return
+        key = self.headers.get("idempotency-key") or self.headers.get("x-request-id", "")
+        upstream.runs[key] += 1
+        if b.fail_status or fault.startswith("status="):
+            status = b.fail_status or int(fault.partition("=")[2])
+            self.send(status, b"failed")
+            return
+        await upstream.take_slot()
+        began = time.monotonic()
+        try:
+            delay = float(fault.partition("=")[2]) / 1000 if fault.startswith("slow=") else None
+            await asyncio.sleep(upstream.pick_service_s(began) if delay is None else delay)
+            upstream.served += 1
+            # The report includes the request that it travels with.
+            self.answer(method, target, fault)
+        finally:
+            upstream.busy_s += time.monotonic() - began
+            upstream.free_slot()
+
+    def answer(self, method: str, target: str, fault: str) -> None:
+        if fault in _BROKEN_ANSWERS:
+            _BROKEN_ANSWERS[fault](self)
+            return
+        size = 0
+        if target.startswith("/document/"):
+            size = int(target.split("/")[2].split("?")[0])
+        if size:
+            asyncio.get_running_loop().create_task(self.send_document(size, fault))
+            return
+        body = json.dumps(
+            {
+                "upstream": self.upstream.upstream_id,
+                "method": method,
+                "target": target,
+                "body_bytes": self.body_seen,
+                "headers": self.headers,
+            }
+        ).encode()
+        extra = []
+        if fault == "other-attempt":
+            extra.append(("Foxtaildrum-Attempt", "not-yours"))
+        self.send(200, body, extra, close=fault == "close")
+
+    def send(
+        self, status: int, body: bytes, extra: list | None = None, close: bool = False
+    ) -> None:
+        lines = [f"HTTP/1.1 {status} Status", f"Content-Length: {len(body)}"]
+        if self.upstream.behaviour.report != "none":
+            lines.append(f"endpoint-load-metrics: {self.upstream.report_load()}")
+        if self.upstream.behaviour.draining:
+            lines.append("X-Upstream-State: draining")
+        if close:
+            lines.append("Connection: close")
+        lines += [f"{name}: {value}" for name, value in extra or []]
+        head = "\r\n".join(lines).encode() + HEAD_END
+        self.transport.write(head + (b"" if self.line[0] == "HEAD" else body))
+        if close:
+            self.transport.close()
+
+    def send_raw(self, data: bytes, then: str = "") -> None:
+        self.transport.write(data)
+        if then == "close":
+            self.transport.close()
+        elif then == "abort":
+            self.transport.abort()
+
+    async def send_document(self, size: int, fault: str) -> None:
+        chunked = fault == "chunked" or fault == "truncate-chunked"
+        framing = b"Transfer-Encoding: chunked" if chunked else b"Content-Length: %d" % size
+        self.transport.write(b"HTTP/1.1 200 OK\r\n" + framing + HEAD_END)
+        left = size
+        while left > 0:
+            if fault.startswith("truncate") and left <= size // 2:
+                self.transport.close()
+                return
+            part = min(left, 65536)
+            block = b"d" * part
+            self.transport.write(b"%x\r\n%s\r\n" % (part, block) if chunked else block)
+            left -= part
+            while self.transport.get_write_buffer_size() > 262144:
+                await asyncio.sleep(0.001)
+            if self.transport.is_closing():
+                self.upstream.cancelled += 1
+                return
+        if chunked:
+            self.transport.write(b"0\r\n\r\n")
+        if fault == "overlong":
+            self.transport.write(b"excess")
+
+    def serve_control(self, method: str, target: str) -> None:
+        if target.startswith("/_control?"):
+            pairs = (item.split("=") for item in target.partition("?")[2].split("&"))
+            self.upstream.control({name: json.loads(value) for name, value in pairs})
+            self.send(200, b"{}")
+        elif target == "/_load":
+            self.upstream.probes += 1
+            self.send(200, b"{}")
+        else:
+            self.send(200, json.dumps(self.upstream.describe()).encode())
+
+
+_BROKEN_ANSWERS = {
+    "reset-after-run": lambda c: c.transport.abort(),
+    "close-after-run": lambda c: c.transport.close(),
+    "garbage": lambda c: c.send_raw(b"\x00\x01 nonsense\r\n\r\n", "close"),
+    "half-head": lambda c: c.send_raw(b"HTTP/1.1 200 OK\r\nContent-Le", "close"),
+    "truncate": lambda c: c.send_raw(
+        b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf", "close"
+    ),
+    "truncate-chunked": lambda c: c.send_raw(
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n", "close"
+    ),
+    "overlong": lambda c: c.send_raw(
+        b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfour+excess"
+    ),
+    "unframed": lambda c: c.send_raw(b"HTTP/1.1 200 OK\r\n\r\nbody", "close"),
+    "two-lengths": lambda c: c.send_raw(
+        b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\nfour"
+    ),
+    "both-framings": lambda c: c.send_raw(
+        b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\nfour"
+    ),
+    "early-hints": lambda c: c.send_raw(
+        b"HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+    ),
+    "chunked": lambda c: c.send_raw(
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n"
+    ),
+    "silent": lambda c: None,
+}
+
+
+async def announce_all(
+    upstreams: list[Upstream], pool: str, zones: list[str], admins: list[str], lease_s: float
+) -> None:
+    """Announce every upstream again and again, each time to the next instance."""
+    clients = [AdminClient(address) for address in admins]
+    incarnation = int(time.time())
+    turn = 0
+    while True:
+        for number, upstream in enumerate(upstreams):
+            document = {
+                "pool": pool,
+                "address": f"127.0.0.1:{upstream.port}",
+                "availability_zone": zones[number % len(zones)],
+                "slots": upstream.behaviour.slots,
+                "state": "draining" if upstream.behaviour.draining else "ready",
+                "incarnation": incarnation,
+                "lease_s": lease_s,
+            }
+            turn += 1
+            client = clients[turn % len(clients)]
+            try:
+                await asyncio.to_thread(client.announce, upstream.upstream_id, document)
+            except AdminRequestError:
+                continue
+        await asyncio.sleep(lease_s / 3)
+
+
+async def run(arguments: argparse.Namespace) -> None:
+    rng = random.Random(arguments.seed)
+    upstreams = []
+    for number in range(arguments.count):
+        upstream = Upstream(f"{arguments.pool}-{number + 1}", random.Random(rng.random()))
+        upstream.control(json.loads(arguments.behaviour))
+        await upstream.listen(arguments.port + number if arguments.port else 0)
+        upstreams.append(upstream)
+    print(json.dumps({u.upstream_id: u.port for u in upstreams}), flush=True)
+    stopped = asyncio.Event()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stopped.set)
+    tasks = []
+    if arguments.admin:
+        zones = arguments.zones.split(",")
+        admins = arguments.admin.split(",")
+        tasks.append(
+            asyncio.create_task(
+                announce_all(upstreams, arguments.pool, zones, admins, arguments.lease_s)
+            )
+        )
+    await stopped.wait()
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--pool", default="lookup")
+    parser.add_argument("--count", type=int, default=3)
+    parser.add_argument("--port", type=int, default=0)
+    parser.add_argument("--admin", default="")
+    parser.add_argument("--zones", default="local")
+    parser.add_argument("--lease-s", type=float, default=6.0)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--behaviour", default="{}")
+    asyncio.run(run(parser.parse_args()))
+
+
+if __name__ == "__main__":
+    main()
