Prove the outcome rules and the log under failure; fix what failed

Cause: the promises had no proof. Ruled out while finding the failures below: clock skew and message loss (each case runs without them). Found and fixed: a restarting instance beside a cut-off control instance took its own side for the whole fleet and opened; an accepted change was not yet visible at the instance that answered; a refusal of an oversized request was lost to a reset. Conclusion: the fleet size that a majority is counted against now only grows while the view is old.

--- a/src/foxtaildrum/balancer.py
+++ b/src/foxtaildrum/balancer.py
@@ -171,7 +171,7 @@
         self.turn = 0
         self.upstreams: dict[str, UpstreamLoad] = {}
         self.queue: OrderedDict[int, Ticket] = OrderedDict()
-        self.retry_budget = Budget(pool.retry_budget_ratio, RETRY_TOKENS)
+        self.retry_budget = Budget(pool.retry_budget_ratio, RETRY_TOKENS, RETRY_TOKENS)
         self.measuring_budget = Budget(pool.measuring_budget_ratio, 0.0)
         self.configure(pool)
 
--- a/src/foxtaildrum/budget.py
+++ b/src/foxtaildrum/budget.py
@@ -12,14 +12,16 @@
         Tokens earned for each unit of useful work.
     capacity : float
         Most tokens held at once.
+    tokens : float
+        Tokens held at the start.
     """
 
     __slots__ = ("_tokens", "capacity", "ratio")
 
-    def __init__(self, ratio: float, capacity: float) -> None:
+    def __init__(self, ratio: float, capacity: float, tokens: float = 0.0) -> None:
         self.ratio = ratio
         self.capacity = capacity
-        self._tokens = 0.0
+        self._tokens = tokens
 
     def earn(self, amount: float) -> None:
         """Credit the share of ``amount`` units of useful work."""
@@ -31,7 +33,3 @@
             return False
         self._tokens -= cost
         return True
-
-    def refund(self, cost: float) -> None:
-        """Return tokens that were spent on work that did not happen."""
-        self._tokens = min(self.capacity, self._tokens + cost)
--- a/src/foxtaildrum/node.py
+++ b/src/foxtaildrum/node.py
@@ -35,7 +35,7 @@
 from .tables import Change, ChangeResult, check_table
 from .upstreams import Entry, UpstreamList
 
-START_AGE_S = 10.0
+START_AGE_S = 5.0
 CUT_OFF_S = 15.0
 GROUP_DOWN_START_S = 15.0
 EXPIRE_PERIOD_S = 0.5
@@ -96,6 +96,17 @@
         self.sent = False
 
 
+class _Accepted:
+    """An answer that waits until this instance shows the change."""
+
+    __slots__ = ("answer", "proposal", "token")
+
+    def __init__(self, token: str, proposal: _Proposal, answer: ChangeAnswer) -> None:
+        self.token = token
+        self.proposal = proposal
+        self.answer = answer
+
+
 class Node:
     """State of one instance.
 
@@ -147,6 +158,7 @@
         self._started_at = now
         self._started = False
         self._proposals: dict[str, _Proposal] = {}
+        self._accepted: list[_Accepted] = []
         self._highest_index = 0
         self._fleet_size = 0
         self._expire_at = now
@@ -328,9 +340,22 @@
             if member is not self.members.me:
                 state = member.state.name.lower()
                 self._out.append(MemberChanged(member.instance_id, state))
+        self._answer_visible(now)
         out, self._out = self._out, []
         return out
 
+    def _answer_visible(self, now: float) -> None:
+        # An operator who reads this instance after the answer must see the change.
+        waiting = []
+        for item in self._accepted:
+            table = self.state.tables.tables[item.proposal.change.table]
+            hidden = item.answer.verdict == "accepted" and table.version < item.answer.version
+            if hidden and now < item.proposal.give_up_at:
+                waiting.append(item)
+            else:
+                self._out.append(ChangeSettled(item.token, item.answer))
+        self._accepted = waiting
+
     def _run_consensus(self, now: float, event: Any) -> None:
         actions = self.consensus.handle(now, event)
         if self.consensus.formed_here and not self.holder.recovered:
@@ -388,18 +413,24 @@
             self._started = True
 
     def _sees_majority(self) -> bool:
-        members = self.members.members.values()
-        left = sum(m.state is MemberState.LEFT for m in members)
-        usable = sum(m.usable for m in members)
-        fleet = self._fleet_size or len(members)
-        return usable * 2 > fleet - left
+        usable = sum(m.usable for m in self.members.members.values())
+        return usable * 2 > self._fleet_size
 
     def _note_fleet(self, now: float) -> None:
-        # The fleet is counted while the view is current; an instance that is cut off
-        # keeps comparing with that count, however long it lasts.
-        if self.is_current(now):
-            members = self.members.members.values()
-            self._fleet_size = sum(m.state is not MemberState.DEAD for m in members)
+        """Keep the size of the fleet that a majority is counted against.
+
+        It holds the usable members and those found dead since the time that the view
+        of the tables is known for. While that is long ago it only grows: an instance
+        that is cut off must not come to take its own side for the whole.
+        """
+        members = self.members.members.values()
+        age_s = self.follower.compute_age(now)
+        known_at = self._started_at if age_s is None else now - age_s
+        size = sum(
+            m.usable or (m.state is MemberState.DEAD and m.changed_at >= known_at)
+            for m in members
+        )
+        self._fleet_size = size if self.is_current(now) else max(self._fleet_size, size)
 
     def _expire_leases(self, now: float) -> None:
         if now < self._expire_at:
@@ -482,7 +513,7 @@
         if proposal is None:
             return
         if not proposal.origin:
-            self._out.append(ChangeSettled(token, answer))
+            self._accepted.append(_Accepted(token, proposal, answer))
             return
         message = r.ProposeReply(
             token=token,
--- a/src/foxtaildrum/server.py
+++ b/src/foxtaildrum/server.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import contextlib
+import socket
 import threading
 import time
 import uuid
@@ -21,7 +23,7 @@
 from .settings import parse_address
 
 OUTPUT_BUFFER_BYTES = 262_144
-SEND_BYTES = 1
+LINGER_S = 2.0
 LOOP_TIMEOUT_S = 0.2
 POLL_S = 0.02
 
@@ -54,6 +56,7 @@
         kind = _KIND_OF_STATUS.get(self.request.error.code, ErrorKind.INTERNAL)
         status, headers, body = build_problem(kind, ANSWERS[kind].outcome, uuid.uuid4().hex)
         log_event("refused_request", kind=kind.value)
+        self.channel.lingers = True
         self.status = status
         self.response_headers.extend(headers)
         self.set_close_on_finish()
@@ -66,6 +69,40 @@
 
     task_class = _Task
     error_task_class = _ErrorTask
+    lingers = False
+    discard_until = 0.0
+
+    def handle_write(self) -> None:
+        if self.lingers and self.close_when_flushed:
+            self._flush_exception(self._flush_some)
+            if not self.total_outbufs_len and not self.will_close:
+                self._begin_linger()
+                return
+        if self.discard_until:
+            self.will_close = True
+        super().handle_write()
+
+    def readable(self) -> bool:
+        return bool(self.discard_until) or super().readable()
+
+    def writable(self) -> bool:
+        if self.discard_until:
+            return self.will_close or time.monotonic() >= self.discard_until
+        return super().writable()
+
+    def handle_read(self) -> None:
+        if not self.discard_until:
+            super().handle_read()
+        elif not self.recv(self.adj.recv_bytes):
+            self.handle_close()
+
+    def _begin_linger(self) -> None:
+        # Closing with unread input resets the connection, and the caller may lose the
+        # refusal before reading it.
+        self.close_when_flushed = False
+        self.discard_until = time.monotonic() + LINGER_S
+        with contextlib.suppress(OSError):
+            self.socket.shutdown(socket.SHUT_WR)
 
     def received(self, data: bytes) -> bool:
         known = len(self.requests)
@@ -135,7 +172,6 @@
             clear_untrusted_proxy_headers=False,
             channel_request_lookahead=1,
             outbuf_high_watermark=OUTPUT_BUFFER_BYTES,
-            send_bytes=SEND_BYTES,
             asyncore_use_poll=True,
             **limits,
         )
--- /dev/null
+++ b/tests/fleet.py
@@ -0,0 +1,473 @@
+"""A fleet of nodes over a small fake of network, clock and disk.
+
+Every event of every node happens in one place, so a fault can be put at any step. After
+each event the promises of the tables are checked.
+"""
+
+from __future__ import annotations
+
+import heapq
+import random
+from collections.abc import Callable
+from typing import Any
+
+import msgpack
+
+from foxtaildrum.claims import ClaimOutcome, ClaimSettled, Verdict
+from foxtaildrum.consensus import Role
+from foxtaildrum.events import Send
+from foxtaildrum.exceptions import FrameError
+from foxtaildrum.instance import load_saved
+from foxtaildrum.journal import Journal
+from foxtaildrum.membership import Member, MemberState
+from foxtaildrum.messages import decode_message, encode_message
+from foxtaildrum.node import (
+    CLAIM_STREAM,
+    LOG_STREAM,
+    ChangeSettled,
+    Node,
+    Write,
+)
+from foxtaildrum.node_api import ChangeAnswer
+from foxtaildrum.records import Announcement, ClaimFinish
+from foxtaildrum.tables import Change
+
+TICK_S = 0.1
+SYNC_S = 0.001
+MIN_DELAY_S = 0.0005
+MAX_DELAY_S = 0.002
+
+
+class FakeDisk:
+    """Files that lose what was not synced, tear a write, fail or fill up on demand."""
+
+    def __init__(self) -> None:
+        self.files: dict[str, bytes] = {}
+        self.failing = False
+
+    def read(self, name: str) -> bytes:
+        return self.files.get(name, b"")
+
+    def append(self, name: str, data: bytes) -> None:
+        if self.failing:
+            raise OSError("the disk failed")
+        self.files[name] = self.files.get(name, b"") + data
+
+    def replace(self, name: str, data: bytes) -> None:
+        if self.failing:
+            raise OSError("the disk failed")
+        self.files[name] = data
+
+    def truncate(self, name: str, size: int) -> None:
+        self.files[name] = self.files.get(name, b"")[:size]
+
+
+class Host:
+    """One instance of the fleet: a node, its disk and its clock."""
+
+    def __init__(self, fleet: Fleet, instance_id: str, zone: str, has_disk: bool) -> None:
+        self.fleet = fleet
+        self.instance_id = instance_id
+        self.zone = zone
+        self.disk = FakeDisk() if has_disk else None
+        self.node: Node | None = None
+        self.life = 0
+        self.paused = False
+        self.held: list[tuple[str, Any]] = []
+        self.skew_s = 0.0
+        self.tear_next = False
+        self.unsynced: list[tuple[int, Write]] = []
+        self.versions = {"routes": 0, "pools": 0}
+
+    def read_clock(self) -> float:
+        return self.fleet.now + self.skew_s
+
+    def start(self) -> None:
+        """Start, or start again with what the disk holds."""
+        self.life += 1
+        self.paused = False
+        self.held = []
+        self.versions = {"routes": 0, "pools": 0}
+        rng = random.Random(f"{self.fleet.seed}-{self.instance_id}-{self.life}")
+        now = self.read_clock()
+        incarnation = int(self.fleet.now * 1000) + self.life
+        me = Member(
+            self.instance_id,
+            self.instance_id,
+            self.zone,
+            "all",
+            incarnation,
+            MemberState.ALIVE,
+            now,
+        )
+        saved = None
+        claims: list[Any] = []
+        if self.disk is not None:
+            saved = load_saved(Journal(self.disk, LOG_STREAM))
+            claims = [
+                msgpack.unpackb(record, strict_map_key=False)
+                for record in Journal(self.disk, CLAIM_STREAM).load()
+            ]
+        control = {i: i for i in self.fleet.control}
+        self.node = Node(me, control, saved, claims, rng, now)
+        self.fleet.schedule(TICK_S * rng.random(), "tick", self.instance_id, self.life)
+
+    def crash(self) -> None:
+        """Stop at once; writes whose sync is outstanding are lost or torn."""
+        self.node = None
+        self.held = []
+        for _, write in self.unsynced[:1]:
+            if self.tear_next:
+                self._tear(write)
+        self.unsynced = []
+        self.tear_next = False
+
+    def _tear(self, write: Write) -> None:
+        if write.replace:
+            return
+        scratch = FakeDisk()
+        Journal(scratch, write.stream).append(msgpack.packb(write.records[0]))
+        data = scratch.files[write.stream]
+        self.disk.files[write.stream] = self.disk.read(write.stream) + data[: len(data) // 2]
+
+
+class Fleet:
+    """Hosts, their network and the checks on what they do.
+
+    Parameters
+    ----------
+    control : int
+        Number of control instances; their identifiers begin with ``c``.
+    entry : int
+        Number of entry instances; their identifiers begin with ``e``.
+    seed : int
+        Seed of every random choice.
+    """
+
+    def __init__(self, control: int, entry: int, seed: int) -> None:
+        self.seed = seed
+        self.now = 1000.0
+        self.rng = random.Random(seed)
+        self.control = [f"c{n + 1}" for n in range(control)]
+        names = self.control + [f"e{n + 1}" for n in range(entry)]
+        self.hosts = {
+            name: Host(self, name, f"zone-{n % 3}", name in self.control)
+            for n, name in enumerate(names)
+        }
+        self.queue: list[tuple[float, int, str, tuple[Any, ...]]] = []
+        self.order = 0
+        self.blocked: set[tuple[str, str]] = set()
+        self.loss = 0.0
+        self.duplication = 0.0
+        self.extra_delay_s = 0.0
+        self.watchers: list[Callable[[str, str, Any], None]] = []
+        self.answers: dict[str, ChangeAnswer] = {}
+        self.claims: dict[str, ClaimOutcome] = {}
+        self.history: dict[tuple[str, int], str] = {}
+        self.accepted: dict[tuple[str, int], str] = {}
+        self.leaders: dict[int, tuple[str, int]] = {}
+        self.messages = 0
+        self.message_bytes = 0
+        self.sent_bytes: dict[str, int] = dict.fromkeys(names, 0)
+        self.last_arrival: dict[tuple[str, str], float] = {}
+        for host in self.hosts.values():
+            host.start()
+
+    # Time and events.
+
+    def schedule(self, delay_s: float, kind: str, *arguments: Any) -> None:
+        self.order += 1
+        heapq.heappush(self.queue, (self.now + delay_s, self.order, kind, arguments))
+
+    def run(self, duration_s: float) -> None:
+        """Let time pass."""
+        until = self.now + duration_s
+        while self.queue and self.queue[0][0] <= until:
+            self.step()
+        self.now = until
+
+    def run_until(self, condition: Callable[[], bool], limit_s: float = 60.0) -> bool:
+        """Let time pass until ``condition`` holds; return whether it came to that."""
+        until = self.now + limit_s
+        while not condition():
+            if not self.queue or self.queue[0][0] > until:
+                return False
+            self.step()
+        return True
+
+    def step(self) -> None:
+        at, _, kind, arguments = heapq.heappop(self.queue)
+        self.now = max(self.now, at)
+        getattr(self, f"_do_{kind}")(*arguments)
+
+    def _do_tick(self, name: str, life: int) -> None:
+        host = self.hosts[name]
+        if host.node is None or host.life != life:
+            return
+        self.schedule(TICK_S, "tick", name, life)
+        if not host.paused:
+            self.perform(host, host.node.tick(host.read_clock()))
+
+    def _do_deliver(self, sender: str, target: str, life: int, data: bytes) -> None:
+        host = self.hosts[target]
+        if host.node is None or host.life != life:
+            return
+        if host.paused:
+            host.held.append((sender, data))
+            return
+        try:
+            message = decode_message(data)
+            actions = host.node.receive(host.read_clock(), sender, message)
+        except FrameError as error:
+            raise AssertionError(f"{target} refused a message: {error}") from error
+        self.perform(host, actions)
+
+    def _do_sync(self, name: str, life: int, number: int) -> None:
+        host = self.hosts[name]
+        if host.node is None or host.life != life:
+            return
+        write = next((w for n, w in host.unsynced if n == number), None)
+        if write is None:
+            return
+        host.unsynced = [(n, w) for n, w in host.unsynced if n != number]
+        journal = Journal(host.disk, write.stream)
+        packed = [msgpack.packb(record) for record in write.records]
+        now = host.read_clock()
+        try:
+            if write.replace:
+                journal.replace(packed)
+            else:
+                journal.append(packed[0])
+        except OSError:
+            self.perform(host, host.node.note_write_failed(now, write.stream, write.token))
+            return
+        self.perform(host, host.node.note_written(now, write.stream, write.token))
+
+    # Effects.
+
+    def perform(self, host: Host, actions: list[Any]) -> None:
+        for action in actions:
+            if isinstance(action, Send):
+                self.send(host.instance_id, action.peer_id, action.message)
+            elif isinstance(action, Write):
+                self.order += 1
+                host.unsynced.append((self.order, action))
+                self.schedule(SYNC_S, "sync", host.instance_id, host.life, self.order)
+            elif isinstance(action, ChangeSettled):
+                self.answers[action.token] = action.answer
+                self.note_answer(action.answer, action.token)
+            elif isinstance(action, ClaimSettled):
+                self.claims[action.token] = action.outcome
+        self.check(host)
+
+    def send(self, sender: str, target: str, message: Any) -> None:
+        for watcher in list(self.watchers):
+            watcher(sender, target, message)
+        if self.hosts[sender].node is None or target not in self.hosts:
+            return
+        data = encode_message(message)
+        self.messages += 1
+        self.message_bytes += len(data)
+        self.sent_bytes[sender] += len(data)
+        if (sender, target) in self.blocked or self.rng.random() < self.loss:
+            return
+        copies = 2 if self.rng.random() < self.duplication else 1
+        for _ in range(copies):
+            delay_s = self.rng.uniform(MIN_DELAY_S, MAX_DELAY_S)
+            delay_s += self.rng.random() * self.extra_delay_s
+            life = self.hosts[target].life
+            self.schedule(delay_s, "deliver", sender, target, life, data)
+
+    # Faults.
+
+    def crash(self, name: str) -> None:
+        self.hosts[name].crash()
+
+    def restart(self, name: str, lose_disk: bool = False) -> None:
+        host = self.hosts[name]
+        if host.node is not None:
+            host.crash()
+        if lose_disk and host.disk is not None:
+            host.disk = FakeDisk()
+        host.start()
+
+    def pause(self, name: str) -> None:
+        self.hosts[name].paused = True
+
+    def resume(self, name: str) -> None:
+        host = self.hosts[name]
+        if not host.paused:
+            return
+        host.paused = False
+        held, host.held = host.held, []
+        for sender, data in held:
+            self._do_deliver(sender, name, host.life, data)
+
+    def cut(self, group: list[str], inwards: bool = True, outwards: bool = True) -> None:
+        """Cut ``group`` off from the rest, in one direction or both."""
+        for name in self.hosts:
+            if name in group:
+                continue
+            for member in group:
+                if inwards:
+                    self.blocked.add((name, member))
+                if outwards:
+                    self.blocked.add((member, name))
+
+    def heal(self) -> None:
+        """End every fault: start, resume and connect everything."""
+        self.blocked.clear()
+        self.loss = self.duplication = self.extra_delay_s = 0.0
+        for name, host in self.hosts.items():
+            if host.disk is not None:
+                host.disk.failing = False
+            failed = host.node is not None and host.node.consensus is not None
+            if failed and host.node.consensus.role is Role.FAILED:
+                host.crash()
+            if host.node is None:
+                host.start()
+            self.resume(name)
+
+    # What operators, upstreams and callers do.
+
+    def propose(
+        self, name: str, table: str, rows: list[dict], version: int, change_id: str
+    ) -> str:
+        host = self.hosts[name]
+        token = f"{change_id}@{name}-{self.order}"
+        change = Change(table, rows, version, change_id)
+        self.perform(host, host.node.propose(host.read_clock(), token, change))
+        return token
+
+    def change(self, name: str, change_id: str, version: int | None = None) -> ChangeAnswer:
+        """Put one more pool in the pools table and wait for the answer."""
+        table = self.hosts[name].node.state.tables.tables["pools"]
+        if version is None:
+            version = table.version
+        rows = [{"name": f"pool-{n}"} for n in range(version)] + [{"name": change_id}]
+        token = self.propose(name, "pools", rows, version, change_id)
+        self.run_until(lambda: token in self.answers, 15.0)
+        return self.answers.get(token) or ChangeAnswer("unknown", 0)
+
+    def change_until_accepted(self, change_id: str) -> None:
+        """Let an operator repeat a change until it is accepted."""
+        entries = [n for n, h in self.hosts.items() if n.startswith("e") and h.node]
+        self._change_through(entries, change_id)
+
+    def change_until_accepted_by(self, name: str, change_id: str) -> None:
+        """Let an operator repeat a change at one instance until it is accepted."""
+        self._change_through([name], change_id)
+
+    def _change_through(self, names: list[str], change_id: str) -> None:
+        for attempt in range(60):
+            name = names[attempt % len(names)]
+            answer = self.change(name, f"{change_id}-{attempt}")
+            if answer.verdict == "accepted":
+                return
+            self.run(0.5)
+        raise AssertionError("no change was accepted")
+
+    def announce(self, name: str, upstream_id: str, incarnation: int = 1, **fields: Any) -> str:
+        host = self.hosts[name]
+        values = {"pool": "p", "address": "127.0.0.1:1", "lease_s": 6.0, **fields}
+        announcement = Announcement(incarnation=incarnation, **values)
+        refusal, actions = host.node.announce(host.read_clock(), upstream_id, announcement)
+        self.perform(host, actions)
+        return refusal
+
+    def leave(self, name: str, upstream_id: str) -> None:
+        host = self.hosts[name]
+        _, actions = host.node.leave_upstream(host.read_clock(), upstream_id)
+        self.perform(host, actions)
+
+    def claim(self, name: str, claim_id: str, key: str, digest: str = "d") -> None:
+        host = self.hosts[name]
+        actions = host.node.claim(host.read_clock(), claim_id, key, digest, 2.0)
+        self.perform(host, actions)
+
+    def finish_claim(self, name: str, claim_id: str, key: str, status: int = 200) -> None:
+        host = self.hosts[name]
+        message = ClaimFinish(
+            key=key, claim_id=claim_id, digest="d", status=status, headers=[], body=b"ok"
+        )
+        actions = host.node.finish_claim(host.read_clock(), f"f-{claim_id}", message)
+        self.perform(host, actions)
+
+    # Checks.
+
+    def note_answer(self, answer: ChangeAnswer, token: str) -> None:
+        if answer.verdict == "accepted":
+            key = ("pools", answer.version)
+            known = self.accepted.setdefault(key, answer.changed_by)
+            assert known == answer.changed_by, f"two changes accepted as {key}"
+        if answer.verdict in ("unavailable", "stale", "invalid"):
+            change_id = token.split("@")[0]
+            assert change_id not in self.history.values() or answer.verdict != "unavailable", (
+                f"{change_id} appeared after it was said not to be accepted"
+            )
+
+    def check(self, host: Host) -> None:
+        node = host.node
+        if node is None:
+            return
+        for name, table in node.state.tables.tables.items():
+            assert table.version >= host.versions[name], f"{host.instance_id} went back"
+            host.versions[name] = table.version
+            if table.version:
+                known = self.history.setdefault((name, table.version), table.changed_by)
+                assert known == table.changed_by, f"{name} {table.version} differs"
+        consensus = node.consensus
+        if consensus is not None and consensus.role is Role.LEADER:
+            leader = (host.instance_id, host.life)
+            known_leader = self.leaders.setdefault(consensus.term, leader)
+            assert known_leader == leader, f"two leaders in term {consensus.term}"
+
+    def get_versions(self) -> dict[str, int]:
+        """Return the version of the pools table at each running instance."""
+        return {
+            name: host.node.state.tables.tables["pools"].version
+            for name, host in self.hosts.items()
+            if host.node is not None
+        }
+
+    def find_leader(self) -> str:
+        """Return the leader that a quorum follows, or an empty text."""
+        leading = [
+            (host.node.consensus.term, name)
+            for name, host in self.hosts.items()
+            if host.node is not None
+            and host.node.consensus is not None
+            and host.node.consensus.role is Role.LEADER
+        ]
+        return max(leading)[1] if leading else ""
+
+    def is_converged(self) -> bool:
+        """Return whether all instances are open with one state."""
+        nodes = [h.node for h in self.hosts.values() if h.node is not None]
+        versions = set(self.get_versions().values())
+        accepted = max((v for _, v in self.accepted), default=0)
+        return (
+            len(versions) == 1
+            and versions.pop() >= accepted
+            and all(
+                n.is_open(h.read_clock())
+                for n, h in zip(nodes, self.hosts.values(), strict=True)
+            )
+            and len({n.upstreams.digest.compute_root() for n in nodes}) == 1
+        )
+
+    def check_granted_once(self, claim_ids: list[str]) -> None:
+        """Check that at most one of several claims of one key was granted."""
+        granted = [
+            c
+            for c in claim_ids
+            if c in self.claims and self.claims[c].verdict is Verdict.GRANTED
+        ]
+        assert len(granted) <= 1, f"granted twice: {granted}"
+
+
+def form_fleet(control: int = 3, entry: int = 2, seed: int = 1) -> Fleet:
+    """Return a fleet in which every instance is open."""
+    fleet = Fleet(control, entry, seed)
+    assert fleet.run_until(fleet.is_converged, 60.0), "the fleet does not form"
+    return fleet
--- a/tests/standins/upstream.py
+++ b/tests/standins/upstream.py
@@ -56,6 +56,7 @@
         self.served = 0
         self.cancelled = 0
         self.probes = 0
+        self.closed_quietly = 0
         self.slow_until = 0.0
         self.next_slow_at = 0.0
         self.server: asyncio.Server | None = None
@@ -75,6 +76,7 @@
             "busy_s": round(self.busy_s, 4),
             "waiting": len(self.waiting),
             "probes": self.probes,
+            "closed_quietly": self.closed_quietly,
             "runs": dict(self.runs),
         }
 
@@ -188,7 +190,7 @@
             self.headers[name.lower()] = value.strip()
         self.need = int(self.headers.get("content-length", "0"))
         self.body_seen = 0
-        if self.headers.get("x-fault") == "answer-before-body":
+        if self.pick_fault() == "answer-before-body":
             self.send(413, b"too large", close=True)
             return False
         return True
@@ -209,7 +211,7 @@
         if target.startswith("/_"):
             self.serve_control(method, target)
             return
-        fault = self.headers.get("x-fault", "")
+        fault = self.pick_fault()
         b = upstream.behaviour
         if fault == "reset-before-run":
             self.transport.abort()
@@ -258,6 +260,9 @@
         if fault == "other-attempt":
             extra.append(("Foxtaildrum-Attempt", "not-yours"))
         self.send(200, body, extra, close=fault == "close")
+        if fault == "close-quietly":
+            self.upstream.closed_quietly += 1
+            self.transport.close()
 
     def send(
         self, status: int, body: bytes, extra: list | None = None, close: bool = False
@@ -305,6 +310,14 @@
         if fault == "overlong":
             self.transport.write(b"excess")
 
+    def pick_fault(self) -> str:
+        """Return the fault to show; ``first:`` limits it to a request's first attempt."""
+        fault = self.headers.get("x-fault", "")
+        if not fault.startswith("first:"):
+            return fault
+        first = self.headers.get("foxtaildrum-attempt", "").endswith("-0")
+        return fault.removeprefix("first:") if first else ""
+
     def serve_control(self, method: str, target: str) -> None:
         if target.startswith("/_control?"):
             pairs = (item.split("=") for item in target.partition("?")[2].split("&"))
