--- a/src/foxtaildrum/admin.py
+++ b/src/foxtaildrum/admin.py
@@ -151,11 +151,13 @@
     """Replace a table under the version that the operator read."""
     admin.check_token(environ)
     if_version = _read_if_match(environ)
-    change_id = environ.get("HTTP_IDEMPOTENCY_KEY") or uuid.uuid4().hex
+    given_id = environ.get("HTTP_IDEMPOTENCY_KEY", "")
+    change_id = given_id or uuid.uuid4().hex
+    first = not given_id or environ.get("HTTP_FOXTAILDRUM_SUBMISSION") == "first"
     if len(change_id) > MAX_CHANGE_ID:
         raise AdminError(http.client.BAD_REQUEST, "Idempotency-Key is too long")
     rows = _read_rows(environ, segment)
-    answer = admin.node.change_table(Change(segment, rows, if_version, change_id))
+    answer = admin.node.change_table(Change(segment, rows, if_version, change_id, first))
     return _describe_answer(segment, answer)
 
 
--- a/src/foxtaildrum/cli.py
+++ b/src/foxtaildrum/cli.py
@@ -130,7 +130,8 @@
         _, version = client.get_table(arguments.table)
     change_id = arguments.change_id or uuid.uuid4().hex
     try:
-        print(client.put_table(arguments.table, rows, version, change_id))
+        first = not arguments.change_id
+        print(client.put_table(arguments.table, rows, version, change_id, first))
     except AdminRequestError as error:
         raise AdminRequestError(
             error.status,
--- a/src/foxtaildrum/client.py
+++ b/src/foxtaildrum/client.py
@@ -35,10 +35,21 @@
         return document[name], int(response.headers["ETag"].strip('"'))
 
     def put_table(
-        self, name: str, rows: list[dict[str, Any]], if_version: int, change_id: str
+        self,
+        name: str,
+        rows: list[dict[str, Any]],
+        if_version: int,
+        change_id: str,
+        first: bool = False,
     ) -> int:
         """Replace a table and return its new version.
 
+        Parameters
+        ----------
+        first : bool
+            Whether ``change_id`` was never sent before; a failure can then be told from
+            an unknown outcome.
+
         Raises
         ------
         StaleVersionError
@@ -47,6 +58,8 @@
             When the table is not valid.
         """
         headers = {"If-Match": f'"{if_version}"', "Idempotency-Key": change_id}
+        if first:
+            headers["Foxtaildrum-Submission"] = "first"
         response = self._request("PUT", f"/v1/{name}", {name: rows}, headers)
         if response.status == 412:
             document = json.loads(response.data)
--- a/src/foxtaildrum/consensus.py
+++ b/src/foxtaildrum/consensus.py
@@ -171,6 +171,7 @@
     def __init__(self, records: list[list[Any]]) -> None:
         self.disk_id = ""
         self.formed: dict[str, str] = {}
+        self.admitted: dict[str, str] = {}
         self.term = 0
         self.voted_for = ""
         self.log = Log()
@@ -188,6 +189,9 @@
     def _load_formed(self, disks: dict[str, str]) -> None:
         self.formed = disks
 
+    def _load_admitted(self, disks: dict[str, str]) -> None:
+        self.admitted = disks
+
     def _load_vote(self, term: int, voted_for: str) -> None:
         self.term, self.voted_for = term, voted_for
 
@@ -266,7 +270,7 @@
         self.leader_id = ""
         self.commit_index = self.log.snapshot_index
         self.applied_index = self.log.snapshot_index
-        self.admitted: dict[str, str] = {}
+        self.admitted = saved.admitted
         self._formed = saved.formed
         self.formed_here = False
         self._snapshot = saved.snapshot
@@ -291,7 +295,7 @@
         self._heartbeat_at = now
         self._probe_at = now
         if self._snapshot:
-            self._restore_snapshot()
+            self._restore_snapshot(keep_admitted=True)
         self.role = Role.FOLLOWER if self.is_voter() else Role.LEARNER
         self._election_at = now
         self._reset_election(now)
@@ -325,9 +329,9 @@
         """Whether this leader has applied every entry of earlier terms."""
         return self.role is Role.LEADER and self.applied_index >= self._term_start
 
-    def has_pending(self) -> bool:
-        """Whether entries wait for their commit."""
-        return self.log.last_index > self.applied_index
+    def count_pending(self) -> int:
+        """Return the number of entries that wait for their commit."""
+        return self.log.last_index - self.applied_index
 
     # Events.
 
@@ -803,15 +807,16 @@
             self.log.compact(message.index, message.last_term)
         self.commit_index = message.index
         self.applied_index = message.index
-        self._restore_snapshot()
+        self._restore_snapshot(keep_admitted=False)
         self._rewrite = True
         self._out.append(StateReplaced(message.index))
 
     # State machine and journal.
 
-    def _restore_snapshot(self) -> None:
+    def _restore_snapshot(self, keep_admitted: bool) -> None:
         admitted, captured = msgpack.unpackb(self._snapshot, strict_map_key=False)
-        self.admitted = admitted
+        # What was saved apart is never older than the snapshot beside it.
+        self.admitted = {**admitted, **self.admitted} if keep_admitted else admitted
         self.state.restore(captured)
 
     def _apply_committed(self) -> None:
@@ -820,7 +825,7 @@
             self.applied_index += 1
             entry = self.log.get(self.applied_index)
             if entry.kind == ADMIT:
-                self.admitted = {**self.admitted, **entry.payload["disks"]}
+                self._admit(entry.payload["disks"])
             result = self.state.apply(entry.kind, entry.payload)
             applied.append((entry.index, entry.kind, entry.payload))
             token = self._pending.pop(entry.index, None)
@@ -833,6 +838,12 @@
         if self.applied_index - self.log.snapshot_index >= COMPACT_ENTRIES:
             self._compact()
 
+    def _admit(self, disks: dict[str, str]) -> None:
+        # Kept apart from the log: after a restart the commit index is not known, and an
+        # admitted disk must still count as one.
+        self.admitted = {**self.admitted, **disks}
+        self._persist(["admitted", self.admitted])
+
     def _compact(self) -> None:
         term = self.log.get_term(self.applied_index)
         self._snapshot = msgpack.packb([self.admitted, self.state.capture()])
@@ -845,7 +856,9 @@
         self._batch.append(record)
 
     def _list_journal(self) -> list[list[Any]]:
-        records = [["disk", self.disk_id], ["formed", self._formed]]
+        records: list[list[Any]] = [["disk", self.disk_id], ["formed", self._formed]]
+        if self.admitted:
+            records.append(["admitted", self.admitted])
         if self._snapshot:
             index, term = self.log.snapshot_index, self.log.snapshot_term
             records.append(["snapshot", index, term, self._snapshot])
--- a/src/foxtaildrum/follower.py
+++ b/src/foxtaildrum/follower.py
@@ -36,8 +36,9 @@
         """Apply one entry and return the answer to a change."""
         if kind == CHANGE:
             return self.tables.apply_patch(Patch.from_wire(payload))
-        if payload and payload.get("group_id"):
-            self.group_id = payload["group_id"]
+        # A leader that follows before the first entry is applied names the group again.
+        if payload and not self.group_id:
+            self.group_id = payload.get("group_id", "")
         return None
 
     def capture(self, with_answers: bool = True) -> Any:
--- a/src/foxtaildrum/node.py
+++ b/src/foxtaildrum/node.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections import OrderedDict
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
@@ -32,7 +33,7 @@
 from .follower import CHANGE, Follower, TableState
 from .membership import Knowledge, Member, Membership, MemberState
 from .node_api import ChangeAnswer
-from .tables import Change, ChangeResult, check_table
+from .tables import Change, ChangeResult, Patch, check_table
 from .upstreams import Entry, UpstreamList
 
 START_AGE_S = 5.0
@@ -41,10 +42,14 @@
 EXPIRE_PERIOD_S = 0.5
 PROPOSAL_TIMEOUT_S = 5.0
 MAX_REDIRECTS = 3
+REMEMBERED_TOKENS = 4096
+MAX_PENDING_ENTRIES = 1024
 
 LOG_STREAM = "log"
 CLAIM_STREAM = "claims"
 REDIRECT = "redirect"
+UNAVAILABLE = "unavailable"
+HOP_MARK = "/"
 
 
 @dataclass(slots=True)
@@ -159,6 +164,7 @@
         self._started = False
         self._proposals: dict[str, _Proposal] = {}
         self._accepted: list[_Accepted] = []
+        self._seen_tokens: OrderedDict[str, None] = OrderedDict()
         self._highest_index = 0
         self._fleet_size = 0
         self._expire_at = now
@@ -469,7 +475,8 @@
             self._answer_proposal(token, _build_unavailable("there is no leader"))
             return
         proposal.sent = True
-        message = r.ProposeRequest(token=token, change=proposal.change.to_wire())
+        hop_token = f"{token}{HOP_MARK}{proposal.redirects}"
+        message = r.ProposeRequest(token=hop_token, change=proposal.change.to_wire())
         self._out.append(Send(target, message))
 
     def _propose_here(self, now: float, token: str, change: Change) -> None:
@@ -493,12 +500,21 @@
             )
         if not self.consensus.can_propose():
             return _build_unavailable("the leader is starting")
-        if change.if_version != table.version and self.consensus.has_pending():
+        if self.consensus.count_pending() >= MAX_PENDING_ENTRIES:
+            return _build_unavailable("too many changes are under way")
+        if change.change_id in self._list_pending_changes():
+            return _build_unknown()
+        if change.if_version != table.version and self.consensus.count_pending():
             # The change may follow one whose commit is under way; its rows can be
             # compared only after that.
             return _build_unavailable("another change is under way")
         return None
 
+    def _list_pending_changes(self) -> set[str]:
+        first = self.consensus.applied_index + 1
+        entries = self.consensus.log.list_from(first, MAX_PENDING_ENTRIES)
+        return {Patch.from_wire(e.payload).change_id for e in entries if e.kind == CHANGE}
+
     def _settle_proposal(self, action: Settled) -> None:
         if isinstance(action.result, ChangeResult):
             answer = _describe_result(action.result)
@@ -512,6 +528,9 @@
         proposal = self._proposals.pop(token, None)
         if proposal is None:
             return
+        if answer.verdict == UNAVAILABLE and not proposal.change.first:
+            # An earlier copy of the change may be under way somewhere.
+            answer = _build_unknown()
         if not proposal.origin:
             self._accepted.append(_Accepted(token, proposal, answer))
             return
@@ -534,6 +553,12 @@
                 self._answer_proposal(token, _build_unavailable("there is no leader"))
 
     def _on_propose_request(self, now: float, peer: str, message: r.ProposeRequest) -> None:
+        if message.token in self._seen_tokens:
+            # A repeated message must not get an answer that contradicts the first.
+            return
+        self._seen_tokens[message.token] = None
+        while len(self._seen_tokens) > REMEMBERED_TOKENS:
+            self._seen_tokens.popitem(last=False)
         change = Change.from_wire(message.change)
         self._proposals[message.token] = _Proposal(change, peer, now + PROPOSAL_TIMEOUT_S)
         if self._leads():
@@ -543,8 +568,9 @@
         self._answer_proposal(message.token, ChangeAnswer(REDIRECT, 0, detail=leader))
 
     def _on_propose_reply(self, now: float, peer: str, message: r.ProposeReply) -> None:
-        proposal = self._proposals.get(message.token)
-        if proposal is None or proposal.origin:
+        token, _, hop = message.token.rpartition(HOP_MARK)
+        proposal = self._proposals.get(token)
+        if proposal is None or proposal.origin or hop != str(proposal.redirects):
             return
         if message.verdict != REDIRECT:
             answer = ChangeAnswer(
@@ -554,16 +580,16 @@
                 message.problems,
                 message.detail,
             )
-            self._answer_proposal(message.token, answer)
+            self._answer_proposal(token, answer)
             return
         proposal.redirects += 1
         proposal.sent = False
         if proposal.redirects > MAX_REDIRECTS or not message.detail:
-            self._answer_proposal(message.token, _build_unavailable("there is no leader"))
+            self._answer_proposal(token, _build_unavailable("there is no leader"))
         elif message.detail == self.instance_id and self._leads():
-            self._propose_here(now, message.token, proposal.change)
+            self._propose_here(now, token, proposal.change)
         else:
-            self._pass_on(message.token, message.detail)
+            self._pass_on(token, message.detail)
 
     # Membership, tables and upstreams.
 
@@ -676,7 +702,7 @@
 
 
 def _build_unavailable(reason: str) -> ChangeAnswer:
-    return ChangeAnswer("unavailable", 0, detail=f"The change was not accepted: {reason}")
+    return ChangeAnswer(UNAVAILABLE, 0, detail=f"The change was not accepted: {reason}")
 
 
 def _build_unknown() -> ChangeAnswer:
--- a/src/foxtaildrum/tables.py
+++ b/src/foxtaildrum/tables.py
@@ -32,13 +32,22 @@
         Version that the operator read.
     change_id : str
         Identifier that makes a resent change idempotent.
+    first : bool
+        Whether the operator never sent this identifier before. Only then can a failure
+        to propose the change mean that it was not accepted.
     """
 
-    __slots__ = ("change_id", "if_version", "rows", "table")
+    __slots__ = ("change_id", "first", "if_version", "rows", "table")
 
     def __init__(
-        self, table: str, rows: list[dict[str, Any]], if_version: int, change_id: str
+        self,
+        table: str,
+        rows: list[dict[str, Any]],
+        if_version: int,
+        change_id: str,
+        first: bool,
     ) -> None:
+        self.first = first
         self.table = table
         self.rows = rows
         self.if_version = if_version
@@ -51,7 +60,7 @@
 
     def to_wire(self) -> list[Any]:
         """Return the change as a list that msgpack can encode."""
-        return [self.table, self.rows, self.if_version, self.change_id]
+        return [self.table, self.rows, self.if_version, self.change_id, self.first]
 
     @classmethod
     def from_wire(cls, fields: list[Any]) -> Change:
--- /dev/null
+++ b/tests/test_claims.py
@@ -0,0 +1,138 @@
+"""Claims of idempotency keys across instances and under failure."""
+
+from __future__ import annotations
+
+import pytest
+
+from foxtaildrum import claims
+from foxtaildrum.claims import Verdict, compute_claim_key
+
+from .fleet import Fleet, form_fleet
+
+
+def claim(fleet: Fleet, name: str, claim_id: str, key: str = "k", digest: str = "d") -> Verdict:
+    fleet.claim(name, claim_id, key, digest)
+    fleet.run(2.0)
+    return fleet.claims[claim_id].verdict
+
+
+def test_the_first_claim_is_granted_and_a_repeat_elsewhere_gets_the_first_answer():
+    fleet = form_fleet()
+    assert claim(fleet, "e1", "one") is Verdict.GRANTED
+    assert claim(fleet, "e2", "two") is Verdict.RUNNING
+    fleet.finish_claim("e1", "one", "k", 201)
+    fleet.run(1.0)
+    assert claim(fleet, "e2", "three") is Verdict.DONE
+    outcome = fleet.claims["three"]
+    assert (outcome.status, outcome.body) == (201, b"ok")
+
+
+def test_two_claims_at_once_grant_at_most_one():
+    for seed in range(20):
+        fleet = form_fleet(seed=seed)
+        fleet.claim("e1", "one", "k")
+        fleet.claim("e2", "two", "k")
+        fleet.run(2.0)
+        fleet.check_granted_once(["one", "two"])
+
+
+def test_a_key_with_another_request_is_refused():
+    fleet = form_fleet()
+    claim(fleet, "e1", "one")
+    assert claim(fleet, "e2", "two", digest="other") is Verdict.REUSED
+
+
+def test_a_request_that_was_not_run_gives_its_key_back():
+    fleet = form_fleet()
+    claim(fleet, "e1", "one")
+    host = fleet.hosts["e1"]
+    fleet.perform(host, host.node.release_claim(fleet.now, "k", "one"))
+    fleet.run(1.0)
+    assert claim(fleet, "e2", "two") is Verdict.GRANTED
+
+
+def test_a_claim_whose_instance_is_gone_becomes_unknown():
+    fleet = form_fleet()
+    claim(fleet, "e1", "one")
+    fleet.crash("e1")
+    fleet.run(10.0)
+    assert claim(fleet, "e2", "two") is Verdict.UNKNOWN
+
+
+def test_without_a_quorum_of_holders_nothing_is_granted():
+    fleet = form_fleet()
+    fleet.crash("c1")
+    fleet.crash("c2")
+    assert claim(fleet, "e1", "one") is Verdict.UNAVAILABLE
+
+
+def test_a_claim_survives_a_restart_of_every_holder():
+    fleet = form_fleet()
+    claim(fleet, "e1", "one")
+    for name in fleet.control:
+        fleet.restart(name)
+    fleet.run(10.0)
+    assert claim(fleet, "e2", "two") is Verdict.UNKNOWN
+
+
+def test_a_holder_that_lost_its_disk_grants_nothing_before_it_has_read_the_others():
+    fleet = form_fleet()
+    fleet.blocked.add(("e1", "c3"))
+    assert claim(fleet, "e1", "one") is Verdict.GRANTED
+    fleet.restart("c1", lose_disk=True)
+    fleet.crash("c2")
+    fleet.run(1.0)
+    # c1 has forgotten the claim and c3 never heard of it.
+    assert claim(fleet, "e2", "two") is Verdict.UNAVAILABLE
+    fleet.run(30.0)
+    assert claim(fleet, "e2", "three") is Verdict.UNAVAILABLE
+    fleet.restart("c2")
+    fleet.run(30.0)
+    assert claim(fleet, "e2", "four") is Verdict.UNKNOWN
+
+
+def test_a_repaired_holder_carries_the_claims_on():
+    fleet = form_fleet()
+    fleet.blocked.add(("e1", "c3"))
+    claim(fleet, "e1", "one")
+    fleet.finish_claim("e1", "one", "k", 200)
+    fleet.run(1.0)
+    fleet.restart("c1", lose_disk=True)
+    assert fleet.run_until(lambda: fleet.hosts["c1"].node.holder.recovered, 60.0)
+    fleet.crash("c2")
+    assert claim(fleet, "e2", "two") is Verdict.DONE
+
+
+def test_claims_are_forgotten_after_the_time_of_retention(monkeypatch):
+    monkeypatch.setattr(claims, "RETENTION_S", 60.0)
+    fleet = form_fleet()
+    claim(fleet, "e1", "one")
+    fleet.run(120.0)
+    assert all(not fleet.hosts[c].node.holder.claims for c in fleet.control)
+
+
+def test_a_full_holder_refuses_instead_of_forgetting(monkeypatch):
+    monkeypatch.setattr(claims, "MAX_CLAIMS", 2)
+    fleet = form_fleet()
+    assert claim(fleet, "e1", "one", "k1") is Verdict.GRANTED
+    assert claim(fleet, "e1", "two", "k2") is Verdict.GRANTED
+    assert claim(fleet, "e1", "three", "k3") is Verdict.UNAVAILABLE
+
+
+def test_the_journal_of_claims_stays_bounded(monkeypatch):
+    monkeypatch.setattr(claims, "COMPACT_RECORDS", 10)
+    fleet = form_fleet()
+    for number in range(30):
+        claim(fleet, "e1", f"c{number}", f"k{number}")
+        host = fleet.hosts["e1"]
+        fleet.perform(host, host.node.release_claim(fleet.now, f"k{number}", f"c{number}"))
+    fleet.run(1.0)
+    size = len(fleet.hosts["c1"].disk.read("claims"))
+    assert size < 10_000
+    fleet.restart("c1")
+    assert fleet.hosts["c1"].node.holder.recovered
+
+
+@pytest.mark.parametrize("text", ["a", "a" * 255, "schlüssel"])
+def test_keys_have_one_length(text):
+    assert len(compute_claim_key(text)) == 32
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -2,9 +2,14 @@
 
 from __future__ import annotations
 
+import random
+
 import pytest
 
-from foxtaildrum.consensus import COMPACT_ENTRIES, Role
+from foxtaildrum.consensus import COMPACT_ENTRIES, Consensus, Role, Saved
+from foxtaildrum.events import Persist, Persisted, PersistFailed, Received, Send
+from foxtaildrum.follower import TableState
+from foxtaildrum.records import AppendReply, AppendRequest, VoteReply, VoteRequest
 
 from .fleet import form_fleet
 
@@ -168,3 +173,85 @@
     assert not node.is_open(fleet.now), "it must stay closed however long it lasts"
     fleet.heal()
     assert fleet.run_until(fleet.is_converged)
+
+
+def test_an_acknowledged_entry_survives_a_power_cut_of_the_whole_group():
+    fleet = form_fleet()
+    leader = fleet.find_leader()
+    followers = [c for c in fleet.control if c != leader]
+    for name in followers:
+        fleet.hosts[name].sync_s = 0.05
+    token = fleet.propose(leader, "pools", [{"name": "precious"}], 0, "precious")
+    assert fleet.run_until(lambda: token in fleet.answers, 5.0)
+    assert fleet.answers[token].verdict == "accepted"
+    for name in fleet.control:
+        fleet.crash(name)
+    for name in followers:
+        fleet.restart(name)
+    assert fleet.run_until(lambda: fleet.find_leader() != "", 20.0)
+    fleet.change_until_accepted("after")
+    assert fleet.history["pools", 1] == "precious"
+
+
+def build_voter(instance_id: str = "b") -> Consensus:
+    saved = Saved([["disk", instance_id], ["formed", {m: m for m in ("a", "b", "c")}]])
+    rng = random.Random(1)
+    return Consensus(instance_id, ["a", "b", "c"], TableState(), saved, rng, 0.0)
+
+
+def ask_vote(term: int) -> VoteRequest:
+    return VoteRequest(term=term, last_index=0, last_term=0, pre=False)
+
+
+def list_sent(actions, kind) -> list:
+    return [a.message for a in actions if isinstance(a, Send) and isinstance(a.message, kind)]
+
+
+def test_a_vote_leaves_only_after_its_sync():
+    voter = build_voter()
+    actions = voter.handle(0.0, Received("a", ask_vote(1)))
+    [write] = [a for a in actions if isinstance(a, Persist)]
+    assert not list_sent(actions, VoteReply)
+    [reply] = list_sent(voter.handle(0.0, Persisted(write.token)), VoteReply)
+    assert reply.granted
+
+
+def test_one_vote_a_term_even_after_a_restart():
+    voter = build_voter()
+    actions = voter.handle(0.0, Received("a", ask_vote(1)))
+    [write] = [a for a in actions if isinstance(a, Persist)]
+    voter.handle(0.0, Persisted(write.token))
+    [refusal] = list_sent(voter.handle(0.0, Received("c", ask_vote(1))), VoteReply)
+    assert not refusal.granted
+    saved = Saved([["disk", "b"], ["formed", {m: m for m in ("a", "b", "c")}], write.record])
+    again = Consensus("b", ["a", "b", "c"], TableState(), saved, random.Random(2), 0.0)
+    [refusal] = list_sent(again.handle(0.0, Received("c", ask_vote(1))), VoteReply)
+    assert not refusal.granted
+
+
+def test_an_acknowledgement_leaves_only_after_its_sync():
+    follower = build_voter()
+    request = AppendRequest(
+        term=1,
+        previous_index=0,
+        previous_term=0,
+        entries=[[1, 1, "noop", None]],
+        commit_index=0,
+        sent_at=0.0,
+    )
+    actions = follower.handle(0.0, Received("a", request))
+    assert not list_sent(actions, AppendReply)
+    # A repeated request must not be acknowledged earlier than the first.
+    assert not list_sent(follower.handle(0.0, Received("a", request)), AppendReply)
+    writes = [a for a in actions if isinstance(a, Persist)]
+    sent = list_sent(follower.handle(0.0, Persisted(writes[-1].token)), AppendReply)
+    assert [m.match_index for m in sent] == [1, 1]
+
+
+def test_a_failed_sync_acknowledges_nothing():
+    follower = build_voter()
+    [write] = [
+        a for a in follower.handle(0.0, Received("a", ask_vote(1))) if isinstance(a, Persist)
+    ]
+    assert follower.handle(0.0, PersistFailed(write.token)) == []
+    assert follower.handle(0.0, Received("a", ask_vote(2))) == []
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,71 @@
+"""Membership: detection, refutation, one-way cuts and bounded traffic."""
+
+from __future__ import annotations
+
+import pytest
+
+from .fleet import form_fleet
+
+DETECTION_S = 20.0
+CONTROL_BYTES_PER_S = 2000
+FRAME_OVERHEAD_BYTES = 20 + 40
+
+
+def get_states(fleet, name: str) -> set[str]:
+    return {
+        h.node.members.members[name].state.name
+        for h in fleet.hosts.values()
+        if h.node is not None and h.instance_id != name
+    }
+
+
+@pytest.mark.parametrize("fault", ["crash", "pause"])
+def test_a_silent_member_is_found_dead_everywhere_and_comes_back(fault):
+    fleet = form_fleet(3, 14)
+    getattr(fleet, fault)("e5")
+    fleet.run(DETECTION_S)
+    assert get_states(fleet, "e5") == {"DEAD"}
+    fleet.heal()
+    fleet.run(DETECTION_S)
+    assert get_states(fleet, "e5") == {"ALIVE"}
+
+
+def test_a_member_that_stops_is_known_to_have_left():
+    fleet = form_fleet(3, 5)
+    host = fleet.hosts["e1"]
+    fleet.perform(host, host.node.end_stop(fleet.now))
+    fleet.crash("e1")
+    fleet.run(3.0)
+    assert get_states(fleet, "e1") == {"LEFT"}
+
+
+def test_a_cut_link_between_two_members_kills_neither():
+    fleet = form_fleet(3, 5)
+    fleet.blocked.update({("e1", "e2"), ("e2", "e1")})
+    for _ in range(30):
+        fleet.run(2.0)
+        assert "DEAD" not in get_states(fleet, "e1") | get_states(fleet, "e2")
+
+
+def test_a_partition_heals():
+    fleet = form_fleet(3, 9)
+    fleet.cut(["e1", "e2", "e3"])
+    fleet.run(60.0)
+    fleet.heal()
+    assert fleet.run_until(fleet.is_converged, 60.0)
+    fleet.run(DETECTION_S)
+    assert all(get_states(fleet, name) == {"ALIVE"} for name in fleet.hosts)
+
+
+@pytest.mark.parametrize("entries", [14, 61])
+def test_the_traffic_of_a_member_at_rest_stays_inside_the_budget(entries):
+    fleet = form_fleet(3, entries)
+    fleet.run(20.0)
+    before = dict(fleet.sent_bytes)
+    messages = fleet.messages
+    fleet.run(60.0)
+    frames_each = (fleet.messages - messages) / 60.0 / len(fleet.hosts)
+    entry_bytes = max(
+        (fleet.sent_bytes[n] - before[n]) / 60.0 for n in fleet.hosts if n.startswith("e")
+    )
+    assert entry_bytes + frames_each * FRAME_OVERHEAD_BYTES < CONTROL_BYTES_PER_S
--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,41 @@
+"""Settings from flags and environment variables."""
+
+from __future__ import annotations
+
+import pytest
+
+from foxtaildrum.cli import EXIT_USAGE, main
+from foxtaildrum.exceptions import InvalidSettingsError
+from foxtaildrum.settings import load_settings
+
+
+def test_the_flag_wins_over_the_variable():
+    settings = load_settings(
+        {"listen": "127.0.0.1:1"},
+        {"FOXTAILDRUM_LISTEN": "127.0.0.1:2", "FOXTAILDRUM_THREADS": "7"},
+    )
+    assert settings.listen == "127.0.0.1:1"
+    assert settings.threads == 7
+    assert settings.admin_listen == "127.0.0.1:8081"
+
+
+def test_every_wrong_setting_is_reported_at_once():
+    flags = {
+        "role": "king",
+        "threads": "many",
+        "listen": "nowhere",
+        "shutdown_grace_s": "-1",
+        "statsd": "127.0.0.1:99999",
+        "fleet_key_file": "/does/not/exist",
+    }
+    with pytest.raises(InvalidSettingsError) as caught:
+        load_settings(flags, {"FOXTAILDRUM_ACCESS_LOG": "perhaps"})
+    named = {problem.field for problem in caught.value.exceptions}
+    assert named == set(flags) | {"access_log"}
+
+
+def test_the_command_line_exits_2_and_names_each_flag(capsys):
+    assert main(["serve", "--role=king", "--threads=0"]) == EXIT_USAGE
+    text = capsys.readouterr().err
+    assert "--role" in text
+    assert "--threads" in text
