--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -168,6 +168,7 @@
         self.accepted: dict[tuple[str, int], str] = {}
         self.refused: set[str] = set()
         self.unsent: set[str] = set()
+        self.latest_token: dict[str, str] = {}
         self.leaders: dict[int, tuple[str, int]] = {}
         self.messages = 0
         self.message_bytes = 0
@@ -373,6 +374,7 @@
         host = self.hosts[name]
         token = f"{change_id}@{name}-{self.order}"
         self.unsent.discard(change_id)
+        self.latest_token[change_id] = token
         change = Change(table, rows, version, change_id, first)
         self.perform(host, host.node.propose(host.read_clock(), token, change))
         return token
@@ -440,6 +442,10 @@
             assert known == answer.changed_by, f"two changes accepted as {key}"
         if answer.verdict in ("unavailable", "stale", "invalid"):
             change_id = token.split("@")[0]
+            superseded = self.latest_token[change_id] != token
+            if answer.verdict == "unavailable" and superseded:
+                # The operator has resent the change and no longer waits for this answer.
+                return
             (self.unsent if answer.verdict == "unavailable" else self.refused).add(change_id)
             assert change_id not in self.history.values(), f"{change_id} was in force"
 
--- a/tests/standins/upstream.py
+++ b/tests/standins/upstream.py
@@ -238,15 +238,13 @@
             upstream.free_slot()
 
     def answer(self, method: str, target: str, fault: str) -> None:
-        if fault in _BROKEN_ANSWERS:
-            _BROKEN_ANSWERS[fault](self)
-            return
-        size = 0
         if target.startswith("/document/"):
             size = int(target.split("/")[2].split("?")[0])
-        if size:
             asyncio.get_running_loop().create_task(self.send_document(size, fault))
             return
+        if fault in _BROKEN_ANSWERS:
+            _BROKEN_ANSWERS[fault](self)
+            return
         body = json.dumps(
             {
                 "upstream": self.upstream.upstream_id,
--- /dev/null
+++ b/tests/test_admin.py
@@ -0,0 +1,189 @@
+"""The admin interface and the command line on it."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+import urllib3
+
+from foxtaildrum.cli import EXIT_FAILED, EXIT_LOST_RACE, EXIT_OK, main
+
+from .sites import open_site
+from .standins.processes import wait_until
+
+TOKEN = "secret"
+
+
+@pytest.fixture(scope="module")
+def site(tmp_path_factory):
+    folder = tmp_path_factory.mktemp("admin")
+    token_file = folder / "token"
+    token_file.write_text(TOKEN)
+    with open_site(folder, operator_token_file="") as site:
+        yield site
+
+
+@pytest.fixture
+def admin(site):
+    http = urllib3.PoolManager(retries=False, timeout=10)
+
+    def call(method, path, document=None, **headers):
+        body = None if document is None else json.dumps(document)
+        names = {n.replace("_", "-"): v for n, v in headers.items()}
+        return http.request(
+            method, f"http://{site.instance.admin.address}{path}", body=body, headers=names
+        )
+
+    return call
+
+
+def get_version(admin, table: str) -> str:
+    return admin("GET", f"/v1/{table}").headers["ETag"]
+
+
+def test_a_change_needs_the_version_that_was_read(admin):
+    assert admin("PUT", "/v1/pools", {"pools": []}).status == 428
+    assert admin("PUT", "/v1/pools", {"pools": []}, If_Match="soon").status == 400
+    answer = admin("PUT", "/v1/pools", {"pools": []}, If_Match='"99"')
+    assert answer.status == 412
+    assert answer.headers["ETag"] == get_version(admin, "pools")
+
+
+def test_a_resent_change_gives_its_first_answer_and_counts_once(admin):
+    version = get_version(admin, "pools")
+    change = {"pools": [{"name": "resent"}]}
+    first = admin("PUT", "/v1/pools", change, If_Match=version, Idempotency_Key="k1")
+    second = admin("PUT", "/v1/pools", change, If_Match=version, Idempotency_Key="k1")
+    assert first.status == second.status == 200
+    assert first.headers["ETag"] == second.headers["ETag"] == get_version(admin, "pools")
+    other = {"pools": [{"name": "other"}]}
+    answer = admin("PUT", "/v1/pools", other, If_Match=version, Idempotency_Key="k1")
+    assert answer.status == 422
+
+
+def test_an_invalid_table_is_refused_as_a_whole(admin):
+    version = get_version(admin, "routes")
+    rows = [{"name": "r", "pool": "nowhere", "timeout_ms": 0}, {"nome": 1}]
+    answer = admin("PUT", "/v1/routes", {"routes": rows}, If_Match=version)
+    assert answer.status == 422
+    fields = {p["field"] for p in json.loads(answer.data)["problems"]}
+    assert {"routes[0].timeout_ms", "routes[1]"} <= fields
+    assert get_version(admin, "routes") == version
+
+
+@pytest.mark.parametrize("body", [b"{", b"[]", b'{"pools": 3}', b"\xff", b"", b"[" * 100_000])
+def test_a_body_of_another_shape_is_a_clear_error(site, body):
+    http = urllib3.PoolManager(retries=False, timeout=10)
+    answer = http.request(
+        "PUT",
+        f"http://{site.instance.admin.address}/v1/pools",
+        body=body,
+        headers={"If-Match": '"0"'},
+    )
+    assert answer.status in (400, 422)
+    assert json.loads(answer.data)["title"]
+
+
+def test_an_announcement_is_checked(admin):
+    answer = admin("PUT", "/v1/upstreams/u", {"pool": "p", "address": "host:1", "x": 1})
+    assert answer.status == 422
+    assert len(json.loads(answer.data)["problems"]) == 2
+    good = {"pool": "p", "address": "127.0.0.1:9", "incarnation": 5}
+    assert admin("PUT", "/v1/upstreams/u", good).status == 200
+    assert admin("PUT", "/v1/upstreams/u", {**good, "incarnation": 4}).status == 409
+    assert admin("DELETE", "/v1/upstreams/u").status == 200
+    assert admin("PUT", "/v1/upstreams/u", good).status == 409
+    assert admin("DELETE", "/v1/upstreams/nobody").status == 404
+
+
+def test_unknown_pages_and_methods_are_told(admin):
+    assert admin("GET", "/v1/nothing").status == 404
+    assert admin("POST", "/v1/routes").status == 405
+
+
+def test_health_pages(admin):
+    assert admin("GET", "/livez").status == 200
+    assert admin("GET", "/readyz").status == 200
+
+
+def test_tables_need_the_token_where_one_is_set(tmp_path, capsys):
+    token_file = tmp_path / "token"
+    token_file.write_text(TOKEN)
+    with open_site(tmp_path, operator_token_file=str(token_file)) as site:
+        address = ["--admin", site.instance.admin.address]
+        assert main(["pools", "get", *address]) == EXIT_FAILED
+        assert "401" in capsys.readouterr().err
+        assert (
+            main(["pools", "get", *address, "--operator-token-file", str(token_file)])
+            == EXIT_OK
+        )
+        assert main(["status", *address]) == EXIT_OK
+
+
+def test_the_command_line_drives_the_tables(site, tmp_path, capsys):
+    address = ["--admin", site.instance.admin.address]
+    pools = tmp_path / "pools.toml"
+    pools.write_text('[[pools]]\nname = "cli"\n')
+    routes = tmp_path / "routes.toml"
+    routes.write_text('[[routes]]\nname = "cli"\npool = "cli"\npath_prefix = "/cli"\n')
+    assert main(["check", str(pools), str(routes)]) == EXIT_OK
+    assert main(["pools", "apply", str(pools), *address]) == EXIT_OK
+    assert main(["routes", "apply", str(routes), *address]) == EXIT_OK
+    assert (
+        main(["routes", "apply", str(routes), "--if-version", "0", *address]) == EXIT_LOST_RACE
+    )
+    assert "changed by" in capsys.readouterr().err
+    assert main(["routes", "get", *address]) == EXIT_OK
+    assert 'path_prefix = "/cli"' in capsys.readouterr().out
+    for command in (
+        ["status"],
+        ["status", "--format=json"],
+        ["report"],
+        ["report", "--format=html"],
+        ["report", "--format=json"],
+    ):
+        assert main([*command, *address]) == EXIT_OK
+    assert "<svg" in capsys.readouterr().out
+
+
+@pytest.mark.parametrize(
+    "text",
+    ["not toml", "[[other]]\n", "", "[[pools]]\nname = 3\n", '[[pools]]\nname = "a"\nx = 1\n'],
+)
+def test_check_refuses_a_wrong_file(tmp_path, text, capsys):
+    path = tmp_path / "file.toml"
+    path.write_text(text)
+    assert main(["check", str(path)]) == EXIT_FAILED
+    assert str(path) in capsys.readouterr().err
+
+
+def test_a_missing_instance_is_a_clear_error(capsys):
+    assert main(["status", "--admin", "127.0.0.1:1"]) == EXIT_FAILED
+    assert "no answer" in capsys.readouterr().err
+
+
+def test_the_report_counts_late_and_failed_requests(site, admin):
+    version = get_version(admin, "pools")
+    rows = json.loads(admin("GET", "/v1/pools").data)["pools"]
+    if not any(r["name"] == "level" for r in rows):
+        admin("PUT", "/v1/pools", {"pools": [*rows, {"name": "level"}]}, If_Match=version)
+    version = get_version(admin, "routes")
+    rows = json.loads(admin("GET", "/v1/routes").data)["routes"]
+    row = {
+        "name": "level",
+        "pool": "level",
+        "path_prefix": "/level",
+        "objective_latency_ms": 50,
+    }
+    assert admin("PUT", "/v1/routes", {"routes": [*rows, row]}, If_Match=version).status == 200
+    site.add_upstreams("level", 1, service_ms=1, fixed=True)
+    site.send("GET", "/level")
+    site.send("GET", "/level", {"X-Fault": "slow=100"})
+    site.send("POST", "/level", {"X-Fault": "reset-after-run"})
+
+    def read() -> dict:
+        levels = {v["route"]: v for v in site.client.get_report()}
+        return levels["level"]["windows"]["5m"]
+
+    assert wait_until(lambda: read() == {"total": 3, "bad": 2})
--- /dev/null
+++ b/tests/test_promises.py
@@ -0,0 +1,139 @@
+"""Steps of the feature files."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+from pytest_bdd import given, parsers, scenarios, then, when
+
+from foxtaildrum.exceptions import InvalidTableError
+
+from .sites import open_site
+
+scenarios("features")
+
+
+class Story:
+    """What one scenario has seen so far."""
+
+    def __init__(self, site) -> None:
+        self.site = site
+        self.reply = None
+        self.refusal = None
+        self.served = {}
+
+    def book(self, key: str, fault: str = "") -> None:
+        headers = {"Idempotency-Key": key, "X-Request-Id": key, "X-Fault": fault}
+        self.reply = self.site.send("POST", "/dispatch", headers, b"{}")
+
+    def look_up(self, item: str, fault: str = "") -> None:
+        self.reply = self.site.send("GET", f"/lookup/{item}", {"X-Fault": fault})
+
+
+@pytest.fixture
+def story(tmp_path):
+    with open_site(tmp_path) as site:
+        site.apply("pools", [{"name": "stock"}])
+        site.apply(
+            "routes",
+            [
+                {
+                    "name": "lookup",
+                    "path_prefix": "/lookup",
+                    "pool": "stock",
+                    "timeout_ms": 2000,
+                },
+                {
+                    "name": "dispatch",
+                    "path_prefix": "/dispatch",
+                    "pool": "stock",
+                    "timeout_ms": 2000,
+                },
+            ],
+        )
+        yield Story(site)
+
+
+@given(parsers.parse("a site with {count:d} upstreams"))
+def place_upstreams(story, count):
+    if count:
+        story.site.add_upstreams("stock", count, service_ms=1, fixed=True)
+
+
+@when(parsers.parse('a caller looks up "{item}"'))
+def look_up(story, item):
+    story.look_up(item)
+
+
+@when(parsers.parse('a caller looks up "{item}" and the first upstream loses the answer'))
+def look_up_lost(story, item):
+    story.look_up(item, "first:reset-after-run")
+
+
+@when(parsers.parse('a caller books dispatch "{key}"'))
+def book(story, key):
+    story.book(key)
+
+
+@when(parsers.parse('a caller books dispatch "{key}" and the upstream loses the answer'))
+def book_lost(story, key):
+    story.book(key, "reset-after-run")
+
+
+@when(parsers.parse('a caller books dispatch "{key}" and every upstream sheds it'))
+def book_shed(story, key):
+    story.book(key, "shed")
+
+
+@when(parsers.parse('upstream "{upstream}" leaves'))
+def leave(story, upstream):
+    story.site.client.leave(upstream)
+    story.served[upstream] = story.site.upstreams["stock"].describe(upstream)["served"]
+
+
+@when(parsers.parse("{count:d} callers look something up"))
+def look_up_many(story, count):
+    for number in range(count):
+        story.look_up(f"item-{number}")
+        assert story.reply.status == 200
+
+
+@when("an operator applies a routes table to a missing pool")
+def apply_invalid(story):
+    with pytest.raises(InvalidTableError) as caught:
+        story.site.apply("routes", [{"name": "bad", "pool": "nowhere"}])
+    story.refusal = caught.value
+
+
+@then(parsers.parse('the answer is {status:d} and names "{text}"'))
+def check_named(story, status, text):
+    assert story.reply.status == status
+    assert text in json.loads(story.reply.body)["target"]
+
+
+@then(parsers.parse('the answer is {status:d} with outcome "{outcome}"'))
+def check_outcome(story, status, outcome):
+    assert (story.reply.status, story.reply.outcome) == (status, outcome)
+
+
+@then(parsers.re(r'"(?P<key>[^"]+)" ran (?P<count>\d+) times?'))
+def check_runs(story, key, count):
+    assert story.site.upstreams["stock"].count_runs().get(key, 0) == int(count)
+
+
+@then(parsers.parse('upstream "{upstream}" served nothing more'))
+def check_served(story, upstream):
+    served = story.site.upstreams["stock"].describe(upstream)["served"]
+    assert served == story.served[upstream]
+
+
+@then("the change is refused and names the row")
+def check_refusal(story):
+    assert story.refusal.list_problems()[0]["field"] == "routes[0].pool"
+
+
+@then("a caller still gets answers")
+def check_still_served(story):
+    story.look_up("boiler-7")
+    assert story.reply.status == 200
--- /dev/null
+++ b/tests/test_proxy.py
@@ -0,0 +1,259 @@
+"""The data path over real sockets: streaming, deadlines, cancellation and limits."""
+
+from __future__ import annotations
+
+import http.client
+import json
+import socket
+import threading
+import time
+import uuid
+
+import pytest
+
+from foxtaildrum.metrics import StatsdSender
+
+from .sites import open_site
+from .standins.processes import wait_until
+
+DOCUMENT_BYTES = 20 * 1024 * 1024
+
+
+@pytest.fixture(scope="module")
+def site(tmp_path_factory):
+    with open_site(tmp_path_factory.mktemp("proxy"), write_deadline_s=1.0) as site:
+        site.apply("pools", [{"name": "p", "measuring_budget_ratio": 1.0}, {"name": "one"}])
+        site.apply(
+            "routes",
+            [
+                {"name": "p", "path_prefix": "/", "pool": "p", "timeout_ms": 2000},
+                {"name": "one", "path_prefix": "/one", "pool": "one", "timeout_ms": 2000},
+                {"name": "host", "host": "docs.example", "path_prefix": "/", "pool": "one"},
+            ],
+        )
+        site.add_upstreams("p", 2, service_ms=1, fixed=True)
+        site.add_upstreams("one", 1, service_ms=1, fixed=True)
+        yield site
+
+
+def read_echo(reply) -> dict:
+    return json.loads(reply.body)
+
+
+def test_the_request_arrives_as_it_was_sent(site):
+    reply = site.send(
+        "POST",
+        "/a%20b/c?x=1&y=%2F",
+        {
+            "X-Custom": "v",
+            "Connection": "X-Drop",
+            "X-Drop": "1",
+            "traceparent": "00-1",
+            "X-Request-Id": "mine",
+        },
+        b"12345",
+    )
+    echo = read_echo(reply)
+    assert echo["target"] == "/a%20b/c?x=1&y=%2F"
+    assert echo["body_bytes"] == 5
+    assert echo["headers"]["x-custom"] == "v"
+    assert echo["headers"]["traceparent"] == "00-1"
+    assert echo["headers"]["x-request-id"] == "mine"
+    assert "x-drop" not in echo["headers"]
+    assert echo["headers"]["x-forwarded-for"] == "127.0.0.1"
+    assert reply.headers["x-request-id"] == "mine"
+
+
+def test_the_remaining_time_goes_on_to_the_upstream(site):
+    echo = read_echo(site.send("GET", "/x", {"X-Request-Timeout-Ms": "500"}))
+    assert 0 < int(echo["headers"]["x-request-timeout-ms"]) <= 500
+
+
+def test_the_longest_prefix_and_the_host_choose_the_route(site):
+    assert read_echo(site.send("GET", "/one/x"))["upstream"] == "one-1"
+    assert read_echo(site.send("GET", "/onerous"))["upstream"].startswith("p-")
+    echo = read_echo(site.send("GET", "/x", {"Host": "Docs.Example:8080"}))
+    assert echo["upstream"] == "one-1"
+
+
+@pytest.mark.parametrize("fault", ["", "chunked"])
+def test_a_large_document_arrives_whole(site, fault):
+    reply = site.send("GET", f"/document/{DOCUMENT_BYTES}", {"X-Fault": fault})
+    assert reply.status == 200
+    assert len(reply.body) == DOCUMENT_BYTES
+
+
+@pytest.mark.parametrize("fault", ["truncate", "truncate-chunked", "overlong"])
+def test_a_broken_document_never_looks_whole(site, fault):
+    assert site.send("GET", f"/document/{DOCUMENT_BYTES}", {"X-Fault": fault}).status == 0
+
+
+def exchange_raw(site, request: bytes) -> bytes:
+    host, port = site.instance.callers.address.split(":")
+    with socket.create_connection((host, int(port)), 10) as sock:
+        sock.sendall(request)
+        data = b""
+        while part := sock.recv(65536):
+            data += part
+        return data
+
+
+@pytest.mark.parametrize(("fault", "line"), [("chunked", b"200"), ("truncate-chunked", b"502")])
+def test_an_old_caller_gets_a_length_or_an_error(site, fault, line):
+    request = f"POST /x HTTP/1.0\r\nX-Fault: {fault}\r\nContent-Length: 0\r\n\r\n".encode()
+    head, _, body = exchange_raw(site, request).partition(b"\r\n\r\n")
+    assert line in head.split(b"\r\n")[0]
+    length = int(head.lower().split(b"content-length: ")[1].split(b"\r\n")[0])
+    assert len(body) == length
+
+
+def test_a_head_request_keeps_its_connection(site):
+    host, port = site.instance.callers.address.split(":")
+    connection = http.client.HTTPConnection(host, int(port), timeout=5)
+    for method in ("HEAD", "GET", "HEAD", "GET"):
+        connection.request(method, "/x")
+        response = connection.getresponse()
+        body = response.read()
+        assert response.status == 200
+        assert bool(body) == (method == "GET")
+    connection.close()
+
+
+def test_answers_never_go_to_another_request(site):
+    """Concurrent requests, some answered late or brokenly, each get their own answer."""
+    wrong = []
+
+    def call(number: int) -> None:
+        faults = ("", "", "slow=30", "overlong", "close-quietly", "early-hints", "chunked")
+        fault = faults[number % len(faults)]
+        reply = site.send(
+            "GET", f"/item-{number}", {"X-Fault": f"first:{fault}" if fault else ""}
+        )
+        if fault == "chunked":
+            return
+        if reply.status == 200 and read_echo(reply)["target"] != f"/item-{number}":
+            wrong.append(number)
+
+    for start in range(0, 140, 20):
+        threads = [threading.Thread(target=call, args=(start + n,)) for n in range(20)]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+    assert wrong == []
+
+
+def test_a_slow_caller_is_dropped_and_its_upstream_work_ends(site):
+    host, port = site.instance.callers.address.split(":")
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    sock.connect((host, int(port)))
+    before = site.upstreams["p"]
+    cancelled = sum(before.describe(u)["cancelled"] for u in before.ports)
+    sock.sendall(f"GET /document/{DOCUMENT_BYTES} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
+    assert wait_until(
+        lambda: sum(before.describe(u)["cancelled"] for u in before.ports) > cancelled
+    )
+    sock.close()
+
+
+@pytest.mark.parametrize(("method", "cancels"), [("GET", True), ("POST", False)])
+def test_a_caller_that_leaves_cancels_only_what_may_be_repeated(site, method, cancels):
+    upstream = site.upstreams["one"]
+    before = upstream.describe("one-1")
+    site.send_and_leave(method, "/one/x", {"X-Fault": "slow=500"}, 0.1)
+    field = "cancelled" if cancels else "served"
+    assert wait_until(lambda: upstream.describe("one-1")[field] > before[field])
+    other = "served" if cancels else "cancelled"
+    assert upstream.describe("one-1")[other] == before[other]
+
+
+def test_a_hedge_answers_for_a_slow_upstream_and_the_loser_is_cancelled(site):
+    for _ in range(80):
+        site.send("GET", "/warm")
+    upstream = site.upstreams["p"]
+    cancelled = sum(upstream.describe(u)["cancelled"] for u in upstream.ports)
+    began = time.monotonic()
+    reply = site.send("GET", "/x", {"X-Fault": "first:slow=1500"})
+    assert reply.status == 200
+    assert time.monotonic() - began < 1.4
+    assert wait_until(
+        lambda: sum(upstream.describe(u)["cancelled"] for u in upstream.ports) > cancelled
+    )
+
+
+def test_a_draining_upstream_gets_no_new_request(site, tmp_path):
+    site.apply_pool = None
+    upstream = site.upstreams["p"]
+    upstream.control("p-1", draining=True)
+    try:
+        assert wait_until(lambda: _is_draining(site, "p-1"))
+        served = upstream.describe("p-1")["served"]
+        for _ in range(20):
+            site.send("GET", "/x")
+        assert upstream.describe("p-1")["served"] == served
+    finally:
+        upstream.control("p-1", draining=False)
+        site.announce("p-1", "p", upstream.ports["p-1"], incarnation=2)
+
+
+def _is_draining(site, upstream_id: str) -> bool:
+    site.send("GET", "/x")
+    entries = {u["upstream"]: u["state"] for u in site.client.get_status()["upstreams"]}
+    return entries[upstream_id] == "draining"
+
+
+def test_a_resent_order_gets_the_first_answer_and_runs_once(site):
+    key = uuid.uuid4().hex
+    headers = {"Idempotency-Key": key}
+    first = site.send("POST", "/order", headers, b"cut")
+    second = site.send("POST", "/order", headers, b"cut")
+    assert first.status == second.status == 200
+    assert first.body == second.body
+    assert second.headers["idempotent-replayed"] == "true"
+    assert site.upstreams["p"].count_runs()[key] == 1
+    assert site.send("POST", "/order", headers, b"other").status == 422
+
+
+def test_a_repeat_while_the_order_runs_gets_409(site):
+    key = uuid.uuid4().hex
+    headers = {"Idempotency-Key": key, "X-Fault": "slow=400"}
+    site_thread = threading.Thread(target=site.send, args=("POST", "/order", headers, b"x"))
+    site_thread.start()
+    assert wait_until(lambda: site.upstreams["p"].count_runs().get(key, 0) == 1)
+    reply = site.send("POST", "/order", headers, b"x")
+    site_thread.join()
+    assert (reply.status, reply.outcome) == (409, "not-run")
+    assert site.upstreams["p"].count_runs()[key] == 1
+
+
+def test_an_order_whose_answer_was_lost_is_unknown_and_not_run_again(site):
+    key = uuid.uuid4().hex
+    headers = {"Idempotency-Key": key, "X-Fault": "reset-after-run"}
+    assert site.send("POST", "/order", headers, b"x").outcome == "unknown"
+    reply = site.send("POST", "/order", {"Idempotency-Key": key}, b"x")
+    assert (reply.status, reply.outcome) == (409, "unknown")
+    assert site.upstreams["p"].count_runs()[key] == 1
+
+
+def test_an_order_that_was_shed_may_be_sent_again_with_its_key(site):
+    key = uuid.uuid4().hex
+    reply = site.send("POST", "/order", {"Idempotency-Key": key, "X-Fault": "shed"}, b"x")
+    assert (reply.status, reply.outcome) == (503, "not-run")
+    assert wait_until(
+        lambda: site.send("POST", "/order", {"Idempotency-Key": key}, b"x").status == 200
+    )
+    assert site.upstreams["p"].count_runs()[key] == 1
+
+
+def test_the_meter_reaches_a_statsd_server(site):
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as server:
+        server.bind(("127.0.0.1", 0))
+        server.settimeout(5)
+        site.send("GET", "/x")
+        sender = StatsdSender(f"127.0.0.1:{server.getsockname()[1]}")
+        sender.send(time.monotonic(), site.instance.meter, {"ready": 1.0})
+        text = ""
+        while "foxtaildrum.ready:1" not in text:
+            text += server.recv(65536).decode() + "\n"
+    assert "foxtaildrum.requests:" in text
