Make the matrix wait for events instead of time

Cause: two cases of the request matrix closed the caller's connection after 100 ms; on a busy machine the request had not arrived by then. Change: they close it once the upstream runs the request. Conclusion: a fault of the test, not of the code; the expectation is unchanged.

--- a/tests/sites.py
+++ b/tests/sites.py
@@ -4,9 +4,9 @@
 
 import contextlib
 import http.client
-import time
 import tomllib
 import uuid
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
@@ -102,13 +102,17 @@
             connection.close()
 
     def send_and_leave(
-        self, method: str, target: str, headers: dict[str, str], s: float
+        self,
+        method: str,
+        target: str,
+        headers: dict[str, str],
+        has_arrived: Callable[[], bool],
     ) -> None:
-        """Send a request and close the connection after ``s`` seconds."""
+        """Send a request and close the connection once it has arrived."""
         host, port = self.instance.callers.address.split(":")
         connection = http.client.HTTPConnection(host, int(port), timeout=10)
         connection.request(method, target, headers=headers)
-        time.sleep(s)
+        assert wait_until(has_arrived)
         connection.close()
 
     def close(self) -> None:
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -161,7 +161,12 @@
 def test_a_caller_that_leaves_cancels_only_what_may_be_repeated(site, method, cancels):
     upstream = site.upstreams["one"]
     before = upstream.describe("one-1")
-    site.send_and_leave(method, "/one/x", {"X-Fault": "slow=500"}, 0.1)
+    site.send_and_leave(
+        method,
+        "/one/x",
+        {"X-Fault": "slow=500"},
+        lambda: upstream.describe("one-1")["busy"] > 0,
+    )
     field = "cancelled" if cancels else "served"
     assert wait_until(lambda: upstream.describe("one-1")[field] > before[field])
     other = "served" if cancels else "cancelled"
--- a/tests/test_request_matrix.py
+++ b/tests/test_request_matrix.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from .sites import MAX_BODY_BYTES, Site, load_cases, open_site
+from .sites import MAX_BODY_BYTES, Reply, Site, load_cases, open_site
 from .standins.processes import wait_until
 
 CASES = load_cases()
@@ -101,8 +101,11 @@
 
 
 def run_all_busy(trial: Trial):
+    busy = trial.site.upstreams["busy"]
     blocker = {"X-Request-Id": uuid.uuid4().hex}
-    trial.site.send_and_leave("POST", "/busy/blocker", blocker, 0.1)
+    trial.site.send_and_leave(
+        "POST", "/busy/blocker", blocker, lambda: busy.describe("busy-1")["busy"] > 0
+    )
     return trial.run("busy", **{"X-Request-Timeout-Ms": "5"})
 
 
@@ -114,12 +117,12 @@
 
 
 def run_and_leave(trial: Trial):
-    from .sites import Reply
-
     trial.site.send_and_leave(
-        trial.method, "/pair/x", {**trial.headers, "X-Fault": "slow=400"}, 0.1
+        trial.method,
+        "/pair/x",
+        {**trial.headers, "X-Fault": "slow=400"},
+        lambda: trial.count_runs() == 1,
     )
-    assert wait_until(lambda: trial.count_runs() == 1, 5.0), trial.count_runs()
     return Reply(0, {}, b"")
 
 
