Publish only pools that changed; add the experiments and slopes

Cause: each change of any upstream rebuilt every pool's members, services x endpoints. Change: the list is indexed by pool and tells which pools changed; a slow pool takes at most half the threads; hedges are counted; experiment and slopes programs added.

--- a/src/foxtaildrum/balancer.py
+++ b/src/foxtaildrum/balancer.py
@@ -4,6 +4,7 @@
 
 import enum
 import random
+import sys
 from collections import OrderedDict
 from collections.abc import Iterable
 
@@ -159,6 +160,12 @@
         Requests that may wait for a slot.
     rng : random.Random
         Source of random choices.
+
+    Attributes
+    ----------
+    busy_limit : int
+        Requests that may hold or await a slot, so that a slow pool leaves threads to
+        the others.
     """
 
     def __init__(
@@ -169,6 +176,8 @@
         self.rng = rng
         self.load = PoolLoad()
         self.turn = 0
+        self.in_flight = 0
+        self.busy_limit = sys.maxsize
         self.upstreams: dict[str, UpstreamLoad] = {}
         self.queue: OrderedDict[int, Ticket] = OrderedDict()
         self.retry_budget = Budget(pool.retry_budget_ratio, RETRY_TOKENS, RETRY_TOKENS)
@@ -195,6 +204,9 @@
 
     def request_slot(self, now: float, ticket: Ticket, may_wait: bool) -> None:
         """Grant, queue or refuse ``ticket``."""
+        if self.in_flight + len(self.queue) >= self.busy_limit:
+            ticket.refused = ErrorKind.OVERLOADED
+            return
         if not self.queue:
             self._try_grant(now, ticket)
         if ticket.settled:
@@ -215,6 +227,7 @@
     ) -> list[Ticket]:
         """Give a slot back and return tickets that are now settled."""
         upstream.in_flight -= 1
+        self.in_flight -= 1
         self._learn(now, upstream, result, held_s)
         return self.serve_queue(now)
 
@@ -282,6 +295,7 @@
             return
         chosen = self.choose(now, candidates, self.load, self.rng)
         chosen.in_flight += 1
+        self.in_flight += 1
         self.turn += 1
         chosen.last_turn = self.turn
         ticket.granted = chosen
--- a/src/foxtaildrum/dispatch.py
+++ b/src/foxtaildrum/dispatch.py
@@ -175,6 +175,11 @@
         """Number of attempts that held a slot."""
         return len(self._tries)
 
+    @property
+    def hedges(self) -> int:
+        """Number of hedges that held a slot."""
+        return sum(self._exchange.get_attempt(number).hedge for number in self._tries)
+
     def run(self) -> Refusal | UpstreamAnswer:
         """Return the answer to the caller; its body may still be on its way."""
         self._feed(x.Start())
--- a/src/foxtaildrum/pools.py
+++ b/src/foxtaildrum/pools.py
@@ -61,10 +61,17 @@
         """Balancer of the pool, for reading."""
         return self._balancer
 
-    def configure(self, pool: Pool) -> None:
-        """Take over a changed row of the pools table."""
+    def configure(self, pool: Pool, busy_limit: int) -> None:
+        """Take over a changed row of the pools table.
+
+        Parameters
+        ----------
+        busy_limit : int
+            Requests of the pool that may hold or await a slot.
+        """
         with self._lock:
             self._balancer.configure(pool)
+            self._balancer.busy_limit = busy_limit
 
     def update_members(self, now: float, entries: Iterable[Entry]) -> None:
         """Take over the current members of the pool."""
--- a/src/foxtaildrum/proxy.py
+++ b/src/foxtaildrum/proxy.py
@@ -178,6 +178,8 @@
             environ.get("SERVER_PROTOCOL") == "HTTP/1.0",
         )
         result = dispatch.run()
+        if dispatch.hedges:
+            self._meter.count("hedges", dispatch.hedges)
         if claimed is not None:
             claimed.settle(result)
         if isinstance(result, Refusal):
--- a/src/foxtaildrum/records.py
+++ b/src/foxtaildrum/records.py
@@ -194,9 +194,9 @@
     """
     File with the key that signs frames between instances.
     """
-    threads: int = 64
+    threads: int = 256
     """
-    Requests handled at once by the instance.
+    Requests handled at once by the instance; one pool takes at most half of them when there are several.
     """
     max_connections: int = 1000
     """
--- a/src/foxtaildrum/runtime.py
+++ b/src/foxtaildrum/runtime.py
@@ -108,29 +108,33 @@
         self._settings = settings
         self._proxy = proxy
         self._meter = meter
-        self._generations = (-1, -1)
+        self._generation = -1
         self.tell_draining: Callable[[str], None] = _ignore
 
     def publish(self, now: float, node: Node) -> None:
         """Bring the view up to the node's state if that has changed."""
-        tables_generation = node.follower.generation
-        generations = (tables_generation, node.upstreams.generation)
-        if generations == self._generations:
-            return
-        tables_changed = tables_generation != self._generations[0]
-        self._generations = generations
-        if tables_changed:
-            self._publish_tables(node)
-        for name, pool in self._proxy.view.pools.items():
-            pool.update_members(now, node.upstreams.list_members(name))
-
-    def _publish_tables(self, node: Node) -> None:
+        changed = node.upstreams.take_changed_pools()
+        if node.follower.generation != self._generation:
+            self._generation = node.follower.generation
+            changed |= self._publish_tables(node)
+        pools = self._proxy.view.pools
+        for name in changed & pools.keys():
+            pools[name].update_members(now, node.upstreams.list_members(name))
+
+    def _publish_tables(self, node: Node) -> set[str]:
+        """Put the tables in force; return the pools that are new or changed."""
         tables = node.state.tables
         routes = tables.list_routes()
         known = self._proxy.view.pools
         pools = {}
-        for record in tables.list_pools():
+        records = tables.list_pools()
+        threads = self._settings.threads
+        busy_limit = threads if len(records) == 1 else threads // 2
+        changed = set()
+        for record in records:
             pool = known.get(record.name)
+            if pool is None or pool.balancer.pool != record:
+                changed.add(record.name)
             if pool is None:
                 pool = UpstreamPool(
                     record,
@@ -140,8 +144,7 @@
                     self._pass_draining,
                     random.Random(),
                 )
-            else:
-                pool.configure(record)
+            pool.configure(record, busy_limit)
             pools[record.name] = pool
         self._proxy.view = View(Router(routes), pools)
         self._meter.set_routes(routes)
@@ -149,6 +152,7 @@
             known[name].close()
         versions = {f"{n}_version": t.version for n, t in tables.tables.items()}
         log_event("tables_in_force", index=node.follower.index, **versions)
+        return changed
 
     def _pass_draining(self, upstream_id: str) -> None:
         self.tell_draining(upstream_id)
--- a/src/foxtaildrum/upstreams.py
+++ b/src/foxtaildrum/upstreams.py
@@ -138,13 +138,14 @@
         This instance.
     """
 
-    __slots__ = ("_news", "digest", "entries", "generation", "instance_id")
+    __slots__ = ("_by_pool", "_changed_pools", "_news", "digest", "entries", "instance_id")
 
     def __init__(self, instance_id: str) -> None:
         self.instance_id = instance_id
         self.entries: dict[str, Entry] = {}
         self.digest = BucketDigest()
-        self.generation = 0
+        self._by_pool: dict[str, dict[str, Entry]] = {}
+        self._changed_pools: set[str] = set()
         self._news: dict[str, Entry] = {}
 
     def announce(
@@ -259,7 +260,12 @@
 
     def list_members(self, pool: str) -> list[Entry]:
         """Return the entries of ``pool`` that are in force."""
-        return [e for e in self.entries.values() if e.announcement.pool == pool and not e.dead]
+        return [e for e in self._by_pool.get(pool, {}).values() if not e.dead]
+
+    def take_changed_pools(self) -> set[str]:
+        """Return the pools whose members changed since the last call."""
+        changed, self._changed_pools = self._changed_pools, set()
+        return changed
 
     def list_bucket(self, buckets: set[int]) -> list[Entry]:
         """Return the entries in any of ``buckets``."""
@@ -279,20 +285,32 @@
 
     def _drop(self, entry: Entry) -> None:
         del self.entries[entry.upstream_id]
+        self._remove_from_pool(entry)
         self.digest.remove(entry.upstream_id, _describe_rank(entry))
-        self.generation += 1
+        self._changed_pools.add(entry.announcement.pool)
 
     def _store(self, entry: Entry, spread: bool) -> None:
         known = self.entries.get(entry.upstream_id)
+        pool = entry.announcement.pool
         if known is not None:
             self.digest.remove(known.upstream_id, _describe_rank(known))
+            self._remove_from_pool(known)
         self.entries[entry.upstream_id] = entry
+        self._by_pool.setdefault(pool, {})[entry.upstream_id] = entry
         self.digest.add(entry.upstream_id, _describe_rank(entry))
-        if known is None or known.describe_offer() != entry.describe_offer():
-            self.generation += 1
+        if known is None:
+            self._changed_pools.add(pool)
+        elif known.describe_offer() != entry.describe_offer():
+            self._changed_pools |= {pool, known.announcement.pool}
         if spread:
             self._news[entry.upstream_id] = entry
 
+    def _remove_from_pool(self, entry: Entry) -> None:
+        members = self._by_pool[entry.announcement.pool]
+        del members[entry.upstream_id]
+        if not members:
+            del self._by_pool[entry.announcement.pool]
+
     def _build_next(
         self,
         now: float,
--- /dev/null
+++ b/tests/standins/experiment.py
@@ -0,0 +1,418 @@
+"""Experiments on real processes: policies, loads and faults, as tables.
+
+Service times are six times those of the deployments, so that eight cores carry sixteen
+instances; each instance's share of the traffic, in requests per service time, is kept.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import os
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+from .processes import InstanceProcess, UpstreamProcess, pick_port, wait_until
+
+SERVICE_MS = 60.0
+SLOW_FACTOR = 8.0
+SLOW_MS = 360.0
+SLOW_EVERY_MS = 10_000.0
+NOISE = {
+    "service_ms": SERVICE_MS,
+    "slow_factor": SLOW_FACTOR,
+    "slow_ms": SLOW_MS,
+    "slow_every_ms": SLOW_EVERY_MS,
+}
+ZONES = ("zone-a", "zone-b", "zone-c")
+SITES = {"cascadia": (13, 6), "mysqan": (11, 4)}
+TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+
+
+class Fault:
+    """A named change to the site while load runs."""
+
+    def __init__(self, name: str, strike: Callable[[Site], None]) -> None:
+        self.name = name
+        self.strike = strike
+
+
+class Site:
+    """Instances and upstreams of one pool."""
+
+    def __init__(
+        self, instances: int, upstreams: int, slots: int, pool: dict[str, Any]
+    ) -> None:
+        self.folder = Path(tempfile.mkdtemp(prefix="foxtaildrum-experiment-"))
+        self.upstream_count = upstreams
+        self.slots = slots
+        addresses = [f"127.0.0.1:{pick_port()}" for _ in range(instances)]
+        control = ",".join(f"i{n + 1}={addresses[n]}" for n in range(min(3, instances)))
+        self.instances = [
+            InstanceProcess(
+                self.folder,
+                f"i{n + 1}",
+                role="all",
+                availability_zone=ZONES[n % 3],
+                access_log="false",
+                **({"peer_listen": addresses[n], "control": control} if instances > 1 else {}),
+            )
+            for n in range(instances)
+        ]
+        for instance in self.instances:
+            instance.wait_ready()
+        self.apply("pools", [{"name": "lookup", "slots_per_upstream": slots, **pool}])
+        routes = [
+            {"name": "lookup", "path_prefix": "/", "pool": "lookup", "timeout_ms": 10_000}
+        ]
+        self.apply("routes", routes)
+        self.upstreams = UpstreamProcess(
+            self.folder,
+            "lookup",
+            upstreams,
+            [i.admin_listen for i in self.instances],
+            zones=",".join(ZONES),
+            lease_s=15,
+            behaviour={**NOISE, "slots": slots},
+        )
+        self.wait_for_upstreams(upstreams)
+
+    def apply(self, name: str, rows: list[dict[str, Any]]) -> None:
+        client = self.instances[0].client
+        _, version = client.get_table(name)
+        client.put_table(name, rows, version, f"{name}-{version}")
+
+    def set_pool(self, **pool: Any) -> None:
+        """Change the row of the pool and wait until every instance has it."""
+        self.apply("pools", [{"name": "lookup", "slots_per_upstream": self.slots, **pool}])
+        _, version = self.instances[0].client.get_table("pools")
+        assert wait_until(
+            lambda: all(
+                i.status().get("tables", {}).get("pools", {}).get("version") == version
+                for i in self.instances
+                if i.popen.poll() is None
+            )
+        )
+
+    def wait_for_upstreams(self, count: int) -> None:
+        """Wait until every instance balances over ``count`` upstreams."""
+        assert wait_until(
+            lambda: all(
+                sum(len(p["upstreams"]) for p in i.status().get("pools", [])) == count
+                for i in self.instances
+            )
+        )
+
+    def compute_capacity(self) -> float:
+        """Return requests a second at which every slot is busy."""
+        slow_share = SLOW_MS / (SLOW_MS + SLOW_EVERY_MS)
+        mean_s = SERVICE_MS / 1000 * (1 + slow_share * (SLOW_FACTOR - 1))
+        return self.upstream_count * self.slots / mean_s
+
+    def run_load(self, load: float, duration_s: float, seed: int = 1, **options: Any) -> dict:
+        """Run open-loop load at a share of capacity and return what it saw."""
+        targets = ",".join(i.listen for i in self.instances)
+        flags = {
+            "targets": targets,
+            "rate": load * self.compute_capacity(),
+            "duration_s": duration_s,
+            "seed": seed,
+            **options,
+        }
+        arguments = [f"--{n.replace('_', '-')}={v}" for n, v in flags.items()]
+        process = subprocess.run(
+            [sys.executable, "-m", "tests.standins.load", *arguments],
+            capture_output=True,
+            text=True,
+            check=True,
+            timeout=duration_s + 60,
+        )
+        return json.loads(process.stdout)
+
+    def count(self, name: str) -> int:
+        """Return a counter added up over the instances."""
+        return sum(i.status().get("counters", {}).get(name, 0) for i in self.instances)
+
+    def read_cpu_s(self) -> float:
+        """Return the processor time of every instance so far."""
+        total = 0.0
+        for instance in self.instances:
+            try:
+                fields = Path(f"/proc/{instance.popen.pid}/stat").read_text().split()
+            except OSError:
+                continue
+            total += (int(fields[13]) + int(fields[14])) / TICKS_PER_S
+        return total
+
+    def close(self) -> None:
+        for process in [*self.instances, self.upstreams]:
+            process.kill()
+
+
+FAULTS: dict[str, Callable[[Site], None]] = {}
+
+
+def register_fault(name: str):
+    def register(function):
+        FAULTS[name] = function
+        return function
+
+    return register
+
+
+@register_fault("none")
+def strike_nothing(site: Site) -> None:
+    return None
+
+
+@register_fault("one 10x slower")
+def slow_one(site: Site) -> None:
+    site.upstreams.control("lookup-1", forced_factor=10.0)
+
+
+@register_fault("one fails fast (500)")
+def fail_one(site: Site) -> None:
+    site.upstreams.control("lookup-1", fail_status=500)
+
+
+@register_fault("one sheds (503)")
+def shed_one(site: Site) -> None:
+    site.upstreams.control("lookup-1", shed=True)
+
+
+@register_fault("one reports no load")
+def lie_one(site: Site) -> None:
+    site.upstreams.control("lookup-1", lie=0)
+
+
+@register_fault("no load reports")
+def report_nothing(site: Site) -> None:
+    for upstream_id in site.upstreams.ports:
+        site.upstreams.control(upstream_id, report="none")
+
+
+def clear_faults(site: Site) -> None:
+    """Let every upstream behave normally again."""
+    for upstream_id in site.upstreams.ports:
+        site.upstreams.control(
+            upstream_id, forced_factor=1.0, fail_status=0, shed=False, lie=-1, report="json"
+        )
+
+
+def measure(site: Site, load: float, duration_s: float, fault: str = "none") -> dict[str, Any]:
+    """Run one cell of the table."""
+    extra = site.count("attempts.extra")
+    requests = site.count("requests")
+    hedges = site.count("hedges")
+    FAULTS[fault](site)
+    try:
+        seen = site.run_load(load, duration_s)
+    finally:
+        clear_faults(site)
+    total = max(1, site.count("requests") - requests)
+    failed = sum(n for status, n in seen["statuses"].items() if not status.startswith("2"))
+    return {
+        "p50": seen["p50"],
+        "p99": seen["p99"],
+        "p99.9": seen["p99.9"],
+        "good": seen["good"],
+        "failed": failed,
+        "extra": (site.count("attempts.extra") - extra) / total,
+        "hedges": (site.count("hedges") - hedges) / total,
+    }
+
+
+def print_row(cells: list[Any]) -> None:
+    print("| " + " | ".join(str(c) for c in cells) + " |", flush=True)
+
+
+def print_header(names: list[str]) -> None:
+    print_row(names)
+    print_row(["---"] * len(names))
+
+
+def describe_cell(cell: dict[str, Any]) -> list[Any]:
+    return [
+        f"{cell['p50']:.0f}",
+        f"{cell['p99']:.0f}",
+        f"{cell['p99.9']:.0f}",
+        cell["good"],
+        cell["failed"],
+        f"{cell['extra']:.2%}",
+    ]
+
+
+def compare_policies(arguments: argparse.Namespace) -> None:
+    """Table of policy x load x fault."""
+    upstreams, slots = SITES[arguments.site]
+    columns = [
+        "load",
+        "fault",
+        "policy",
+        "p50 ms",
+        "p99 ms",
+        "p99.9 ms",
+        "good",
+        "failed",
+        "extra",
+    ]
+    print_header(columns)
+    runs = [("exact (one instance)", 1, ["least_in_flight"])]
+    runs.append(("", arguments.instances, arguments.policies.split(",")))
+    for label, instances, policies in runs:
+        site = Site(instances, upstreams, slots, {"measuring_budget_ratio": 0.0})
+        try:
+            for load in arguments.loads:
+                for policy in policies:
+                    site.set_pool(policy=policy, measuring_budget_ratio=arguments.budget)
+                    for fault in arguments.faults.split(",") if load == 0.7 else ["none"]:
+                        cell = measure(site, load, arguments.duration_s, fault)
+                        print_row([f"{load:.0%}", fault, label or policy, *describe_cell(cell)])
+        finally:
+            site.close()
+
+
+def compare_hedging(arguments: argparse.Namespace) -> None:
+    """Table of the measuring budget against latency."""
+    upstreams, slots = SITES[arguments.site]
+    print_header(["budget", "load", "p50 ms", "p99 ms", "p99.9 ms", "good", "failed", "extra"])
+    site = Site(arguments.instances, upstreams, slots, {})
+    try:
+        for load in arguments.loads:
+            for budget in (0.0, 0.01, 0.02, 0.05):
+                site.set_pool(measuring_budget_ratio=budget)
+                cell = measure(site, load, arguments.duration_s)
+                print_row([f"{budget:.0%}", f"{load:.0%}", *describe_cell(cell)])
+    finally:
+        site.close()
+
+
+def run_overload(arguments: argparse.Namespace) -> None:
+    """Goodput and refusals above capacity, and the recovery after it."""
+    upstreams, slots = SITES[arguments.site]
+    print_header(["load", "goodput of capacity", "p99 ms of good", "statuses"])
+    site = Site(arguments.instances, upstreams, slots, {})
+    try:
+        for load in (0.85, 1.2, 2.0, 0.85):
+            seen = site.run_load(load, arguments.duration_s, timeout_ms=1000)
+            goodput = seen["good"] / arguments.duration_s / site.compute_capacity()
+            print_row([f"{load:.0%}", f"{goodput:.1%}", f"{seen['p99']:.0f}", seen["statuses"]])
+    finally:
+        site.close()
+
+
+def run_changes(arguments: argparse.Namespace) -> None:
+    """Tables changed under load while instances are killed; times to everywhere."""
+    site = Site(arguments.instances, 8, 6, {})
+    seen: dict[str, Any] = {}
+    thread = threading.Thread(
+        target=lambda: seen.update(site.run_load(0.3, arguments.duration_s * 2))
+    )
+    try:
+        report_idle(site, arguments.duration_s)
+        thread.start()
+        accept, spread = [], []
+        until = time.monotonic() + arguments.duration_s * 2
+        number = 0
+        while time.monotonic() < until:
+            number += 1
+            if number == 10:
+                site.instances[0].kill()
+            if number == 20:
+                site.instances[-1].kill()
+            alive = [i for i in site.instances if i.popen.poll() is None]
+            took = change_once(alive, number)
+            accept.append(took[0])
+            spread.append(took[1])
+        thread.join()
+        accept.sort()
+        spread.sort()
+        print(f"changes accepted: {len(accept)}, instances killed: 2")
+        for name, values in (("accepted", accept), ("in force everywhere", spread)):
+            middle = values[len(values) // 2]
+            print(f"{name}: median {middle * 1000:.0f} ms, worst {values[-1] * 1000:.0f} ms")
+        print(f"load meanwhile: {seen['statuses']}")
+    finally:
+        site.close()
+
+
+def change_once(alive: list[InstanceProcess], number: int) -> tuple[float, float]:
+    """Change the pools table; return the seconds to acceptance and to everywhere."""
+    began = time.monotonic()
+    change_id = f"change-{number}"
+    client = alive[number % len(alive)].client
+    rows, version = client.get_table("pools")
+    rows = [row for row in rows if row["name"] == "lookup"] + [{"name": change_id}]
+    while True:
+        try:
+            version = client.put_table("pools", rows, version, change_id)
+            break
+        except Exception:
+            time.sleep(0.05)
+    accepted_s = time.monotonic() - began
+    wait_until(lambda: all(read_version(i) >= version for i in alive), 30.0)
+    return accepted_s, time.monotonic() - began
+
+
+def read_version(instance: InstanceProcess) -> int:
+    return instance.status().get("tables", {}).get("pools", {}).get("version", -1)
+
+
+def report_idle(site: Site, duration_s: float) -> None:
+    """Print what the instances cost when nothing happens."""
+    names = ("peers.sent_messages", "peers.sent_bytes")
+    before = {name: site.count(name) for name in names}
+    cpu_s = site.read_cpu_s()
+    time.sleep(duration_s)
+    each = len(site.instances) * duration_s
+    rates = {name: (site.count(name) - before[name]) / each for name in names}
+    cpu = (site.read_cpu_s() - cpu_s) / each
+    rss = [read_rss(i) for i in site.instances]
+    print(
+        f"idle, each of {len(site.instances)} instances: "
+        f"{rates['peers.sent_messages']:.1f} messages/s, "
+        f"{rates['peers.sent_bytes']:.0f} bytes/s sent, {cpu:.2%} of a core, "
+        f"{sum(rss) / len(rss) / 1024:.0f} MB"
+    )
+
+
+def read_rss(instance: InstanceProcess) -> int:
+    """Return the resident memory of an instance in KiB."""
+    for line in Path(f"/proc/{instance.popen.pid}/status").read_text().splitlines():
+        if line.startswith("VmRSS:"):
+            return int(line.split()[1])
+    return 0
+
+
+EXPERIMENTS = {
+    "policies": compare_policies,
+    "hedging": compare_hedging,
+    "overload": run_overload,
+    "changes": run_changes,
+}
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("experiment", choices=sorted(EXPERIMENTS))
+    parser.add_argument("--site", choices=sorted(SITES), default="cascadia")
+    parser.add_argument("--instances", type=int, default=16)
+    parser.add_argument("--duration-s", type=float, default=10.0)
+    parser.add_argument("--loads", type=float, nargs="+", default=[0.5, 0.7, 0.85])
+    parser.add_argument(
+        "--policies", default="random,round_robin,two_choices,reported_load,aged_load"
+    )
+    parser.add_argument("--faults", default="none")
+    parser.add_argument("--budget", type=float, default=0.0)
+    arguments = parser.parse_args()
+    EXPERIMENTS[arguments.experiment](arguments)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/standins/slopes.py
@@ -0,0 +1,274 @@
+"""Slopes behind docs/CAPACITY.md: cost of decisions, state and messages by size."""
+
+from __future__ import annotations
+
+import functools
+import gc
+import random
+import time
+import tracemalloc
+from collections.abc import Callable
+from typing import Any
+
+import pykka
+
+from foxtaildrum import records as r
+from foxtaildrum.balancer import Balancer, Result, Ticket
+from foxtaildrum.follower import Follower, TableState
+from foxtaildrum.frames import FrameWriter, derive_key
+from foxtaildrum.membership import Knowledge, Member, Membership, MemberState
+from foxtaildrum.policies import list_policies
+from foxtaildrum.routing import Router
+from foxtaildrum.tables import Change
+from foxtaildrum.upstreams import Entry, UpstreamList
+
+REPEATS = 5
+
+
+def time_call(function: Callable[[], Any], calls: int) -> float:
+    """Return the least seconds a call took on average over several rounds."""
+    best = float("inf")
+    for _ in range(REPEATS):
+        began = time.perf_counter()
+        for _ in range(calls):
+            function()
+        best = min(best, (time.perf_counter() - began) / calls)
+    return best
+
+
+def measure_memory(build: Callable[[], Any]) -> int:
+    """Return the bytes that an object built by ``build`` keeps."""
+    gc.collect()
+    tracemalloc.start()
+    kept = build()
+    gc.collect()
+    size, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    del kept
+    return size
+
+
+def build_entry(number: int, pool: str) -> Entry:
+    announcement = r.Announcement(
+        pool=pool,
+        address=f"10.{number // 65536 % 256}.{number // 256 % 256}.{number % 256}:8080",
+        availability_zone=f"zone-{number % 24}",
+        slots=6,
+        incarnation=1_700_000_000,
+        lease_s=15.0,
+    )
+    return Entry(f"{pool}-{number}", announcement, "ready", "e1", 1, False, 1e9)
+
+
+def build_balancer(upstreams: int, policy: str) -> Balancer:
+    pool = r.Pool(name="p", policy=policy)
+    balancer = Balancer(pool, "zone-1", 64, random.Random(1))
+    balancer.update_members(0.0, [build_entry(n, "p") for n in range(upstreams)])
+    for upstream in balancer.upstreams.values():
+        balancer.report_load(1.0, upstream, balancer.rng.random() * 6)
+    return balancer
+
+
+def take_and_give(balancer: Balancer) -> None:
+    ticket = Ticket(1e9, frozenset())
+    balancer.request_slot(1.0, ticket, True)
+    balancer.release(1.0, ticket.granted, Result.OK, 0.01)
+
+
+def print_decisions() -> None:
+    print("decision: microseconds for one slot, taken and given back")
+    sizes = (10, 100, 1000)
+    print(f"{'policy':<16}" + "".join(f"{n:>8}" for n in sizes))
+    for policy in list_policies():
+        costs = [
+            time_call(functools.partial(take_and_give, build_balancer(n, policy)), 300)
+            for n in sizes
+        ]
+        print(f"{policy:<16}" + "".join(f"{c * 1e6:>8.1f}" for c in costs))
+
+
+class BalancerActor(pykka.ThreadingActor):
+    """Balancer behind a mailbox, for the comparison only."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.balancer = build_balancer(13, "aged_load")
+
+    def on_receive(self, message: Any) -> None:
+        take_and_give(self.balancer)
+
+
+def print_hosting() -> None:
+    balancer = build_balancer(13, "aged_load")
+    direct = time_call(lambda: take_and_give(balancer), 500)
+    actor = BalancerActor.start()
+    mailbox = time_call(lambda: actor.ask(None), 500)
+    actor.stop()
+    print(
+        f"\nhot path, 13 upstreams: {direct * 1e6:.1f} us called directly, "
+        f"{mailbox * 1e6:.1f} us through a mailbox"
+    )
+
+
+def build_list(count: int) -> UpstreamList:
+    upstreams = UpstreamList("e1")
+    for number in range(count):
+        upstreams.merge(0.0, build_entry(number, f"pool-{number % max(1, count // 15)}"))
+    return upstreams
+
+
+def print_upstreams() -> None:
+    print("\nupstream list: entries, KiB, ms to judge every lease, us to merge one change")
+    for count in (1000, 9000, 27_000):
+        size = measure_memory(lambda n=count: build_list(n))
+        upstreams = build_list(count)
+        judge = time_call(lambda u=upstreams: u.expire(1.0, lambda owner: True), 3)
+        entry = build_entry(1, "pool-1")
+        sequence = [1]
+
+        def merge(u=upstreams, e=entry, s=sequence) -> None:
+            s[0] += 1
+            u.merge(0.0, Entry(e.upstream_id, e.announcement, "ready", "e1", s[0], False, 1e9))
+
+        merging = time_call(merge, 200)
+        print(f"{count:>7}{size / 1024:>9.0f}{judge * 1e3:>9.2f}{merging * 1e6:>9.1f}")
+
+
+def build_members(count: int) -> Membership:
+    members = [
+        Member(f"i{n}", f"10.0.0.1:{n}", f"zone-{n % 24}", "entry", 1, MemberState.ALIVE, 0.0)
+        for n in range(count)
+    ]
+    membership = Membership(members[0], {}, random.Random(1), 0.0)
+    membership.merge(members[1:])
+    membership.tick(0.0, Knowledge())
+    return membership
+
+
+def print_members() -> None:
+    print("\nmembers: count, KiB, ms a tick, neighbours, pings a second")
+    for count in (17, 100, 1000, 4000):
+        size = measure_memory(lambda n=count: build_members(n))
+        membership = build_members(count)
+        now = [1.0]
+
+        def tick(m=membership, t=now) -> None:
+            t[0] += 0.0001
+            m.tick(t[0], Knowledge())
+
+        cost = time_call(tick, 20)
+        pings = len(membership._pick_ping_targets())
+        neighbours = len(membership.list_neighbours())
+        print(f"{count:>7}{size / 1024:>9.0f}{cost * 1e3:>9.3f}{neighbours:>6}{pings:>6}")
+
+
+def build_tables(count: int) -> TableState:
+    state = TableState()
+    pools = [{"name": f"service-{n}", "slots_per_upstream": 6} for n in range(count)]
+    routes = [
+        {"name": f"service-{n}", "path_prefix": f"/service-{n}", "pool": f"service-{n}"}
+        for n in range(count)
+    ]
+    for name, rows in (("pools", pools), ("routes", routes)):
+        change = Change(name, rows, 0, f"first-{name}", True)
+        state.tables.apply_patch(state.tables.build_patch(change))
+    return state
+
+
+def print_tables() -> None:
+    print("\ntables: services, KiB, bytes of one change, ms to apply it, us to route")
+    for count in (30, 300, 1800):
+        size = measure_memory(lambda n=count: build_tables(n))
+        state = build_tables(count)
+        number = [0]
+        sizes = []
+
+        def change(s=state, n=number, found=sizes) -> None:
+            n[0] += 1
+            table = s.tables.tables["pools"]
+            rows = table.list_rows()
+            rows[0] = {**rows[0], "slots_per_upstream": n[0] % 90 + 1}
+            proposed = Change("pools", rows, table.version, f"change-{n[0]}", True)
+            patch = s.tables.build_patch(proposed)
+            n_entry = [n[0], "change", patch.to_wire()]
+            found.append(len(pack(r.FollowEntries(group_id="g" * 16, entries=[n_entry]))))
+            s.tables.apply_patch(patch)
+
+        cost = time_call(change, 5)
+        router = Router(state.tables.list_routes())
+        route = time_call(
+            lambda x=router, c=count: x.find_route("h", f"/service-{c // 2}", "GET"), 50
+        )
+        print(
+            f"{count:>7}{size / 1024:>9.0f}{max(sizes):>9}{cost * 1e3:>9.2f}{route * 1e6:>9.1f}"
+        )
+
+
+def pack(message: Any) -> bytes:
+    return FrameWriter(derive_key(b"k", b"a" * 16, b"b" * 16)).pack(message)
+
+
+def print_messages() -> None:
+    print("\nmessages: bytes of a frame")
+    member = build_members(17).me.to_wire()
+    ping = r.Ping(
+        nonce=1 << 31,
+        member=member,
+        members_root=1 << 31,
+        upstreams_root=1 << 31,
+        applied_index=1 << 20,
+    )
+    ack = r.Ack(
+        nonce=1 << 31,
+        members_root=1 << 31,
+        upstreams_root=1 << 31,
+        applied_index=1 << 20,
+        group_id="g" * 16,
+        beacon_index=1 << 20,
+        beacon_age_s=1.5,
+    )
+    news = r.UpstreamNews(entries=[build_entry(1, "service-1").to_wire(0.0)])
+    renew = r.RenewRequest(upstream_id="service-1-17", incarnation=1_700_000_000, lease_s=15.0)
+    claim = r.ClaimRequest(key="k" * 32, claim_id="c" * 32, digest="d" * 32, left_s=2.0)
+    append = r.AppendRequest(
+        term=9,
+        previous_index=1 << 20,
+        previous_term=9,
+        entries=[],
+        commit_index=1 << 20,
+        sent_at=1.0,
+    )
+    buckets = r.SyncBuckets(subject="upstreams", hashes=[1 << 31] * 64, reply=False)
+    for message in (
+        ping,
+        ack,
+        news,
+        renew,
+        claim,
+        append,
+        buckets,
+        r.MemberNews(members=[member]),
+    ):
+        cost = time_call(lambda m=message: pack(m), 500)
+        print(
+            f"{type(message).__name__:<16}{len(pack(message)):>6}{cost * 1e6:>9.1f} us to pack"
+        )
+
+
+def print_base() -> None:
+    follower = measure_memory(lambda: Follower(TableState(), 0, True))
+    print(f"\nan empty follower keeps {follower} bytes")
+
+
+def main() -> None:
+    print_decisions()
+    print_hosting()
+    print_upstreams()
+    print_members()
+    print_tables()
+    print_messages()
+    print_base()
+
+
+if __name__ == "__main__":
+    main()
