Hold requests back when upstreams are full; refuse early what would come too late

Cause: at 200% load each of 16 instances filled every upstream to its slots, so requests waited in the upstreams' queues, passed their deadline there and ended as 'unknown'. Change: a request waits in the instance when every upstream has more waiting than it serves; it is refused as not run when its deadline leaves less than two service times; the pool's mean fades when nothing is heard, so that holding back ends by itself. Routes are found by host and prefix instead of a search. A proposal to a silent control instance is given up after 3 s and goes elsewhere next.

--- a/src/foxtaildrum/balancer.py
+++ b/src/foxtaildrum/balancer.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import math
 import random
 import sys
 from collections import OrderedDict
@@ -24,6 +25,8 @@
 SHED_PAUSE_S = 0.05
 INITIAL_SERVICE_S = 0.01
 MEAN_WEIGHT = 0.05
+RUN_SERVICE_TIMES = 2.0
+MEAN_FADE_SERVICE_TIMES = 3.0
 RETRY_TOKENS = 10.0
 HEDGE_TOKENS_SERVICE_TIMES = 10.0
 
@@ -112,11 +115,24 @@
         Mean of the slots that others use at an upstream.
     """
 
-    __slots__ = ("mean_others", "mean_service_s")
+    __slots__ = ("mean_others", "mean_service_s", "reported_at")
 
     def __init__(self) -> None:
         self.mean_service_s = INITIAL_SERVICE_S
         self.mean_others = 0.0
+        self.reported_at = float("-inf")
+
+    def estimate_mean_others(self, now: float) -> float:
+        """Return the mean, faded when no answer has reported for long.
+
+        Without the fading an instance that holds requests back for a high mean would
+        never hear of a lower one.
+        """
+        silent_s = now - self.reported_at - self.mean_service_s
+        if silent_s <= 0:
+            return self.mean_others
+        fade_s = MEAN_FADE_SERVICE_TIMES * self.mean_service_s
+        return self.mean_others * math.exp(-silent_s / fade_s)
 
 
 class Ticket:
@@ -177,6 +193,8 @@
         self.load = PoolLoad()
         self.turn = 0
         self.in_flight = 0
+        self._released_at = float("-inf")
+        self._release_interval_s = 0.0
         self.busy_limit = sys.maxsize
         self.upstreams: dict[str, UpstreamLoad] = {}
         self.queue: OrderedDict[int, Ticket] = OrderedDict()
@@ -228,6 +246,9 @@
         """Give a slot back and return tickets that are now settled."""
         upstream.in_flight -= 1
         self.in_flight -= 1
+        interval_s = min(now - self._released_at, self.load.mean_service_s)
+        self._release_interval_s += (interval_s - self._release_interval_s) * MEAN_WEIGHT
+        self._released_at = now
         self._learn(now, upstream, result, held_s)
         return self.serve_queue(now)
 
@@ -244,14 +265,15 @@
         upstream.reported_at = now
         load = self.load
         load.mean_others += (others - load.mean_others) * MEAN_WEIGHT
+        load.reported_at = now
 
     def serve_queue(self, now: float) -> list[Ticket]:
         """Grant slots to waiting tickets in order; return the settled ones."""
         settled = []
         while self.queue:
             key, ticket = next(iter(self.queue.items()))
-            if ticket.deadline <= now:
-                ticket.refused = ErrorKind.DEADLINE_BEFORE_SEND
+            if self._comes_too_late(now, ticket):
+                ticket.refused = ErrorKind.DEADLINE_UNREACHABLE
             elif not self.upstreams:
                 ticket.refused = ErrorKind.NO_UPSTREAM
             else:
@@ -294,6 +316,8 @@
         if not candidates:
             return
         chosen = self.choose(now, candidates, self.load, self.rng)
+        if chosen is None:
+            return
         chosen.in_flight += 1
         self.in_flight += 1
         self.turn += 1
@@ -316,11 +340,16 @@
             return ErrorKind.NO_UPSTREAM
         if not may_wait or len(self.queue) >= self.queue_limit:
             return ErrorKind.OVERLOADED
-        wait_s = (len(self.queue) + 1) * self.load.mean_service_s / slots
-        if now + wait_s + self.load.mean_service_s > ticket.deadline:
+        wait_s = (len(self.queue) + 1) * self._release_interval_s
+        if self._comes_too_late(now + wait_s, ticket):
             return ErrorKind.DEADLINE_UNREACHABLE
         return None
 
+    def _comes_too_late(self, start: float, ticket: Ticket) -> bool:
+        # A request that would most likely be cut off by its deadline is refused while
+        # that can still be said to be not run.
+        return start + RUN_SERVICE_TIMES * self.load.mean_service_s > ticket.deadline
+
     def _learn(self, now: float, upstream: UpstreamLoad, result: Result, held_s: float) -> None:
         if result is Result.OK:
             upstream.failures = 0
--- a/src/foxtaildrum/dispatch.py
+++ b/src/foxtaildrum/dispatch.py
@@ -220,6 +220,7 @@
             if self._caller_left():
                 self._pool.cancel_ticket(ticket, ErrorKind.CALLER_LEFT)
                 return
+            self._pool.serve_queue(read_clock())
 
     def _bound_wait(self, until: float) -> float:
         return max(0.0, min(CALLER_POLL_S, until - read_clock()))
--- a/src/foxtaildrum/node.py
+++ b/src/foxtaildrum/node.py
@@ -40,7 +40,8 @@
 CUT_OFF_S = 15.0
 GROUP_DOWN_START_S = 15.0
 EXPIRE_PERIOD_S = 0.5
-PROPOSAL_TIMEOUT_S = 5.0
+PROPOSAL_TIMEOUT_S = 3.0
+SILENT_S = 15.0
 MAX_REDIRECTS = 3
 REMEMBERED_TOKENS = 4096
 MAX_PENDING_ENTRIES = 1024
@@ -91,7 +92,7 @@
 class _Proposal:
     """A change proposed at this instance or passed on by another."""
 
-    __slots__ = ("change", "give_up_at", "origin", "redirects", "sent")
+    __slots__ = ("change", "give_up_at", "origin", "redirects", "sent", "target")
 
     def __init__(self, change: Change, origin: str, give_up_at: float) -> None:
         self.change = change
@@ -99,6 +100,7 @@
         self.give_up_at = give_up_at
         self.redirects = 0
         self.sent = False
+        self.target = ""
 
 
 class _Accepted:
@@ -164,6 +166,7 @@
         self._started = False
         self._proposals: dict[str, _Proposal] = {}
         self._accepted: list[_Accepted] = []
+        self._silent_until: dict[str, float] = {}
         self._seen_tokens: OrderedDict[str, None] = OrderedDict()
         self._highest_index = 0
         self._fleet_size = 0
@@ -228,7 +231,7 @@
         if self._leads():
             self._propose_here(now, token, change)
         else:
-            self._pass_on(token, self._pick_control())
+            self._pass_on(token, self._pick_control(now))
         return self._finish(now)
 
     # Upstreams.
@@ -461,12 +464,13 @@
 
     # Proposals.
 
-    def _pick_control(self) -> str:
+    def _pick_control(self, now: float) -> str:
         if self.consensus is not None and self.consensus.leader_id:
             return self.consensus.leader_id
         others = [c for c in self.control if c != self.instance_id]
         usable = [c for c in others if self.members.is_usable(c)]
-        choices = usable or others
+        answering = [c for c in usable if self._silent_until.get(c, now) <= now]
+        choices = answering or usable or others
         return self._rng.choice(choices) if choices else ""
 
     def _pass_on(self, token: str, target: str) -> None:
@@ -475,6 +479,7 @@
             self._answer_proposal(token, _build_unavailable("there is no leader"))
             return
         proposal.sent = True
+        proposal.target = target
         hop_token = f"{token}{HOP_MARK}{proposal.redirects}"
         message = r.ProposeRequest(token=hop_token, change=proposal.change.to_wire())
         self._out.append(Send(target, message))
@@ -547,6 +552,9 @@
     def _drop_late_proposals(self, now: float) -> None:
         late = [t for t, p in self._proposals.items() if now >= p.give_up_at]
         for token in late:
+            target = self._proposals[token].target
+            if target:
+                self._silent_until[target] = now + SILENT_S
             if self._proposals[token].sent or self._leads():
                 self._answer_proposal(token, _build_unknown())
             else:
--- a/src/foxtaildrum/policies.py
+++ b/src/foxtaildrum/policies.py
@@ -10,11 +10,14 @@
 if TYPE_CHECKING:
     from .balancer import PoolLoad, UpstreamLoad
 
-Policy = Callable[[float, Sequence["UpstreamLoad"], "PoolLoad", random.Random], "UpstreamLoad"]
+Policy = Callable[
+    [float, Sequence["UpstreamLoad"], "PoolLoad", random.Random], "UpstreamLoad | None"
+]
 
 REPORT_FADE_SERVICE_TIMES = 3.0
 FAILURE_FADE_S = 2.0
 REMOTE_ZONE_COST = 0.1
+MAX_LOAD_RATIO = 2.0
 
 _POLICIES: dict[str, Policy] = {}
 
@@ -87,22 +90,32 @@
 @register_policy("aged_load")
 def choose_aged_load(
     now: float, candidates: Sequence[UpstreamLoad], pool: PoolLoad, rng: random.Random
-) -> UpstreamLoad:
-    """Choose the lowest estimate, in which reports fade with their age."""
+) -> UpstreamLoad | None:
+    """Choose the lowest estimate, in which reports fade with their age.
+
+    Returns None when every candidate has more waiting than it serves: the request then
+    waits in the instance, from where it can still go anywhere or be refused.
+    """
     fade_s = REPORT_FADE_SERVICE_TIMES * pool.mean_service_s
-    mean_others = pool.mean_others
+    mean_others = pool.estimate_mean_others(now)
+    acceptable = []
     scores = []
     for candidate in candidates:
         weight = math.exp((candidate.reported_at - now) / fade_s)
         others = mean_others + (candidate.reported_others - mean_others) * weight
         score = others + candidate.in_flight
+        if score >= candidate.slots * MAX_LOAD_RATIO:
+            continue
+        acceptable.append(candidate)
         score += _estimate_failure_cost(now, candidate)
         if candidate.ramp_until > now:
             score = (score + 1.0) / candidate.compute_ramp(now)
         if candidate.remote:
             score += REMOTE_ZONE_COST
         scores.append(score)
-    return _choose_lowest(candidates, scores, rng)
+    if not acceptable:
+        return None
+    return _choose_lowest(acceptable, scores, rng)
 
 
 def _get_last_turn(candidate: UpstreamLoad) -> int:
--- a/src/foxtaildrum/pools.py
+++ b/src/foxtaildrum/pools.py
@@ -91,6 +91,12 @@
             if not ticket.settled:
                 ticket.wake = threading.Event()
 
+    def serve_queue(self, now: float) -> None:
+        """Grant what has become possible by the passing of time."""
+        with self._lock:
+            settled = self._balancer.serve_queue(now)
+        _wake_all(settled)
+
     def cancel_ticket(self, ticket: Ticket, kind: ErrorKind) -> None:
         """Refuse a ticket that waits; no effect once it is granted."""
         with self._lock:
--- a/src/foxtaildrum/routing.py
+++ b/src/foxtaildrum/routing.py
@@ -2,26 +2,35 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
+
 from .kinds import ErrorKind
 from .records import Route
 
 IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "PUT", "DELETE"})
+ANY_HOST = ""
 REFUSED_METHODS = frozenset({"CONNECT", "TRACE"})
 
 
 class Router:
     """Matches requests to routes by host, longest path prefix and method.
 
+    Routes are kept by host and prefix, so that a search takes a step for each segment
+    of the path, however many routes there are.
+
     Parameters
     ----------
     routes : list of Route
         Rows of the routes table.
     """
 
-    __slots__ = ("_ordered",)
+    __slots__ = ("_hosts",)
 
     def __init__(self, routes: list[Route]) -> None:
-        self._ordered = sorted(routes, key=_rank_route)
+        self._hosts: dict[str, dict[str, list[Route]]] = {}
+        for route in sorted(routes, key=_rank_route):
+            prefixes = self._hosts.setdefault(route.host.lower(), {})
+            prefixes.setdefault(route.path_prefix.rstrip("/"), []).append(route)
 
     def find_route(self, host: str, path: str, method: str) -> Route | ErrorKind:
         """Return the route of a request, or the kind of its refusal.
@@ -35,19 +44,18 @@
         method : str
             HTTP method.
         """
-        name = _strip_port(host).lower()
-        method_mismatch = method in REFUSED_METHODS
-        if method_mismatch:
+        if method in REFUSED_METHODS:
             return ErrorKind.METHOD_NOT_ALLOWED
-        for route in self._ordered:
-            if route.host and route.host.lower() != name:
-                continue
-            if not _match_prefix(route.path_prefix, path):
+        refusal = ErrorKind.NO_ROUTE
+        for name in (_strip_port(host).lower(), ANY_HOST):
+            prefixes = self._hosts.get(name)
+            if prefixes is None:
                 continue
-            if not route.methods or method in route.methods:
-                return route
-            method_mismatch = True
-        return ErrorKind.METHOD_NOT_ALLOWED if method_mismatch else ErrorKind.NO_ROUTE
+            for route in _list_matches(prefixes, path):
+                if not route.methods or method in route.methods:
+                    return route
+                refusal = ErrorKind.METHOD_NOT_ALLOWED
+        return refusal
 
 
 def is_idempotent(route: Route, method: str) -> bool:
@@ -57,14 +65,17 @@
     return method in IDEMPOTENT_METHODS
 
 
-def _rank_route(route: Route) -> tuple[bool, int, bool]:
-    return (not route.host, -len(route.path_prefix), not route.methods)
+def _rank_route(route: Route) -> tuple[int, bool]:
+    return (-len(route.path_prefix), not route.methods)
 
 
-def _match_prefix(prefix: str, path: str) -> bool:
-    if not path.startswith(prefix):
-        return False
-    return prefix.endswith("/") or len(path) == len(prefix) or path[len(prefix)] == "/"
+def _list_matches(prefixes: dict[str, list[Route]], path: str) -> Iterator[Route]:
+    end = len(path)
+    while end >= 0:
+        for route in prefixes.get(path[:end], ()):
+            if path.startswith(route.path_prefix):
+                yield route
+        end = path.rfind("/", 0, end) if end else -1
 
 
 def _strip_port(host: str) -> str:
--- a/tests/standins/demo.py
+++ b/tests/standins/demo.py
@@ -5,6 +5,7 @@
 import signal
 import sys
 import tempfile
+import threading
 import tomllib
 from pathlib import Path
 
@@ -34,6 +35,9 @@
 
 
 def main() -> int:
+    interrupted = threading.Event()
+    for number in (signal.SIGINT, signal.SIGTERM):
+        signal.signal(number, lambda *_: interrupted.set())
     folder = Path(tempfile.mkdtemp(prefix="foxtaildrum-demo-"))
     instance = InstanceProcess(folder, "demo", access_log="false")
     processes = [instance]
@@ -52,7 +56,7 @@
             return 1
         print(f"\nserving callers on {base}, admin on http://{instance.admin_listen}")
         print(f"logs and state in {folder}; interrupt to stop", flush=True)
-        signal.sigwait({signal.SIGINT, signal.SIGTERM})
+        interrupted.wait()
         return 0
     finally:
         for process in reversed(processes):
@@ -60,5 +64,4 @@
 
 
 if __name__ == "__main__":
-    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGINT, signal.SIGTERM})
     sys.exit(main())
--- a/tests/standins/experiment.py
+++ b/tests/standins/experiment.py
@@ -1,6 +1,6 @@
 """Experiments on real processes: policies, loads and faults, as tables.
 
-Service times are six times those of the deployments, so that eight cores carry sixteen
+Service times are twelve times those of the deployments, so that eight cores carry sixteen
 instances; each instance's share of the traffic, in requests per service time, is kept.
 """
 
@@ -20,10 +20,10 @@
 
 from .processes import InstanceProcess, UpstreamProcess, pick_port, wait_until
 
-SERVICE_MS = 60.0
+SERVICE_MS = 120.0
 SLOW_FACTOR = 8.0
-SLOW_MS = 360.0
-SLOW_EVERY_MS = 10_000.0
+SLOW_MS = 720.0
+SLOW_EVERY_MS = 20_000.0
 NOISE = {
     "service_ms": SERVICE_MS,
     "slow_factor": SLOW_FACTOR,
@@ -112,8 +112,8 @@
     def compute_capacity(self) -> float:
         """Return requests a second at which every slot is busy."""
         slow_share = SLOW_MS / (SLOW_MS + SLOW_EVERY_MS)
-        mean_s = SERVICE_MS / 1000 * (1 + slow_share * (SLOW_FACTOR - 1))
-        return self.upstream_count * self.slots / mean_s
+        speed = 1 - slow_share * (1 - 1 / SLOW_FACTOR)
+        return self.upstream_count * self.slots * speed / (SERVICE_MS / 1000)
 
     def run_load(self, load: float, duration_s: float, seed: int = 1, **options: Any) -> dict:
         """Run open-loop load at a share of capacity and return what it saw."""
