Treat faded differences as ties; test the balancer

Cause: two reports faded to nothing still differed by 1e-14, so one upstream won every time; found by the new test that a report counts less as it ages. Change: scores within 0.05 slots are ties, broken at random.

--- a/src/foxtaildrum/policies.py
+++ b/src/foxtaildrum/policies.py
@@ -18,6 +18,7 @@
 FAILURE_FADE_S = 2.0
 REMOTE_ZONE_COST = 0.1
 MAX_LOAD_RATIO = 2.0
+TIE_MARGIN_SLOTS = 0.05
 
 _POLICIES: dict[str, Policy] = {}
 
@@ -134,7 +135,9 @@
     candidates: Sequence[UpstreamLoad], scores: list[float], rng: random.Random
 ) -> UpstreamLoad:
     lowest = min(scores)
-    ties = [c for c, score in zip(candidates, scores, strict=True) if score <= lowest]
+    # Differences this small are what is left of faded reports, not news.
+    limit = lowest + TIE_MARGIN_SLOTS
+    ties = [c for c, score in zip(candidates, scores, strict=True) if score <= limit]
     if len(ties) == 1:
         return ties[0]
     return ties[int(rng.random() * len(ties))]
--- /dev/null
+++ b/tests/test_balancer.py
@@ -0,0 +1,247 @@
+"""The balancer: slots, queue, ejection, ramp and the policies."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from foxtaildrum.balancer import EJECT_AFTER_FAILURES, RAMP_S, Balancer, Result, Ticket
+from foxtaildrum.budget import Budget
+from foxtaildrum.kinds import ErrorKind
+from foxtaildrum.policies import list_policies
+from foxtaildrum.records import Announcement, Pool
+from foxtaildrum.transport import parse_slots_in_use
+from foxtaildrum.upstreams import Entry
+
+FAR = 1e9
+NOBODY: frozenset[str] = frozenset()
+
+
+def build_entry(name: str, incarnation: int = 1, state: str = "ready", zone: str = "") -> Entry:
+    announcement = Announcement(
+        pool="p",
+        address="127.0.0.1:1",
+        slots=2,
+        incarnation=incarnation,
+        availability_zone=zone,
+    )
+    return Entry(name, announcement, state, "e1", 1, False, FAR)
+
+
+def build_balancer(
+    names: str = "abc", policy: str = "aged_load", queue_limit: int = 4
+) -> Balancer:
+    balancer = Balancer(Pool(name="p", policy=policy), "here", queue_limit, random.Random(1))
+    balancer.update_members(0.0, [build_entry(name) for name in names])
+    return balancer
+
+
+def ask(balancer: Balancer, now: float = 0.0, deadline: float = FAR, excluded=NOBODY) -> Ticket:
+    ticket = Ticket(deadline, excluded)
+    balancer.request_slot(now, ticket, may_wait=True)
+    return ticket
+
+
+def choose_often(balancer: Balancer, now: float, count: int = 200) -> list[str]:
+    chosen = []
+    for _ in range(count):
+        ticket = ask(balancer, now)
+        chosen.append(ticket.granted.upstream_id)
+        balancer.release(now, ticket.granted, Result.OK, 0.01)
+    return chosen
+
+
+@pytest.mark.parametrize("policy", list_policies())
+def test_every_policy_spreads_over_equal_upstreams(policy):
+    assert set(choose_often(build_balancer(policy=policy), 0.0)) == {"a", "b", "c"}
+
+
+@given(
+    st.lists(
+        st.sampled_from(["ask", "give", "fail", "shed", "gone", "back", "late"]), max_size=60
+    ),
+    st.sampled_from(list_policies()),
+    st.integers(0, 9),
+)
+def test_slots_are_never_exceeded_nor_lost(steps, policy, seed):
+    balancer = build_balancer(policy=policy)
+    rng = random.Random(seed)
+    held, waiting = [], []
+    now = 0.0
+    for step in steps:
+        now += 0.1
+        settled = []
+        if step == "ask":
+            ticket = ask(balancer, now, now + 1.0)
+            (held if ticket.granted else waiting).append(ticket)
+        elif step in ("give", "fail", "shed") and held:
+            ticket = held.pop(rng.randrange(len(held)))
+            result = {"give": Result.OK, "fail": Result.FAILED, "shed": Result.SHED}[step]
+            settled = balancer.release(now, ticket.granted, result, 0.01)
+        elif step == "gone":
+            settled = balancer.update_members(now, [build_entry("a")])
+        elif step == "back":
+            settled = balancer.update_members(now, [build_entry(n, 2) for n in "abc"])
+        elif step == "late":
+            now += 2.0
+            settled = balancer.serve_queue(now)
+        held += [t for t in settled if t.granted]
+        assert all(u.in_flight <= u.slots for u in balancer.upstreams.values())
+        assert balancer.in_flight == len(held)
+    for ticket in list(held):
+        held += [t for t in balancer.release(now, ticket.granted, Result.OK, 0.01) if t.granted]
+        held.remove(ticket)
+    for ticket in held:
+        balancer.release(now, ticket.granted, Result.OK, 0.01)
+    assert balancer.in_flight == 0
+
+
+def test_a_full_queue_and_a_near_deadline_are_refused_at_once():
+    balancer = build_balancer("a", queue_limit=1)
+    for _ in range(2):
+        assert ask(balancer).granted
+    assert ask(balancer, deadline=0.001).refused is ErrorKind.DEADLINE_UNREACHABLE
+    assert not ask(balancer).settled
+    assert ask(balancer).refused is ErrorKind.OVERLOADED
+
+
+def test_a_waiting_request_gets_the_next_slot():
+    balancer = build_balancer("a")
+    first = ask(balancer)
+    ask(balancer)
+    waiting = ask(balancer)
+    assert not waiting.settled
+    balancer.release(1.0, first.granted, Result.OK, 1.0)
+    assert waiting.granted is not None
+
+
+def test_a_waiting_request_is_refused_when_its_deadline_comes_near():
+    balancer = build_balancer("a")
+    for _ in range(2):
+        ask(balancer)
+    waiting = ask(balancer, deadline=1.0)
+    assert balancer.serve_queue(0.99) == [waiting]
+    assert waiting.refused is ErrorKind.DEADLINE_UNREACHABLE
+
+
+def test_a_pool_takes_no_more_threads_than_its_share():
+    balancer = build_balancer("abc")
+    balancer.busy_limit = 3
+    for _ in range(3):
+        assert ask(balancer).granted
+    assert ask(balancer).refused is ErrorKind.OVERLOADED
+
+
+def test_an_upstream_that_fails_fast_does_not_look_idle():
+    balancer = build_balancer("abc")
+    now = 0.0
+    failures = 0
+    for _ in range(300):
+        now += 0.01
+        ticket = ask(balancer, now)
+        failed = ticket.granted.upstream_id == "a"
+        failures += failed
+        result = Result.FAILED if failed else Result.OK
+        balancer.release(now, ticket.granted, result, 0.001 if failed else 0.05)
+    assert failures < 300 / 3 / 4
+
+
+def test_ejection_never_empties_the_pool():
+    balancer = build_balancer("ab")
+    for _ in range(4 * EJECT_AFTER_FAILURES):
+        ticket = ask(balancer, 0.0)
+        balancer.release(0.0, ticket.granted, Result.FAILED, 0.001)
+    assert ask(balancer, 0.0).granted
+
+
+def test_a_starting_upstream_gets_less_at_first():
+    balancer = build_balancer("ab")
+    balancer.update_members(1.0, [build_entry("a"), build_entry("b", incarnation=2)])
+    during = choose_often(balancer, 1.1).count("b")
+    after = choose_often(balancer, 1.0 + RAMP_S + 0.1).count("b")
+    assert during < after / 2
+
+
+def test_a_draining_upstream_gets_nothing_and_the_pool_says_so():
+    balancer = build_balancer("a")
+    balancer.update_members(1.0, [build_entry("a", state="draining")])
+    assert ask(balancer, 1.0).refused is ErrorKind.NO_UPSTREAM
+
+
+def test_a_retry_goes_back_only_when_there_is_no_other():
+    balancer = build_balancer("ab")
+    for _ in range(20):
+        ticket = ask(balancer, excluded=frozenset("a"))
+        assert ticket.granted.upstream_id == "b"
+        balancer.release(0.0, ticket.granted, Result.OK, 0.01)
+    assert ask(balancer, excluded=frozenset("ab")).granted
+
+
+def test_the_own_zone_comes_first_until_it_is_busier():
+    balancer = Balancer(Pool(name="p"), "here", 4, random.Random(1))
+    balancer.update_members(
+        0.0, [build_entry("near", zone="here"), build_entry("far", zone="there")]
+    )
+    assert set(choose_often(balancer, 0.0, 20)) == {"near"}
+    ask(balancer)
+    assert ask(balancer).granted.upstream_id == "far"
+
+
+def test_a_report_counts_less_as_it_ages():
+    balancer = build_balancer("ab")
+    for upstream in balancer.upstreams.values():
+        balancer.report_load(0.0, upstream, 0.0)
+    busy = balancer.upstreams["a"]
+    balancer.report_load(1.0, busy, 3.0)
+    assert set(choose_often(balancer, 1.0, 50)) == {"b"}
+    assert "a" in choose_often(balancer, 2.0, 50)
+
+
+def test_full_upstreams_hold_requests_back_until_news_is_old():
+    balancer = build_balancer("a")
+    for _ in range(200):
+        balancer.report_load(1.0, balancer.upstreams["a"], 40.0)
+    held = ask(balancer, 1.0)
+    assert not held.settled
+    balancer.serve_queue(60.0)
+    assert held.granted is not None
+
+
+@given(st.lists(st.tuples(st.booleans(), st.floats(0.01, 1.0)), max_size=100))
+def test_a_budget_spends_at_most_its_share(steps):
+    budget = Budget(0.1, 5.0)
+    earned = spent = 0.0
+    for earns, amount in steps:
+        if earns:
+            budget.earn(amount)
+            earned += amount
+        elif budget.spend(amount):
+            spent += amount
+    assert spent <= earned * 0.1 + 1e-9
+
+
+def test_a_budget_of_nothing_allows_nothing():
+    budget = Budget(0.0, 5.0, 5.0)
+    budget.earn(100.0)
+    assert not budget.spend(0.001)
+
+
+@pytest.mark.parametrize(
+    ("value", "expected"),
+    [
+        ('JSON {"named_metrics": {"slots_in_use": 3}}', 3.0),
+        ("TEXT cpu_utilization=0.3, named_metrics.slots_in_use=2.5", 2.5),
+        ("BIN abc", None),
+        ("JSON {", None),
+        ('JSON {"named_metrics": 3}', None),
+        ("TEXT named_metrics.slots_in_use=many", None),
+        ("TEXT named_metrics.slots_in_use=-1", None),
+        ("TEXT named_metrics.slots_in_use=nan", None),
+        ("", None),
+    ],
+)
+def test_load_reports_are_read_or_ignored(value, expected):
+    assert parse_slots_in_use([("Endpoint-Load-Metrics", value)]) == expected
