--- a/src/foxtaildrum/consensus.py
+++ b/src/foxtaildrum/consensus.py
@@ -15,22 +15,22 @@
 
 import msgpack
 
+from .entries import Entry, Saved
 from .events import (
     Action,
     Committed,
     Event,
     HandoverRequested,
-    Persist,
     Persisted,
     PersistFailed,
     Proposed,
     Received,
-    Rewrite,
     Send,
     Settled,
     StateReplaced,
     Tick,
 )
+from .gate import SyncGate
 from .records import (
     AppendReply,
     AppendRequest,
@@ -84,130 +84,6 @@
         """Replace the state by a captured one."""
 
 
-class Entry:
-    """One entry of the log."""
-
-    __slots__ = ("index", "kind", "payload", "term")
-
-    def __init__(self, index: int, term: int, kind: str, payload: Any) -> None:
-        self.index = index
-        self.term = term
-        self.kind = kind
-        self.payload = payload
-
-    def to_wire(self) -> list[Any]:
-        """Return the entry as a list that msgpack can encode."""
-        return [self.index, self.term, self.kind, self.payload]
-
-
-class Log:
-    """Entries after the last snapshot."""
-
-    __slots__ = ("_entries", "snapshot_index", "snapshot_term")
-
-    def __init__(self) -> None:
-        self._entries: list[Entry] = []
-        self.snapshot_index = 0
-        self.snapshot_term = 0
-
-    def __len__(self) -> int:
-        """Return the number of entries after the snapshot."""
-        return len(self._entries)
-
-    @property
-    def last_index(self) -> int:
-        """Index of the last entry."""
-        return self.snapshot_index + len(self._entries)
-
-    @property
-    def last_term(self) -> int:
-        """Term of the last entry."""
-        return self._entries[-1].term if self._entries else self.snapshot_term
-
-    def get_term(self, index: int) -> int | None:
-        """Return the term at ``index``, or None where it is not held."""
-        if index == self.snapshot_index:
-            return self.snapshot_term
-        if self.snapshot_index < index <= self.last_index:
-            return self.get(index).term
-        return None
-
-    def get(self, index: int) -> Entry:
-        """Return the entry at ``index``."""
-        return self._entries[index - self.snapshot_index - 1]
-
-    def list_from(self, index: int, limit: int) -> list[Entry]:
-        """Return up to ``limit`` entries from ``index`` on."""
-        start = index - self.snapshot_index - 1
-        return self._entries[start : start + limit]
-
-    def append(self, entry: Entry) -> None:
-        """Append one entry."""
-        self._entries.append(entry)
-
-    def cut(self, last_index: int) -> None:
-        """Drop every entry after ``last_index``."""
-        del self._entries[max(0, last_index - self.snapshot_index) :]
-
-    def compact(self, index: int, term: int) -> None:
-        """Drop entries up to ``index``, which a snapshot now holds."""
-        if index >= self.last_index:
-            self._entries = []
-        else:
-            self._entries = self._entries[index - self.snapshot_index :]
-        self.snapshot_index = index
-        self.snapshot_term = term
-
-
-class Saved:
-    """What the journal holds of one control instance.
-
-    Parameters
-    ----------
-    records : list
-        Decoded journal records; empty for a new disk.
-    """
-
-    def __init__(self, records: list[list[Any]]) -> None:
-        self.disk_id = ""
-        self.formed: dict[str, str] = {}
-        self.admitted: dict[str, str] = {}
-        self.term = 0
-        self.voted_for = ""
-        self.log = Log()
-        self.snapshot: bytes = b""
-        for kind, *fields in records:
-            getattr(self, f"_load_{kind}")(*fields)
-
-    def _load_batch(self, *records: list[Any]) -> None:
-        for kind, *fields in records:
-            getattr(self, f"_load_{kind}")(*fields)
-
-    def _load_disk(self, disk_id: str) -> None:
-        self.disk_id = disk_id
-
-    def _load_formed(self, disks: dict[str, str]) -> None:
-        self.formed = disks
-
-    def _load_admitted(self, disks: dict[str, str]) -> None:
-        self.admitted = disks
-
-    def _load_vote(self, term: int, voted_for: str) -> None:
-        self.term, self.voted_for = term, voted_for
-
-    def _load_entries(self, entries: list[list[Any]]) -> None:
-        for fields in entries:
-            entry = Entry(*fields)
-            if entry.index <= self.log.snapshot_index:
-                continue
-            self.log.cut(entry.index - 1)
-            self.log.append(entry)
-
-    def _load_snapshot(self, index: int, term: int, state: bytes) -> None:
-        self.log.compact(index, term)
-        self.snapshot = state
-
-
 class _Peer:
     """What the leader knows of another control instance."""
 
@@ -221,16 +97,6 @@
         self.confirmed_at = float("-inf")
 
 
-class _Write:
-    """A write whose sync is outstanding."""
-
-    __slots__ = ("last_index", "sends")
-
-    def __init__(self, last_index: int) -> None:
-        self.last_index = last_index
-        self.sends: list[Send] = []
-
-
 class Consensus:
     """One control instance's part in the replicated log.
 
@@ -276,11 +142,8 @@
         self._snapshot = saved.snapshot
         self._rng = rng
         self._synced_index = self.log.last_index
-        self._token = 0
-        self._writes: dict[int, _Write] = {}
-        self._batch: list[list[Any]] = []
+        self._gate = SyncGate()
         self._rewrite = False
-        self._gated: list[Send] = []
         self._out: list[Action] = []
         self._probed: dict[str, str] = {}
         self._peers: dict[str, _Peer] = {}
@@ -353,10 +216,10 @@
             handler(self, now, event.peer_id, event.message)
 
     def _on_persisted(self, now: float, event: Persisted) -> None:
-        write = self._writes.pop(event.token, None)
+        write = self._gate.take_synced(event.token)
         if write is None:
             return
-        self._synced_index = max(self._synced_index, write.last_index)
+        self._synced_index = max(self._synced_index, write.marker)
         self._out.extend(write.sends)
         if self.role is Role.LEADER:
             self._advance_commit(now)
@@ -365,9 +228,7 @@
         self._leave_leadership()
         self.role = Role.FAILED
         self.leader_id = ""
-        self._writes.clear()
-        self._gated.clear()
-        self._batch.clear()
+        self._gate.clear()
         self._rewrite = False
 
     def _on_proposed(self, now: float, event: Proposed) -> None:
@@ -461,7 +322,8 @@
             last_term=self.log.last_term,
             pre=pre,
         )
-        self._gated.extend(Send(p, request) for p in self.others)
+        for peer in self.others:
+            self._gate.hold(Send(peer, request))
         self._count_votes(now)
 
     def _count_votes(self, now: float) -> None:
@@ -500,7 +362,7 @@
 
     def _reply_vote(self, peer: str, term: int, granted: bool, pre: bool) -> None:
         reply = VoteReply(term=term, granted=granted, pre=pre, disk_id=self.disk_id)
-        self._gated.append(Send(peer, reply))
+        self._gate.hold(Send(peer, reply))
 
     def _is_up_to_date(self, message: VoteRequest) -> bool:
         mine = (self.log.last_term, self.log.last_index)
@@ -743,8 +605,8 @@
             return
         self.log.cut(last_index)
         self._synced_index = min(self._synced_index, last_index)
-        for write in self._writes.values():
-            write.last_index = min(write.last_index, last_index)
+        for write in self._gate.writes.values():
+            write.marker = min(write.marker, last_index)
 
     def _reply_append(
         self, peer: str, message: AppendRequest, matched: bool, index: int
@@ -756,7 +618,7 @@
             sent_at=message.sent_at,
             disk_id=self.disk_id,
         )
-        self._gated.append(Send(peer, reply))
+        self._gate.hold(Send(peer, reply))
 
     def _on_snapshot_piece(self, now: float, peer: str, message: SnapshotPiece) -> None:
         if not self._accept_leader(now, peer, message.term):
@@ -784,7 +646,7 @@
             sent_at=message.sent_at,
             disk_id=self.disk_id,
         )
-        self._gated.append(Send(peer, reply))
+        self._gate.hold(Send(peer, reply))
 
     def _reply_snapshot(self, peer: str, message: SnapshotPiece, offset: int) -> None:
         reply = SnapshotReply(
@@ -794,7 +656,7 @@
             sent_at=message.sent_at,
             disk_id=self.disk_id,
         )
-        self._gated.append(Send(peer, reply))
+        self._gate.hold(Send(peer, reply))
 
     def _install_snapshot(self, message: SnapshotPiece) -> None:
         self._snapshot = bytes(self._incoming)
@@ -853,7 +715,7 @@
         self._rewrite = True
 
     def _persist(self, record: list[Any]) -> None:
-        self._batch.append(record)
+        self._gate.add_record(record)
 
     def _list_journal(self) -> list[list[Any]]:
         records: list[list[Any]] = [["disk", self.disk_id], ["formed", self._formed]]
@@ -870,26 +732,9 @@
 
     def _flush(self) -> list[Action]:
         out, self._out = self._out, []
-        if self._batch or self._rewrite:
-            out.append(self._build_write())
-        if self._gated:
-            gated, self._gated = self._gated, []
-            if self._writes:
-                self._writes[max(self._writes)].sends.extend(gated)
-            else:
-                out.extend(gated)
-        return out
-
-    def _build_write(self) -> Persist | Rewrite:
-        self._token += 1
-        self._writes[self._token] = _Write(self.log.last_index)
-        if self._rewrite:
-            action: Persist | Rewrite = Rewrite(self._token, self._list_journal())
-        else:
-            action = Persist(self._token, ["batch", *self._batch])
+        rewritten = self._list_journal() if self._rewrite else None
         self._rewrite = False
-        self._batch = []
-        return action
+        return out + self._gate.flush(self.log.last_index, rewritten)
 
 
 _HANDLERS = {
--- /dev/null
+++ b/src/foxtaildrum/entries.py
@@ -0,0 +1,129 @@
+"""Entries of the replicated log and what the journal holds of it."""
+
+from __future__ import annotations
+
+from typing import Any
+
+
+class Entry:
+    """One entry of the log."""
+
+    __slots__ = ("index", "kind", "payload", "term")
+
+    def __init__(self, index: int, term: int, kind: str, payload: Any) -> None:
+        self.index = index
+        self.term = term
+        self.kind = kind
+        self.payload = payload
+
+    def to_wire(self) -> list[Any]:
+        """Return the entry as a list that msgpack can encode."""
+        return [self.index, self.term, self.kind, self.payload]
+
+
+class Log:
+    """Entries after the last snapshot."""
+
+    __slots__ = ("_entries", "snapshot_index", "snapshot_term")
+
+    def __init__(self) -> None:
+        self._entries: list[Entry] = []
+        self.snapshot_index = 0
+        self.snapshot_term = 0
+
+    def __len__(self) -> int:
+        """Return the number of entries after the snapshot."""
+        return len(self._entries)
+
+    @property
+    def last_index(self) -> int:
+        """Index of the last entry."""
+        return self.snapshot_index + len(self._entries)
+
+    @property
+    def last_term(self) -> int:
+        """Term of the last entry."""
+        return self._entries[-1].term if self._entries else self.snapshot_term
+
+    def get_term(self, index: int) -> int | None:
+        """Return the term at ``index``, or None where it is not held."""
+        if index == self.snapshot_index:
+            return self.snapshot_term
+        if self.snapshot_index < index <= self.last_index:
+            return self.get(index).term
+        return None
+
+    def get(self, index: int) -> Entry:
+        """Return the entry at ``index``."""
+        return self._entries[index - self.snapshot_index - 1]
+
+    def list_from(self, index: int, limit: int) -> list[Entry]:
+        """Return up to ``limit`` entries from ``index`` on."""
+        start = index - self.snapshot_index - 1
+        return self._entries[start : start + limit]
+
+    def append(self, entry: Entry) -> None:
+        """Append one entry."""
+        self._entries.append(entry)
+
+    def cut(self, last_index: int) -> None:
+        """Drop every entry after ``last_index``."""
+        del self._entries[max(0, last_index - self.snapshot_index) :]
+
+    def compact(self, index: int, term: int) -> None:
+        """Drop entries up to ``index``, which a snapshot now holds."""
+        if index >= self.last_index:
+            self._entries = []
+        else:
+            self._entries = self._entries[index - self.snapshot_index :]
+        self.snapshot_index = index
+        self.snapshot_term = term
+
+
+class Saved:
+    """What the journal holds of one control instance.
+
+    Parameters
+    ----------
+    records : list
+        Decoded journal records; empty for a new disk.
+    """
+
+    def __init__(self, records: list[list[Any]]) -> None:
+        self.disk_id = ""
+        self.formed: dict[str, str] = {}
+        self.admitted: dict[str, str] = {}
+        self.term = 0
+        self.voted_for = ""
+        self.log = Log()
+        self.snapshot: bytes = b""
+        for kind, *fields in records:
+            getattr(self, f"_load_{kind}")(*fields)
+
+    def _load_batch(self, *records: list[Any]) -> None:
+        for kind, *fields in records:
+            getattr(self, f"_load_{kind}")(*fields)
+
+    def _load_disk(self, disk_id: str) -> None:
+        self.disk_id = disk_id
+
+    def _load_formed(self, disks: dict[str, str]) -> None:
+        self.formed = disks
+
+    def _load_admitted(self, disks: dict[str, str]) -> None:
+        self.admitted = disks
+
+    def _load_vote(self, term: int, voted_for: str) -> None:
+        self.term, self.voted_for = term, voted_for
+
+    def _load_entries(self, entries: list[list[Any]]) -> None:
+        for fields in entries:
+            entry = Entry(*fields)
+            if entry.index <= self.log.snapshot_index:
+                continue
+            self.log.cut(entry.index - 1)
+            self.log.append(entry)
+
+    def _load_snapshot(self, index: int, term: int, state: bytes) -> None:
+        self.log.compact(index, term)
+        self.snapshot = state
--- /dev/null
+++ b/src/foxtaildrum/holder.py
@@ -0,0 +1,247 @@
+"""Holder of claims on the disk of one control instance, without I/O."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from .claims import RETENTION_S, Claim, Verdict
+from .events import Persist, Rewrite, Send
+from .gate import SyncGate
+from .records import (
+    ClaimBatch,
+    ClaimFetch,
+    ClaimFinish,
+    ClaimFinished,
+    ClaimRelease,
+    ClaimReply,
+    ClaimRequest,
+)
+
+MAX_CLAIMS = 100_000
+RECOVERY_WAIT_S = 5.0
+FETCH_PERIOD_S = 0.5
+BATCH_CLAIMS = 64
+RUN_MARGIN_S = 2.0
+SWEEP_PERIOD_S = 10.0
+COMPACT_RECORDS = 50_000
+
+
+class ClaimHolder:
+    """Holds claims on the disk of one control instance.
+
+    Parameters
+    ----------
+    members : list of str
+        Every control instance.
+    records : list
+        Decoded journal records.
+    now : float
+        Present time in seconds.
+    """
+
+    def __init__(
+        self, instance_id: str, members: list[str], disk_id: str, records: list[Any], now: float
+    ) -> None:
+        self.others = [m for m in members if m != instance_id]
+        self.needed_reads = len(members) - (len(members) // 2 + 1) + 1 if self.others else 0
+        self.disk_id = disk_id
+        self.recovered = False
+        self.failed = False
+        self.claims: dict[str, Claim] = {}
+        self._record_count = 0
+        self._gate = SyncGate()
+        self._started_at = now
+        self._fetch_at = now + RECOVERY_WAIT_S
+        self._sweep_at = now
+        self._cursors: dict[str, str] = {}
+        self._read: set[str] = set()
+        self._now = now
+        for record in records:
+            self._load(record)
+
+    def take_first_formation(self) -> list[Persist | Rewrite | Send]:
+        """Begin with no claims in a group that has just formed on new disks."""
+        if self.recovered:
+            return []
+        self._mark_recovered()
+        return self._flush()
+
+    def tick(self, now: float) -> list[Persist | Rewrite | Send]:
+        """Forget old claims and go on reading after a lost disk."""
+        if self.failed:
+            return []
+        if now >= self._sweep_at:
+            self._sweep_at = now + SWEEP_PERIOD_S
+            self._sweep(now)
+        out: list[Any] = []
+        if not self.recovered and not self.others:
+            self._mark_recovered()
+        if not self.recovered and now >= self._fetch_at:
+            self._fetch_at = now + FETCH_PERIOD_S
+            out += [self._fetch(peer) for peer in self.others if peer not in self._read]
+        return out + self._flush()
+
+    def take_request(
+        self, now: float, peer: str, message: ClaimRequest
+    ) -> list[Persist | Rewrite | Send]:
+        """Record a claim or tell who has it."""
+        verdict = self._judge_request(now, message)
+        known = self.claims.get(message.key)
+        reply = ClaimReply(
+            key=message.key,
+            claim_id=message.claim_id,
+            verdict=verdict.value,
+            status=0,
+            headers=[],
+            body=b"",
+        )
+        if verdict is Verdict.DONE and known is not None:
+            reply.status = known.status
+            reply.headers = known.headers
+            reply.body = known.body
+        self._gate.hold(Send(peer, reply))
+        return self._flush()
+
+    def take_finish(
+        self, now: float, peer: str, message: ClaimFinish
+    ) -> list[Persist | Rewrite | Send]:
+        """Store the answer to a claimed request."""
+        if self.failed or not self.recovered:
+            return []
+        known = self.claims.get(message.key)
+        if known is None:
+            if len(self.claims) >= MAX_CLAIMS:
+                return []
+            known = Claim(message.key, message.claim_id, message.digest, now, now + RETENTION_S)
+            self.claims[message.key] = known
+        if known.claim_id == message.claim_id and not known.status:
+            known.status = message.status
+            known.headers = message.headers
+            known.body = message.body
+            self._persist(["claim", known.to_wire()])
+        done = ClaimFinished(key=message.key, claim_id=message.claim_id)
+        self._gate.hold(Send(peer, done))
+        return self._flush()
+
+    def take_release(
+        self, now: float, peer: str, message: ClaimRelease
+    ) -> list[Persist | Rewrite | Send]:
+        """Forget a claim whose request was not run."""
+        known = self.claims.get(message.key)
+        if self.failed or known is None or known.claim_id != message.claim_id:
+            return []
+        if known.status is None:
+            del self.claims[message.key]
+            self._persist(["release", message.key])
+        return self._flush()
+
+    def take_fetch(self, peer: str, message: ClaimFetch) -> list[Send]:
+        """Give claims to a holder that lost its disk."""
+        if self.failed or not self.recovered:
+            return []
+        keys = sorted(key for key in self.claims if key > message.after)[:BATCH_CLAIMS]
+        batch = ClaimBatch(
+            claims=[self.claims[key].to_wire() for key in keys],
+            final=len(keys) < BATCH_CLAIMS,
+            disk_id=message.disk_id,
+        )
+        return [Send(peer, batch)]
+
+    def take_batch(
+        self, now: float, peer: str, message: ClaimBatch
+    ) -> list[Persist | Rewrite | Send]:
+        """Take claims that another holder gave."""
+        if self.recovered or self.failed or message.disk_id != self.disk_id:
+            return []
+        for fields in message.claims:
+            claim = Claim.from_wire(now, fields)
+            known = self.claims.get(claim.key)
+            if known is None or (known.status is None and claim.status is not None):
+                self.claims[claim.key] = claim
+                self._persist(["claim", claim.to_wire()])
+            self._cursors[peer] = max(self._cursors.get(peer, ""), claim.key)
+        out: list[Any] = []
+        if message.final:
+            self._read.add(peer)
+        else:
+            out.append(self._fetch(peer))
+        if len(self._read) >= self.needed_reads:
+            self._mark_recovered()
+        return out + self._flush()
+
+    def take_persisted(self, token: int) -> list[Send]:
+        """Release what waited for a sync."""
+        write = self._gate.take_synced(token)
+        return write.sends if write is not None else []
+
+    def take_persist_failed(self) -> None:
+        """Stop holding claims; nothing unsynced was told to anyone."""
+        self.failed = True
+        self._gate.clear()
+
+    def _judge_request(self, now: float, message: ClaimRequest) -> Verdict:
+        if self.failed or not self.recovered:
+            return Verdict.UNAVAILABLE
+        known = self.claims.get(message.key)
+        if known is None:
+            return self._record(now, message)
+        if known.claim_id == message.claim_id and known.status is None:
+            return Verdict.GRANTED
+        if known.digest != message.digest:
+            return Verdict.REUSED
+        return known.judge(now)
+
+    def _record(self, now: float, message: ClaimRequest) -> Verdict:
+        if len(self.claims) >= MAX_CLAIMS:
+            return Verdict.UNAVAILABLE
+        run_until = now + message.left_s + RUN_MARGIN_S
+        claim = Claim(
+            message.key, message.claim_id, message.digest, run_until, now + RETENTION_S
+        )
+        self.claims[message.key] = claim
+        self._persist(["claim", claim.to_wire()])
+        return Verdict.GRANTED
+
+    def _fetch(self, peer: str) -> Send:
+        after = self._cursors.get(peer, "")
+        return Send(peer, ClaimFetch(after=after, disk_id=self.disk_id))
+
+    def _mark_recovered(self) -> None:
+        self.recovered = True
+        self._persist(["recovered"])
+
+    def _sweep(self, now: float) -> None:
+        for key in [k for k, c in self.claims.items() if c.expires_at <= now]:
+            del self.claims[key]
+            self._persist(["release", key])
+
+    def _load(self, record: list[Any]) -> None:
+        kind, *fields = record
+        self._record_count += 1
+        if kind == "batch":
+            for item in fields:
+                self._load(item)
+        elif kind == "claim":
+            claim = Claim.from_wire(self._now, fields[0])
+            self.claims[claim.key] = claim
+        elif kind == "release":
+            self.claims.pop(fields[0], None)
+        elif kind == "recovered":
+            self.recovered = True
+
+    def _persist(self, record: list[Any]) -> None:
+        self._gate.add_record(record)
+
+    def _flush(self) -> list[Persist | Rewrite | Send]:
+        self._record_count += self._gate.count_records()
+        rewritten = None
+        if self._record_count > COMPACT_RECORDS + 2 * len(self.claims):
+            rewritten = self._list_journal()
+            self._record_count = len(rewritten)
+        return self._gate.flush(self._record_count, rewritten)
+
+    def _list_journal(self) -> list[list[Any]]:
+        records: list[list[Any]] = [["claim", c.to_wire()] for c in self.claims.values()]
+        if self.recovered:
+            records.append(["recovered"])
+        return records
--- a/src/foxtaildrum/idempotency.py
+++ b/src/foxtaildrum/idempotency.py
@@ -5,11 +5,12 @@
 import hashlib
 from typing import IO, Protocol
 
-from .claims import MAX_STORED_BODY_BYTES, ClaimOutcome
+from .claims import ClaimOutcome
 from .dispatch import Refusal, UpstreamAnswer
 from .kinds import Outcome
 from .transport import CHUNK_BYTES
 
+MAX_STORED_BODY_BYTES = 65_536
 UNKNOWN_STATUS = 0
 
 
--- a/src/foxtaildrum/instance.py
+++ b/src/foxtaildrum/instance.py
@@ -13,7 +13,7 @@
 import pykka
 
 from .admin import Admin
-from .consensus import Saved
+from .entries import Saved
 from .events import Received
 from .journal import FolderDisk, Journal
 from .logs import log_event
--- a/src/foxtaildrum/node.py
+++ b/src/foxtaildrum/node.py
@@ -9,12 +9,9 @@
 from typing import Any
 
 from . import records as r
-from .claims import (
-    Claimer,
-    ClaimHolder,
-    ClaimSettled,
-)
-from .consensus import Consensus, Role, Saved, Unsettled
+from .claimer import Claimer, ClaimSettled
+from .consensus import Consensus, Role, Unsettled
+from .entries import Saved
 from .events import (
     Committed,
     HandoverRequested,
@@ -31,6 +28,7 @@
 )
 from .exceptions import FrameError, InvalidTableError, StaleAnnouncementError
 from .follower import CHANGE, Follower, TableState
+from .holder import ClaimHolder
 from .membership import Knowledge, Member, Membership, MemberState
 from .node_api import ChangeAnswer
 from .tables import Change, ChangeResult, Patch, check_table
--- a/src/foxtaildrum/runtime.py
+++ b/src/foxtaildrum/runtime.py
@@ -12,7 +12,8 @@
 import msgpack
 import pykka
 
-from .claims import ClaimOutcome, ClaimSettled, Verdict, compute_claim_key
+from .claimer import ClaimSettled
+from .claims import ClaimOutcome, Verdict, compute_claim_key
 from .dispatch import Refusal, UpstreamAnswer
 from .events import Received, Send
 from .exceptions import FrameError
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -13,7 +13,8 @@
 
 import msgpack
 
-from foxtaildrum.claims import ClaimOutcome, ClaimSettled, Verdict
+from foxtaildrum.claimer import ClaimSettled
+from foxtaildrum.claims import ClaimOutcome, Verdict
 from foxtaildrum.consensus import Role
 from foxtaildrum.events import Send
 from foxtaildrum.exceptions import FrameError
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from foxtaildrum import claims
+from foxtaildrum import holder
 from foxtaildrum.claims import Verdict, compute_claim_key
 
 from .fleet import Fleet, form_fleet
@@ -104,7 +104,7 @@
 
 
 def test_claims_are_forgotten_after_the_time_of_retention(monkeypatch):
-    monkeypatch.setattr(claims, "RETENTION_S", 60.0)
+    monkeypatch.setattr(holder, "RETENTION_S", 60.0)
     fleet = form_fleet()
     claim(fleet, "e1", "one")
     fleet.run(120.0)
@@ -112,7 +112,7 @@
 
 
 def test_a_full_holder_refuses_instead_of_forgetting(monkeypatch):
-    monkeypatch.setattr(claims, "MAX_CLAIMS", 2)
+    monkeypatch.setattr(holder, "MAX_CLAIMS", 2)
     fleet = form_fleet()
     assert claim(fleet, "e1", "one", "k1") is Verdict.GRANTED
     assert claim(fleet, "e1", "two", "k2") is Verdict.GRANTED
@@ -120,7 +120,7 @@
 
 
 def test_the_journal_of_claims_stays_bounded(monkeypatch):
-    monkeypatch.setattr(claims, "COMPACT_RECORDS", 10)
+    monkeypatch.setattr(holder, "COMPACT_RECORDS", 10)
     fleet = form_fleet()
     for number in range(30):
         claim(fleet, "e1", f"c{number}", f"k{number}")
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -6,7 +6,8 @@
 
 import pytest
 
-from foxtaildrum.consensus import COMPACT_ENTRIES, Consensus, Role, Saved
+from foxtaildrum.consensus import COMPACT_ENTRIES, Consensus, Role
+from foxtaildrum.entries import Saved
 from foxtaildrum.events import Persist, Persisted, PersistFailed, Received, Send
 from foxtaildrum.follower import TableState
 from foxtaildrum.records import AppendReply, AppendRequest, VoteReply, VoteRequest
