--- /dev/null
+++ b/src/foxtaildrum/access.py
@@ -0,0 +1,157 @@
+"""The node as request threads and the admin interface reach it."""
+
+from __future__ import annotations
+
+import uuid
+from collections.abc import Callable
+from typing import Any
+
+import pykka
+
+from .claims import ClaimOutcome, Verdict, compute_claim_key
+from .dispatch import Refusal, UpstreamAnswer
+from .idempotency import StoredAnswer
+from .logs import log_event
+from .metrics import Meter
+from .node import Node
+from .node_api import ChangeAnswer
+from .pools import read_clock
+from .proxy import Proxy
+from .records import Announcement, ClaimFinish, Settings
+from .status import describe_node, describe_pool
+from .tables import Change
+
+ANSWER_TIMEOUT_S = 10.0
+CLAIM_ANSWER_TIMEOUT_S = 3.0
+
+
+class NodeClaims:
+    """Claims for request threads, made by the node.
+
+    Parameters
+    ----------
+    node : ActorProxy
+        Proxy of the node's actor.
+    """
+
+    def __init__(self, node: pykka.ActorProxy) -> None:
+        self._node = node
+
+    def claim(self, key: str, digest: str, left_s: float) -> tuple[NodeClaim, ClaimOutcome]:
+        """Claim an idempotency key and wait for the decision."""
+        claim_id = uuid.uuid4().hex
+        claim_key = compute_claim_key(key)
+        future = pykka.ThreadingFuture()
+        self._node.claim.defer(claim_id, claim_key, digest, left_s, future)
+        claimed = NodeClaim(self._node, claim_key, claim_id, digest)
+        try:
+            return claimed, future.get(timeout=CLAIM_ANSWER_TIMEOUT_S)
+        except pykka.Timeout:
+            self._node.release_claim.defer(claim_key, claim_id)
+            return claimed, ClaimOutcome(Verdict.UNAVAILABLE)
+
+
+class NodeClaim:
+    """A claim that the node made for one request."""
+
+    __slots__ = ("_claim_id", "_digest", "_key", "_node")
+
+    def __init__(self, node: pykka.ActorProxy, key: str, claim_id: str, digest: str) -> None:
+        self._node = node
+        self._key = key
+        self._claim_id = claim_id
+        self._digest = digest
+
+    def settle(self, result: Refusal | UpstreamAnswer) -> None:
+        """Give the claim back or store the answer."""
+        stored = StoredAnswer.from_result(result)
+        if stored is None:
+            self._node.release_claim.defer(self._key, self._claim_id)
+            return
+        message = ClaimFinish(
+            key=self._key,
+            claim_id=self._claim_id,
+            digest=self._digest,
+            status=stored.status,
+            headers=[list(pair) for pair in stored.headers],
+            body=stored.body,
+        )
+        done = pykka.ThreadingFuture()
+        self._node.finish_claim.defer(message, done)
+        try:
+            done.get(timeout=CLAIM_ANSWER_TIMEOUT_S)
+        except pykka.Timeout:
+            log_event("claim_not_stored", claim=self._claim_id)
+
+
+class NodeAccess:
+    """Node as the admin interface sees it.
+
+    Parameters
+    ----------
+    node : ActorProxy
+        Proxy of the node's actor.
+    meter : Meter
+        Counts of the instance.
+    proxy : Proxy
+        Holds the view in force.
+    settings : Settings
+        Settings of the instance.
+    """
+
+    def __init__(
+        self, node: pykka.ActorProxy, meter: Meter, proxy: Proxy, settings: Settings
+    ) -> None:
+        self._node = node
+        self._meter = meter
+        self._proxy = proxy
+        self._settings = settings
+        self.listens_to_callers = settings.role != "control"
+
+    def list_unready_reasons(self) -> list[str]:
+        """Return why callers should not be sent here; empty when ready."""
+        return self._read(Node.list_unready_reasons)
+
+    def describe_status(self) -> dict[str, Any]:
+        """Return the status document."""
+        now = read_clock()
+        document = self._read(describe_node)
+        document["counters"] = self._meter.describe_counters()
+        document["latency_ms"] = self._meter.describe_latencies(now)
+        document["pools"] = [
+            describe_pool(now, pool) for pool in self._proxy.view.pools.values()
+        ]
+        return document
+
+    def describe_levels(self) -> list[dict[str, Any]]:
+        """Return the service level of each route."""
+        return self._meter.describe_levels(read_clock())
+
+    def get_table(self, name: str) -> tuple[list[dict[str, Any]], int, bool]:
+        """Return the rows, the version and whether they are known to be current."""
+        return self._read(lambda node, now: _read_table(node, now, name))
+
+    def change_table(self, change: Change) -> ChangeAnswer:
+        """Propose a change and wait for its answer."""
+        answer = pykka.ThreadingFuture()
+        self._node.propose.defer(change, answer)
+        try:
+            return answer.get(timeout=ANSWER_TIMEOUT_S)
+        except pykka.Timeout:
+            return ChangeAnswer("unknown", 0, detail="The change was not answered in time")
+
+    def announce(self, upstream_id: str, announcement: Announcement) -> str:
+        """Take an announcement; return the reason of a refusal or an empty text."""
+        return self._node.announce(upstream_id, announcement).get(timeout=ANSWER_TIMEOUT_S)
+
+    def leave(self, upstream_id: str) -> bool:
+        """Take an upstream out; return whether it was known."""
+        return self._node.leave_upstream(upstream_id).get(timeout=ANSWER_TIMEOUT_S)
+
+    def _read(self, function: Callable[[Node, float], Any]) -> Any:
+        return self._node.read(function).get(timeout=ANSWER_TIMEOUT_S)
+
+
+def _read_table(node: Node, now: float, name: str) -> tuple[list[dict[str, Any]], int, bool]:
+    table = node.state.tables.tables[name]
+    return table.list_rows(), table.version, node.is_current(now)
--- /dev/null
+++ b/src/foxtaildrum/connections.py
@@ -0,0 +1,68 @@
+"""Idle connections to upstreams."""
+
+from __future__ import annotations
+
+import threading
+
+from .transport import Adapter, Connection, has_input
+
+MAX_IDLE_S = 30.0
+MAX_IDLE_UNREPEATABLE_S = 1.0
+MAX_IDLE_CONNECTIONS = 64
+
+
+class ConnectionPool:
+    """Idle connections to one address, the last used first.
+
+    Parameters
+    ----------
+    address : str
+        ``IP:PORT`` of the upstream.
+    open_connection : Adapter
+        Opens a connection to the address.
+    """
+
+    __slots__ = ("_address", "_idle", "_lock", "_open")
+
+    def __init__(self, address: str, open_connection: Adapter) -> None:
+        self._address = address
+        self._open = open_connection
+        self._idle: list[tuple[float, Connection]] = []
+        self._lock = threading.Lock()
+
+    def take(self, now: float, timeout_s: float, repeatable: bool) -> Connection:
+        """Return an idle connection or open one.
+
+        A request that may not be repeated takes only a connection that was in use
+        a moment ago: on an older one the upstream's close may be under way.
+
+        Raises
+        ------
+        TransportError
+            When no connection can be opened.
+        """
+        max_idle_s = MAX_IDLE_S if repeatable else MAX_IDLE_UNREPEATABLE_S
+        while True:
+            with self._lock:
+                if not self._idle:
+                    break
+                returned_at, connection = self._idle.pop()
+            if now - returned_at <= max_idle_s and not has_input(connection.fileno()):
+                return connection
+            connection.close()
+        return self._open(self._address, timeout_s)
+
+    def give(self, now: float, connection: Connection) -> None:
+        """Keep a connection whose last answer was read to its end."""
+        with self._lock:
+            if len(self._idle) < MAX_IDLE_CONNECTIONS:
+                self._idle.append((now, connection))
+                return
+        connection.close()
+
+    def close(self) -> None:
+        """Close every idle connection."""
+        with self._lock:
+            idle, self._idle = self._idle, []
+        for _, connection in idle:
+            connection.close()
--- a/src/foxtaildrum/dispatch.py
+++ b/src/foxtaildrum/dispatch.py
@@ -8,9 +8,11 @@
 from collections.abc import Callable, Iterator
 from typing import IO
 
-from . import exchange as x
+from . import steps as x
 from .balancer import Result, Ticket, UpstreamLoad
+from .exchange import Exchange
 from .kinds import ErrorKind, Outcome
+from .loads import parse_slots_in_use
 from .pools import UpstreamPool, read_clock
 from .transport import (
     CHUNK_BYTES,
@@ -18,7 +20,6 @@
     Head,
     OutgoingRequest,
     TransportError,
-    parse_slots_in_use,
 )
 
 CONNECT_TIMEOUT_S = 1.0
@@ -152,7 +153,7 @@
 
     def __init__(
         self,
-        exchange: x.Exchange,
+        exchange: Exchange,
         pool: UpstreamPool,
         request: OutgoingRequest,
         caller_left: Callable[[], bool],
--- a/src/foxtaildrum/instance.py
+++ b/src/foxtaildrum/instance.py
@@ -12,6 +12,7 @@
 import msgpack
 import pykka
 
+from .access import NodeAccess, NodeClaims
 from .admin import Admin
 from .entries import Saved
 from .events import Received
@@ -24,16 +25,11 @@
 from .pools import read_clock
 from .proxy import Proxy
 from .records import Settings
-from .runtime import (
-    NodeAccess,
-    NodeActor,
-    NodeClaims,
-    StorageActor,
-    Ticker,
-    ViewPublisher,
-)
+from .runtime import NodeActor, Ticker
 from .server import HttpServer
 from .settings import parse_control, read_secret
+from .storage import StorageActor
+from .views import ViewPublisher
 
 ADMIN_THREADS = 8
 ADMIN_MAX_BODY_BYTES = 4 * 1024 * 1024
--- a/src/foxtaildrum/pools.py
+++ b/src/foxtaildrum/pools.py
@@ -8,11 +8,12 @@
 from collections.abc import Callable, Iterable
 
 from .balancer import Balancer, Result, Ticket, UpstreamLoad
+from .connections import ConnectionPool
 from .exchange import Allowance
 from .kinds import ErrorKind
 from .latency import RecentLatency
 from .records import Pool
-from .transport import Adapter, ConnectionPool
+from .transport import Adapter
 from .upstreams import DRAINING, Entry
 
 HEDGE_PERCENTILE = 95.0
--- a/src/foxtaildrum/transport.py
+++ b/src/foxtaildrum/transport.py
@@ -3,11 +3,9 @@
 from __future__ import annotations
 
 import http.client
-import json
 import select
 import socket
-import threading
-from collections.abc import Callable, Iterator, Mapping
+from collections.abc import Callable, Iterator
 from typing import IO, Protocol
 
 import urllib3
@@ -18,9 +16,6 @@
 from .settings import parse_address
 
 CHUNK_BYTES = 65536
-MAX_IDLE_S = 30.0
-MAX_IDLE_UNREPEATABLE_S = 1.0
-MAX_IDLE_CONNECTIONS = 64
 BODYLESS_STATUSES = frozenset({204, 304})
 HOP_BY_HOP = frozenset(
     {
@@ -144,63 +139,6 @@
     return _ADAPTERS[scheme]
 
 
-class ConnectionPool:
-    """Idle connections to one address, the last used first.
-
-    Parameters
-    ----------
-    address : str
-        ``IP:PORT`` of the upstream.
-    open_connection : Adapter
-        Opens a connection to the address.
-    """
-
-    __slots__ = ("_address", "_idle", "_lock", "_open")
-
-    def __init__(self, address: str, open_connection: Adapter) -> None:
-        self._address = address
-        self._open = open_connection
-        self._idle: list[tuple[float, Connection]] = []
-        self._lock = threading.Lock()
-
-    def take(self, now: float, timeout_s: float, repeatable: bool) -> Connection:
-        """Return an idle connection or open one.
-
-        A request that may not be repeated takes only a connection that was in use
-        a moment ago: on an older one the upstream's close may be under way.
-
-        Raises
-        ------
-        TransportError
-            When no connection can be opened.
-        """
-        max_idle_s = MAX_IDLE_S if repeatable else MAX_IDLE_UNREPEATABLE_S
-        while True:
-            with self._lock:
-                if not self._idle:
-                    break
-                returned_at, connection = self._idle.pop()
-            if now - returned_at <= max_idle_s and not has_input(connection.fileno()):
-                return connection
-            connection.close()
-        return self._open(self._address, timeout_s)
-
-    def give(self, now: float, connection: Connection) -> None:
-        """Keep a connection whose last answer was read to its end."""
-        with self._lock:
-            if len(self._idle) < MAX_IDLE_CONNECTIONS:
-                self._idle.append((now, connection))
-                return
-        connection.close()
-
-    def close(self) -> None:
-        """Close every idle connection."""
-        with self._lock:
-            idle, self._idle = self._idle, []
-        for _, connection in idle:
-            connection.close()
-
-
 def has_input(fileno: int) -> bool:
     """Return whether a socket has bytes or an end of file to read."""
     poll = select.poll()
@@ -388,39 +326,6 @@
     return Urllib3Connection(address, timeout_s)
 
 
-def parse_slots_in_use(headers: Mapping[str, str] | list[tuple[str, str]]) -> float | None:
-    """Return the slots in use that an answer reports, or None.
-
-    Reads the JSON and TEXT forms of ``endpoint-load-metrics``.
-    """
-    for name, value in headers:
-        if name.lower() == "endpoint-load-metrics":
-            return _parse_metrics(value)
-    return None
-
-
-def _parse_metrics(value: str) -> float | None:
-    form, _, text = value.strip().partition(" ")
-    try:
-        if form.upper() == "JSON":
-            number = float(json.loads(text)["named_metrics"]["slots_in_use"])
-        elif form.upper() == "TEXT":
-            number = _parse_text_metrics(text)
-        else:
-            return None
-    except (ValueError, KeyError, TypeError):
-        return None
-    return number if 0 <= number < 1e6 else None
-
-
-def _parse_text_metrics(text: str) -> float:
-    for item in text.split(","):
-        name, _, number = item.strip().partition("=")
-        if name == "named_metrics.slots_in_use":
-            return float(number)
-    raise KeyError("named_metrics.slots_in_use")
-
-
 def _join_values(response: _BodyResponse, name: str) -> str:
     return ", ".join(response.headers.get_all(name, ())).strip()
 
--- /dev/null
+++ b/src/foxtaildrum/views.py
@@ -0,0 +1,86 @@
+"""Publishes the state of the node to the request threads."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+from .logs import log_event
+from .metrics import Meter
+from .node import Node
+from .pools import UpstreamPool
+from .proxy import Proxy, View
+from .records import Settings
+from .routing import Router
+from .transport import get_adapter
+
+
+class ViewPublisher:
+    """Builds the view that request threads read.
+
+    Parameters
+    ----------
+    settings : Settings
+        Settings of the instance.
+    proxy : Proxy
+        Takes the view.
+    meter : Meter
+        Follows the routes.
+    """
+
+    def __init__(self, settings: Settings, proxy: Proxy, meter: Meter) -> None:
+        self._settings = settings
+        self._proxy = proxy
+        self._meter = meter
+        self._generation = -1
+        self.tell_draining: Callable[[str], None] = _ignore
+
+    def publish(self, now: float, node: Node) -> None:
+        """Bring the view up to the node's state if that has changed."""
+        changed = node.upstreams.take_changed_pools()
+        if node.follower.generation != self._generation:
+            self._generation = node.follower.generation
+            changed |= self._publish_tables(node)
+        pools = self._proxy.view.pools
+        for name in changed & pools.keys():
+            pools[name].update_members(now, node.upstreams.list_members(name))
+
+    def _publish_tables(self, node: Node) -> set[str]:
+        """Put the tables in force; return the pools that are new or changed."""
+        tables = node.state.tables
+        routes = tables.list_routes()
+        known = self._proxy.view.pools
+        pools = {}
+        records = tables.list_pools()
+        threads = self._settings.threads
+        busy_limit = threads if len(records) == 1 else threads // 2
+        changed = set()
+        for record in records:
+            pool = known.get(record.name)
+            if pool is None or pool.balancer.pool != record:
+                changed.add(record.name)
+            if pool is None:
+                pool = UpstreamPool(
+                    record,
+                    self._settings.availability_zone,
+                    self._settings.queue_limit,
+                    get_adapter("http"),
+                    self._pass_draining,
+                    random.Random(),
+                )
+            pool.configure(record, busy_limit)
+            pools[record.name] = pool
+        self._proxy.view = View(Router(routes), pools)
+        self._meter.set_routes(routes)
+        for name in set(known) - set(pools):
+            known[name].close()
+        versions = {f"{n}_version": t.version for n, t in tables.tables.items()}
+        log_event("tables_in_force", index=node.follower.index, **versions)
+        return changed
+
+    def _pass_draining(self, upstream_id: str) -> None:
+        self.tell_draining(upstream_id)
+
+
+def _ignore(upstream_id: str) -> None:
+    return None
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -11,9 +11,9 @@
 from foxtaildrum.balancer import EJECT_AFTER_FAILURES, RAMP_S, Balancer, Result, Ticket
 from foxtaildrum.budget import Budget
 from foxtaildrum.kinds import ErrorKind
+from foxtaildrum.loads import parse_slots_in_use
 from foxtaildrum.policies import list_policies
 from foxtaildrum.records import Announcement, Pool
-from foxtaildrum.transport import parse_slots_in_use
 from foxtaildrum.upstreams import Entry
 
 FAR = 1e9
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -6,7 +6,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from foxtaildrum import exchange as x
+from foxtaildrum import steps as x
+from foxtaildrum.exchange import MAX_ATTEMPTS, Allowance, Exchange
 from foxtaildrum.kinds import ANSWERS, ErrorKind, Outcome
 
 DEADLINE_S = 10.0
@@ -25,7 +26,7 @@
 }
 
 
-class FakeAllowance(x.Allowance):
+class FakeAllowance(Allowance):
     def __init__(self, retries: int, hedges: int) -> None:
         self.retries = retries
         self.hedges = hedges
@@ -47,7 +48,7 @@
         self.now = 0.0
         self.allowance = FakeAllowance(retries, hedges)
         hedge_delay_s = HEDGE_S if idempotent else None
-        self.exchange = x.Exchange(idempotent, DEADLINE_S, hedge_delay_s, self.allowance)
+        self.exchange = Exchange(idempotent, DEADLINE_S, hedge_delay_s, self.allowance)
         self.runs = 0
         self.sends = 0
         self.released: dict[int, x.Ended] = {}
@@ -156,7 +157,7 @@
     if world.reply is None and world.relayed is None:
         assert world.truncated
     assert set(world.released) >= world.slots, "a slot was not given back"
-    assert world.sends <= x.MAX_ATTEMPTS
+    assert world.sends <= MAX_ATTEMPTS
 
 
 @given(st.data())
@@ -179,7 +180,7 @@
 
 
 def test_a_request_that_must_not_repeat_is_not_hedged():
-    exchange = x.Exchange(False, DEADLINE_S, HEDGE_S, FakeAllowance(9, 9))
+    exchange = Exchange(False, DEADLINE_S, HEDGE_S, FakeAllowance(9, 9))
     exchange.handle(0.0, x.Start())
     exchange.handle(0.0, x.SlotGranted(0, "a"))
     exchange.handle(0.0, x.Connected(0))
@@ -188,7 +189,7 @@
 
 
 def test_the_loser_of_a_hedge_is_cancelled():
-    exchange = x.Exchange(True, DEADLINE_S, HEDGE_S, FakeAllowance(0, 1))
+    exchange = Exchange(True, DEADLINE_S, HEDGE_S, FakeAllowance(0, 1))
     exchange.handle(0.0, x.Start())
     exchange.handle(0.0, x.SlotGranted(0, "a"))
     exchange.handle(0.0, x.Connected(0))
@@ -203,7 +204,7 @@
 
 
 def test_a_retryable_answer_is_kept_until_a_better_one_arrives():
-    exchange = x.Exchange(True, DEADLINE_S, None, FakeAllowance(1, 0))
+    exchange = Exchange(True, DEADLINE_S, None, FakeAllowance(1, 0))
     exchange.handle(0.0, x.Start())
     exchange.handle(0.0, x.SlotGranted(0, "a"))
     exchange.handle(0.0, x.Connected(0))
@@ -215,7 +216,7 @@
 
 
 def test_a_caller_that_leaves_does_not_cancel_an_order():
-    exchange = x.Exchange(False, DEADLINE_S, None, FakeAllowance(0, 0))
+    exchange = Exchange(False, DEADLINE_S, None, FakeAllowance(0, 0))
     exchange.handle(0.0, x.Start())
     exchange.handle(0.0, x.SlotGranted(0, "a"))
     exchange.handle(0.0, x.Connected(0))
