--- a/src/foxtaildrum/node.py
+++ b/src/foxtaildrum/node.py
@@ -3,14 +3,13 @@
 from __future__ import annotations
 
 import random
-from collections import OrderedDict
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
 from . import records as r
 from .claimer import Claimer, ClaimSettled
-from .consensus import Consensus, Role, Unsettled
+from .consensus import Consensus, Role
 from .entries import Saved
 from .events import (
     Committed,
@@ -26,29 +25,21 @@
     StateReplaced,
     Tick,
 )
-from .exceptions import FrameError, InvalidTableError, StaleAnnouncementError
+from .exceptions import FrameError, StaleAnnouncementError
 from .follower import CHANGE, Follower, TableState
 from .holder import ClaimHolder
 from .membership import Knowledge, Member, Membership, MemberState
-from .node_api import ChangeAnswer
-from .tables import Change, ChangeResult, Patch, check_table
+from .proposals import ChangeSettled, Proposer
+from .tables import Change, Patch
 from .upstreams import Entry, UpstreamList
 
 START_AGE_S = 5.0
 CUT_OFF_S = 15.0
 GROUP_DOWN_START_S = 15.0
 EXPIRE_PERIOD_S = 0.5
-PROPOSAL_TIMEOUT_S = 3.0
-SILENT_S = 15.0
-MAX_REDIRECTS = 3
-REMEMBERED_TOKENS = 4096
-MAX_PENDING_ENTRIES = 1024
 
 LOG_STREAM = "log"
 CLAIM_STREAM = "claims"
-REDIRECT = "redirect"
-UNAVAILABLE = "unavailable"
-HOP_MARK = "/"
 
 
 @dataclass(slots=True)
@@ -61,14 +52,6 @@
     replace: bool
 
 
-@dataclass(slots=True)
-class ChangeSettled:
-    """A change proposed at this instance has its answer."""
-
-    token: str
-    answer: ChangeAnswer
-
-
 @dataclass(slots=True)
 class UpstreamsLost:
     """Leases of upstreams ran out."""
@@ -87,31 +70,6 @@
 Action = Send | Write | ChangeSettled | ClaimSettled | UpstreamsLost | MemberChanged
 
 
-class _Proposal:
-    """A change proposed at this instance or passed on by another."""
-
-    __slots__ = ("change", "give_up_at", "origin", "redirects", "sent", "target")
-
-    def __init__(self, change: Change, origin: str, give_up_at: float) -> None:
-        self.change = change
-        self.origin = origin
-        self.give_up_at = give_up_at
-        self.redirects = 0
-        self.sent = False
-        self.target = ""
-
-
-class _Accepted:
-    """An answer that waits until this instance shows the change."""
-
-    __slots__ = ("answer", "proposal", "token")
-
-    def __init__(self, token: str, proposal: _Proposal, answer: ChangeAnswer) -> None:
-        self.token = token
-        self.proposal = proposal
-        self.answer = answer
-
-
 class Node:
     """State of one instance.
 
@@ -158,14 +116,18 @@
         index = self.consensus.applied_index if self.consensus else 0
         self.follower = Follower(self.state, index, follows=saved is None)
         self.claimer = Claimer(self.control)
+        self.proposer = Proposer(
+            me.instance_id,
+            self.control,
+            self.state,
+            self.consensus,
+            self.members.is_usable,
+            self._submit,
+            rng,
+        )
         self.stopping = False
-        self._rng = rng
         self._started_at = now
         self._started = False
-        self._proposals: dict[str, _Proposal] = {}
-        self._accepted: list[_Accepted] = []
-        self._silent_until: dict[str, float] = {}
-        self._seen_tokens: OrderedDict[str, None] = OrderedDict()
         self._highest_index = 0
         self._fleet_size = 0
         self._expire_at = now
@@ -183,7 +145,7 @@
         if self.holder is not None:
             self._take_claim_actions(now, self.holder.tick(now))
         self._take_claim_actions(now, self.claimer.tick(now))
-        self._drop_late_proposals(now)
+        self.proposer.drop_late(now)
         self._note_fleet(now)
         self._update_started(now)
         return self._finish(now)
@@ -225,11 +187,7 @@
 
     def propose(self, now: float, token: str, change: Change) -> list[Action]:
         """Propose a change; its answer comes as :class:`ChangeSettled`."""
-        self._proposals[token] = _Proposal(change, "", now + PROPOSAL_TIMEOUT_S)
-        if self._leads():
-            self._propose_here(now, token, change)
-        else:
-            self._pass_on(token, self._pick_control(now))
+        self.proposer.propose(now, token, change)
         return self._finish(now)
 
     # Upstreams.
@@ -347,21 +305,12 @@
             if member is not self.members.me:
                 state = member.state.name.lower()
                 self._out.append(MemberChanged(member.instance_id, state))
-        self._answer_visible(now)
+        self._out += self.proposer.take_out(now)
         out, self._out = self._out, []
         return out
 
-    def _answer_visible(self, now: float) -> None:
-        # An operator who reads this instance after the answer must see the change.
-        waiting = []
-        for item in self._accepted:
-            table = self.state.tables.tables[item.proposal.change.table]
-            hidden = item.answer.verdict == "accepted" and table.version < item.answer.version
-            if hidden and now < item.proposal.give_up_at:
-                waiting.append(item)
-            else:
-                self._out.append(ChangeSettled(item.token, item.answer))
-        self._accepted = waiting
+    def _submit(self, now: float, token: str, patch: Patch) -> None:
+        self._run_consensus(now, Proposed(token, CHANGE, patch.to_wire()))
 
     def _run_consensus(self, now: float, event: Any) -> None:
         actions = self.consensus.handle(now, event)
@@ -377,7 +326,7 @@
             elif isinstance(action, Rewrite):
                 self._out.append(Write(LOG_STREAM, action.token, action.records, True))
             elif isinstance(action, Settled):
-                self._settle_proposal(action)
+                self.proposer.settle(action)
             elif isinstance(action, Committed):
                 self._relay_committed(now, action)
             elif isinstance(action, StateReplaced):
@@ -460,144 +409,13 @@
             )
             self.upstreams.merge(now, left)
 
-    # Proposals.
-
-    def _pick_control(self, now: float) -> str:
-        if self.consensus is not None and self.consensus.leader_id:
-            return self.consensus.leader_id
-        others = [c for c in self.control if c != self.instance_id]
-        usable = [c for c in others if self.members.is_usable(c)]
-        answering = [c for c in usable if self._silent_until.get(c, now) <= now]
-        choices = answering or usable or others
-        return self._rng.choice(choices) if choices else ""
-
-    def _pass_on(self, token: str, target: str) -> None:
-        proposal = self._proposals[token]
-        if not target or target == self.instance_id:
-            self._answer_proposal(token, _build_unavailable("there is no leader"))
-            return
-        proposal.sent = True
-        proposal.target = target
-        hop_token = f"{token}{HOP_MARK}{proposal.redirects}"
-        message = r.ProposeRequest(token=hop_token, change=proposal.change.to_wire())
-        self._out.append(Send(target, message))
-
-    def _propose_here(self, now: float, token: str, change: Change) -> None:
-        answer = self._judge_at_once(change)
-        if answer is not None:
-            self._answer_proposal(token, answer)
-            return
-        patch = self.state.tables.build_patch(change)
-        self._run_consensus(now, Proposed(token, CHANGE, patch.to_wire()))
-
-    def _judge_at_once(self, change: Change) -> ChangeAnswer | None:
-        known = self.state.tables.find_answer(change)
-        if known is not None:
-            return _describe_result(known)
-        table = self.state.tables.tables[change.table]
-        try:
-            check_table(change.table, change.rows)
-        except InvalidTableError as error:
-            return ChangeAnswer(
-                "invalid", table.version, table.changed_by, error.list_problems()
-            )
-        if not self.consensus.can_propose():
-            return _build_unavailable("the leader is starting")
-        if self.consensus.count_pending() >= MAX_PENDING_ENTRIES:
-            return _build_unavailable("too many changes are under way")
-        if change.change_id in self._list_pending_changes():
-            return _build_unknown()
-        if change.if_version != table.version and self.consensus.count_pending():
-            # The change may follow one whose commit is under way; its rows can be
-            # compared only after that.
-            return _build_unavailable("another change is under way")
-        return None
-
-    def _list_pending_changes(self) -> set[str]:
-        first = self.consensus.applied_index + 1
-        entries = self.consensus.log.list_from(first, MAX_PENDING_ENTRIES)
-        return {Patch.from_wire(e.payload).change_id for e in entries if e.kind == CHANGE}
-
-    def _settle_proposal(self, action: Settled) -> None:
-        if isinstance(action.result, ChangeResult):
-            answer = _describe_result(action.result)
-        elif action.result is Unsettled.NOT_LEADER:
-            answer = _build_unavailable("this instance does not lead")
-        else:
-            answer = _build_unknown()
-        self._answer_proposal(action.token, answer)
-
-    def _answer_proposal(self, token: str, answer: ChangeAnswer) -> None:
-        proposal = self._proposals.pop(token, None)
-        if proposal is None:
-            return
-        if answer.verdict == UNAVAILABLE and not proposal.change.first:
-            # An earlier copy of the change may be under way somewhere.
-            answer = _build_unknown()
-        if not proposal.origin:
-            self._accepted.append(_Accepted(token, proposal, answer))
-            return
-        message = r.ProposeReply(
-            token=token,
-            verdict=answer.verdict,
-            version=answer.version,
-            changed_by=answer.changed_by,
-            problems=answer.problems,
-            detail=answer.detail,
-        )
-        self._out.append(Send(proposal.origin, message))
-
-    def _drop_late_proposals(self, now: float) -> None:
-        late = [t for t, p in self._proposals.items() if now >= p.give_up_at]
-        for token in late:
-            target = self._proposals[token].target
-            if target:
-                self._silent_until[target] = now + SILENT_S
-            if self._proposals[token].sent or self._leads():
-                self._answer_proposal(token, _build_unknown())
-            else:
-                self._answer_proposal(token, _build_unavailable("there is no leader"))
+    # Membership, tables and upstreams.
 
     def _on_propose_request(self, now: float, peer: str, message: r.ProposeRequest) -> None:
-        if message.token in self._seen_tokens:
-            # A repeated message must not get an answer that contradicts the first.
-            return
-        self._seen_tokens[message.token] = None
-        while len(self._seen_tokens) > REMEMBERED_TOKENS:
-            self._seen_tokens.popitem(last=False)
-        change = Change.from_wire(message.change)
-        self._proposals[message.token] = _Proposal(change, peer, now + PROPOSAL_TIMEOUT_S)
-        if self._leads():
-            self._propose_here(now, message.token, change)
-            return
-        leader = self.consensus.leader_id if self.consensus is not None else ""
-        self._answer_proposal(message.token, ChangeAnswer(REDIRECT, 0, detail=leader))
+        self.proposer.take_request(now, peer, message)
 
     def _on_propose_reply(self, now: float, peer: str, message: r.ProposeReply) -> None:
-        token, _, hop = message.token.rpartition(HOP_MARK)
-        proposal = self._proposals.get(token)
-        if proposal is None or proposal.origin or hop != str(proposal.redirects):
-            return
-        if message.verdict != REDIRECT:
-            answer = ChangeAnswer(
-                message.verdict,
-                message.version,
-                message.changed_by,
-                message.problems,
-                message.detail,
-            )
-            self._answer_proposal(token, answer)
-            return
-        proposal.redirects += 1
-        proposal.sent = False
-        if proposal.redirects > MAX_REDIRECTS or not message.detail:
-            self._answer_proposal(token, _build_unavailable("there is no leader"))
-        elif message.detail == self.instance_id and self._leads():
-            self._propose_here(now, token, proposal.change)
-        else:
-            self._pass_on(token, message.detail)
-
-    # Membership, tables and upstreams.
+        self.proposer.take_reply(now, message)
 
     def _on_ping(self, now: float, peer: str, message: r.Ping) -> None:
         knowledge = self._describe_knowledge(now)
@@ -703,21 +521,6 @@
         self._take_claim_actions(now, self._deliver_claim(now, peer, message))
 
 
-def _describe_result(result: ChangeResult) -> ChangeAnswer:
-    return ChangeAnswer(result.verdict, result.version, result.changed_by, result.problems)
-
-
-def _build_unavailable(reason: str) -> ChangeAnswer:
-    return ChangeAnswer(UNAVAILABLE, 0, detail=f"The change was not accepted: {reason}")
-
-
-def _build_unknown() -> ChangeAnswer:
-    detail = (
-        "It is not known whether the change was accepted; resend it with the same identifier"
-    )
-    return ChangeAnswer("unknown", 0, detail=detail)
-
-
 _HOLDER_METHODS: dict[type, Callable[..., list[Any]]] = {
     r.ClaimRequest: ClaimHolder.take_request,
     r.ClaimFinish: ClaimHolder.take_finish,
--- /dev/null
+++ b/src/foxtaildrum/proposals.py
@@ -0,0 +1,286 @@
+"""Changes of tables on their way to the leader and their answers back, without I/O."""
+
+from __future__ import annotations
+
+import random
+from collections import OrderedDict
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from . import records as r
+from .consensus import Consensus, Role, Unsettled
+from .events import Send, Settled
+from .exceptions import InvalidTableError
+from .follower import CHANGE, TableState
+from .node_api import ChangeAnswer
+from .tables import Change, ChangeResult, Patch, check_table
+
+PROPOSAL_TIMEOUT_S = 3.0
+SILENT_S = 15.0
+MAX_REDIRECTS = 3
+REMEMBERED_TOKENS = 4096
+MAX_PENDING_ENTRIES = 1024
+
+REDIRECT = "redirect"
+UNAVAILABLE = "unavailable"
+HOP_MARK = "/"
+
+
+@dataclass(slots=True)
+class ChangeSettled:
+    """A change proposed at this instance has its answer."""
+
+    token: str
+    answer: ChangeAnswer
+
+
+class _Proposal:
+    """A change proposed at this instance or passed on by another."""
+
+    __slots__ = ("change", "give_up_at", "origin", "redirects", "sent", "target")
+
+    def __init__(self, change: Change, origin: str, give_up_at: float) -> None:
+        self.change = change
+        self.origin = origin
+        self.give_up_at = give_up_at
+        self.redirects = 0
+        self.sent = False
+        self.target = ""
+
+
+class _Accepted:
+    """An answer that waits until this instance shows the change."""
+
+    __slots__ = ("answer", "proposal", "token")
+
+    def __init__(self, token: str, proposal: _Proposal, answer: ChangeAnswer) -> None:
+        self.token = token
+        self.proposal = proposal
+        self.answer = answer
+
+
+class Proposer:
+    """Takes changes to the leader, wherever it is, and answers them.
+
+    Parameters
+    ----------
+    instance_id : str
+        This instance.
+    control : list of str
+        Every control instance.
+    state : TableState
+        Tables in force here.
+    consensus : Consensus or None
+        Part in the log; None on an instance without control.
+    is_usable : callable
+        Returns whether an instance is alive.
+    submit : callable
+        Appends a patch to the log of this instance, which leads.
+    rng : random.Random
+        Source of random choices.
+    """
+
+    def __init__(
+        self,
+        instance_id: str,
+        control: list[str],
+        state: TableState,
+        consensus: Consensus | None,
+        is_usable: Callable[[str], bool],
+        submit: Callable[[float, str, Patch], None],
+        rng: random.Random,
+    ) -> None:
+        self._instance_id = instance_id
+        self._control = control
+        self._state = state
+        self._consensus = consensus
+        self._is_usable = is_usable
+        self._submit = submit
+        self._rng = rng
+        self._proposals: dict[str, _Proposal] = {}
+        self._accepted: list[_Accepted] = []
+        self._seen_tokens: OrderedDict[str, None] = OrderedDict()
+        self._silent_until: dict[str, float] = {}
+        self._out: list[Send | ChangeSettled] = []
+
+    def propose(self, now: float, token: str, change: Change) -> None:
+        """Propose a change made at this instance."""
+        self._proposals[token] = _Proposal(change, "", now + PROPOSAL_TIMEOUT_S)
+        if self._leads():
+            self._propose_here(now, token, change)
+        else:
+            self._pass_on(token, self._pick_control(now))
+
+    def take_out(self, now: float) -> list[Send | ChangeSettled]:
+        """Return the messages and answers that are due."""
+        self._answer_visible(now)
+        out, self._out = self._out, []
+        return out
+
+    def _pick_control(self, now: float) -> str:
+        if self._consensus is not None and self._consensus.leader_id:
+            return self._consensus.leader_id
+        others = [c for c in self._control if c != self._instance_id]
+        usable = [c for c in others if self._is_usable(c)]
+        answering = [c for c in usable if self._silent_until.get(c, now) <= now]
+        choices = answering or usable or others
+        return self._rng.choice(choices) if choices else ""
+
+    def _pass_on(self, token: str, target: str) -> None:
+        proposal = self._proposals[token]
+        if not target or target == self._instance_id:
+            self._answer_proposal(token, _build_unavailable("there is no leader"))
+            return
+        proposal.sent = True
+        proposal.target = target
+        hop_token = f"{token}{HOP_MARK}{proposal.redirects}"
+        message = r.ProposeRequest(token=hop_token, change=proposal.change.to_wire())
+        self._out.append(Send(target, message))
+
+    def _propose_here(self, now: float, token: str, change: Change) -> None:
+        answer = self._judge_at_once(change)
+        if answer is not None:
+            self._answer_proposal(token, answer)
+            return
+        self._submit(now, token, self._state.tables.build_patch(change))
+
+    def _judge_at_once(self, change: Change) -> ChangeAnswer | None:
+        known = self._state.tables.find_answer(change)
+        if known is not None:
+            return _describe_result(known)
+        table = self._state.tables.tables[change.table]
+        try:
+            check_table(change.table, change.rows)
+        except InvalidTableError as error:
+            return ChangeAnswer(
+                "invalid", table.version, table.changed_by, error.list_problems()
+            )
+        if not self._consensus.can_propose():
+            return _build_unavailable("the leader is starting")
+        if self._consensus.count_pending() >= MAX_PENDING_ENTRIES:
+            return _build_unavailable("too many changes are under way")
+        if change.change_id in self._list_pending_changes():
+            return _build_unknown()
+        if change.if_version != table.version and self._consensus.count_pending():
+            # The change may follow one whose commit is under way; its rows can be
+            # compared only after that.
+            return _build_unavailable("another change is under way")
+        return None
+
+    def _list_pending_changes(self) -> set[str]:
+        first = self._consensus.applied_index + 1
+        entries = self._consensus.log.list_from(first, MAX_PENDING_ENTRIES)
+        return {Patch.from_wire(e.payload).change_id for e in entries if e.kind == CHANGE}
+
+    def settle(self, action: Settled) -> None:
+        """Take the result of a proposal that this instance appended."""
+        if isinstance(action.result, ChangeResult):
+            answer = _describe_result(action.result)
+        elif action.result is Unsettled.NOT_LEADER:
+            answer = _build_unavailable("this instance does not lead")
+        else:
+            answer = _build_unknown()
+        self._answer_proposal(action.token, answer)
+
+    def _answer_proposal(self, token: str, answer: ChangeAnswer) -> None:
+        proposal = self._proposals.pop(token, None)
+        if proposal is None:
+            return
+        if answer.verdict == UNAVAILABLE and not proposal.change.first:
+            # An earlier copy of the change may be under way somewhere.
+            answer = _build_unknown()
+        if not proposal.origin:
+            self._accepted.append(_Accepted(token, proposal, answer))
+            return
+        message = r.ProposeReply(
+            token=token,
+            verdict=answer.verdict,
+            version=answer.version,
+            changed_by=answer.changed_by,
+            problems=answer.problems,
+            detail=answer.detail,
+        )
+        self._out.append(Send(proposal.origin, message))
+
+    def drop_late(self, now: float) -> None:
+        """Answer proposals that waited too long."""
+        late = [t for t, p in self._proposals.items() if now >= p.give_up_at]
+        for token in late:
+            target = self._proposals[token].target
+            if target:
+                self._silent_until[target] = now + SILENT_S
+            if self._proposals[token].sent or self._leads():
+                self._answer_proposal(token, _build_unknown())
+            else:
+                self._answer_proposal(token, _build_unavailable("there is no leader"))
+
+    def take_request(self, now: float, peer: str, message: r.ProposeRequest) -> None:
+        """Take a change that another instance passed on."""
+        if message.token in self._seen_tokens:
+            # A repeated message must not get an answer that contradicts the first.
+            return
+        self._seen_tokens[message.token] = None
+        while len(self._seen_tokens) > REMEMBERED_TOKENS:
+            self._seen_tokens.popitem(last=False)
+        change = Change.from_wire(message.change)
+        self._proposals[message.token] = _Proposal(change, peer, now + PROPOSAL_TIMEOUT_S)
+        if self._leads():
+            self._propose_here(now, message.token, change)
+            return
+        leader = self._consensus.leader_id if self._consensus is not None else ""
+        self._answer_proposal(message.token, ChangeAnswer(REDIRECT, 0, detail=leader))
+
+    def take_reply(self, now: float, message: r.ProposeReply) -> None:
+        """Take the answer to a change that was passed on."""
+        token, _, hop = message.token.rpartition(HOP_MARK)
+        proposal = self._proposals.get(token)
+        if proposal is None or proposal.origin or hop != str(proposal.redirects):
+            return
+        if message.verdict != REDIRECT:
+            answer = ChangeAnswer(
+                message.verdict,
+                message.version,
+                message.changed_by,
+                message.problems,
+                message.detail,
+            )
+            self._answer_proposal(token, answer)
+            return
+        proposal.redirects += 1
+        proposal.sent = False
+        if proposal.redirects > MAX_REDIRECTS or not message.detail:
+            self._answer_proposal(token, _build_unavailable("there is no leader"))
+        elif message.detail == self._instance_id and self._leads():
+            self._propose_here(now, token, proposal.change)
+        else:
+            self._pass_on(token, message.detail)
+
+    def _answer_visible(self, now: float) -> None:
+        # An operator who reads this instance after the answer must see the change.
+        waiting = []
+        for item in self._accepted:
+            table = self._state.tables.tables[item.proposal.change.table]
+            hidden = item.answer.verdict == "accepted" and table.version < item.answer.version
+            if hidden and now < item.proposal.give_up_at:
+                waiting.append(item)
+            else:
+                self._out.append(ChangeSettled(item.token, item.answer))
+        self._accepted = waiting
+
+    def _leads(self) -> bool:
+        return self._consensus is not None and self._consensus.role is Role.LEADER
+
+
+def _describe_result(result: ChangeResult) -> ChangeAnswer:
+    return ChangeAnswer(result.verdict, result.version, result.changed_by, result.problems)
+
+
+def _build_unavailable(reason: str) -> ChangeAnswer:
+    return ChangeAnswer(UNAVAILABLE, 0, detail=f"The change was not accepted: {reason}")
+
+
+def _build_unknown() -> ChangeAnswer:
+    detail = (
+        "It is not known whether the change was accepted; resend it with the same identifier"
+    )
+    return ChangeAnswer("unknown", 0, detail=detail)
