Refuse settings that contradict each other; warn of unsigned frames

Change: three contradictions are reported with the flag's name; dead code removed. Measured: 3 new cases fail before and pass after.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: run test lint generate build site measure clean
+.PHONY: run test lint generate build measure policies clean
 
 $(VENV)/ready: requirements.lock pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -30,5 +30,16 @@
 	  --console-script foxtaildrum --python '/usr/bin/env python3' \
 	  --requirement requirements.runtime.lock .
 
+measure: $(VENV)/ready
+	$(BIN)/python -m tests.standins.slopes
+	$(BIN)/python -m tests.standins.experiment path --duration-s 6
+	$(BIN)/python -m tests.standins.experiment changes --instances 19 --duration-s 12
+
+policies: $(VENV)/ready
+	$(BIN)/python -m tests.standins.experiment policies --duration-s 12
+	$(BIN)/python -m tests.standins.experiment policies --duration-s 12 --loads 0.7 \
+	  --policies two_choices,aged_load --faults \
+	  "one 10x slower,one fails fast (500),one sheds (503),one reports no load,no load reports"
+
 clean:
 	rm -rf $(VENV) build dist
--- a/src/foxtaildrum/access.py
+++ b/src/foxtaildrum/access.py
@@ -17,7 +17,7 @@
 from .node_api import ChangeAnswer
 from .pools import read_clock
 from .proxy import Proxy
-from .records import Announcement, ClaimFinish, Settings
+from .records import Announcement, ClaimFinish
 from .status import describe_node, describe_pool
 from .tables import Change
 
@@ -95,18 +95,12 @@
         Counts of the instance.
     proxy : Proxy
         Holds the view in force.
-    settings : Settings
-        Settings of the instance.
     """
 
-    def __init__(
-        self, node: pykka.ActorProxy, meter: Meter, proxy: Proxy, settings: Settings
-    ) -> None:
+    def __init__(self, node: pykka.ActorProxy, meter: Meter, proxy: Proxy) -> None:
         self._node = node
         self._meter = meter
         self._proxy = proxy
-        self._settings = settings
-        self.listens_to_callers = settings.role != "control"
 
     def list_unready_reasons(self) -> list[str]:
         """Return why callers should not be sent here; empty when ready."""
--- a/src/foxtaildrum/claimer.py
+++ b/src/foxtaildrum/claimer.py
@@ -23,7 +23,7 @@
 class _Asking:
     """A claim that this instance is making."""
 
-    __slots__ = ("claim_id", "decided", "give_up_at", "key", "replies", "token")
+    __slots__ = ("claim_id", "give_up_at", "key", "replies", "token")
 
     def __init__(self, token: str, key: str, claim_id: str, give_up_at: float) -> None:
         self.token = token
@@ -31,7 +31,6 @@
         self.claim_id = claim_id
         self.give_up_at = give_up_at
         self.replies: dict[str, ClaimReply] = {}
-        self.decided = False
 
 
 class _Finishing:
--- a/src/foxtaildrum/cli.py
+++ b/src/foxtaildrum/cli.py
@@ -10,7 +10,7 @@
 import threading
 import tomllib
 import uuid
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 from pathlib import Path
 from typing import Any
 
@@ -39,8 +39,6 @@
 EXIT_LOST_RACE = 3
 DEFAULT_ADMIN = "127.0.0.1:8081"
 
-Command = Callable[[argparse.Namespace], int]
-
 
 def main(argv: Sequence[str] | None = None) -> int:
     """Run the command line and return its exit status."""
--- a/src/foxtaildrum/instance.py
+++ b/src/foxtaildrum/instance.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import logging
 import random
 import threading
 import time
@@ -64,7 +65,7 @@
             self._storage = StorageActor.start(journals, self._actor.tell)
         self._node = self._actor.proxy()
         self._publisher.tell_draining = self._node.note_draining.defer
-        self.access = NodeAccess(self._node, self.meter, self.proxy, settings)
+        self.access = NodeAccess(self._node, self.meter, self.proxy)
         self.proxy.claims = NodeClaims(self._node)
         self._open = False
         self.proxy.is_open = self._is_open
@@ -89,6 +90,8 @@
         if self.callers is not None:
             self.callers.start()
         threading.Thread(target=self._send_metrics, name="metrics", daemon=True).start()
+        if self._network is not None and not self.settings.fleet_key_file:
+            log_event("frames_unsigned", level=logging.WARNING, setting="fleet_key_file")
         log_event(
             "started",
             instance=self.settings.instance_id,
--- a/src/foxtaildrum/report.py
+++ b/src/foxtaildrum/report.py
@@ -96,7 +96,7 @@
 
 
 def _list_cells(row: dict[str, Any]) -> list[str]:
-    objective = f"{row['objective_ratio']:.4%} < {row['objective_latency_ms']} ms"
+    objective = f"{row['objective_ratio'] * 100:g}% < {row['objective_latency_ms']} ms"
     rates = [f"{row['rates'][name]:.2f}" for name in WINDOWS_S]
     total = str(row["windows"]["3d"]["total"])
     return [
@@ -139,6 +139,7 @@
         include_x_axis=True,
         dots_size=2,
         no_data_text="no requests",
+        truncate_label=-1,
     )
     chart.add("burn rate", burn)
     return f"<figure>{chart.render(is_unicode=True, disable_xml_declaration=True)}</figure>"
--- a/src/foxtaildrum/settings.py
+++ b/src/foxtaildrum/settings.py
@@ -63,6 +63,8 @@
     problems += find_problems("Settings", values, "")
     problems += _find_bad_ports(values)
     problems += _find_missing_files(values)
+    if not problems:
+        problems += _find_contradictions(Settings(**values))
     if problems:
         raise InvalidSettingsError("invalid settings", problems)
     return Settings(**values)
@@ -126,6 +128,22 @@
     return problems
 
 
+def _find_contradictions(settings: Settings) -> list[FieldError]:
+    members = parse_control(settings.control)
+    problems = []
+    if settings.role == "control" and members and settings.instance_id not in members:
+        reason = f"role control needs {settings.instance_id!r} in --control"
+        problems.append(FieldError("role", reason))
+    if members.keys() - {settings.instance_id} and not settings.peer_listen:
+        reason = "is needed to reach the other instances in --control"
+        problems.append(FieldError("peer_listen", reason))
+    own = members.get(settings.instance_id, settings.peer_listen)
+    if own != settings.peer_listen:
+        reason = f"names {own} for this instance, which listens on {settings.peer_listen}"
+        problems.append(FieldError("control", reason))
+    return problems
+
+
 def _find_missing_files(values: Mapping[str, Any]) -> list[FieldError]:
     problems = []
     for name in ("operator_token_file", "fleet_key_file"):
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -22,14 +22,9 @@
 from foxtaildrum.journal import Journal
 from foxtaildrum.membership import Member, MemberState
 from foxtaildrum.messages import decode_message, encode_message
-from foxtaildrum.node import (
-    CLAIM_STREAM,
-    LOG_STREAM,
-    ChangeSettled,
-    Node,
-    Write,
-)
+from foxtaildrum.node import CLAIM_STREAM, LOG_STREAM, Node, Write
 from foxtaildrum.node_api import ChangeAnswer
+from foxtaildrum.proposals import ChangeSettled
 from foxtaildrum.records import Announcement, ClaimFinish
 from foxtaildrum.tables import Change
 
--- a/tests/standins/experiment.py
+++ b/tests/standins/experiment.py
@@ -9,6 +9,7 @@
 import argparse
 import json
 import os
+import socket
 import subprocess
 import sys
 import tempfile
@@ -18,6 +19,8 @@
 from pathlib import Path
 from typing import Any
 
+from foxtaildrum.balancer import RAMP_S
+
 from .processes import InstanceProcess, UpstreamProcess, pick_port, wait_until
 
 SERVICE_MS = 120.0
@@ -32,6 +35,8 @@
 }
 ZONES = ("zone-a", "zone-b", "zone-c")
 SITES = {"cascadia": (13, 6), "mysqan": (11, 4)}
+DOCUMENT_BYTES = 100_000_000
+WARM_UP_S = 2.0
 TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 
 
@@ -82,6 +87,7 @@
             behaviour={**NOISE, "slots": slots},
         )
         self.wait_for_upstreams(upstreams)
+        time.sleep(RAMP_S)
 
     def apply(self, name: str, rows: list[dict[str, Any]]) -> None:
         client = self.instances[0].client
@@ -118,22 +124,9 @@
     def run_load(self, load: float, duration_s: float, seed: int = 1, **options: Any) -> dict:
         """Run open-loop load at a share of capacity and return what it saw."""
         targets = ",".join(i.listen for i in self.instances)
-        flags = {
-            "targets": targets,
-            "rate": load * self.compute_capacity(),
-            "duration_s": duration_s,
-            "seed": seed,
-            **options,
-        }
-        arguments = [f"--{n.replace('_', '-')}={v}" for n, v in flags.items()]
-        process = subprocess.run(
-            [sys.executable, "-m", "tests.standins.load", *arguments],
-            capture_output=True,
-            text=True,
-            check=True,
-            timeout=duration_s + 60,
+        return call_at(
+            targets, load * self.compute_capacity(), duration_s, seed=seed, **options
         )
-        return json.loads(process.stdout)
 
     def count(self, name: str) -> int:
         """Return a counter added up over the instances."""
@@ -390,7 +383,77 @@
     return 0
 
 
+def measure_path(arguments: argparse.Namespace) -> None:
+    """Cost of one instance on the way: latency, processor time, memory and claims."""
+    site = Site(1, 1, 64, {"measuring_budget_ratio": 0.0})
+    site.upstreams.control("lookup-1", service_ms=0, fixed=True, slow_every_ms=0, slots=64)
+    direct = f"127.0.0.1:{site.upstreams.ports['lookup-1']}"
+    try:
+        print_header(["way", "requests/s", "p50 ms", "p99 ms", "p99.9 ms", "us of processor"])
+        for rate in (100, 200, 400):
+            seen = call_at(direct, rate, arguments.duration_s)
+            print_row(["direct", rate, seen["p50"], seen["p99"], seen["p99.9"], "-"])
+            print_through(site, "through", rate, arguments.duration_s)
+        for rate in (600, 800, 1000, 1200):
+            print_through(site, "through", rate, arguments.duration_s)
+        for options in ({}, {"keyed": True}):
+            label = "order with key" if options else "order"
+            print_through(site, label, 50, arguments.duration_s, method="POST", **options)
+        measure_document(site)
+    finally:
+        site.close()
+
+
+def print_through(
+    site: Site, label: str, rate: float, duration_s: float, **options: Any
+) -> None:
+    cpu_s = site.read_cpu_s()
+    seen = call_at(site.instances[0].listen, rate, duration_s, **options)
+    each_us = (site.read_cpu_s() - cpu_s) / max(1, rate * (duration_s + WARM_UP_S)) * 1e6
+    print_row([label, rate, seen["p50"], seen["p99"], seen["p99.9"], f"{each_us:.0f}"])
+
+
+def call_at(targets: str, rate: float, duration_s: float, **options: Any) -> dict[str, Any]:
+    """Run the load program at a rate and return what it saw."""
+    flags = {
+        "targets": targets,
+        "rate": rate,
+        "duration_s": duration_s,
+        "warm_up_s": WARM_UP_S,
+        **options,
+    }
+    arguments = [
+        f"--{n.replace('_', '-')}" + ("" if v is True else f"={v}") for n, v in flags.items()
+    ]
+    process = subprocess.run(
+        [sys.executable, "-m", "tests.standins.load", *arguments],
+        capture_output=True,
+        text=True,
+        check=True,
+        timeout=duration_s + 60,
+    )
+    return json.loads(process.stdout)
+
+
+def measure_document(site: Site) -> None:
+    """Memory of the instance while a large document passes to a slow reader."""
+    host, port = site.instances[0].listen.split(":")
+    before = read_rss(site.instances[0])
+    peak = before
+    with socket.create_connection((host, int(port)), 30) as sock:
+        sock.sendall(f"GET /document/{DOCUMENT_BYTES} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
+        left = DOCUMENT_BYTES
+        while left > 0 and (data := sock.recv(262_144)):
+            left -= len(data)
+            peak = max(peak, read_rss(site.instances[0]))
+    print(
+        f"\na document of {DOCUMENT_BYTES / 1e6:.0f} MB: {before / 1024:.1f} MB resident "
+        f"before, {peak / 1024:.1f} MB at the peak"
+    )
+
+
 EXPERIMENTS = {
+    "path": measure_path,
     "policies": compare_policies,
     "hedging": compare_hedging,
     "overload": run_overload,
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -34,6 +34,31 @@
     assert named == set(flags) | {"access_log"}
 
 
+@pytest.mark.parametrize(
+    ("flags", "named"),
+    [
+        ({"control": "a=127.0.0.1:1,b=127.0.0.1:2", "instance_id": "c"}, {"peer_listen"}),
+        (
+            {
+                "control": "a=127.0.0.1:1",
+                "instance_id": "c",
+                "role": "control",
+                "peer_listen": "127.0.0.1:3",
+            },
+            {"role"},
+        ),
+        (
+            {"control": "a=127.0.0.1:1", "instance_id": "a", "peer_listen": "127.0.0.1:3"},
+            {"control"},
+        ),
+    ],
+)
+def test_settings_that_contradict_each_other_are_refused(flags, named):
+    with pytest.raises(InvalidSettingsError) as caught:
+        load_settings(flags, {})
+    assert {problem.field for problem in caught.value.exceptions} == named
+
+
 def test_the_command_line_exits_2_and_names_each_flag(capsys):
     assert main(["serve", "--role=king", "--threads=0"]) == EXIT_USAGE
     text = capsys.readouterr().err
