Probe upstreams that do not report load, out of the measuring budget

Cause: the pool's load_path was accepted and did nothing. Change: the upstream that was silent for three service times and longest is probed, paid with 6 ms of the budget; a hot-cold policy joins the baselines; requests made of garbage are sent to the caller's port in a test. Measured: property holds that probes spend at most the budget's share; with a budget of zero none is sent; 150 mutated requests leave the instance answering.

--- a/src/foxtaildrum/balancer.py
+++ b/src/foxtaildrum/balancer.py
@@ -25,7 +25,10 @@
 SHED_PAUSE_S = 0.05
 INITIAL_SERVICE_S = 0.01
 MEAN_WEIGHT = 0.05
+LATENCY_WEIGHT = 0.2
 RUN_SERVICE_TIMES = 2.0
+PROBE_COST_S = 0.006
+PROBE_AGE_SERVICE_TIMES = 3.0
 MEAN_FADE_SERVICE_TIMES = 3.0
 RETRY_TOKENS = 10.0
 HEDGE_TOKENS_SERVICE_TIMES = 10.0
@@ -52,6 +55,8 @@
         Slots that others used according to the last report.
     reported_at : float
         Time of the last report, in seconds.
+    service_s : float
+        Recent mean of the time that own requests held a slot, in seconds.
     """
 
     __slots__ = (
@@ -68,6 +73,7 @@
         "remote",
         "reported_at",
         "reported_others",
+        "service_s",
         "slots",
         "state",
         "upstream_id",
@@ -84,6 +90,7 @@
         self.last_turn = 0
         self.reported_others = 0.0
         self.reported_at = float("-inf")
+        self.service_s = 0.0
         self.failures = 0
         self.failure_level = 0.0
         self.failed_at = float("-inf")
@@ -267,6 +274,19 @@
         load.mean_others += (others - load.mean_others) * MEAN_WEIGHT
         load.reported_at = now
 
+    def choose_probe(self, now: float) -> UpstreamLoad | None:
+        """Return the upstream that was silent longest if a probe can be paid for.
+
+        None when every report is fresh or the measuring budget is spent.
+        """
+        ready = [u for u in self.upstreams.values() if u.state == READY]
+        if not ready:
+            return None
+        silent = min(ready, key=_get_reported_at)
+        if now - silent.reported_at < PROBE_AGE_SERVICE_TIMES * self.load.mean_service_s:
+            return None
+        return silent if self.measuring_budget.spend(PROBE_COST_S) else None
+
     def serve_queue(self, now: float) -> list[Ticket]:
         """Grant slots to waiting tickets in order; return the settled ones."""
         settled = []
@@ -291,7 +311,8 @@
     def earn_budgets(self, held_s: float) -> None:
         """Credit the budgets for one finished request."""
         self.retry_budget.earn(1.0)
-        self.measuring_budget.capacity = HEDGE_TOKENS_SERVICE_TIMES * self.load.mean_service_s
+        capacity = HEDGE_TOKENS_SERVICE_TIMES * self.load.mean_service_s
+        self.measuring_budget.capacity = max(capacity, 2 * PROBE_COST_S)
         self.measuring_budget.earn(held_s)
 
     def _update_member(self, now: float, entry: Entry, first_view: bool) -> None:
@@ -355,6 +376,7 @@
             upstream.failures = 0
             upstream.ejections = 0
             upstream.failure_level *= 0.5
+            upstream.service_s += (held_s - upstream.service_s) * LATENCY_WEIGHT
             load = self.load
             load.mean_service_s += (held_s - load.mean_service_s) * MEAN_WEIGHT
             return
@@ -370,3 +392,7 @@
             upstream.ejections += 1
             pause_s = min(EJECT_MAX_S, EJECT_BASE_S * 2 ** (upstream.ejections - 1))
             upstream.ejected_until = now + pause_s
+
+
+def _get_reported_at(upstream: UpstreamLoad) -> float:
+    return upstream.reported_at
--- a/src/foxtaildrum/instance.py
+++ b/src/foxtaildrum/instance.py
@@ -24,6 +24,7 @@
 from .node import CLAIM_STREAM, LOG_STREAM, Node, Write
 from .peers import PeerNetwork
 from .pools import read_clock
+from .probes import Prober
 from .proxy import Proxy
 from .records import Settings
 from .runtime import NodeActor, Ticker
@@ -70,6 +71,7 @@
         self._open = False
         self.proxy.is_open = self._is_open
         self._ticker = Ticker(self._actor.tell)
+        self._prober = Prober(lambda: self.proxy.view.pools.values(), self.meter)
         self._statsd = StatsdSender(settings.statsd) if settings.statsd else None
         self._stopped = threading.Event()
         self._read_node = node
@@ -89,6 +91,7 @@
         self.admin.start()
         if self.callers is not None:
             self.callers.start()
+            self._prober.start()
         threading.Thread(target=self._send_metrics, name="metrics", daemon=True).start()
         if self._network is not None and not self.settings.fleet_key_file:
             log_event("frames_unsigned", level=logging.WARNING, setting="fleet_key_file")
@@ -121,6 +124,7 @@
         """Release threads, sockets and files without waiting for requests."""
         self._stopped.set()
         self._ticker.stop()
+        self._prober.stop()
         if self._network is not None:
             self._network.stop()
         for actor in (self._actor, self._storage):
--- a/src/foxtaildrum/policies.py
+++ b/src/foxtaildrum/policies.py
@@ -19,6 +19,8 @@
 REMOTE_ZONE_COST = 0.1
 MAX_LOAD_RATIO = 2.0
 TIE_MARGIN_SLOTS = 0.05
+HOT_COLD_SAMPLE = 16
+HOT_QUANTILE = 0.75
 
 _POLICIES: dict[str, Policy] = {}
 
@@ -119,6 +121,25 @@
     return _choose_lowest(acceptable, scores, rng)
 
 
+@register_policy("hot_cold")
+def choose_hot_cold(
+    now: float, candidates: Sequence[UpstreamLoad], pool: PoolLoad, rng: random.Random
+) -> UpstreamLoad:
+    """Choose the quickest of a sample that is not hot, else the least loaded.
+
+    Hot is an upstream above the given quantile of the sample's load.
+    """
+    count = min(len(candidates), HOT_COLD_SAMPLE)
+    sample = rng.sample(list(candidates), count)
+    loads = sorted(c.reported_others + c.in_flight for c in sample)
+    limit = loads[int(HOT_QUANTILE * (count - 1))]
+    cold = [c for c in sample if c.reported_others + c.in_flight < limit]
+    if not cold:
+        scores = [c.reported_others + c.in_flight for c in sample]
+        return _choose_lowest(sample, scores, rng)
+    return _choose_lowest(cold, [c.service_s for c in cold], rng)
+
+
 def _get_last_turn(candidate: UpstreamLoad) -> int:
     return candidate.last_turn
 
--- a/src/foxtaildrum/pools.py
+++ b/src/foxtaildrum/pools.py
@@ -125,6 +125,23 @@
             upstream.state = DRAINING
             self._tell_draining(upstream.upstream_id)
 
+    @property
+    def load_path(self) -> str:
+        """Path of the load endpoint; empty when there is none."""
+        return self._balancer.pool.load_path
+
+    def choose_probe(self, now: float) -> UpstreamLoad | None:
+        """Return the upstream to probe, paid from the measuring budget, or None."""
+        if not self.load_path:
+            return None
+        with self._lock:
+            return self._balancer.choose_probe(now)
+
+    def note_probe(self, now: float, upstream: UpstreamLoad, slots_in_use: float) -> None:
+        """Take the load that a probe found."""
+        with self._lock:
+            self._balancer.report_load(now, upstream, slots_in_use)
+
     def get_connections(self, upstream: UpstreamLoad) -> ConnectionPool:
         """Return the connections to an upstream."""
         with self._lock:
--- /dev/null
+++ b/src/foxtaildrum/probes.py
@@ -0,0 +1,82 @@
+"""Probes of load endpoints: the last resort where answers do not report load.
+
+A probe costs an upstream some milliseconds, so it is sent only for a pool that names a
+load path, to the upstream that was silent longest, and out of the measuring budget.
+"""
+
+from __future__ import annotations
+
+import threading
+from collections.abc import Callable, Iterable
+
+from .balancer import UpstreamLoad
+from .loads import parse_slots_in_use
+from .metrics import Meter
+from .pools import UpstreamPool, read_clock
+from .transport import OutgoingRequest, TransportError
+
+PROBE_PERIOD_S = 0.05
+PROBE_TIMEOUT_S = 0.5
+
+
+class Prober:
+    """Sends the probes of one instance in a thread of its own.
+
+    Parameters
+    ----------
+    list_pools : callable
+        Returns the pools in force.
+    meter : Meter
+        Counts probes.
+    """
+
+    def __init__(self, list_pools: Callable[[], Iterable[UpstreamPool]], meter: Meter) -> None:
+        self._list_pools = list_pools
+        self._meter = meter
+        self._stopped = threading.Event()
+        self._thread = threading.Thread(target=self._run, name="probes", daemon=True)
+
+    def start(self) -> None:
+        """Begin to probe."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Stop probing."""
+        self._stopped.set()
+
+    def _run(self) -> None:
+        while not self._stopped.wait(PROBE_PERIOD_S):
+            for pool in list(self._list_pools()):
+                target = pool.choose_probe(read_clock())
+                if target is not None:
+                    self._probe(pool, target)
+
+    def _probe(self, pool: UpstreamPool, upstream: UpstreamLoad) -> None:
+        self._meter.count("probes")
+        try:
+            slots_in_use = _ask_load(pool, upstream)
+        except TransportError:
+            self._meter.count("probes.failed")
+            return
+        if slots_in_use is not None:
+            # The probe itself holds no slot, unlike the request an answer reports on.
+            pool.note_probe(read_clock(), upstream, slots_in_use)
+
+
+def _ask_load(pool: UpstreamPool, upstream: UpstreamLoad) -> float | None:
+    connections = pool.get_connections(upstream)
+    connection = connections.take(read_clock(), PROBE_TIMEOUT_S, repeatable=True)
+    request = OutgoingRequest("GET", pool.load_path, {"Host": upstream.address}, None, 0, "")
+    try:
+        connection.send(request, PROBE_TIMEOUT_S)
+        head = connection.read_head(PROBE_TIMEOUT_S)
+        for _ in connection.read_body(PROBE_TIMEOUT_S):
+            continue
+    except TransportError:
+        connection.close()
+        raise
+    if connection.whole:
+        connections.give(read_clock(), connection)
+    else:
+        connection.close()
+    return parse_slots_in_use(head.headers)
--- a/tests/standins/upstream.py
+++ b/tests/standins/upstream.py
@@ -323,7 +323,8 @@
             self.send(200, b"{}")
         elif target == "/_load":
             self.upstream.probes += 1
-            self.send(200, b"{}")
+            extra = [("endpoint-load-metrics", self.upstream.report_load())]
+            self.send(200, b"{}", extra if self.upstream.behaviour.report == "none" else None)
         else:
             self.send(200, json.dumps(self.upstream.describe()).encode())
 
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -8,7 +8,14 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from foxtaildrum.balancer import EJECT_AFTER_FAILURES, RAMP_S, Balancer, Result, Ticket
+from foxtaildrum.balancer import (
+    EJECT_AFTER_FAILURES,
+    PROBE_COST_S,
+    RAMP_S,
+    Balancer,
+    Result,
+    Ticket,
+)
 from foxtaildrum.budget import Budget
 from foxtaildrum.kinds import ErrorKind
 from foxtaildrum.loads import parse_slots_in_use
@@ -245,3 +252,29 @@
 )
 def test_load_reports_are_read_or_ignored(value, expected):
     assert parse_slots_in_use([("Endpoint-Load-Metrics", value)]) == expected
+
+
+def test_probes_go_to_the_silent_and_stay_inside_the_budget():
+    pool = Pool(name="p", load_path="/load", measuring_budget_ratio=0.1)
+    balancer = Balancer(pool, "here", 4, random.Random(1))
+    balancer.update_members(0.0, [build_entry(name) for name in "ab"])
+    assert balancer.choose_probe(0.0) is None, "nothing was earned yet"
+    spent = held = 0.0
+    now = 0.0
+    for _ in range(200):
+        now += 0.1
+        balancer.earn_budgets(0.02)
+        held += 0.02
+        balancer.report_load(now, balancer.upstreams["a"], 1.0)
+        while (target := balancer.choose_probe(now)) is not None:
+            assert target.upstream_id == "b"
+            spent += PROBE_COST_S
+    assert 0 < spent <= held * 0.1
+
+
+def test_no_probe_is_sent_without_a_budget():
+    pool = Pool(name="p", load_path="/load", measuring_budget_ratio=0.0)
+    balancer = Balancer(pool, "here", 4, random.Random(1))
+    balancer.update_members(0.0, [build_entry("a")])
+    balancer.earn_budgets(100.0)
+    assert balancer.choose_probe(1.0) is None
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -4,6 +4,7 @@
 
 import http.client
 import json
+import random
 import socket
 import threading
 import time
@@ -262,3 +263,39 @@
         while "foxtaildrum.ready:1" not in text:
             text += server.recv(65536).decode() + "\n"
     assert "foxtaildrum.requests:" in text
+
+
+def test_an_upstream_that_does_not_report_is_probed(site):
+    rows, _ = site.client.get_table("pools")
+    site.apply(
+        "pools",
+        [*rows, {"name": "quiet", "load_path": "/_load", "measuring_budget_ratio": 1.0}],
+    )
+    routes, _ = site.client.get_table("routes")
+    site.apply("routes", [*routes, {"name": "quiet", "path_prefix": "/quiet", "pool": "quiet"}])
+    upstream = site.add_upstreams("quiet", 1, service_ms=20, fixed=True, report="none")
+
+    def is_probed() -> bool:
+        site.send("GET", "/quiet")
+        return upstream.describe("quiet-1")["probes"] > 0
+
+    assert wait_until(is_probed)
+    load = site.instance.proxy.view.pools["quiet"].balancer.upstreams["quiet-1"]
+    assert wait_until(lambda: load.reported_at > 0)
+
+
+def test_garbage_from_callers_does_no_harm(site):
+    rng = random.Random(5)
+    host, port = site.instance.callers.address.split(":")
+    good = b"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nX-A: b\r\n\r\nabc"
+    for _ in range(150):
+        data = bytearray(good * rng.randrange(1, 3))
+        for _ in range(rng.randrange(1, 6)):
+            position = rng.randrange(len(data))
+            data[position : position + rng.randrange(3)] = rng.randbytes(rng.randrange(3))
+        with socket.create_connection((host, int(port)), 10) as sock:
+            sock.sendall(bytes(data))
+            sock.shutdown(socket.SHUT_WR)
+            while sock.recv(65536):
+                continue
+    assert site.send("GET", "/x").status == 200
