Close an instance that was paused until it has heard the others again

Cause: after a pause of minutes an instance took its memory of the members for sight, believed that the control group was down, and served old tables for about a second. Measured: the new test fails before ('it served old tables') and passes after, for an entry and a control instance; the tests of both kinds of cut-off stay green.

--- a/src/foxtaildrum/node.py
+++ b/src/foxtaildrum/node.py
@@ -130,6 +130,7 @@
         self._started = False
         self._highest_index = 0
         self._fleet_size = 0
+        self._heard_at = now
         self._expire_at = now
         self._out: list[Action] = []
 
@@ -284,10 +285,16 @@
 
         Without a recent word of a quorum the instance serves on as long as it sees
         most of the fleet: then the control group is down and no change can have been
-        accepted since. Seeing only a minority it stops.
+        accepted since. Seeing only a minority it stops. It also stops when it has such
+        a word but not yet the tables, and when it was paused and has heard nobody since.
         """
         if self.is_current(now):
             return False
+        if now - self.follower.get_beacon()[1] <= CUT_OFF_S:
+            return True
+        has_others = self._fleet_size > 1
+        if has_others and now - self._heard_at > CUT_OFF_S:
+            return True
         return not self._sees_majority()
 
     # Own parts.
@@ -427,6 +434,7 @@
         self._out += out
         if sent_at is None:
             return
+        self._heard_at = max(self._heard_at, sent_at)
         if message.beacon_index >= 0:
             # The answer is no older than its ping; a late answer is dated by it.
             confirmed_at = sent_at - message.beacon_age_s
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -256,3 +256,22 @@
     ]
     assert follower.handle(0.0, PersistFailed(write.token)) == []
     assert follower.handle(0.0, Received("a", ask_vote(2))) == []
+
+
+@pytest.mark.parametrize("name", ["e1", "c3"])
+def test_an_instance_that_was_paused_does_not_serve_old_tables(name):
+    fleet = form_fleet(3, 5)
+    fleet.change_until_accepted("before")
+    fleet.run(5.0)
+    fleet.pause(name)
+    fleet.run(600.0)
+    fleet.change_until_accepted_by("e2", "after")
+    fleet.run(60.0)
+    fleet.resume(name)
+    node = fleet.hosts[name].node
+    until = fleet.now + 30.0
+    while fleet.now < until:
+        old = node.state.tables.tables["pools"].version < 2
+        assert not (old and node.is_open(fleet.now)), "it served old tables"
+        fleet.step()
+    assert node.is_open(fleet.now)
