Give slots back after an error of the instance; prune idle connections

Cause: found by reading the driver as a newcomer would: an unexpected exception kept its slot for ever; a caller that left before anything was sent was recorded as unknown; expired idle connections stayed open until their turn came. Change: the driver can be abandoned; the outcome follows what was sent; a returned connection prunes the expired ones. Measured: two new cases (error before and after the send) fail before and pass after.

--- a/src/foxtaildrum/connections.py
+++ b/src/foxtaildrum/connections.py
@@ -55,10 +55,19 @@
     def give(self, now: float, connection: Connection) -> None:
         """Keep a connection whose last answer was read to its end."""
         with self._lock:
+            closing = self._take_expired(now)
             if len(self._idle) < MAX_IDLE_CONNECTIONS:
                 self._idle.append((now, connection))
-                return
-        connection.close()
+            else:
+                closing.append(connection)
+        for item in closing:
+            item.close()
+
+    def _take_expired(self, now: float) -> list[Connection]:
+        expired = []
+        while self._idle and now - self._idle[0][0] > MAX_IDLE_S:
+            expired.append(self._idle.pop(0)[1])
+        return expired
 
     def close(self) -> None:
         """Close every idle connection."""
--- a/src/foxtaildrum/dispatch.py
+++ b/src/foxtaildrum/dispatch.py
@@ -113,11 +113,12 @@
 class _Try:
     """Resources of one attempt."""
 
-    __slots__ = ("body", "connection", "granted_at", "head", "upstream")
+    __slots__ = ("body", "connection", "granted_at", "head", "released", "upstream")
 
     def __init__(self, upstream: UpstreamLoad, granted_at: float) -> None:
         self.upstream = upstream
         self.granted_at = granted_at
+        self.released = False
         self.connection: Connection | None = None
         self.head: Head | None = None
         self.body: IO[bytes] | bytes | None = None
@@ -257,8 +258,9 @@
 
     def _release(self, action: x.Release) -> None:
         attempt = self._tries.get(action.attempt)
-        if attempt is None or action.ended is x.Ended.NO_SLOT:
+        if attempt is None or attempt.released:
             return
+        attempt.released = True
         now = read_clock()
         connection = attempt.connection
         if connection is not None:
@@ -287,12 +289,28 @@
 
     def _finish(self, action: x.Truncate | x.Finish) -> None:
         if self._result is None:
-            self._result = Refusal(ErrorKind.CALLER_LEFT, Outcome.UNKNOWN)
+            self._result = Refusal(ErrorKind.CALLER_LEFT, self._describe_outcome())
+
+    def _describe_outcome(self) -> Outcome:
+        return Outcome.UNKNOWN if self._exchange.may_have_run else Outcome.NOT_RUN
 
     def _perform_rest(self) -> None:
         while self._actions:
             self._perform_next()
 
+    def abandon(self) -> Refusal:
+        """Give every slot back after an error of the instance itself."""
+        now = read_clock()
+        for attempt in self._tries.values():
+            if attempt.released:
+                continue
+            attempt.released = True
+            if attempt.connection is not None:
+                attempt.connection.close()
+            held_s = now - attempt.granted_at
+            self._pool.release(now, attempt.upstream, Result.CANCELLED, held_s)
+        return Refusal(ErrorKind.INTERNAL, self._describe_outcome())
+
     def end_stream(self, event: x.Event) -> None:
         """Tell the exchange how the relay of a streamed body ended."""
         self._feed(event)
--- a/src/foxtaildrum/proxy.py
+++ b/src/foxtaildrum/proxy.py
@@ -177,7 +177,11 @@
             call.route.timeout_ms / 1000,
             environ.get("SERVER_PROTOCOL") == "HTTP/1.0",
         )
-        result = dispatch.run()
+        try:
+            result = dispatch.run()
+        except Exception as error:
+            log_event("internal_error", request_id=call.request_id, reason=repr(error))
+            result = dispatch.abandon()
         if dispatch.hedges:
             self._meter.count("hedges", dispatch.hedges)
         if claimed is not None:
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -297,3 +297,16 @@
             while sock.recv(65536):
                 continue
     assert site.send("GET", "/x").status == 200
+
+
+@pytest.mark.parametrize(
+    ("place", "outcome"), [("get_connections", "not-run"), ("note_answer", "unknown")]
+)
+def test_an_error_of_the_instance_gives_the_slot_back(site, monkeypatch, place, outcome):
+    pool = site.instance.proxy.view.pools["one"]
+    with monkeypatch.context() as patch:
+        patch.setattr(pool, place, None)
+        reply = site.send("POST", "/one/x")
+    assert (reply.status, reply.outcome) == (500, outcome)
+    assert wait_until(lambda: pool.balancer.in_flight == 0)
+    assert site.send("GET", "/one/x").status == 200
