--- a/src/foxtaildrum/cli.py
+++ b/src/foxtaildrum/cli.py
@@ -247,6 +247,7 @@
             f"leader {control['leader'] or '-'}, commit {control['commit_index']}, "
             f"disk {'admitted' if control['disk_admitted'] else 'not admitted'}, "
             f"{control['claims']} claims"
+            f"{'' if control['claims_recovered'] else ', not recovered'}"
         )
     lines.append("members:")
     lines += [
