Add an experiment that stalls half of a pool

Cause: the issue asks for no metastable state after a stall of 2 s. Change: stand-in upstreams can stall; the experiment prints answers by second. Conclusion: none yet.

--- a/tests/standins/experiment.py
+++ b/tests/standins/experiment.py
@@ -35,6 +35,8 @@
 }
 ZONES = ("zone-a", "zone-b", "zone-c")
 SITES = {"cascadia": (13, 6), "mysqan": (11, 4)}
+STALL_AFTER_S = 3.0
+STALL_S = 2.0
 DOCUMENT_BYTES = 100_000_000
 WARM_UP_S = 2.0
 TICKS_PER_S = os.sysconf("SC_CLK_TCK")
@@ -301,6 +303,35 @@
         site.close()
 
 
+def run_stall(arguments: argparse.Namespace) -> None:
+    """Good answers and others by second around a stall of half the pool."""
+    upstreams, slots = SITES[arguments.site]
+    site = Site(arguments.instances, upstreams, slots, {})
+    seen: dict[str, Any] = {}
+    thread = threading.Thread(
+        target=lambda: seen.update(site.run_load(0.7, arguments.duration_s, timeout_ms=1000))
+    )
+    half = list(site.upstreams.ports)[: upstreams // 2]
+    try:
+        thread.start()
+        time.sleep(WARM_UP_S + STALL_AFTER_S)
+        for upstream_id in half:
+            site.upstreams.control(upstream_id, stalled=True)
+        time.sleep(STALL_S)
+        for upstream_id in half:
+            site.upstreams.control(upstream_id, stalled=False)
+        thread.join()
+        print(
+            f"{len(half)} of {upstreams} upstreams stalled for {STALL_S:g} s; p99 {seen['p99']}"
+        )
+        print_header(["second", "good", "other"])
+        for second, (good, other) in enumerate(seen["timeline"]):
+            print_row([second, good, other])
+        print(seen["statuses"])
+    finally:
+        site.close()
+
+
 def run_changes(arguments: argparse.Namespace) -> None:
     """Tables changed under load while instances are killed; times to everywhere."""
     site = Site(arguments.instances, 8, 6, {})
@@ -473,6 +504,7 @@
     "hedging": compare_hedging,
     "overload": run_overload,
     "changes": run_changes,
+    "stall": run_stall,
 }
 
 
--- a/tests/standins/upstream.py
+++ b/tests/standins/upstream.py
@@ -17,7 +17,7 @@
 from foxtaildrum.client import AdminClient
 from foxtaildrum.exceptions import AdminRequestError
 
-REPORT_LAG_S = 0.0
+STALL_POLL_S = 0.01
 HEAD_END = b"\r\n\r\n"
 
 
@@ -39,6 +39,7 @@
         self.draining = False
         self.max_queue = 1000
         self.fixed = False
+        self.stalled = False
 
 
 class Upstream:
@@ -230,6 +231,8 @@
         try:
             delay = float(fault.partition("=")[2]) / 1000 if fault.startswith("slow=") else None
             await asyncio.sleep(upstream.pick_service_s(began) if delay is None else delay)
+            while b.stalled:
+                await asyncio.sleep(STALL_POLL_S)
             upstream.served += 1
             # The report includes the request that it travels with.
             self.answer(method, target, fault)
