Ask an upstream that goes on shedding less and less

Change: the pause doubles up to 2 s until the upstream serves again; load reported on answers that refuse or fail is not believed.

--- a/src/foxtaildrum/balancer.py
+++ b/src/foxtaildrum/balancer.py
@@ -23,6 +23,7 @@
 MAX_EJECTED_RATIO = 0.5
 MAX_FAILURE_LEVEL = 16.0
 SHED_PAUSE_S = 0.05
+SHED_PAUSE_MAX_S = 2.0
 INITIAL_SERVICE_S = 0.01
 MEAN_WEIGHT = 0.05
 LATENCY_WEIGHT = 0.2
@@ -74,6 +75,7 @@
         "reported_at",
         "reported_others",
         "service_s",
+        "sheds",
         "slots",
         "state",
         "upstream_id",
@@ -91,6 +93,7 @@
         self.reported_others = 0.0
         self.reported_at = float("-inf")
         self.service_s = 0.0
+        self.sheds = 0
         self.failures = 0
         self.failure_level = 0.0
         self.failed_at = float("-inf")
@@ -374,6 +377,7 @@
     def _learn(self, now: float, upstream: UpstreamLoad, result: Result, held_s: float) -> None:
         if result is Result.OK:
             upstream.failures = 0
+            upstream.sheds = 0
             upstream.ejections = 0
             upstream.failure_level *= 0.5
             upstream.service_s += (held_s - upstream.service_s) * LATENCY_WEIGHT
@@ -383,7 +387,9 @@
         if result is Result.CANCELLED:
             return
         if result is Result.SHED:
-            upstream.ejected_until = max(upstream.ejected_until, now + SHED_PAUSE_S)
+            pause_s = min(SHED_PAUSE_MAX_S, SHED_PAUSE_S * 2**upstream.sheds)
+            upstream.sheds += 1
+            upstream.ejected_until = max(upstream.ejected_until, now + pause_s)
             return
         upstream.failures += 1
         upstream.failure_level = min(MAX_FAILURE_LEVEL, upstream.failure_level + 1.0)
--- a/src/foxtaildrum/dispatch.py
+++ b/src/foxtaildrum/dispatch.py
@@ -10,7 +10,7 @@
 
 from . import steps as x
 from .balancer import Result, Ticket, UpstreamLoad
-from .exchange import Exchange
+from .exchange import RETRYABLE_STATUSES, Exchange
 from .kinds import ErrorKind, Outcome
 from .loads import parse_slots_in_use
 from .pools import UpstreamPool, read_clock
@@ -343,9 +343,10 @@
             attempt.body = self._prefetch_body(attempt)
         except TransportError as error:
             return x.AttemptFailed(number, error.kind)
-        self._pool.note_answer(
-            read_clock(), attempt.upstream, parse_slots_in_use(head.headers), head.draining
-        )
+        # An upstream that refuses or fails at once reports that it is idle.
+        failing = head.status in RETRYABLE_STATUSES
+        slots_in_use = None if failing else parse_slots_in_use(head.headers)
+        self._pool.note_answer(read_clock(), attempt.upstream, slots_in_use, head.draining)
         return x.HeadReceived(number, head.status, head.not_run)
 
     def _check_attempt(self, number: int, head: Head) -> None:
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -156,6 +156,19 @@
     assert failures < 300 / 3 / 4
 
 
+def test_an_upstream_that_goes_on_shedding_is_asked_less_and_less():
+    balancer = build_balancer("abc")
+    now = 0.0
+    sheds = 0
+    for _ in range(1000):
+        now += 0.01
+        ticket = ask(balancer, now)
+        shed = ticket.granted.upstream_id == "a"
+        sheds += shed
+        balancer.release(now, ticket.granted, Result.SHED if shed else Result.OK, 0.005)
+    assert sheds < 1000 * 0.02
+
+
 def test_ejection_never_empties_the_pool():
     balancer = build_balancer("ab")
     for _ in range(4 * EJECT_AFTER_FAILURES):
