Let the thread pool grow slowly and shrink again

Cause: the pool grew with each arrival that found no idle thread, so a burst of processor time left up to 256 threads that took turns for good. Change: it grows by two threads in 10 ms at most and halves its idle threads each 2 s.

--- a/src/foxtaildrum/server.py
+++ b/src/foxtaildrum/server.py
@@ -26,6 +26,8 @@
 LINGER_S = 2.0
 INITIAL_THREADS = 4
 THREAD_STEP = 2
+GROW_PERIOD_S = 0.01
+SHRINK_PERIOD_S = 2.0
 LOOP_TIMEOUT_S = 0.2
 POLL_S = 0.02
 
@@ -141,14 +143,18 @@
 
 
 class _Dispatcher(ThreadedTaskDispatcher):
-    """Thread pool that grows with the requests in flight.
+    """Thread pool that follows the requests that wait for upstreams.
 
-    Few threads that stay busy cost less than many that take turns.
+    Few threads that stay busy cost less than many that take turns. The pool grows
+    slowly, since a queue that is short-lived means a busy processor, which more threads
+    would only slow down; threads that stay idle are stopped again.
     """
 
     def __init__(self, limit: int) -> None:
         super().__init__()
         self._limit = limit
+        self._grown_at = float("-inf")
+        self._shrunk_at = time.monotonic()
         self.set_thread_count(min(limit, INITIAL_THREADS))
 
     def add_task(self, task: _Channel) -> None:
@@ -156,9 +162,17 @@
             self.queue.append(task)
             self.queue_cv.notify()
             running = len(self.threads) - self.stop_count
-            grows = len(self.queue) > running - self.active_count and running < self._limit
-        if grows:
+            idle = running - self.active_count
+            waiting = len(self.queue)
+        self._adjust(time.monotonic(), running, idle, waiting)
+
+    def _adjust(self, now: float, running: int, idle: int, waiting: int) -> None:
+        if waiting > idle and now - self._grown_at >= GROW_PERIOD_S:
+            self._grown_at = self._shrunk_at = now
             self.set_thread_count(min(self._limit, running + THREAD_STEP))
+        elif now - self._shrunk_at >= SHRINK_PERIOD_S:
+            self._shrunk_at = now
+            self.set_thread_count(max(min(self._limit, INITIAL_THREADS), running - idle // 2))
 
 
 class HttpServer:
