Measure what instances cost while tables change

Cause: the figures told the idle cost only. Change: the changes experiment runs at a steady 10 changes/s before it kills instances.

--- a/tests/standins/experiment.py
+++ b/tests/standins/experiment.py
@@ -35,6 +35,7 @@
 }
 ZONES = ("zone-a", "zone-b", "zone-c")
 SITES = {"cascadia": (13, 6), "mysqan": (11, 4)}
+CHANGES_PER_S = 10.0
 STALL_AFTER_S = 3.0
 STALL_S = 2.0
 DOCUMENT_BYTES = 100_000_000
@@ -340,11 +341,13 @@
         target=lambda: seen.update(site.run_load(0.3, arguments.duration_s * 2))
     )
     try:
-        report_idle(site, arguments.duration_s)
+        report_rates(site, "idle", lambda: time.sleep(arguments.duration_s))
+        report_rates(site, "10 changes/s", lambda: change_often(site, arguments.duration_s))
         thread.start()
         accept, spread = [], []
         until = time.monotonic() + arguments.duration_s * 2
         number = 0
+        first = CHANGES_PER_S * arguments.duration_s
         while time.monotonic() < until:
             number += 1
             if number == 10:
@@ -352,7 +355,7 @@
             if number == 20:
                 site.instances[-1].kill()
             alive = [i for i in site.instances if i.popen.poll() is None]
-            took = change_once(alive, number)
+            took = change_once(alive, int(first) + number)
             accept.append(took[0])
             spread.append(took[1])
         thread.join()
@@ -389,18 +392,27 @@
     return instance.status().get("tables", {}).get("pools", {}).get("version", -1)
 
 
-def report_idle(site: Site, duration_s: float) -> None:
-    """Print what the instances cost when nothing happens."""
+def change_often(site: Site, duration_s: float) -> None:
+    """Change the tables at a steady rate."""
+    for number in range(1, int(CHANGES_PER_S * duration_s) + 1):
+        due = time.monotonic() + 1 / CHANGES_PER_S
+        change_once(site.instances, number)
+        time.sleep(max(0.0, due - time.monotonic()))
+
+
+def report_rates(site: Site, label: str, act: Callable[[], None]) -> None:
+    """Print what the instances cost while ``act`` runs."""
     names = ("peers.sent_messages", "peers.sent_bytes")
     before = {name: site.count(name) for name in names}
     cpu_s = site.read_cpu_s()
-    time.sleep(duration_s)
-    each = len(site.instances) * duration_s
+    began = time.monotonic()
+    act()
+    each = len(site.instances) * (time.monotonic() - began)
     rates = {name: (site.count(name) - before[name]) / each for name in names}
     cpu = (site.read_cpu_s() - cpu_s) / each
     rss = [read_rss(i) for i in site.instances]
     print(
-        f"idle, each of {len(site.instances)} instances: "
+        f"{label}, each of {len(site.instances)} instances: "
         f"{rates['peers.sent_messages']:.1f} messages/s, "
         f"{rates['peers.sent_bytes']:.0f} bytes/s sent, {cpu:.2%} of a core, "
         f"{sum(rss) / len(rss) / 1024:.0f} MB"
