--- /dev/null
+++ b/tests/test_rolling.py
@@ -0,0 +1,75 @@
+"""Upstreams that stop and start under load, with and without a drain."""
+
+from __future__ import annotations
+
+import threading
+
+import pytest
+
+from .sites import Site, open_site
+from .standins.processes import UpstreamProcess, wait_until
+
+UPSTREAMS = 3
+CALLERS = 4
+
+
+class Rolling:
+    """Three upstreams, each in a process of its own, and callers that never pause."""
+
+    def __init__(self, site: Site) -> None:
+        self.site = site
+        self.incarnation = 1
+        self.processes = [self.start() for _ in range(UPSTREAMS)]
+        for number in range(UPSTREAMS):
+            self.announce(number)
+        self.statuses: list[int] = []
+        self.stopped = threading.Event()
+        self.threads = [threading.Thread(target=self.call) for _ in range(CALLERS)]
+
+    def start(self) -> UpstreamProcess:
+        return UpstreamProcess(
+            self.site.folder, "p", 1, [], behaviour={"service_ms": 3, "fixed": True}
+        )
+
+    def announce(self, number: int, **fields) -> None:
+        port = self.processes[number].ports["p-1"]
+        self.site.announce(f"u{number}", "p", port, incarnation=self.incarnation, **fields)
+
+    def call(self) -> None:
+        while not self.stopped.is_set():
+            self.statuses.append(self.site.send("GET", "/x").status)
+
+    def restart(self, number: int, drains: bool) -> None:
+        old = self.processes[number]
+        if drains:
+            self.announce(number, state="draining")
+            assert wait_until(lambda: old.describe("p-1")["busy"] == 0)
+        old.kill()
+        self.incarnation += 1
+        self.processes[number] = self.start()
+        self.announce(number)
+        new = self.processes[number]
+        assert wait_until(lambda: new.describe("p-1")["served"] > 0)
+
+    def close(self) -> None:
+        self.stopped.set()
+        for thread in self.threads:
+            thread.join()
+        for process in self.processes:
+            process.kill()
+
+
+@pytest.mark.parametrize("drains", [True, False], ids=["drained", "killed"])
+def test_a_rolling_restart_fails_no_lookup(tmp_path, drains):
+    with open_site(tmp_path) as site:
+        site.apply("pools", [{"name": "p", "retry_budget_ratio": 0.2}])
+        site.apply("routes", [{"name": "r", "pool": "p", "timeout_ms": 5000}])
+        rolling = Rolling(site)
+        for thread in rolling.threads:
+            thread.start()
+        try:
+            for number in range(UPSTREAMS):
+                rolling.restart(number, drains)
+        finally:
+            rolling.close()
+        assert set(rolling.statuses) == {200}
