Name the end of an attempt once; let the connection pool judge reuse

Cause: reading the whole change again: the balancer and the exchange had an enum each for how an attempt ends, with a table between them; two callers checked whether a connection may be used again before giving it back; a report at face value was summed in four places. Conclusion: behaviour unchanged.

--- a/src/foxtaildrum/balancer.py
+++ b/src/foxtaildrum/balancer.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import enum
 import math
 import random
 import sys
@@ -13,6 +12,7 @@
 from .kinds import ErrorKind
 from .policies import get_policy
 from .records import Pool
+from .steps import Ended
 from .upstreams import READY, Entry
 
 RAMP_S = 5.0
@@ -35,16 +35,6 @@
 HEDGE_TOKENS_SERVICE_TIMES = 10.0
 
 
-class Result(enum.Enum):
-    """How an attempt on an upstream ended."""
-
-    OK = "ok"
-    FAILED = "failed"
-    SHED = "shed"
-    UNREACHABLE = "unreachable"
-    CANCELLED = "cancelled"
-
-
 class UpstreamLoad:
     """What one instance knows of the load of one upstream.
 
@@ -251,7 +241,7 @@
         ticket.refused = kind
 
     def release(
-        self, now: float, upstream: UpstreamLoad, result: Result, held_s: float
+        self, now: float, upstream: UpstreamLoad, result: Ended, held_s: float
     ) -> list[Ticket]:
         """Give a slot back and return tickets that are now settled."""
         upstream.in_flight -= 1
@@ -378,8 +368,8 @@
         # that can still be said to be not run.
         return start + RUN_SERVICE_TIMES * self.load.mean_service_s > ticket.deadline
 
-    def _learn(self, now: float, upstream: UpstreamLoad, result: Result, held_s: float) -> None:
-        if result is Result.OK:
+    def _learn(self, now: float, upstream: UpstreamLoad, result: Ended, held_s: float) -> None:
+        if result is Ended.OK:
             upstream.failures = 0
             upstream.sheds = 0
             upstream.ejections = 0
@@ -388,9 +378,9 @@
             load = self.load
             load.mean_service_s += (held_s - load.mean_service_s) * MEAN_WEIGHT
             return
-        if result is Result.CANCELLED:
+        if result is Ended.CANCELLED:
             return
-        if result is Result.SHED:
+        if result is Ended.SHED:
             pause_s = min(SHED_PAUSE_MAX_S, SHED_PAUSE_S * 2**upstream.sheds)
             upstream.sheds += 1
             upstream.ejected_until = max(upstream.ejected_until, now + pause_s)
@@ -398,7 +388,7 @@
         upstream.failures += 1
         upstream.failure_level = min(MAX_FAILURE_LEVEL, upstream.failure_level + 1.0)
         upstream.failed_at = now
-        if result is Result.UNREACHABLE or upstream.failures >= EJECT_AFTER_FAILURES:
+        if result is Ended.UNREACHABLE or upstream.failures >= EJECT_AFTER_FAILURES:
             upstream.ejections += 1
             pause_s = min(EJECT_MAX_S, EJECT_BASE_S * 2 ** (upstream.ejections - 1))
             upstream.ejected_until = now + pause_s
--- a/src/foxtaildrum/connections.py
+++ b/src/foxtaildrum/connections.py
@@ -53,10 +53,10 @@
         return self._open(self._address, timeout_s)
 
     def give(self, now: float, connection: Connection) -> None:
-        """Keep a connection whose last answer was read to its end."""
+        """Keep a connection whose last answer was read to its end; close any other."""
         with self._lock:
             closing = self._take_expired(now)
-            if len(self._idle) < MAX_IDLE_CONNECTIONS:
+            if connection.whole and len(self._idle) < MAX_IDLE_CONNECTIONS:
                 self._idle.append((now, connection))
             else:
                 closing.append(connection)
--- a/src/foxtaildrum/dispatch.py
+++ b/src/foxtaildrum/dispatch.py
@@ -9,7 +9,7 @@
 from typing import IO
 
 from . import steps as x
-from .balancer import Result, Ticket, UpstreamLoad
+from .balancer import Ticket, UpstreamLoad
 from .exchange import RETRYABLE_STATUSES, Exchange
 from .kinds import ErrorKind, Outcome
 from .loads import parse_slots_in_use
@@ -124,15 +124,6 @@
         self.body: IO[bytes] | bytes | None = None
 
 
-_RESULTS = {
-    x.Ended.OK: Result.OK,
-    x.Ended.FAILED: Result.FAILED,
-    x.Ended.SHED: Result.SHED,
-    x.Ended.UNREACHABLE: Result.UNREACHABLE,
-    x.Ended.CANCELLED: Result.CANCELLED,
-}
-
-
 class Dispatch:
     """Runs one request to its answer.
 
@@ -264,12 +255,9 @@
         now = read_clock()
         connection = attempt.connection
         if connection is not None:
-            if connection.whole:
-                self._pool.get_connections(attempt.upstream).give(now, connection)
-            else:
-                connection.close()
+            self._pool.get_connections(attempt.upstream).give(now, connection)
         held_s = now - attempt.granted_at
-        self._pool.release(now, attempt.upstream, _RESULTS[action.ended], held_s)
+        self._pool.release(now, attempt.upstream, action.ended, held_s)
 
     def _relay(self, action: x.Relay) -> None:
         attempt = self._tries[action.attempt]
@@ -308,7 +296,7 @@
             if attempt.connection is not None:
                 attempt.connection.close()
             held_s = now - attempt.granted_at
-            self._pool.release(now, attempt.upstream, Result.CANCELLED, held_s)
+            self._pool.release(now, attempt.upstream, x.Ended.CANCELLED, held_s)
         return Refusal(ErrorKind.INTERNAL, self._describe_outcome())
 
     def end_stream(self, event: x.Event) -> None:
--- a/src/foxtaildrum/policies.py
+++ b/src/foxtaildrum/policies.py
@@ -86,8 +86,7 @@
     """Choose the lower last report of two at random, at face value."""
     first = choose_random(now, candidates, pool, rng)
     second = choose_random(now, candidates, pool, rng)
-    lower = second.reported_others + second.in_flight < first.reported_others + first.in_flight
-    return second if lower else first
+    return second if _sum_reported(second) < _sum_reported(first) else first
 
 
 @register_policy("aged_load")
@@ -131,15 +130,18 @@
     """
     count = min(len(candidates), HOT_COLD_SAMPLE)
     sample = rng.sample(list(candidates), count)
-    loads = sorted(c.reported_others + c.in_flight for c in sample)
-    limit = loads[int(HOT_QUANTILE * (count - 1))]
-    cold = [c for c in sample if c.reported_others + c.in_flight < limit]
+    loads = [_sum_reported(c) for c in sample]
+    limit = sorted(loads)[int(HOT_QUANTILE * (count - 1))]
+    cold = [c for c, load in zip(sample, loads, strict=True) if load < limit]
     if not cold:
-        scores = [c.reported_others + c.in_flight for c in sample]
-        return _choose_lowest(sample, scores, rng)
+        return _choose_lowest(sample, loads, rng)
     return _choose_lowest(cold, [c.service_s for c in cold], rng)
 
 
+def _sum_reported(candidate: UpstreamLoad) -> float:
+    return candidate.reported_others + candidate.in_flight
+
+
 def _get_last_turn(candidate: UpstreamLoad) -> int:
     return candidate.last_turn
 
--- a/src/foxtaildrum/pools.py
+++ b/src/foxtaildrum/pools.py
@@ -7,12 +7,13 @@
 import time
 from collections.abc import Callable, Iterable
 
-from .balancer import Balancer, Result, Ticket, UpstreamLoad
+from .balancer import Balancer, Ticket, UpstreamLoad
 from .connections import ConnectionPool
 from .exchange import Allowance
 from .kinds import ErrorKind
 from .latency import RecentLatency
 from .records import Pool
+from .steps import Ended
 from .transport import Adapter
 from .upstreams import DRAINING, Entry
 
@@ -103,13 +104,11 @@
         with self._lock:
             self._balancer.cancel_ticket(ticket, kind)
 
-    def release(
-        self, now: float, upstream: UpstreamLoad, result: Result, held_s: float
-    ) -> None:
+    def release(self, now: float, upstream: UpstreamLoad, result: Ended, held_s: float) -> None:
         """Give a slot back."""
         with self._lock:
             settled = self._balancer.release(now, upstream, result, held_s)
-            if result is Result.OK:
+            if result is Ended.OK:
                 self._latency.record(now, held_s)
                 self._balancer.earn_budgets(held_s)
         _wake_all(settled)
--- a/src/foxtaildrum/probes.py
+++ b/src/foxtaildrum/probes.py
@@ -75,8 +75,5 @@
     except TransportError:
         connection.close()
         raise
-    if connection.whole:
-        connections.give(read_clock(), connection)
-    else:
-        connection.close()
+    connections.give(read_clock(), connection)
     return parse_slots_in_use(head.headers)
--- a/tests/standins/slopes.py
+++ b/tests/standins/slopes.py
@@ -13,12 +13,13 @@
 import pykka
 
 from foxtaildrum import records as r
-from foxtaildrum.balancer import Balancer, Result, Ticket
+from foxtaildrum.balancer import Balancer, Ticket
 from foxtaildrum.follower import Follower, TableState
 from foxtaildrum.frames import FrameWriter, derive_key
 from foxtaildrum.membership import Knowledge, Member, Membership, MemberState
 from foxtaildrum.policies import list_policies
 from foxtaildrum.routing import Router
+from foxtaildrum.steps import Ended
 from foxtaildrum.tables import Change
 from foxtaildrum.upstreams import Entry, UpstreamList
 
@@ -72,7 +73,7 @@
 def take_and_give(balancer: Balancer) -> None:
     ticket = Ticket(1e9, frozenset())
     balancer.request_slot(1.0, ticket, True)
-    balancer.release(1.0, ticket.granted, Result.OK, 0.01)
+    balancer.release(1.0, ticket.granted, Ended.OK, 0.01)
 
 
 def print_decisions() -> None:
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -13,7 +13,6 @@
     PROBE_COST_S,
     RAMP_S,
     Balancer,
-    Result,
     Ticket,
 )
 from foxtaildrum.budget import Budget
@@ -21,6 +20,7 @@
 from foxtaildrum.loads import parse_slots_in_use
 from foxtaildrum.policies import list_policies
 from foxtaildrum.records import Announcement, Pool
+from foxtaildrum.steps import Ended
 from foxtaildrum.upstreams import Entry
 
 FAR = 1e9
@@ -57,7 +57,7 @@
     for _ in range(count):
         ticket = ask(balancer, now)
         chosen.append(ticket.granted.upstream_id)
-        balancer.release(now, ticket.granted, Result.OK, 0.01)
+        balancer.release(now, ticket.granted, Ended.OK, 0.01)
     return chosen
 
 
@@ -86,7 +86,7 @@
             (held if ticket.granted else waiting).append(ticket)
         elif step in ("give", "fail", "shed") and held:
             ticket = held.pop(rng.randrange(len(held)))
-            result = {"give": Result.OK, "fail": Result.FAILED, "shed": Result.SHED}[step]
+            result = {"give": Ended.OK, "fail": Ended.FAILED, "shed": Ended.SHED}[step]
             settled = balancer.release(now, ticket.granted, result, 0.01)
         elif step == "gone":
             settled = balancer.update_members(now, [build_entry("a")])
@@ -99,10 +99,10 @@
         assert all(u.in_flight <= u.slots for u in balancer.upstreams.values())
         assert balancer.in_flight == len(held)
     for ticket in list(held):
-        held += [t for t in balancer.release(now, ticket.granted, Result.OK, 0.01) if t.granted]
+        held += [t for t in balancer.release(now, ticket.granted, Ended.OK, 0.01) if t.granted]
         held.remove(ticket)
     for ticket in held:
-        balancer.release(now, ticket.granted, Result.OK, 0.01)
+        balancer.release(now, ticket.granted, Ended.OK, 0.01)
     assert balancer.in_flight == 0
 
 
@@ -121,7 +121,7 @@
     ask(balancer)
     waiting = ask(balancer)
     assert not waiting.settled
-    balancer.release(1.0, first.granted, Result.OK, 1.0)
+    balancer.release(1.0, first.granted, Ended.OK, 1.0)
     assert waiting.granted is not None
 
 
@@ -151,7 +151,7 @@
         ticket = ask(balancer, now)
         failed = ticket.granted.upstream_id == "a"
         failures += failed
-        result = Result.FAILED if failed else Result.OK
+        result = Ended.FAILED if failed else Ended.OK
         balancer.release(now, ticket.granted, result, 0.001 if failed else 0.05)
     assert failures < 300 / 3 / 4
 
@@ -165,7 +165,7 @@
         ticket = ask(balancer, now)
         shed = ticket.granted.upstream_id == "a"
         sheds += shed
-        balancer.release(now, ticket.granted, Result.SHED if shed else Result.OK, 0.005)
+        balancer.release(now, ticket.granted, Ended.SHED if shed else Ended.OK, 0.005)
     assert sheds < 1000 * 0.02
 
 
@@ -173,7 +173,7 @@
     balancer = build_balancer("ab")
     for _ in range(4 * EJECT_AFTER_FAILURES):
         ticket = ask(balancer, 0.0)
-        balancer.release(0.0, ticket.granted, Result.FAILED, 0.001)
+        balancer.release(0.0, ticket.granted, Ended.FAILED, 0.001)
     assert ask(balancer, 0.0).granted
 
 
@@ -196,7 +196,7 @@
     for _ in range(20):
         ticket = ask(balancer, excluded=frozenset("a"))
         assert ticket.granted.upstream_id == "b"
-        balancer.release(0.0, ticket.granted, Result.OK, 0.01)
+        balancer.release(0.0, ticket.granted, Ended.OK, 0.01)
     assert ask(balancer, excluded=frozenset("ab")).granted
 
 
