--- /dev/null
+++ b/scripts/build-platform.sh
@@ -0,0 +1,13 @@
+#!/usr/bin/env bash
+# Puts the program and what it needs at run time under target/.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+deps=target/deps
+if [ ! -e "$deps/complete" ] || [ requirements.runtime.lock -nt "$deps/complete" ]; then
+  rm -rf "$deps"
+  python3 -m pip install --quiet --target "$deps" --requirement requirements.runtime.lock
+  touch "$deps/complete"
+fi
+rm -rf "$deps/foxtaildrum"
+cp -r src/foxtaildrum "$deps/foxtaildrum"
+python3 -m compileall -q "$deps"
--- a/src/foxtaildrum/access.py
+++ b/src/foxtaildrum/access.py
@@ -9,7 +9,9 @@
 import pykka
 
 from .claims import ClaimOutcome, Verdict, compute_claim_key
+from .desired import DesiredState, describe_desired
 from .dispatch import Refusal, UpstreamAnswer
+from .exceptions import NotSpreadError
 from .idempotency import StoredAnswer
 from .logs import log_event
 from .metrics import Meter
@@ -125,7 +127,19 @@
         """Return the rows, the version and whether they are known to be current."""
         return self._read(lambda node, now: _read_table(node, now, name))
 
-    def change_table(self, change: Change) -> ChangeAnswer:
+    def read_desired(self) -> dict[str, Any] | None:
+        """Return the desired state with every accepted change; None when not known."""
+        done = pykka.ThreadingFuture()
+        self._node.read_tables.defer(done)
+        try:
+            current = done.get(timeout=ANSWER_TIMEOUT_S)
+        except pykka.Timeout:
+            return None
+        if not current:
+            return None
+        return self._read(lambda node, now: describe_desired(node.state.tables))
+
+    def change_table(self, change: Change | DesiredState) -> ChangeAnswer:
         """Propose a change and wait for its answer."""
         answer = pykka.ThreadingFuture()
         self._node.propose.defer(change, answer)
@@ -136,11 +150,17 @@
 
     def announce(self, upstream_id: str, announcement: Announcement) -> str:
         """Take an announcement; return the reason of a refusal or an empty text."""
-        return self._node.announce(upstream_id, announcement).get(timeout=ANSWER_TIMEOUT_S)
-
-    def leave(self, upstream_id: str) -> bool:
-        """Take an upstream out; return whether it was known."""
-        return self._node.leave_upstream(upstream_id).get(timeout=ANSWER_TIMEOUT_S)
+        future = self._node.announce(upstream_id, announcement)
+        refusal, spread = future.get(timeout=ANSWER_TIMEOUT_S)
+        if spread is not None and not spread.get(timeout=ANSWER_TIMEOUT_S):
+            raise NotSpreadError("too few control instances heard of the drain")
+        return refusal
+
+    def leave(self, upstream_id: str, incarnation: int = 0) -> bool | None:
+        """Take an upstream out; return whether it was known, None when not spread."""
+        future = self._node.leave_upstream(upstream_id, incarnation)
+        known, spread = future.get(timeout=ANSWER_TIMEOUT_S)
+        return known if spread.get(timeout=ANSWER_TIMEOUT_S) else None
 
     def _read(self, function: Callable[[Node, float], Any]) -> Any:
         return self._node.read(function).get(timeout=ANSWER_TIMEOUT_S)
--- a/src/foxtaildrum/admin.py
+++ b/src/foxtaildrum/admin.py
@@ -9,7 +9,8 @@
 from collections.abc import Callable, Iterable
 from typing import Any
 
-from .exceptions import FieldError, InvalidTableError
+from .desired import DesiredState
+from .exceptions import FieldError, InvalidTableError, NotSpreadError
 from .node_api import ChangeAnswer, NodeApi
 from .problem import StartResponse, format_status
 from .records import Announcement
@@ -18,6 +19,7 @@
 
 MAX_CHANGE_ID = 128
 MAX_UPSTREAM_ID = 128
+DEFAULT_LEASE_S = 15.0
 ALLOW_STALE = "stale=allow"
 JSON_TYPE = "application/json"
 
@@ -70,10 +72,22 @@
         State of the instance.
     operator_token : bytes
         Token for the tables; empty asks for none.
+    lease_s : float
+        Seconds until an announcement that names no lease expires.
+    required_fields : tuple of str
+        Fields that an announcement must have beside those of the schema.
     """
 
-    def __init__(self, node: NodeApi, operator_token: bytes) -> None:
+    def __init__(
+        self,
+        node: NodeApi,
+        operator_token: bytes,
+        lease_s: float = DEFAULT_LEASE_S,
+        required_fields: tuple[str, ...] = (),
+    ) -> None:
         self.node = node
+        self.lease_s = lease_s
+        self.required_fields = required_fields
         self._token = operator_token
 
     def __call__(
@@ -166,6 +180,39 @@
     register_handler("PUT", f"/v1/{_name}")(put_table)
 
 
+@register_handler("GET", "/v1/tables")
+def get_tables(admin: Admin, environ: dict[str, Any], segment: str) -> Reply:
+    """Return both tables and the limits with every change that was accepted."""
+    admin.check_token(environ)
+    document = admin.node.read_desired()
+    if document is None:
+        raise AdminError(
+            http.client.SERVICE_UNAVAILABLE, "The tables are not known to be current"
+        )
+    return Reply(http.client.OK, document)
+
+
+@register_handler("PUT", "/v1/tables")
+def put_tables(admin: Admin, environ: dict[str, Any], segment: str) -> Reply:
+    """Replace both tables and the limits under the operator's own number."""
+    admin.check_token(environ)
+    try:
+        desired = DesiredState.from_document(_read_json(environ))
+    except InvalidTableError as error:
+        raise AdminError(
+            http.client.UNPROCESSABLE_ENTITY, "Invalid tables", problems=error.list_problems()
+        ) from error
+    answer = admin.node.change_table(desired)
+    document = {"verdict": answer.verdict, "version": answer.version}
+    if answer.verdict in ("accepted", "superseded"):
+        return Reply(http.client.OK, document)
+    if answer.verdict == "conflict":
+        document["title"] = f"Version {answer.version} is held with another content"
+        return Reply(http.client.CONFLICT, document)
+    document["title"] = answer.detail
+    return Reply(http.client.SERVICE_UNAVAILABLE, document)
+
+
 @register_handler("PUT", "/v1/upstreams/")
 def put_upstream(admin: Admin, environ: dict[str, Any], segment: str) -> Reply:
     """Take or renew the announcement of an upstream."""
@@ -173,12 +220,20 @@
         raise AdminError(http.client.BAD_REQUEST, "The upstream identifier is too long")
     value = _read_json(environ)
     problems = find_problems("Announcement", value, "")
+    if isinstance(value, dict):
+        missing = [name for name in admin.required_fields if name not in value]
+        problems += [FieldError(name, "is required") for name in missing]
     if problems:
         listed = [{"field": p.field, "reason": p.reason} for p in problems]
         raise AdminError(
             http.client.UNPROCESSABLE_ENTITY, "Invalid announcement", problems=listed
         )
-    refusal = admin.node.announce(segment, Announcement(**value))
+    announcement = Announcement(**{"lease_s": admin.lease_s, **value})
+    announcement.incarnation = announcement.incarnation or announcement.born
+    try:
+        refusal = admin.node.announce(segment, announcement)
+    except NotSpreadError as error:
+        raise AdminError(http.client.SERVICE_UNAVAILABLE, str(error)) from error
     if refusal:
         raise AdminError(http.client.CONFLICT, refusal)
     return Reply(http.client.OK, {"upstream": segment})
@@ -187,7 +242,13 @@
 @register_handler("DELETE", "/v1/upstreams/")
 def delete_upstream(admin: Admin, environ: dict[str, Any], segment: str) -> Reply:
     """Take an upstream out of its pool for good."""
-    if not admin.node.leave(segment):
+    incarnation = _read_incarnation(environ)
+    known = admin.node.leave(segment, incarnation) if incarnation else admin.node.leave(segment)
+    if known is None:
+        raise AdminError(
+            http.client.SERVICE_UNAVAILABLE, "Too few control instances heard of the leave"
+        )
+    if not known:
         raise AdminError(http.client.NOT_FOUND, f"No upstream {segment!r} is known")
     return Reply(http.client.OK, {"upstream": segment})
 
@@ -237,6 +298,22 @@
         raise AdminError(http.client.BAD_REQUEST, f"The body is not JSON: {error}") from error
 
 
+def _read_incarnation(environ: dict[str, Any]) -> int:
+    """Return the incarnation that a leaving upstream names; 0 when it names none."""
+    value = _read_json(environ)
+    names = [n for n in ("incarnation", "born") if isinstance(value, dict) and n in value]
+    if not names:
+        return 0
+    number = value[names[0]]
+    if not isinstance(number, int) or isinstance(number, bool) or number < 0:
+        raise AdminError(
+            http.client.UNPROCESSABLE_ENTITY,
+            "Invalid leave",
+            problems=[{"field": names[0], "reason": "must be a whole number"}],
+        )
+    return number
+
+
 def _read_rows(environ: dict[str, Any], table: str) -> list[dict[str, Any]]:
     value = _read_json(environ)
     if not isinstance(value, dict) or set(value) != {table}:
--- a/src/foxtaildrum/balancer.py
+++ b/src/foxtaildrum/balancer.py
@@ -10,6 +10,7 @@
 
 from .budget import Budget
 from .kinds import ErrorKind
+from .loads import LoadReport
 from .policies import get_policy
 from .records import Pool
 from .steps import Ended
@@ -32,6 +33,8 @@
 PROBE_AGE_SERVICE_TIMES = 3.0
 MEAN_FADE_SERVICE_TIMES = 3.0
 RETRY_TOKENS = 10.0
+SILENT_PACE = 10.0
+MOVED_PAUSE_S = 2.0
 HEDGE_TOKENS_SERVICE_TIMES = 10.0
 
 
@@ -60,6 +63,7 @@
         "in_flight",
         "incarnation",
         "last_turn",
+        "pace",
         "ramp_until",
         "remote",
         "reported_at",
@@ -81,6 +85,7 @@
         self.in_flight = 0
         self.last_turn = 0
         self.reported_others = 0.0
+        self.pace = 1.0
         self.reported_at = float("-inf")
         self.service_s = 0.0
         self.sheds = 0
@@ -111,15 +116,18 @@
     ----------
     mean_service_s : float
         Mean time that an attempt holds a slot, in seconds.
+    mean_pace : float
+        Mean of how long work takes, as a multiple of the usual.
     mean_others : float
         Mean of the slots that others use at an upstream.
     """
 
-    __slots__ = ("mean_others", "mean_service_s", "reported_at")
+    __slots__ = ("mean_others", "mean_pace", "mean_service_s", "reported_at")
 
     def __init__(self) -> None:
         self.mean_service_s = INITIAL_SERVICE_S
         self.mean_others = 0.0
+        self.mean_pace = 1.0
         self.reported_at = float("-inf")
 
     def estimate_mean_others(self, now: float) -> float:
@@ -138,6 +146,17 @@
 class Ticket:
     """A request that asks for a slot.
 
+    Parameters
+    ----------
+    deadline : float
+        Time by which the answer must have arrived, in seconds.
+    excluded : frozenset of str
+        Upstreams that were tried already.
+    priority : int
+        Rank of the request; 0 is the most urgent.
+    patience_s : float
+        Longest wait for a slot, in seconds.
+
     Attributes
     ----------
     granted : UpstreamLoad or None
@@ -146,10 +165,28 @@
         Kind of the refusal.
     """
 
-    __slots__ = ("deadline", "excluded", "granted", "refused", "wake")
+    __slots__ = (
+        "deadline",
+        "excluded",
+        "give_up_at",
+        "granted",
+        "patience_s",
+        "priority",
+        "refused",
+        "wake",
+    )
 
-    def __init__(self, deadline: float, excluded: frozenset[str]) -> None:
+    def __init__(
+        self,
+        deadline: float,
+        excluded: frozenset[str],
+        priority: int = 0,
+        patience_s: float = float("inf"),
+    ) -> None:
         self.deadline = deadline
+        self.priority = priority
+        self.patience_s = patience_s
+        self.give_up_at = deadline
         self.excluded = excluded
         self.granted: UpstreamLoad | None = None
         self.refused: ErrorKind | None = None
@@ -198,6 +235,11 @@
         self.busy_limit = sys.maxsize
         self.upstreams: dict[str, UpstreamLoad] = {}
         self.queue: OrderedDict[int, Ticket] = OrderedDict()
+        self._probes_per_s = 0.0
+        self._sample_size = 0
+        self._probe_tokens = 0.0
+        self._probes_at = 0.0
+        self._displaced: list[Ticket] = []
         self.retry_budget = Budget(pool.retry_budget_ratio, RETRY_TOKENS, RETRY_TOKENS)
         self.measuring_budget = Budget(pool.measuring_budget_ratio, 0.0)
         self.configure(pool)
@@ -225,13 +267,43 @@
         if self.in_flight + len(self.queue) >= self.busy_limit:
             ticket.refused = ErrorKind.OVERLOADED
             return
-        if not self.queue:
+        if not self._has_as_urgent(ticket):
             self._try_grant(now, ticket)
         if ticket.settled:
             return
         ticket.refused = self._find_refusal(now, ticket, may_wait)
         if ticket.refused is None:
-            self.queue[id(ticket)] = ticket
+            ticket.give_up_at = min(ticket.deadline, now + ticket.patience_s)
+            self._enqueue(ticket)
+
+    def _enqueue(self, ticket: Ticket) -> None:
+        """Put a ticket behind those that are as urgent or more."""
+        self.queue[id(ticket)] = ticket
+        later = [k for k, t in self.queue.items() if t.priority > ticket.priority]
+        for key in later:
+            self.queue.move_to_end(key)
+
+    def _has_as_urgent(self, ticket: Ticket) -> bool:
+        if not self.queue:
+            return False
+        return next(iter(self.queue.values())).priority <= ticket.priority
+
+    def _displace(self, ticket: Ticket) -> bool:
+        """Refuse the last of the waiting tickets if it is less urgent than ``ticket``."""
+        if not self.queue:
+            return False
+        key, last = next(reversed(self.queue.items()))
+        if last.priority <= ticket.priority:
+            return False
+        del self.queue[key]
+        last.refused = ErrorKind.OVERLOADED
+        self._displaced.append(last)
+        return True
+
+    def take_displaced(self) -> list[Ticket]:
+        """Return the tickets that gave way to more urgent ones."""
+        displaced, self._displaced = self._displaced, []
+        return displaced
 
     def cancel_ticket(self, ticket: Ticket, kind: ErrorKind) -> None:
         """Refuse a waiting ticket with ``kind``; no effect once settled."""
@@ -252,21 +324,48 @@
         self._learn(now, upstream, result, held_s)
         return self.serve_queue(now)
 
-    def report_load(self, now: float, upstream: UpstreamLoad, slots_in_use: float) -> None:
-        """Take the load that an answer reported.
-
-        Parameters
-        ----------
-        slots_in_use : float
-            Slots in use, the one of the answered request included.
-        """
-        others = max(0.0, slots_in_use - upstream.in_flight)
+    def report_load(self, now: float, upstream: UpstreamLoad, report: LoadReport) -> None:
+        """Take the load that an answer reported, its own request included."""
+        others = max(0.0, report.slots_in_use - upstream.in_flight)
+        upstream.pace = report.pace
+        self.load.mean_pace += (report.pace - self.load.mean_pace) * MEAN_WEIGHT
         upstream.reported_others = others
         upstream.reported_at = now
         load = self.load
         load.mean_others += (others - load.mean_others) * MEAN_WEIGHT
         load.reported_at = now
 
+    def set_probe_rate(self, probes_per_s: float, sample_size: int) -> None:
+        """Set how often each upstream may be asked, and how many are compared."""
+        self._probes_per_s = probes_per_s
+        self._sample_size = sample_size
+
+    def choose_samples(self, now: float, excluded: frozenset[str]) -> list[UpstreamLoad]:
+        """Return the upstreams to ask for their load before one is chosen."""
+        if not self._sample_size:
+            return []
+        candidates = self._list_candidates(now, excluded)
+        count = min(self._sample_size, len(candidates))
+        self._refill_probes(now, len(self.upstreams))
+        count = min(count, int(self._probe_tokens))
+        self._probe_tokens -= count
+        return self.rng.sample(candidates, count)
+
+    def _refill_probes(self, now: float, upstreams: int) -> None:
+        rate = self._probes_per_s * upstreams
+        earned = (now - self._probes_at) * rate
+        self._probe_tokens = min(max(rate, self._sample_size), self._probe_tokens + earned)
+        self._probes_at = now
+
+    def note_silent(self, now: float, upstream: UpstreamLoad) -> None:
+        """Take note that an upstream did not answer a status check in time."""
+        upstream.pace = SILENT_PACE
+        upstream.reported_at = now
+
+    def note_moved(self, now: float, upstream: UpstreamLoad) -> None:
+        """Take note that another upstream answers at the address."""
+        upstream.ejected_until = max(upstream.ejected_until, now + MOVED_PAUSE_S)
+
     def choose_probe(self, now: float) -> UpstreamLoad | None:
         """Return the upstream that was silent longest if a probe can be paid for.
 
@@ -285,7 +384,7 @@
         settled = []
         while self.queue:
             key, ticket = next(iter(self.queue.items()))
-            if self._comes_too_late(now, ticket):
+            if self._comes_too_late(now, ticket) or now >= ticket.give_up_at:
                 ticket.refused = ErrorKind.DEADLINE_UNREACHABLE
             elif not self.upstreams:
                 ticket.refused = ErrorKind.NO_UPSTREAM
@@ -301,6 +400,21 @@
         """Return the slots of upstreams that take requests."""
         return sum(u.slots for u in self.upstreams.values() if u.state == READY)
 
+    def spend_hedge(self) -> bool:
+        """Take one hedge from the budgets; return whether it was there.
+
+        A hedge reaches an upstream like a retry, so it is paid from that budget too.
+        """
+        if not self.retry_budget.has(1.0):
+            return False
+        if not self.measuring_budget.spend(self.load.mean_service_s):
+            return False
+        return self.retry_budget.spend(1.0)
+
+    def set_retry_slack(self, tokens: float) -> None:
+        """Set how many retries may be made at once beside the ratio."""
+        self.retry_budget.resize(tokens)
+
     def earn_budgets(self, held_s: float) -> None:
         """Credit the budgets for one finished request."""
         self.retry_budget.earn(1.0)
@@ -356,7 +470,9 @@
         slots = self.count_slots(now)
         if not slots:
             return ErrorKind.NO_UPSTREAM
-        if not may_wait or len(self.queue) >= self.queue_limit:
+        if not may_wait:
+            return ErrorKind.OVERLOADED
+        if len(self.queue) >= self.queue_limit and not self._displace(ticket):
             return ErrorKind.OVERLOADED
         wait_s = (len(self.queue) + 1) * self._release_interval_s
         if self._comes_too_late(now + wait_s, ticket):
--- a/src/foxtaildrum/consensus.py
+++ b/src/foxtaildrum/consensus.py
@@ -1,16 +1,16 @@
 """Replicated log among the control instances, without I/O.
 
 Leader election with pre-vote, quorum commit, and a sync before every vote and every
-acknowledgement. An instance whose disk is new to the group is a learner: it neither
-votes nor counts until the group has admitted its disk, which takes an entry committed
-by a quorum of the others.
+acknowledgement. The voters are part of the log: the latest entry that names them is in
+force on an instance from the moment it is in its log, and each such entry adds or removes
+one disk. An instance whose disk is not among the voters is a learner: it neither votes
+nor counts.
 """
 
 from __future__ import annotations
 
 import enum
 import random
-from collections.abc import Mapping
 from typing import Any, Protocol
 
 import msgpack
@@ -24,6 +24,8 @@
     Persisted,
     PersistFailed,
     Proposed,
+    ReadAsked,
+    ReadSettled,
     Received,
     Send,
     Settled,
@@ -49,6 +51,7 @@
 MAX_ENTRIES_PER_MESSAGE = 64
 PIECE_BYTES = 65_536
 COMPACT_ENTRIES = 1024
+FORMING_WAIT_S = 3.0
 
 NOOP = "noop"
 ADMIT = "admit"
@@ -84,6 +87,25 @@
         """Replace the state by a captured one."""
 
 
+class ControlDirectory:
+    """What the log needs to know of the other control instances.
+
+    This one knows none beside the founders; the membership of the fleet gives another.
+    """
+
+    def list_control(self) -> list[str]:
+        """Return the control instances that answer, this one left out."""
+        return []
+
+    def is_gone(self, instance_id: str) -> bool:
+        """Return whether an instance left or was found dead."""
+        return False
+
+    def find_address(self, instance_id: str) -> str:
+        """Return the address of an instance; empty when unknown."""
+        return ""
+
+
 class _Peer:
     """What the leader knows of another control instance."""
 
@@ -104,8 +126,9 @@
     ----------
     instance_id : str
         This instance.
-    members : list of str
-        Every control instance, this one included.
+    founders : list of str
+        Control instances that form a new group, this one included; empty for one that
+        only joins.
     state : ReplicatedState
         State machine that the log drives.
     saved : Saved
@@ -114,20 +137,27 @@
         Source of election timeouts.
     now : float
         Present time in seconds.
+    tolerated : int
+        Disks that may be lost at once.
+    directory : ControlDirectory or None
+        The other control instances.
     """
 
     def __init__(
         self,
         instance_id: str,
-        members: list[str],
+        founders: list[str],
         state: ReplicatedState,
         saved: Saved,
         rng: random.Random,
         now: float,
+        tolerated: int = 0,
+        directory: ControlDirectory | None = None,
     ) -> None:
         self.instance_id = instance_id
-        self.members = sorted(members)
-        self.others = [m for m in self.members if m != instance_id]
+        self.founders = sorted(founders)
+        self.tolerated = tolerated
+        self._directory = directory or ControlDirectory()
         self.disk_id = saved.disk_id
         self.term = saved.term
         self.voted_for = saved.voted_for
@@ -136,8 +166,8 @@
         self.leader_id = ""
         self.commit_index = self.log.snapshot_index
         self.applied_index = self.log.snapshot_index
-        self.admitted = saved.admitted
         self._formed = saved.formed
+        self._configs: list[tuple[int, dict[str, list[str]]]] = [(0, self._formed)]
         self.formed_here = False
         self._snapshot = saved.snapshot
         self._rng = rng
@@ -155,18 +185,42 @@
         self._incoming_index = 0
         self._heard_at = float("-inf")
         self._led_since = now
+        self._waited = False
+        self._reads: dict[str, float] = {}
         self._heartbeat_at = now
         self._probe_at = now
         if self._snapshot:
-            self._restore_snapshot(keep_admitted=True)
+            self._restore_snapshot()
+        self._read_configs()
         self.role = Role.FOLLOWER if self.is_voter() else Role.LEARNER
         self._election_at = now
         self._reset_election(now)
 
+    @property
+    def voters(self) -> dict[str, list[str]]:
+        """Disk and address of each voter by its instance."""
+        return self._configs[-1][1]
+
     @property
     def quorum(self) -> int:
-        """Number of instances that decide."""
-        return len(self.members) // 2 + 1
+        """Number of voters that decide."""
+        return len(self.voters) // 2 + 1
+
+    @property
+    def commit_quorum(self) -> int:
+        """Number of disks that must hold an entry before it counts as committed."""
+        return max(self.quorum, min(self.tolerated + 1, len(self.voters)))
+
+    @property
+    def full_size(self) -> int:
+        """Number of voters that the group grows to."""
+        return max(2 * self.tolerated + 1, len(self.founders))
+
+    @property
+    def others(self) -> list[str]:
+        """Every other control instance: voters, founders and those that answer."""
+        known = {*self.voters, *self.founders, *self._directory.list_control()}
+        return sorted(known - {self.instance_id})
 
     @property
     def pristine(self) -> bool:
@@ -188,10 +242,25 @@
             return None
         return self._find_confirmed_at(now)
 
+    def find_voter_address(self, instance_id: str) -> str:
+        """Return the address of a voter as the log has it; empty when unknown."""
+        disk_and_address = self.voters.get(instance_id)
+        return disk_and_address[1] if disk_and_address else ""
+
     def can_propose(self) -> bool:
         """Whether this leader has applied every entry of earlier terms."""
         return self.role is Role.LEADER and self.applied_index >= self._term_start
 
+    def can_accept(self) -> bool:
+        """Whether changes of operators may be proposed.
+
+        A group that is still growing would not survive the losses that it is meant to,
+        so it accepts nothing until it is full or nobody came for a while.
+        """
+        if not self.can_propose():
+            return False
+        return self._waited or len(self.voters) >= self.full_size
+
     def count_pending(self) -> int:
         """Return the number of entries that wait for their commit."""
         return self.log.last_index - self.applied_index
@@ -209,8 +278,6 @@
             self._start_election(now, pre=True)
 
     def _on_received(self, now: float, event: Received) -> None:
-        if event.peer_id not in self.others:
-            return
         handler = _MESSAGE_HANDLERS.get(type(event.message))
         if handler is not None:
             handler(self, now, event.peer_id, event.message)
@@ -239,10 +306,27 @@
         self._pending[index] = event.token
         self._replicate(now)
 
+    def _on_read_asked(self, now: float, event: ReadAsked) -> None:
+        if self.role is not Role.LEADER:
+            self._out.append(ReadSettled(event.token, -1))
+            return
+        self._reads[event.token] = now
+        self._replicate(now)
+        self._settle_reads(now)
+
+    def _settle_reads(self, now: float) -> None:
+        confirmed_at = self.compute_confirmed_at(now)
+        if confirmed_at is None:
+            return
+        for token, asked_at in list(self._reads.items()):
+            if asked_at <= confirmed_at:
+                del self._reads[token]
+                self._out.append(ReadSettled(token, self.commit_index))
+
     def _on_handover(self, now: float, event: HandoverRequested) -> None:
-        if self.role is not Role.LEADER or not self.others:
+        if self.role is not Role.LEADER:
             return
-        ready = [p for p in self.others if self._counts(p)]
+        ready = [p for p in self._peers if self._counts(p) and not self._directory.is_gone(p)]
         if ready:
             best = max(ready, key=lambda p: self._peers[p].match_index)
             self._out.append(Send(best, Handover(term=self.term)))
@@ -250,14 +334,17 @@
     # Formation of a new group.
 
     def _probe_group(self, now: float) -> None:
-        if not self.others:
-            self._form({self.instance_id: self.disk_id}, now)
+        if self.instance_id not in self.founders:
+            return
+        others = [f for f in self.founders if f != self.instance_id]
+        if not others:
+            self._form({}, now)
             return
         if now < self._probe_at:
             return
         self._probe_at = now + PROBE_S
         probe = ControlProbe(disk_id=self.disk_id, pristine=True, reply=False)
-        self._out.extend(Send(p, probe) for p in self.others)
+        self._out.extend(Send(p, probe) for p in others)
 
     def _on_probe(self, now: float, peer: str, message: ControlProbe) -> None:
         if message.pristine:
@@ -267,43 +354,126 @@
         if not message.reply:
             answer = ControlProbe(disk_id=self.disk_id, pristine=self.pristine, reply=True)
             self._out.append(Send(peer, answer))
-        if self.pristine and len(self._probed) == len(self.others):
-            self._form({**self._probed, self.instance_id: self.disk_id}, now)
+        if not self.pristine or self.instance_id not in self.founders:
+            return
+        met = {f: self._probed[f] for f in self.founders if f in self._probed}
+        if len(met) == len(self.founders) - 1:
+            self._form(met, now)
 
     def _form(self, disks: dict[str, str], now: float) -> None:
         self.formed_here = True
-        if self._formed == disks:
+        voters = {
+            peer: [disk, self._directory.find_address(peer)] for peer, disk in disks.items()
+        }
+        own_address = self._directory.find_address(self.instance_id)
+        voters[self.instance_id] = [self.disk_id, own_address]
+        if self._formed == voters:
             return
-        self._formed = disks
-        self._persist(["formed", disks])
+        self._formed = voters
+        self._persist(["formed", voters])
+        self._read_configs()
         self.role = Role.FOLLOWER
-        if not self.others:
-            self._become_leader_alone(now)
-
-    def _become_leader_alone(self, now: float) -> None:
-        self._start_election(now, pre=False)
-
-    def _get_admitted(self) -> Mapping[str, str]:
-        return self.admitted or self._formed
+        if len(voters) == 1:
+            self._start_election(now, pre=False)
 
     def is_voter(self) -> bool:
-        """Return whether the group has admitted this disk."""
-        return self._get_admitted().get(self.instance_id) == self.disk_id
+        """Return whether this disk is among the voters."""
+        return self._find_disk(self.instance_id) == self.disk_id
+
+    def _find_disk(self, instance_id: str) -> str:
+        known = self.voters.get(instance_id)
+        return known[0] if known else ""
 
     def _counts(self, peer: str) -> bool:
+        known = self._peers.get(peer)
+        return (
+            known is not None and bool(known.disk_id) and self._find_disk(peer) == known.disk_id
+        )
+
+    # Voters.
+
+    def _read_configs(self) -> None:
+        """Find the entries of the log that name the voters."""
+        base = self._configs[0] if self._configs[0][0] else (0, self._formed)
+        first = self.log.snapshot_index + 1
+        self._configs = [base]
+        for entry in self.log.list_from(first, len(self.log)):
+            self._note_config(entry)
+
+    def _note_config(self, entry: Entry) -> None:
+        if entry.kind == ADMIT:
+            self._configs.append((entry.index, entry.payload["voters"]))
+
+    def _cut_configs(self, last_index: int) -> None:
+        self._configs = self._configs[:1] + [c for c in self._configs[1:] if c[0] <= last_index]
+
+    def _compact_configs(self, index: int) -> None:
+        held = [c for c in self._configs if c[0] <= index]
+        self._configs = held[-1:] + [c for c in self._configs if c[0] > index]
+
+    def _has_pending_config(self) -> bool:
+        return self._configs[-1][0] > self.commit_index
+
+    def _change_voters(self, now: float) -> None:
+        """Add or remove at most one voter."""
+        if not self.can_propose() or self._has_pending_config():
+            return
+        voters = dict(self.voters)
+        leaving = self._find_leaving_voter()
+        joining = "" if leaving else self._find_joining_learner()
+        if leaving:
+            del voters[leaving]
+        elif joining:
+            address = self._directory.find_address(joining)
+            voters[joining] = [self._peers[joining].disk_id, address]
+        else:
+            return
+        self._append_own(ADMIT, {"voters": voters})
+        self._replicate(now)
+
+    def _find_leaving_voter(self) -> str:
+        """Return a voter whose place a learner that has caught up can take."""
+        for peer in self.voters:
+            if peer != self.instance_id and self._has_new_disk(peer):
+                return peer
+        if len(self.voters) < self.full_size or not self._list_ready_learners():
+            return ""
+        for peer in self.voters:
+            if peer != self.instance_id and self._directory.is_gone(peer):
+                return peer
+        return ""
+
+    def _has_new_disk(self, peer: str) -> bool:
         known = self._peers.get(peer)
         return (
             known is not None
             and bool(known.disk_id)
-            and self._get_admitted().get(peer) == known.disk_id
+            and known.disk_id != self._find_disk(peer)
+            and known.match_index >= self.commit_index
         )
 
+    def _find_joining_learner(self) -> str:
+        if len(self.voters) >= self.full_size:
+            return ""
+        ready = self._list_ready_learners()
+        return ready[0] if ready else ""
+
+    def _list_ready_learners(self) -> list[str]:
+        return [
+            peer
+            for peer, known in self._peers.items()
+            if peer not in self.voters
+            and known.disk_id
+            and known.match_index >= self.commit_index
+            and not self._directory.is_gone(peer)
+        ]
+
     # Elections.
 
     def _reset_election(self, now: float) -> None:
         span_s = ELECTION_MAX_S - ELECTION_MIN_S
         self._election_at = now + ELECTION_MIN_S + self._rng.random() * span_s
-        if not self.others:
+        if len(self.voters) == 1:
             self._election_at = now
 
     def _start_election(self, now: float, pre: bool) -> None:
@@ -322,8 +492,9 @@
             last_term=self.log.last_term,
             pre=pre,
         )
-        for peer in self.others:
-            self._gate.hold(Send(peer, request))
+        for peer in self.voters:
+            if peer != self.instance_id:
+                self._gate.hold(Send(peer, request))
         self._count_votes(now)
 
     def _count_votes(self, now: float) -> None:
@@ -377,7 +548,7 @@
         expected = self.term + 1 if self._pre else self.term
         if not message.granted or message.term != expected:
             return
-        if self._get_admitted().get(peer) != message.disk_id:
+        if self._find_disk(peer) != message.disk_id:
             return
         self._votes.add(peer)
         self._count_votes(now)
@@ -405,6 +576,8 @@
         for token in self._pending.values():
             self._out.append(Settled(token, Unsettled.UNKNOWN))
         self._pending.clear()
+        self._out.extend(ReadSettled(token, -1) for token in self._reads)
+        self._reads.clear()
         self._peers.clear()
 
     # Leadership.
@@ -413,18 +586,20 @@
         self.role = Role.LEADER
         self.leader_id = self.instance_id
         self._led_since = now
+        self._waited = False
         self._peers = {p: _Peer(self.log.last_index + 1) for p in self.others}
-        if self.admitted:
+        if self._configs[-1][0]:
             self._term_start = self._append_own(NOOP, None)
         else:
             group_id = f"{self._rng.getrandbits(64):016x}"
-            payload = {"group_id": group_id, "disks": dict(self._formed)}
+            payload = {"group_id": group_id, "voters": dict(self._formed)}
             self._term_start = self._append_own(ADMIT, payload)
         self._replicate(now)
 
     def _append_own(self, kind: str, payload: Any) -> int:
         entry = Entry(self.log.last_index + 1, self.term, kind, payload)
         self.log.append(entry)
+        self._note_config(entry)
         self._persist(["entries", [entry.to_wire()]])
         return entry.index
 
@@ -432,13 +607,15 @@
         if now - max(self._find_confirmed_at(now), self._led_since) > ELECTION_MIN_S:
             self._step_down(now)
             return
+        self._waited = now - self._led_since >= FORMING_WAIT_S
+        self._change_voters(now)
         if now >= self._heartbeat_at:
             self._replicate(now)
 
     def _find_confirmed_at(self, now: float) -> float:
-        times = [self._peers[p].confirmed_at for p in self.others if self._counts(p)]
-        times.append(now)
-        times += [float("-inf")] * (len(self.members) - len(times))
+        times = [p.confirmed_at for i, p in self._peers.items() if self._counts(i)]
+        times += [now] if self.is_voter() else []
+        times += [float("-inf")] * (len(self.voters) - len(times))
         return sorted(times, reverse=True)[self.quorum - 1]
 
     def _replicate(self, now: float) -> None:
@@ -447,7 +624,7 @@
             self._send_append(now, peer)
 
     def _send_append(self, now: float, peer: str) -> None:
-        known = self._peers[peer]
+        known = self._peers.setdefault(peer, _Peer(self.log.last_index + 1))
         previous = known.next_index - 1
         previous_term = self.log.get_term(previous)
         if previous_term is None:
@@ -492,7 +669,8 @@
         known.match_index = max(known.match_index, message.match_index)
         known.next_index = max(known.next_index, known.match_index + 1)
         self._advance_commit(now)
-        self._admit_learner(now, peer)
+        self._change_voters(now)
+        self._settle_reads(now)
         if self.role is Role.LEADER and known.next_index <= self.log.last_index:
             self._send_append(now, peer)
 
@@ -504,7 +682,9 @@
             return None
         if self.role is not Role.LEADER or message.term != self.term:
             return None
-        known = self._peers[peer]
+        known = self._peers.get(peer)
+        if known is None:
+            return None
         if known.disk_id != message.disk_id:
             known.disk_id = message.disk_id
             known.match_index = 0
@@ -526,26 +706,11 @@
             known.next_index = known.match_index + 1
         self._send_append(now, peer)
 
-    def _admit_learner(self, now: float, peer: str) -> None:
-        known = self._peers.get(peer)
-        if known is None or self._counts(peer) or not self.can_propose():
-            return
-        if known.match_index < self.commit_index or self._has_pending_admission():
-            return
-        self._append_own(ADMIT, {"disks": {peer: known.disk_id}})
-        self._replicate(now)
-
-    def _has_pending_admission(self) -> bool:
-        first = self.applied_index + 1
-        return any(
-            e.kind == ADMIT for e in self.log.list_from(first, self.log.last_index - first + 1)
-        )
-
     def _advance_commit(self, now: float) -> None:
-        matches = [self._peers[p].match_index for p in self.others if self._counts(p)]
-        matches.append(min(self._synced_index, self.log.last_index))
-        matches += [0] * (len(self.members) - len(matches))
-        index = sorted(matches, reverse=True)[self.quorum - 1]
+        matches = [p.match_index for i, p in self._peers.items() if self._counts(i)]
+        matches += [min(self._synced_index, self.log.last_index)] if self.is_voter() else []
+        matches += [0] * (len(self.voters) - len(matches))
+        index = sorted(matches, reverse=True)[self.commit_quorum - 1]
         if index > self.commit_index and self.log.get_term(index) == self.term:
             self.commit_index = index
             self._apply_committed()
@@ -598,12 +763,14 @@
         self._cut_log(fresh[0].index - 1)
         for entry in fresh:
             self.log.append(entry)
+            self._note_config(entry)
         self._persist(["entries", [e.to_wire() for e in fresh]])
 
     def _cut_log(self, last_index: int) -> None:
         if last_index >= self.log.last_index:
             return
         self.log.cut(last_index)
+        self._cut_configs(last_index)
         self._synced_index = min(self._synced_index, last_index)
         for write in self._gate.writes.values():
             write.marker = min(write.marker, last_index)
@@ -669,16 +836,16 @@
             self.log.compact(message.index, message.last_term)
         self.commit_index = message.index
         self.applied_index = message.index
-        self._restore_snapshot(keep_admitted=False)
+        self._restore_snapshot()
+        self._read_configs()
         self._rewrite = True
         self._out.append(StateReplaced(message.index))
 
     # State machine and journal.
 
-    def _restore_snapshot(self, keep_admitted: bool) -> None:
-        admitted, captured = msgpack.unpackb(self._snapshot, strict_map_key=False)
-        # What was saved apart is never older than the snapshot beside it.
-        self.admitted = {**admitted, **self.admitted} if keep_admitted else admitted
+    def _restore_snapshot(self) -> None:
+        voters, captured = msgpack.unpackb(self._snapshot, strict_map_key=False)
+        self._configs = [(self.log.snapshot_index, voters)]
         self.state.restore(captured)
 
     def _apply_committed(self) -> None:
@@ -686,8 +853,6 @@
         while self.applied_index < self.commit_index:
             self.applied_index += 1
             entry = self.log.get(self.applied_index)
-            if entry.kind == ADMIT:
-                self._admit(entry.payload["disks"])
             result = self.state.apply(entry.kind, entry.payload)
             applied.append((entry.index, entry.kind, entry.payload))
             token = self._pending.pop(entry.index, None)
@@ -700,15 +865,11 @@
         if self.applied_index - self.log.snapshot_index >= COMPACT_ENTRIES:
             self._compact()
 
-    def _admit(self, disks: dict[str, str]) -> None:
-        # Kept apart from the log: after a restart the commit index is not known, and an
-        # admitted disk must still count as one.
-        self.admitted = {**self.admitted, **disks}
-        self._persist(["admitted", self.admitted])
-
     def _compact(self) -> None:
         term = self.log.get_term(self.applied_index)
-        self._snapshot = msgpack.packb([self.admitted, self.state.capture()])
+        self._compact_configs(self.applied_index)
+        voters = self._configs[0][1]
+        self._snapshot = msgpack.packb([voters, self.state.capture()])
         self.log.compact(self.applied_index, term)
         for peer in self._peers.values():
             peer.offset = 0
@@ -719,8 +880,6 @@
 
     def _list_journal(self) -> list[list[Any]]:
         records: list[list[Any]] = [["disk", self.disk_id], ["formed", self._formed]]
-        if self.admitted:
-            records.append(["admitted", self.admitted])
         if self._snapshot:
             index, term = self.log.snapshot_index, self.log.snapshot_term
             records.append(["snapshot", index, term, self._snapshot])
@@ -744,6 +903,7 @@
     PersistFailed: Consensus._on_persist_failed,
     Proposed: Consensus._on_proposed,
     HandoverRequested: Consensus._on_handover,
+    ReadAsked: Consensus._on_read_asked,
 }
 
 _MESSAGE_HANDLERS = {
--- /dev/null
+++ b/src/foxtaildrum/desired.py
@@ -0,0 +1,221 @@
+"""Desired state: both tables and the limits as one change under the operator's number."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+from typing import Any
+
+from .exceptions import FieldError, InvalidTableError
+from .tables import (
+    TABLE_NAMES,
+    ChangeResult,
+    Table,
+    Tables,
+    find_reference_problems,
+    find_table_problems,
+)
+from .validation import find_problems
+
+MAX_NUMBER = 2**63 - 1
+
+ACCEPTED = "accepted"
+SUPERSEDED = "superseded"
+CONFLICT = "conflict"
+REBASED = "rebased"
+
+_FIELDS = ("version", "routes", "pools", "limits")
+
+
+class DesiredState:
+    """Complete content of both tables under a number that the operator chose.
+
+    Parameters
+    ----------
+    number : int
+        Number of the change; the highest number wins.
+    rows : dict
+        Rows of each table by its name.
+    limits : dict
+        Fields of ``Limits`` that the operator gave.
+    """
+
+    __slots__ = ("limits", "number", "rows")
+
+    def __init__(
+        self, number: int, rows: dict[str, list[dict[str, Any]]], limits: dict[str, Any]
+    ) -> None:
+        self.number = number
+        self.rows = rows
+        self.limits = limits
+
+    @classmethod
+    def from_document(cls, value: Any) -> DesiredState:
+        """Build a desired state from a decoded document.
+
+        Raises
+        ------
+        InvalidTableError
+            With every problem of the document at once.
+        """
+        if not isinstance(value, dict):
+            raise InvalidTableError("invalid tables", [FieldError("body", "must be an object")])
+        problems = _find_document_problems(value)
+        rows = {name: value.get(name) for name in TABLE_NAMES}
+        for name in TABLE_NAMES:
+            problems += find_table_problems(name, rows[name])
+        problems += find_reference_problems(rows["routes"], rows["pools"])
+        limits = value.get("limits", {})
+        problems += find_problems("Limits", limits, "limits")
+        if problems:
+            raise InvalidTableError("invalid tables", problems)
+        return cls(value["version"], rows, limits)
+
+    def compute_digest(self) -> str:
+        """Return a digest of the content without the number."""
+        text = json.dumps([self.rows, self.limits], sort_keys=True)
+        return hashlib.sha256(text.encode()).hexdigest()
+
+    def to_wire(self) -> list[Any]:
+        """Return the desired state as a list that msgpack can encode."""
+        return [self.number, self.rows, self.limits]
+
+    @classmethod
+    def from_wire(cls, fields: list[Any]) -> DesiredState:
+        """Build a desired state from the list made by :meth:`to_wire`."""
+        return cls(*fields)
+
+
+class DesiredPatch:
+    """Rows in which a desired state differs from the one in force.
+
+    Parameters
+    ----------
+    base : int
+        Number of the desired state that the patch was made against.
+    tables : dict
+        For each table the rows to put, the names to remove and the order of the names;
+        the order is None where it follows from the rest.
+    """
+
+    __slots__ = ("base", "digest", "limits", "number", "tables", "versions")
+
+    def __init__(
+        self,
+        number: int,
+        digest: str,
+        base: int,
+        versions: dict[str, int],
+        tables: dict[str, list[Any]],
+        limits: dict[str, Any],
+    ) -> None:
+        self.number = number
+        self.digest = digest
+        self.base = base
+        self.versions = versions
+        self.tables = tables
+        self.limits = limits
+
+    def to_wire(self) -> list[Any]:
+        """Return the patch as a list that msgpack can encode."""
+        return [
+            self.number,
+            self.digest,
+            self.base,
+            self.versions,
+            self.tables,
+            self.limits,
+        ]
+
+    @classmethod
+    def from_wire(cls, fields: list[Any]) -> DesiredPatch:
+        """Build a patch from the list made by :meth:`to_wire`."""
+        return cls(*fields)
+
+
+def judge_number(tables: Tables, number: int, digest: str) -> ChangeResult | None:
+    """Return the answer to a number that is already settled, or None when it is new."""
+    held = tables.desired_number
+    if number > held:
+        return None
+    if number == held and digest != tables.desired_digest:
+        return ChangeResult(CONFLICT, held, _name_change(held), [])
+    verdict = ACCEPTED if number == held else SUPERSEDED
+    return ChangeResult(verdict, held, _name_change(held), [])
+
+
+def build_patch(tables: Tables, desired: DesiredState) -> DesiredPatch:
+    """Return the patch that brings ``tables`` to the desired state."""
+    parts = {}
+    for name in TABLE_NAMES:
+        held = tables.tables[name].rows
+        wanted = {row["name"]: row for row in desired.rows[name]}
+        upserts = [row for row in wanted.values() if held.get(row["name"]) != row]
+        removals = [known for known in held if known not in wanted]
+        order: list[str] | None = list(wanted)
+        if list(_merge_rows(held, upserts, removals)) == order:
+            order = None
+        parts[name] = [upserts, removals, order]
+    versions = {name: tables.tables[name].version for name in TABLE_NAMES}
+    return DesiredPatch(
+        desired.number,
+        desired.compute_digest(),
+        tables.desired_number,
+        versions,
+        parts,
+        desired.limits,
+    )
+
+
+def apply_patch(tables: Tables, patch: DesiredPatch) -> ChangeResult:
+    """Apply a patch and return its answer; deterministic on every replica."""
+    settled = judge_number(tables, patch.number, patch.digest)
+    if settled is not None:
+        return settled
+    versions = {name: table.version for name, table in tables.tables.items()}
+    if patch.base != tables.desired_number or patch.versions != versions:
+        return ChangeResult(REBASED, tables.desired_number, "", [])
+    for name, (upserts, removals, order) in patch.tables.items():
+        table = tables.tables[name]
+        rows = _merge_rows(table.rows, upserts, removals)
+        if order is not None:
+            rows = {known: rows[known] for known in order}
+        if rows != table.rows or order is not None:
+            changed_by = _name_change(patch.number)
+            tables.tables[name] = Table(rows, table.version + 1, changed_by)
+    tables.desired_number = patch.number
+    tables.desired_digest = patch.digest
+    tables.limits = patch.limits
+    return ChangeResult(ACCEPTED, patch.number, _name_change(patch.number), [])
+
+
+def describe_desired(tables: Tables) -> dict[str, Any]:
+    """Return the desired state in force as a document."""
+    document: dict[str, Any] = {"version": tables.desired_number}
+    for name in TABLE_NAMES:
+        document[name] = tables.tables[name].list_rows()
+    if tables.limits:
+        document["limits"] = tables.limits
+    return document
+
+
+def _merge_rows(
+    held: dict[str, dict[str, Any]], upserts: list[dict[str, Any]], removals: list[str]
+) -> dict[str, dict[str, Any]]:
+    gone = set(removals)
+    rows = {name: row for name, row in held.items() if name not in gone}
+    rows |= {row["name"]: row for row in upserts}
+    return rows
+
+
+def _name_change(number: int) -> str:
+    return f"version-{number}" if number else ""
+
+
+def _find_document_problems(value: dict[str, Any]) -> list[FieldError]:
+    problems = [FieldError(str(name), "unknown field") for name in value if name not in _FIELDS]
+    number = value.get("version")
+    is_number = isinstance(number, int) and not isinstance(number, bool)
+    if not is_number or not 0 < number <= MAX_NUMBER:
+        problems.append(FieldError("version", "must be a positive integer"))
+    return problems
--- a/src/foxtaildrum/dispatch.py
+++ b/src/foxtaildrum/dispatch.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import http.client
 import select
 import tempfile
 from collections import deque
@@ -10,22 +11,24 @@
 
 from . import steps as x
 from .balancer import Ticket, UpstreamLoad
+from .dialects import Dialect
 from .exchange import RETRYABLE_STATUSES, Exchange
 from .kinds import ErrorKind, Outcome
-from .loads import parse_slots_in_use
+from .logs import log_event
 from .pools import UpstreamPool, read_clock
+from .samples import Sampler
 from .transport import (
     CHUNK_BYTES,
+    CancelledError,
     Connection,
     Head,
     OutgoingRequest,
     TransportError,
 )
 
-CONNECT_TIMEOUT_S = 1.0
+CONNECT_TIMEOUT_S = 0.4
 CALLER_POLL_S = 0.05
-ATTEMPT_HEADER = "Foxtaildrum-Attempt"
-TIMEOUT_HEADER = "X-Request-Timeout-Ms"
+PREFETCH_BYTES = 262_144
 
 
 class TruncatedAnswerError(Exception):
@@ -98,6 +101,9 @@
         except TransportError as error:
             self._end(x.BodyFailed(self._number))
             raise TruncatedAnswerError from error
+        except CancelledError as error:
+            self._end(x.CallerLeft())
+            raise TruncatedAnswerError from error
 
     def close(self) -> None:
         """Cancel the upstream's work unless the body was read to its end."""
@@ -137,10 +143,14 @@
         What is sent.
     caller_left : callable
         Returns whether the caller closed its connection.
-    stall_s : float
-        Longest wait for the next part of a body, in seconds.
+    dialect : Dialect
+        Names on the wire.
     spool_chunked : bool
         Whether a chunked answer must be read whole before it is relayed.
+    priority : int
+        Rank of the request; 0 is the most urgent.
+    patience_s : float
+        Longest wait for a slot, in seconds.
     """
 
     def __init__(
@@ -149,14 +159,18 @@
         pool: UpstreamPool,
         request: OutgoingRequest,
         caller_left: Callable[[], bool],
-        stall_s: float,
+        dialect: Dialect,
         spool_chunked: bool,
+        priority: int = 0,
+        patience_s: float = float("inf"),
     ) -> None:
         self._exchange = exchange
         self._pool = pool
         self._request = request
         self._caller_left = caller_left
-        self._stall_s = stall_s
+        self._dialect = dialect
+        self._priority = priority
+        self._patience_s = patience_s
         self._spool_chunked = spool_chunked
         self._tries: dict[int, _Try] = {}
         self._actions: deque[x.Action] = deque()
@@ -193,7 +207,10 @@
             self._feed(event)
 
     def _acquire_slot(self, action: x.AcquireSlot) -> x.Event:
-        ticket = Ticket(self._exchange.deadline, action.excluded)
+        ticket = Ticket(
+            self._exchange.deadline, action.excluded, self._priority, self._patience_s
+        )
+        Sampler(self._pool, self._dialect).sample(action.excluded)
         self._pool.request_slot(read_clock(), ticket, action.may_wait)
         if not ticket.settled:
             self._wait_for_slot(ticket)
@@ -206,9 +223,12 @@
         return x.SlotGranted(action.attempt, upstream.upstream_id)
 
     def _wait_for_slot(self, ticket: Ticket) -> None:
-        while not ticket.wake.wait(self._bound_wait(ticket.deadline)):
-            if read_clock() >= ticket.deadline:
-                self._pool.cancel_ticket(ticket, ErrorKind.DEADLINE_BEFORE_SEND)
+        while not ticket.wake.wait(self._bound_wait(ticket.give_up_at)):
+            now = read_clock()
+            if now >= ticket.give_up_at:
+                late = now >= ticket.deadline
+                kind = ErrorKind.DEADLINE_BEFORE_SEND if late else ErrorKind.OVERLOADED
+                self._pool.cancel_ticket(ticket, kind)
                 return
             if self._caller_left():
                 self._pool.cancel_ticket(ticket, ErrorKind.CALLER_LEFT)
@@ -228,6 +248,7 @@
         repeatable = self._exchange.idempotent
         try:
             attempt.connection = connections.take(read_clock(), timeout_s, repeatable)
+            attempt.connection.accepts_excess = self._dialect.accepts_excess
         except TransportError:
             return x.ConnectFailed(action.attempt)
         return x.Connected(action.attempt)
@@ -236,8 +257,12 @@
         attempt = self._tries[action.attempt]
         left_s = self._compute_left()
         headers = self._request.headers
-        headers[TIMEOUT_HEADER] = str(max(1, int(left_s * 1000)))
-        headers[ATTEMPT_HEADER] = self._name_attempt(action.attempt)
+        dialect = self._dialect
+        headers[dialect.timeout_header] = str(max(1, int(left_s * 1000)))
+        if dialect.attempt_header:
+            headers[dialect.attempt_header] = self._name_attempt(action.attempt)
+        if dialect.target_header:
+            headers[dialect.target_header] = attempt.upstream.upstream_id
         try:
             attempt.connection.send(self._request, left_s)
         except TransportError as error:
@@ -263,7 +288,7 @@
         attempt = self._tries[action.attempt]
         self.upstream_id = attempt.upstream.upstream_id
         if attempt.body is None:
-            chunks = attempt.connection.read_body(self._stall_s)
+            chunks = attempt.connection.read_body(self._exchange.deadline, self._caller_left)
             body = StreamedBody(self, action.attempt, chunks)
         else:
             body = _read_spooled(attempt.body)
@@ -326,38 +351,68 @@
         attempt = self._tries[number]
         try:
             head = attempt.connection.read_head(self._compute_left())
-            self._check_attempt(number, head)
+            not_run = self._dialect.read_not_run(head.status, head.stated)
+            self._check_answer(number, head, not_run)
             attempt.head = head
             attempt.body = self._prefetch_body(attempt)
         except TransportError as error:
+            self._log_failure(attempt, error)
             return x.AttemptFailed(number, error.kind)
+        except CancelledError:
+            return x.CallerLeft()
         # An upstream that refuses or fails at once reports that it is idle.
         failing = head.status in RETRYABLE_STATUSES
-        slots_in_use = None if failing else parse_slots_in_use(head.headers)
-        self._pool.note_answer(read_clock(), attempt.upstream, slots_in_use, head.draining)
-        return x.HeadReceived(number, head.status, head.not_run)
-
-    def _check_attempt(self, number: int, head: Head) -> None:
+        report = None if failing else self._dialect.read_load(head.stated)
+        draining = self._dialect.read_draining(head.stated)
+        self._pool.note_answer(read_clock(), attempt.upstream, report, draining)
+        return x.HeadReceived(number, head.status, not_run)
+
+    def _log_failure(self, attempt: _Try, error: TransportError) -> None:
+        log_event(
+            "attempt_failed",
+            request_id=self._request.request_id,
+            upstream=attempt.upstream.upstream_id,
+            kind=error.kind.value,
+            reason=repr(error.__cause__),
+        )
+
+    def _check_answer(self, number: int, head: Head, not_run: bool) -> None:
+        dialect = self._dialect
+        named = head.stated.get(dialect.answer_id_header, "")
+        expected = (
+            self._name_attempt(number)
+            if dialect.answer_id_header == dialect.attempt_header
+            else self._request.request_id
+        )
         # An answer to another attempt means that the connection is out of step.
-        if head.attempt and head.attempt != self._name_attempt(number):
+        if named and named != expected:
+            raise TransportError(ErrorKind.ANSWER_INVALID)
+        unproved = dialect.proof_header and dialect.proof_header not in head.stated
+        if unproved and not not_run and head.status < http.client.BAD_REQUEST:
             raise TransportError(ErrorKind.ANSWER_INVALID)
 
     def _prefetch_body(self, attempt: _Try) -> IO[bytes] | bytes | None:
         length = attempt.head.length
         if length is not None:
-            if length > CHUNK_BYTES:
+            if length > PREFETCH_BYTES:
                 return None
-            return b"".join(attempt.connection.read_body(self._compute_left()))
+            return b"".join(self._read_body(attempt))
         if not self._spool_chunked:
             return None
         spool = tempfile.SpooledTemporaryFile(max_size=CHUNK_BYTES)  # noqa: SIM115
-        for chunk in attempt.connection.read_body(self._compute_left()):
+        for chunk in self._read_body(attempt):
             spool.write(chunk)
         attempt.head.length = spool.tell()
         attempt.head.headers.append(("Content-Length", str(attempt.head.length)))
         spool.seek(0)
         return spool
 
+    def _read_body(self, attempt: _Try) -> Iterator[bytes]:
+        may_cancel = self._exchange.idempotent
+        return attempt.connection.read_body(
+            self._exchange.deadline, self._caller_left if may_cancel else None
+        )
+
 
 _PERFORMERS = {
     x.AcquireSlot: Dispatch._acquire_slot,
--- a/src/foxtaildrum/entries.py
+++ b/src/foxtaildrum/entries.py
@@ -91,8 +91,7 @@
 
     def __init__(self, records: list[list[Any]]) -> None:
         self.disk_id = ""
-        self.formed: dict[str, str] = {}
-        self.admitted: dict[str, str] = {}
+        self.formed: dict[str, list[str]] = {}
         self.term = 0
         self.voted_for = ""
         self.log = Log()
@@ -107,11 +106,8 @@
     def _load_disk(self, disk_id: str) -> None:
         self.disk_id = disk_id
 
-    def _load_formed(self, disks: dict[str, str]) -> None:
-        self.formed = disks
-
-    def _load_admitted(self, disks: dict[str, str]) -> None:
-        self.admitted = disks
+    def _load_formed(self, voters: dict[str, list[str]]) -> None:
+        self.formed = voters
 
     def _load_vote(self, term: int, voted_for: str) -> None:
         self.term, self.voted_for = term, voted_for
--- a/src/foxtaildrum/events.py
+++ b/src/foxtaildrum/events.py
@@ -49,7 +49,14 @@
     """The instance is about to stop."""
 
 
-Event = Tick | Received | Persisted | PersistFailed | Proposed | HandoverRequested
+@dataclass(slots=True)
+class ReadAsked:
+    """An index that every accepted change is below is asked for."""
+
+    token: str
+
+
+Event = Tick | Received | Persisted | PersistFailed | Proposed | HandoverRequested | ReadAsked
 
 
 @dataclass(slots=True)
@@ -98,4 +105,12 @@
     index: int
 
 
-Action = Send | Persist | Rewrite | Settled | Committed | StateReplaced
+@dataclass(slots=True)
+class ReadSettled:
+    """A read has its index; -1 when this instance cannot tell."""
+
+    token: str
+    index: int
+
+
+Action = Send | Persist | Rewrite | Settled | Committed | StateReplaced | ReadSettled
--- a/src/foxtaildrum/exceptions.py
+++ b/src/foxtaildrum/exceptions.py
@@ -63,6 +63,10 @@
         self.changed_by = changed_by
 
 
+class NotSpreadError(FoxtaildrumError):
+    """Too few control instances heard of a drain or a leave."""
+
+
 class StaleAnnouncementError(FoxtaildrumError):
     """An announcement that is older than what is known of the upstream."""
 
--- a/src/foxtaildrum/exchange.py
+++ b/src/foxtaildrum/exchange.py
@@ -37,6 +37,8 @@
 )
 
 MAX_ATTEMPTS = 4
+EXTRA_NOT_RUN_ATTEMPTS = 3
+MISDIRECTED_STATUS = 421
 RETRYABLE_STATUSES = frozenset({500, 502, 503, 504})
 
 
@@ -87,6 +89,10 @@
         Wait before a hedge is sent; None sends no hedge.
     allowance : Allowance
         Budgets of the pool.
+    max_attempts : int
+        Most upstreams that the request may be sent to.
+    promise_statuses : frozenset of int
+        Statuses that would promise the caller that its request was not run.
     """
 
     __slots__ = (
@@ -94,6 +100,8 @@
         "_attempts",
         "_hedge_at",
         "_hedge_delay_s",
+        "_max_attempts",
+        "_promise_statuses",
         "_relaying",
         "_tried",
         "deadline",
@@ -108,7 +116,11 @@
         deadline: float,
         hedge_delay_s: float | None,
         allowance: Allowance,
+        max_attempts: int = MAX_ATTEMPTS,
+        promise_statuses: frozenset[int] = frozenset(),
     ) -> None:
+        self._max_attempts = max_attempts
+        self._promise_statuses = promise_statuses
         self.idempotent = idempotent
         self.deadline = deadline
         self._hedge_delay_s = hedge_delay_s if idempotent else None
@@ -205,10 +217,17 @@
         attempt = self._attempts[event.attempt]
         if event.not_run:
             attempt.may_have_run = False
+            moved = event.status == MISDIRECTED_STATUS
             return [
-                self._end(attempt, Ended.SHED),
+                self._end(attempt, Ended.UNREACHABLE if moved else Ended.SHED),
                 *self._retry_or_settle(now, ErrorKind.SHED),
             ]
+        if event.status in self._promise_statuses and not self.idempotent:
+            # Passed on, the status would say of a request that may have run that it
+            # was not.
+            return self._on_attempt_failed(
+                now, AttemptFailed(attempt.number, ErrorKind.ANSWER_INVALID)
+            )
         attempt.failing = event.status in RETRYABLE_STATUSES
         if attempt.failing and self._may_replace(now):
             attempt.phase = Phase.HOLDING_HEAD
@@ -241,7 +260,9 @@
         if self._hedge_at is None or now < self._hedge_at:
             return []
         self._hedge_at = None
-        if len(self._attempts) > 1 or not self._allowance.allow_hedge():
+        if len(self._attempts) > 1 or self._max_attempts < 2:
+            return []
+        if not self._allowance.allow_hedge():
             return []
         return self._begin_attempt(may_wait=False, hedge=True)
 
@@ -273,16 +294,21 @@
             return False
         if self.may_have_run and not self.idempotent:
             return False
-        if len(self._attempts) >= MAX_ATTEMPTS:
+        if not self._has_attempts_left():
             return False
         return self._allowance.allow_retry()
 
+    def _has_attempts_left(self) -> bool:
+        sent = sum(a.may_have_run for a in self._attempts)
+        allowed = self._max_attempts
+        return sent < allowed and len(self._attempts) < allowed + EXTRA_NOT_RUN_ATTEMPTS
+
     def _may_replace(self, now: float) -> bool:
         if not self.idempotent or now >= self.deadline:
             return False
         if sum(a.live for a in self._attempts) > 1:
             return False
-        if len(self._attempts) >= MAX_ATTEMPTS:
+        if not self._has_attempts_left():
             return False
         return self._allowance.allow_retry()
 
--- a/src/foxtaildrum/follower.py
+++ b/src/foxtaildrum/follower.py
@@ -7,6 +7,7 @@
 
 import msgpack
 
+from .desired import DesiredPatch, apply_patch
 from .events import Send
 from .records import FollowEntries, FollowPiece, FollowRequest
 from .tables import Patch, Tables
@@ -17,6 +18,7 @@
 MAX_ENTRIES_PER_MESSAGE = 64
 
 CHANGE = "change"
+DESIRED = "desired"
 
 
 class TableState:
@@ -36,6 +38,8 @@
         """Apply one entry and return the answer to a change."""
         if kind == CHANGE:
             return self.tables.apply_patch(Patch.from_wire(payload))
+        if kind == DESIRED:
+            return apply_patch(self.tables, DesiredPatch.from_wire(payload))
         # A leader that follows before the first entry is applied names the group again.
         if payload and not self.group_id:
             self.group_id = payload.get("group_id", "")
--- a/src/foxtaildrum/instance.py
+++ b/src/foxtaildrum/instance.py
@@ -16,18 +16,19 @@
 
 from .access import NodeAccess, NodeClaims
 from .admin import Admin
+from .dialects import get_dialect
 from .entries import Saved
 from .events import Received
 from .journal import FolderDisk, Journal
 from .logs import log_event
 from .membership import Member, MemberState
 from .metrics import Meter, StatsdSender
-from .node import CLAIM_STREAM, LOG_STREAM, Node, Write
+from .node import CLAIM_STREAM, LOG_STREAM, Joining, Node, Write
 from .peers import PeerNetwork
 from .pools import read_clock
 from .probes import Prober
 from .proxy import Proxy
-from .records import Settings
+from .records import Limits, Settings
 from .runtime import NodeActor, Ticker
 from .server import HttpServer
 from .settings import parse_control, read_secret
@@ -54,7 +55,8 @@
     def __init__(self, settings: Settings) -> None:
         self.settings = settings
         self.meter = Meter()
-        self.proxy = Proxy(self.meter, settings.access_log)
+        self._dialect = get_dialect(settings.dialect)
+        self.proxy = Proxy(self.meter, settings.access_log, self._dialect)
         self._publisher = ViewPublisher(settings, self.proxy, self.meter)
         self._network = self._build_network()
         self._storage: pykka.ActorRef | None = None
@@ -69,12 +71,13 @@
             self._storage = StorageActor.start(self._waiting, writer)
         self._node = self._actor.proxy()
         self._publisher.tell_draining = self._node.note_draining.defer
+        self._publisher.apply_limits = self._apply_limits
         self.access = NodeAccess(self._node, self.meter, self.proxy)
         self.proxy.claims = NodeClaims(self._node)
         self._open = False
         self.proxy.is_open = self._is_open
         self._ticker = Ticker(self._actor.tell)
-        self._prober = Prober(lambda: self.proxy.view.pools.values(), self.meter)
+        self._prober = Prober(lambda: self.proxy.view.pools.values(), self.meter, self._dialect)
         self._statsd = StatsdSender(settings.statsd) if settings.statsd else None
         self._stopped = threading.Event()
         self._read_node = node
@@ -140,6 +143,10 @@
     def _pause(self, duration_s: float) -> None:
         time.sleep(max(0.0, duration_s))
 
+    def _apply_limits(self, limits: Limits) -> None:
+        if self.callers is not None and self._read_node.state.tables.limits:
+            self.callers.apply_limits(limits)
+
     def _is_open(self) -> bool:
         return self._read_node.is_open(read_clock())
 
@@ -171,11 +178,17 @@
             MemberState.ALIVE,
             read_clock(),
         )
-        control = parse_control(settings.control) or {settings.instance_id: ""}
+        joins = bool(settings.seeds)
+        own = {settings.instance_id: settings.peer_listen}
+        control = {} if joins else parse_control(settings.control) or own
+        seeds = parse_control(settings.seeds) if joins else control
+        bootstrap = settings.bootstrap or not joins
+        joining = Joining(seeds, bootstrap, settings.tolerated_losses)
+        has_log = settings.role != "entry" if joins else settings.instance_id in control
         saved = None
         claim_records: list[list[Any]] = []
         journals: dict[str, Journal] = {}
-        if settings.instance_id in control:
+        if has_log:
             self._disk = FolderDisk(settings.data_dir)
             journals = {
                 LOG_STREAM: Journal(self._disk, "log"),
@@ -184,7 +197,7 @@
             saved = load_saved(journals[LOG_STREAM])
             claim_records = _unpack(journals[CLAIM_STREAM].load())
         rng = random.Random()
-        node = Node(me, control, saved, claim_records, rng, read_clock())
+        node = Node(me, control, saved, claim_records, rng, read_clock(), joining)
         return node, journals
 
     def _build_callers(self) -> HttpServer | None:
@@ -204,7 +217,12 @@
 
     def _build_admin(self) -> HttpServer:
         settings = self.settings
-        admin = Admin(self.access, read_secret(settings.operator_token_file))
+        admin = Admin(
+            self.access,
+            read_secret(settings.operator_token_file),
+            settings.announcement_lease_s,
+            self._dialect.announcement_fields,
+        )
         return HttpServer(
             admin,
             settings.admin_listen,
--- a/src/foxtaildrum/loads.py
+++ b/src/foxtaildrum/loads.py
@@ -3,23 +3,31 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Mapping
 
 MAX_REPORTED_SLOTS = 1e6
+MAX_PACE = 1e3
 
 
-def parse_slots_in_use(headers: Mapping[str, str] | list[tuple[str, str]]) -> float | None:
-    """Return the slots in use that an answer reports, or None.
+class LoadReport:
+    """Load of one upstream at the time of an answer.
 
-    Reads the JSON and TEXT forms of ``endpoint-load-metrics``.
+    Parameters
+    ----------
+    slots_in_use : float
+        Requests that run or wait.
+    pace : float
+        How long work takes at this moment, as a multiple of the usual.
     """
-    for name, value in headers:
-        if name.lower() == "endpoint-load-metrics":
-            return _parse_metrics(value)
-    return None
 
+    __slots__ = ("pace", "slots_in_use")
 
-def _parse_metrics(value: str) -> float | None:
+    def __init__(self, slots_in_use: float, pace: float = 1.0) -> None:
+        self.slots_in_use = slots_in_use
+        self.pace = pace
+
+
+def parse_load_metrics(value: str) -> LoadReport | None:
+    """Return the load in the JSON or TEXT form of ``endpoint-load-metrics``, or None."""
     form, _, text = value.strip().partition(" ")
     try:
         if form.upper() == "JSON":
@@ -30,7 +38,21 @@
             return None
     except (ValueError, KeyError, TypeError):
         return None
-    return number if 0 <= number < MAX_REPORTED_SLOTS else None
+    return LoadReport(number) if 0 <= number < MAX_REPORTED_SLOTS else None
+
+
+def parse_load_figures(value: str) -> LoadReport | None:
+    """Return the load in the form ``running,waiting,slots[,pace in percent]``, or None."""
+    try:
+        figures = [float(part) for part in value.split(",")]
+    except ValueError:
+        return None
+    if len(figures) < 3 or not all(0 <= f < MAX_REPORTED_SLOTS for f in figures):
+        return None
+    pace = figures[3] / 100 if len(figures) > 3 else 1.0
+    if not 0 < pace <= MAX_PACE:
+        return None
+    return LoadReport(figures[0] + figures[1], pace)
 
 
 def _parse_text_metrics(text: str) -> float:
--- a/src/foxtaildrum/membership.py
+++ b/src/foxtaildrum/membership.py
@@ -348,7 +348,7 @@
             self._change_state(now, member, MemberState.SUSPECT)
         if misses < MISSES_BEFORE_HELP:
             return []
-        others = [i for i in self._list_usable() if i != target]
+        others = [i for i in self.list_usable() if i != target]
         helpers = self._rng.sample(others, min(HELPERS, len(others)))
         return [Send(h, PingRequest(target=target, nonce=nonce)) for h in helpers]
 
@@ -360,7 +360,8 @@
             elif not member.usable and age_s >= FORGET_S and member is not self.me:
                 self._forget(member)
 
-    def _list_usable(self) -> list[str]:
+    def list_usable(self) -> list[str]:
+        """Return the other members that messages should be sent to."""
         return [m.instance_id for m in self._get_ring() if m is not self.me]
 
     def _refute(self, claimed: Member) -> None:
--- a/src/foxtaildrum/node.py
+++ b/src/foxtaildrum/node.py
@@ -9,7 +9,8 @@
 
 from . import records as r
 from .claimer import Claimer, ClaimSettled
-from .consensus import Consensus, Role
+from .consensus import Consensus, ControlDirectory, Role
+from .desired import DesiredState
 from .entries import Saved
 from .events import (
     Committed,
@@ -18,6 +19,8 @@
     Persisted,
     PersistFailed,
     Proposed,
+    ReadAsked,
+    ReadSettled,
     Received,
     Rewrite,
     Send,
@@ -26,17 +29,21 @@
     Tick,
 )
 from .exceptions import FrameError, StaleAnnouncementError
-from .follower import CHANGE, Follower, TableState
+from .follower import Follower, TableState
 from .holder import ClaimHolder
 from .membership import Knowledge, Member, Membership, MemberState
 from .proposals import ChangeSettled, Proposer
-from .tables import Change, Patch
+from .reads import ReadDone, Reader
+from .receipts import Receipts, ReceiptsDone
+from .tables import Change
 from .upstreams import Entry, UpstreamList
 
 START_AGE_S = 5.0
 CUT_OFF_S = 15.0
 GROUP_DOWN_START_S = 15.0
 EXPIRE_PERIOD_S = 0.5
+DIRECT_NEWS_MEMBERS = 64
+CONTROL_ROLES = ("all", "control")
 
 LOG_STREAM = "log"
 CLAIM_STREAM = "claims"
@@ -67,7 +74,37 @@
     state: str
 
 
-Action = Send | Write | ChangeSettled | ClaimSettled | UpstreamsLost | MemberChanged
+Action = (
+    Send
+    | Write
+    | ChangeSettled
+    | ClaimSettled
+    | ReadDone
+    | ReceiptsDone
+    | UpstreamsLost
+    | MemberChanged
+)
+
+
+class Joining:
+    """How an instance finds the fleet and the control group.
+
+    Parameters
+    ----------
+    seeds : dict
+        Addresses of a few instances by identifier.
+    bootstrap : bool
+        Whether the seeds form a new control group when all their disks are new.
+    tolerated : int
+        Disks of control instances that may be lost at once.
+    """
+
+    __slots__ = ("bootstrap", "seeds", "tolerated")
+
+    def __init__(self, seeds: dict[str, str], bootstrap: bool, tolerated: int) -> None:
+        self.seeds = seeds
+        self.bootstrap = bootstrap
+        self.tolerated = tolerated
 
 
 class Node:
@@ -98,17 +135,26 @@
         claim_records: list[list[Any]],
         rng: random.Random,
         now: float,
+        joining: Joining | None = None,
     ) -> None:
         self.instance_id = me.instance_id
         self.control = sorted(control)
-        self.members = Membership(me, control, rng, now)
+        joining = joining or Joining(dict(control), True, 0)
+        self.members = Membership(me, joining.seeds, rng, now)
         self.upstreams = UpstreamList(me.instance_id)
         self.state = TableState()
         self.consensus: Consensus | None = None
         self.holder: ClaimHolder | None = None
         if saved is not None:
             self.consensus = Consensus(
-                me.instance_id, self.control, self.state, saved, rng, now
+                me.instance_id,
+                list(joining.seeds) if joining.bootstrap else [],
+                self.state,
+                saved,
+                rng,
+                now,
+                joining.tolerated,
+                _MembersDirectory(self),
             )
             self.holder = ClaimHolder(
                 me.instance_id, self.control, saved.disk_id, claim_records, now
@@ -118,13 +164,17 @@
         self.claimer = Claimer(self.control)
         self.proposer = Proposer(
             me.instance_id,
-            self.control,
+            self.list_control,
             self.state,
             self.consensus,
             self.members.is_usable,
             self._submit,
             rng,
         )
+        self.reader = Reader(
+            self._leads, self.proposer.pick_control, self._get_index, self._submit_read
+        )
+        self.receipts = Receipts(me.instance_id)
         self.stopping = False
         self._started_at = now
         self._started = False
@@ -146,7 +196,9 @@
         if self.holder is not None:
             self._take_claim_actions(now, self.holder.tick(now))
         self._take_claim_actions(now, self.claimer.tick(now))
-        self.proposer.drop_late(now)
+        self.proposer.tick(now)
+        self.reader.tick(now)
+        self._tell_again(now)
         self._note_fleet(now)
         self._update_started(now)
         return self._finish(now)
@@ -186,17 +238,25 @@
 
     # Operators.
 
-    def propose(self, now: float, token: str, change: Change) -> list[Action]:
+    def propose(self, now: float, token: str, change: Change | DesiredState) -> list[Action]:
         """Propose a change; its answer comes as :class:`ChangeSettled`."""
         self.proposer.propose(now, token, change)
         return self._finish(now)
 
+    def read(self, now: float, token: str) -> list[Action]:
+        """Ask whether the tables here are current; the answer is :class:`ReadDone`."""
+        self.reader.ask(now, token)
+        return self._finish(now)
+
     # Upstreams.
 
     def announce(
-        self, now: float, upstream_id: str, announcement: r.Announcement
+        self, now: float, upstream_id: str, announcement: r.Announcement, token: str = ""
     ) -> tuple[str, list[Action]]:
-        """Take an announcement; return the reason of a refusal and the actions."""
+        """Take an announcement; return the reason of a refusal and the actions.
+
+        Under a token, :class:`ReceiptsDone` tells when most control instances know it.
+        """
         try:
             owner = self.upstreams.announce(
                 now, upstream_id, announcement, self.members.is_usable
@@ -210,13 +270,62 @@
                 lease_s=announcement.lease_s,
             )
             self._out.append(Send(owner, message))
+        if token:
+            self._ask_receipts(now, token, upstream_id)
         return "", self._finish(now)
 
-    def leave_upstream(self, now: float, upstream_id: str) -> tuple[bool, list[Action]]:
-        """Take an upstream out; return whether it was known and the actions."""
-        known = self.upstreams.leave(now, upstream_id)
+    def leave_upstream(
+        self, now: float, upstream_id: str, incarnation: int = 0, token: str = ""
+    ) -> tuple[bool, list[Action]]:
+        """Take an upstream out; return whether it was known and the actions.
+
+        Parameters
+        ----------
+        incarnation : int
+            Incarnation that leaves; 0 when it was not given. With it an upstream that
+            is not known here is taken out as well.
+        """
+        known = self.upstreams.leave(now, upstream_id, incarnation)
+        if token:
+            self._ask_receipts(now, token, upstream_id)
         return known, self._finish(now)
 
+    def _ask_receipts(self, now: float, token: str, upstream_id: str) -> None:
+        entry = self.upstreams.entries.get(upstream_id)
+        if entry is None or self.consensus is None:
+            self._out.append(ReceiptsDone(token, True))
+            return
+        self.receipts.begin(now, token, entry)
+        self._tell_again(now)
+
+    def _tell_again(self, now: float) -> None:
+        voters = list(self.consensus.voters) if self.consensus is not None else []
+        for peer, token, entry in self.receipts.list_due(now, voters):
+            news = r.UpstreamNews(entries=[entry.to_wire(now)], token=token)
+            self._out.append(Send(peer, news))
+        self._out += self.receipts.take_out(now, voters)
+
+    def count_entries(self) -> int:
+        """Return the instances that serve callers, this one at least."""
+        members = self.members.members.values()
+        return max(1, sum(m.usable and m.role != "control" for m in members))
+
+    def list_control(self) -> list[str]:
+        """Return the control instances that are known."""
+        if self.control:
+            return self.control
+        found = {m.instance_id for m in self.members.members.values() if _is_control(m)}
+        if self.consensus is not None:
+            found |= self.consensus.voters.keys()
+        return sorted(found or self.members.seeds)
+
+    def find_address(self, instance_id: str) -> str:
+        """Return the address of an instance; empty when unknown."""
+        address = self.members.find_address(instance_id)
+        if not address and self.consensus is not None:
+            address = self.consensus.find_voter_address(instance_id)
+        return address
+
     def note_draining(self, now: float, upstream_id: str) -> list[Action]:
         """Take note of a drain that an answer told."""
         self.upstreams.note_draining(now, upstream_id)
@@ -305,19 +414,36 @@
     def _finish(self, now: float) -> list[Action]:
         news = self.upstreams.take_news()
         if news:
-            message = r.UpstreamNews(entries=[e.to_wire(now) for e in news])
-            self._out += [Send(t, message) for t in self.members.pick_push_targets()]
+            message = r.UpstreamNews(entries=[e.to_wire(now) for e in news], token="")
+            self._out += [Send(t, message) for t in self._pick_news_targets()]
         self._out += self.members.flush_news()
         for member in self.members.take_changed():
             if member is not self.members.me:
                 state = member.state.name.lower()
                 self._out.append(MemberChanged(member.instance_id, state))
         self._out += self.proposer.take_out(now)
+        self._out += self.reader.take_out()
         out, self._out = self._out, []
         return out
 
-    def _submit(self, now: float, token: str, patch: Patch) -> None:
-        self._run_consensus(now, Proposed(token, CHANGE, patch.to_wire()))
+    def _pick_news_targets(self) -> list[str]:
+        """Return who hears of upstreams at once.
+
+        A control instance tells everybody while the fleet is small: it hears of a drain
+        first, and an instance that is cut off from its neighbours still hears it.
+        """
+        if self.consensus is None or len(self.members.members) > DIRECT_NEWS_MEMBERS:
+            return self.members.pick_push_targets()
+        return self.members.list_usable()
+
+    def _submit(self, now: float, token: str, kind: str, payload: list[Any]) -> None:
+        self._run_consensus(now, Proposed(token, kind, payload))
+
+    def _submit_read(self, now: float, token: str) -> None:
+        self._run_consensus(now, ReadAsked(token))
+
+    def _get_index(self) -> int:
+        return self.follower.index
 
     def _run_consensus(self, now: float, event: Any) -> None:
         actions = self.consensus.handle(now, event)
@@ -334,6 +460,8 @@
                 self._out.append(Write(LOG_STREAM, action.token, action.records, True))
             elif isinstance(action, Settled):
                 self.proposer.settle(action)
+            elif isinstance(action, ReadSettled):
+                self.reader.settle(action)
             elif isinstance(action, Committed):
                 self._relay_committed(now, action)
             elif isinstance(action, StateReplaced):
@@ -461,7 +589,7 @@
         else:
             buckets = self.upstreams.digest.find_differences(message.hashes)
             found = [e.to_wire(now) for e in self.upstreams.list_bucket(buckets)]
-            news = r.UpstreamNews(entries=found)
+            news = r.UpstreamNews(entries=found, token="")
         if found:
             self._out.append(Send(peer, news))
         if buckets and not message.reply:
@@ -480,6 +608,18 @@
     def _on_upstream_news(self, now: float, peer: str, message: r.UpstreamNews) -> None:
         for fields in message.entries:
             self.upstreams.merge(now, Entry.from_wire(now, fields))
+        if message.token:
+            self._out.append(Send(peer, r.NewsReceipt(token=message.token)))
+
+    def _on_news_receipt(self, now: float, peer: str, message: r.NewsReceipt) -> None:
+        self.receipts.take_receipt(peer, message)
+        self._tell_again(now)
+
+    def _on_read_request(self, now: float, peer: str, message: r.ReadRequest) -> None:
+        self.reader.take_request(now, peer, message)
+
+    def _on_read_reply(self, now: float, peer: str, message: r.ReadReply) -> None:
+        self.reader.take_reply(message)
 
     def _on_renew(self, now: float, peer: str, message: r.RenewRequest) -> None:
         self.upstreams.renew(now, message.upstream_id, message.incarnation, message.lease_s)
@@ -546,6 +686,9 @@
     r.MemberNews: Node._on_member_news,
     r.UpstreamNews: Node._on_upstream_news,
     r.SyncBuckets: Node._on_sync_buckets,
+    r.NewsReceipt: Node._on_news_receipt,
+    r.ReadRequest: Node._on_read_request,
+    r.ReadReply: Node._on_read_reply,
     r.RenewRequest: Node._on_renew,
     r.FollowRequest: Node._on_follow_request,
     r.FollowEntries: Node._on_follow_entries,
@@ -558,3 +701,30 @@
     r.ClaimFetch: Node._on_claim_message,
     r.ClaimBatch: Node._on_claim_message,
 }
+
+
+class _MembersDirectory(ControlDirectory):
+    """The other control instances as the membership knows them."""
+
+    def __init__(self, node: Node) -> None:
+        self._node = node
+
+    def list_control(self) -> list[str]:
+        members = self._node.members.members.values()
+        me = self._node.instance_id
+        return [
+            m.instance_id
+            for m in members
+            if m.usable and m.role == "control" and m.instance_id != me
+        ]
+
+    def is_gone(self, instance_id: str) -> bool:
+        member = self._node.members.members.get(instance_id)
+        return member is not None and not member.usable
+
+    def find_address(self, instance_id: str) -> str:
+        return self._node.find_address(instance_id)
+
+
+def _is_control(member: Member) -> bool:
+    return member.usable and member.role in CONTROL_ROLES
--- a/src/foxtaildrum/node_api.py
+++ b/src/foxtaildrum/node_api.py
@@ -4,6 +4,7 @@
 
 from typing import Any, Protocol
 
+from .desired import DesiredState
 from .records import Announcement
 from .tables import Change
 
@@ -52,11 +53,23 @@
     def get_table(self, name: str) -> tuple[list[dict[str, Any]], int, bool]:
         """Return the rows, the version and whether they are known to be current."""
 
-    def change_table(self, change: Change) -> ChangeAnswer:
+    def read_desired(self) -> dict[str, Any] | None:
+        """Return the desired state with every accepted change; None when not known."""
+
+    def change_table(self, change: Change | DesiredState) -> ChangeAnswer:
         """Propose a change and wait for its answer."""
 
     def announce(self, upstream_id: str, announcement: Announcement) -> str:
-        """Take an announcement; return the reason of a refusal or an empty text."""
+        """Take an announcement; return the reason of a refusal or an empty text.
+
+        Raises
+        ------
+        NotSpreadError
+            When too few control instances heard of a drain.
+        """
+
+    def leave(self, upstream_id: str, incarnation: int = 0) -> bool | None:
+        """Take an upstream out; return whether it was known.
 
-    def leave(self, upstream_id: str) -> bool:
-        """Take an upstream out; return whether it was known."""
+        None when too few control instances heard of it.
+        """
--- a/src/foxtaildrum/policies.py
+++ b/src/foxtaildrum/policies.py
@@ -16,6 +16,7 @@
 
 REPORT_FADE_SERVICE_TIMES = 3.0
 FAILURE_FADE_S = 2.0
+PACE_FADE_S = 0.1
 REMOTE_ZONE_COST = 0.1
 MAX_LOAD_RATIO = 2.0
 TIE_MARGIN_SLOTS = 0.05
@@ -109,6 +110,8 @@
         if score >= candidate.slots * MAX_LOAD_RATIO:
             continue
         acceptable.append(candidate)
+        pace = _estimate_pace(now, candidate, pool)
+        score = (score + candidate.slots) * pace - candidate.slots
         score += _estimate_failure_cost(now, candidate)
         if candidate.ramp_until > now:
             score = (score + 1.0) / candidate.compute_ramp(now)
@@ -146,6 +149,12 @@
     return candidate.last_turn
 
 
+def _estimate_pace(now: float, candidate: UpstreamLoad, pool: PoolLoad) -> float:
+    # The pace of an upstream changes many times a second, so a report of it fades fast.
+    weight = math.exp((candidate.reported_at - now) / PACE_FADE_S)
+    return pool.mean_pace + (candidate.pace - pool.mean_pace) * weight
+
+
 def _estimate_failure_cost(now: float, candidate: UpstreamLoad) -> float:
     # A failed request frees its slot at once; without this cost an upstream
     # that fails fast would look idle and attract every request.
--- a/src/foxtaildrum/pools.py
+++ b/src/foxtaildrum/pools.py
@@ -4,7 +4,6 @@
 
 import random
 import threading
-import time
 from collections.abc import Callable, Iterable
 
 from .balancer import Balancer, Ticket, UpstreamLoad
@@ -12,11 +11,14 @@
 from .exchange import Allowance
 from .kinds import ErrorKind
 from .latency import RecentLatency
+from .loads import LoadReport
 from .records import Pool
 from .steps import Ended
-from .transport import Adapter
+from .transport import Adapter, read_clock
 from .upstreams import DRAINING, Entry
 
+__all__ = ["UpstreamPool", "read_clock"]
+
 HEDGE_PERCENTILE = 95.0
 HEDGE_MIN_SAMPLES = 50
 HEDGE_MIN_SERVICE_TIMES = 2.0
@@ -75,6 +77,11 @@
             self._balancer.configure(pool)
             self._balancer.busy_limit = busy_limit
 
+    def set_retry_slack(self, tokens: float) -> None:
+        """Set how many retries this instance may make at once beside the ratio."""
+        with self._lock:
+            self._balancer.set_retry_slack(tokens)
+
     def update_members(self, now: float, entries: Iterable[Entry]) -> None:
         """Take over the current members of the pool."""
         with self._lock:
@@ -92,6 +99,8 @@
             self._balancer.request_slot(now, ticket, may_wait)
             if not ticket.settled:
                 ticket.wake = threading.Event()
+            settled = self._balancer.take_displaced()
+        _wake_all(settled)
 
     def serve_queue(self, now: float) -> None:
         """Grant what has become possible by the passing of time."""
@@ -114,12 +123,12 @@
         _wake_all(settled)
 
     def note_answer(
-        self, now: float, upstream: UpstreamLoad, slots_in_use: float | None, draining: bool
+        self, now: float, upstream: UpstreamLoad, report: LoadReport | None, draining: bool
     ) -> None:
         """Take what an answer told about its upstream."""
-        if slots_in_use is not None:
+        if report is not None:
             with self._lock:
-                self._balancer.report_load(now, upstream, slots_in_use)
+                self._balancer.report_load(now, upstream, report)
         if draining and upstream.state != DRAINING:
             upstream.state = DRAINING
             self._tell_draining(upstream.upstream_id)
@@ -136,10 +145,37 @@
         with self._lock:
             return self._balancer.choose_probe(now)
 
-    def note_probe(self, now: float, upstream: UpstreamLoad, slots_in_use: float) -> None:
+    def note_probe(self, now: float, upstream: UpstreamLoad, report: LoadReport) -> None:
         """Take the load that a probe found."""
         with self._lock:
-            self._balancer.report_load(now, upstream, slots_in_use)
+            self._balancer.report_load(now, upstream, report)
+
+    @property
+    def health_path(self) -> str:
+        """Path of the status check; empty when there is none."""
+        return self._balancer.pool.health_path
+
+    def set_probe_rate(self, probes_per_s: float, sample_size: int) -> None:
+        """Set how often each upstream may be asked, and how many are compared."""
+        with self._lock:
+            self._balancer.set_probe_rate(probes_per_s, sample_size)
+
+    def choose_samples(self, now: float, excluded: frozenset[str]) -> list[UpstreamLoad]:
+        """Return the upstreams to ask for their load, paid from the budget."""
+        if not self.health_path:
+            return []
+        with self._lock:
+            return self._balancer.choose_samples(now, excluded)
+
+    def note_silent(self, now: float, upstream: UpstreamLoad) -> None:
+        """Take note that a status check was not answered in time."""
+        with self._lock:
+            self._balancer.note_silent(now, upstream)
+
+    def note_moved(self, now: float, upstream: UpstreamLoad) -> None:
+        """Take note that another upstream answers at the address."""
+        with self._lock:
+            self._balancer.note_moved(now, upstream)
 
     def get_connections(self, upstream: UpstreamLoad) -> ConnectionPool:
         """Return the connections to an upstream."""
@@ -169,8 +205,7 @@
     def allow_hedge(self) -> bool:
         """Take one hedge from the budget; return whether it was there."""
         with self._lock:
-            cost = self._balancer.load.mean_service_s
-            return self._balancer.measuring_budget.spend(cost)
+            return self._balancer.spend_hedge()
 
     def close(self) -> None:
         """Close every idle connection."""
@@ -182,8 +217,3 @@
     for ticket in tickets:
         if ticket.wake is not None:
             ticket.wake.set()
-
-
-def read_clock() -> float:
-    """Return the present time of the instance in seconds."""
-    return time.monotonic()
--- a/src/foxtaildrum/probes.py
+++ b/src/foxtaildrum/probes.py
@@ -10,7 +10,8 @@
 from collections.abc import Callable, Iterable
 
 from .balancer import UpstreamLoad
-from .loads import parse_slots_in_use
+from .dialects import Dialect
+from .loads import LoadReport
 from .metrics import Meter
 from .pools import UpstreamPool, read_clock
 from .transport import OutgoingRequest, TransportError
@@ -28,10 +29,18 @@
         Returns the pools in force.
     meter : Meter
         Counts probes.
+    dialect : Dialect
+        Reads what an answer reports.
     """
 
-    def __init__(self, list_pools: Callable[[], Iterable[UpstreamPool]], meter: Meter) -> None:
+    def __init__(
+        self,
+        list_pools: Callable[[], Iterable[UpstreamPool]],
+        meter: Meter,
+        dialect: Dialect,
+    ) -> None:
         self._list_pools = list_pools
+        self._dialect = dialect
         self._meter = meter
         self._stopped = threading.Event()
         self._thread = threading.Thread(target=self._run, name="probes", daemon=True)
@@ -54,26 +63,28 @@
     def _probe(self, pool: UpstreamPool, upstream: UpstreamLoad) -> None:
         self._meter.count("probes")
         try:
-            slots_in_use = _ask_load(pool, upstream)
+            report = _ask_load(pool, upstream, self._dialect)
         except TransportError:
             self._meter.count("probes.failed")
             return
-        if slots_in_use is not None:
+        if report is not None:
             # The probe itself holds no slot, unlike the request an answer reports on.
-            pool.note_probe(read_clock(), upstream, slots_in_use)
+            pool.note_probe(read_clock(), upstream, report)
 
 
-def _ask_load(pool: UpstreamPool, upstream: UpstreamLoad) -> float | None:
+def _ask_load(
+    pool: UpstreamPool, upstream: UpstreamLoad, dialect: Dialect
+) -> LoadReport | None:
     connections = pool.get_connections(upstream)
     connection = connections.take(read_clock(), PROBE_TIMEOUT_S, repeatable=True)
     request = OutgoingRequest("GET", pool.load_path, {"Host": upstream.address}, None, 0, "")
     try:
         connection.send(request, PROBE_TIMEOUT_S)
         head = connection.read_head(PROBE_TIMEOUT_S)
-        for _ in connection.read_body(PROBE_TIMEOUT_S):
+        for _ in connection.read_body(read_clock() + PROBE_TIMEOUT_S):
             continue
     except TransportError:
         connection.close()
         raise
     connections.give(read_clock(), connection)
-    return parse_slots_in_use(head.headers)
+    return dialect.read_load(head.stated)
--- a/src/foxtaildrum/problem.py
+++ b/src/foxtaildrum/problem.py
@@ -6,24 +6,27 @@
 import json
 from collections.abc import Callable, Iterable
 
+from .dialects import Dialect
 from .kinds import ANSWERS, ErrorKind, Outcome
 
 CONTENT_TYPE = "application/problem+json"
-RETRY_AFTER_S = 1
+RETRY_AFTER_S = 0.25
 OUTCOME_HEADER = "Foxtaildrum-Outcome"
 
 StartResponse = Callable[[str, list[tuple[str, str]]], object]
 
 
 def build_problem(
-    kind: ErrorKind, outcome: Outcome, request_id: str
+    kind: ErrorKind, outcome: Outcome, request_id: str, dialect: Dialect | None = None
 ) -> tuple[str, list[tuple[str, str]], bytes]:
     """Return the status line, headers and body for an error kind."""
     answer = ANSWERS[kind]
+    dialect = dialect or Dialect()
+    status = dialect.get_status(kind, outcome)
     document = {
         "type": "about:blank",
         "title": answer.title,
-        "status": answer.status,
+        "status": status,
         "kind": kind.value,
         "outcome": outcome.value,
         "request_id": request_id,
@@ -35,16 +38,20 @@
         (OUTCOME_HEADER, outcome.value),
         ("X-Request-Id", request_id),
     ]
-    if answer.status == http.client.SERVICE_UNAVAILABLE:
-        headers.append(("Retry-After", str(RETRY_AFTER_S)))
-    return format_status(answer.status), headers, body
+    if status == http.client.SERVICE_UNAVAILABLE:
+        headers.append(("Retry-After", dialect.format_retry_after(RETRY_AFTER_S)))
+    return format_status(status), headers, body
 
 
 def send_problem(
-    start_response: StartResponse, kind: ErrorKind, outcome: Outcome, request_id: str
+    start_response: StartResponse,
+    kind: ErrorKind,
+    outcome: Outcome,
+    request_id: str,
+    dialect: Dialect | None = None,
 ) -> Iterable[bytes]:
     """Start a problem answer and return its body."""
-    status, headers, body = build_problem(kind, outcome, request_id)
+    status, headers, body = build_problem(kind, outcome, request_id, dialect)
     start_response(status, headers)
     return [body]
 
--- a/src/foxtaildrum/proposals.py
+++ b/src/foxtaildrum/proposals.py
@@ -9,9 +9,10 @@
 
 from . import records as r
 from .consensus import Consensus, Role, Unsettled
+from .desired import REBASED, DesiredState, build_patch, judge_number
 from .events import Send, Settled
 from .exceptions import InvalidTableError
-from .follower import CHANGE, TableState
+from .follower import CHANGE, DESIRED, TableState
 from .node_api import ChangeAnswer
 from .tables import Change, ChangeResult, Patch, check_table
 
@@ -20,6 +21,7 @@
 MAX_REDIRECTS = 3
 REMEMBERED_TOKENS = 4096
 MAX_PENDING_ENTRIES = 1024
+DESIRED_FIELDS = 3
 
 REDIRECT = "redirect"
 UNAVAILABLE = "unavailable"
@@ -37,13 +39,14 @@
 class _Proposal:
     """A change proposed at this instance or passed on by another."""
 
-    __slots__ = ("change", "give_up_at", "origin", "redirects", "sent", "target")
+    __slots__ = ("change", "give_up_at", "origin", "redirects", "retry_at", "sent", "target")
 
-    def __init__(self, change: Change, origin: str, give_up_at: float) -> None:
+    def __init__(self, change: Change | DesiredState, origin: str, give_up_at: float) -> None:
         self.change = change
         self.origin = origin
         self.give_up_at = give_up_at
         self.redirects = 0
+        self.retry_at = give_up_at
         self.sent = False
         self.target = ""
 
@@ -66,8 +69,8 @@
     ----------
     instance_id : str
         This instance.
-    control : list of str
-        Every control instance.
+    list_control : callable
+        Returns the control instances that are known.
     state : TableState
         Tables in force here.
     consensus : Consensus or None
@@ -75,7 +78,7 @@
     is_usable : callable
         Returns whether an instance is alive.
     submit : callable
-        Appends a patch to the log of this instance, which leads.
+        Appends an entry to the log of this instance, which leads.
     rng : random.Random
         Source of random choices.
     """
@@ -83,15 +86,15 @@
     def __init__(
         self,
         instance_id: str,
-        control: list[str],
+        list_control: Callable[[], list[str]],
         state: TableState,
         consensus: Consensus | None,
         is_usable: Callable[[str], bool],
-        submit: Callable[[float, str, Patch], None],
+        submit: Callable[[float, str, str, list], None],
         rng: random.Random,
     ) -> None:
         self._instance_id = instance_id
-        self._control = control
+        self._list_control = list_control
         self._state = state
         self._consensus = consensus
         self._is_usable = is_usable
@@ -99,17 +102,19 @@
         self._rng = rng
         self._proposals: dict[str, _Proposal] = {}
         self._accepted: list[_Accepted] = []
+        self._queue: list[str] = []
+        self._under_way = ""
         self._seen_tokens: OrderedDict[str, None] = OrderedDict()
         self._silent_until: dict[str, float] = {}
         self._out: list[Send | ChangeSettled] = []
 
-    def propose(self, now: float, token: str, change: Change) -> None:
+    def propose(self, now: float, token: str, change: Change | DesiredState) -> None:
         """Propose a change made at this instance."""
         self._proposals[token] = _Proposal(change, "", now + PROPOSAL_TIMEOUT_S)
         if self._leads():
             self._propose_here(now, token, change)
         else:
-            self._pass_on(token, self._pick_control(now))
+            self._pass_on(token, self.pick_control(now))
 
     def take_out(self, now: float) -> list[Send | ChangeSettled]:
         """Return the messages and answers that are due."""
@@ -117,10 +122,11 @@
         out, self._out = self._out, []
         return out
 
-    def _pick_control(self, now: float) -> str:
+    def pick_control(self, now: float) -> str:
+        """Return the control instance to ask, the leader where it is known."""
         if self._consensus is not None and self._consensus.leader_id:
             return self._consensus.leader_id
-        others = [c for c in self._control if c != self._instance_id]
+        others = [c for c in self._list_control() if c != self._instance_id]
         usable = [c for c in others if self._is_usable(c)]
         answering = [c for c in usable if self._silent_until.get(c, now) <= now]
         choices = answering or usable or others
@@ -137,12 +143,44 @@
         message = r.ProposeRequest(token=hop_token, change=proposal.change.to_wire())
         self._out.append(Send(target, message))
 
-    def _propose_here(self, now: float, token: str, change: Change) -> None:
+    def _propose_here(self, now: float, token: str, change: Change | DesiredState) -> None:
+        if isinstance(change, DesiredState):
+            self._queue.append(token)
+            self._serve_queue(now)
+            return
         answer = self._judge_at_once(change)
         if answer is not None:
             self._answer_proposal(token, answer)
             return
-        self._submit(now, token, self._state.tables.build_patch(change))
+        patch = self._state.tables.build_patch(change)
+        self._submit(now, token, CHANGE, patch.to_wire())
+
+    def _serve_queue(self, now: float) -> None:
+        """Append the next desired state; the patch of each is made on the one before."""
+        while self._queue and not self._under_way:
+            token = self._queue[0]
+            proposal = self._proposals.get(token)
+            if proposal is None:
+                self._queue.pop(0)
+                continue
+            if not self._leads():
+                self._queue.pop(0)
+                self._answer_proposal(token, _build_unavailable("this instance does not lead"))
+                continue
+            settled = judge_number(
+                self._state.tables, proposal.change.number, proposal.change.compute_digest()
+            )
+            if settled is not None and self._consensus.can_propose():
+                self._queue.pop(0)
+                self._answer_proposal(token, _describe_result(settled))
+                continue
+            if not self._consensus.can_accept() or self._consensus.count_pending():
+                # The tables may still change under the patch.
+                return
+            self._queue.pop(0)
+            self._under_way = token
+            patch = build_patch(self._state.tables, proposal.change)
+            self._submit(now, token, DESIRED, patch.to_wire())
 
     def _judge_at_once(self, change: Change) -> ChangeAnswer | None:
         known = self._state.tables.find_answer(change)
@@ -155,7 +193,7 @@
             return ChangeAnswer(
                 "invalid", table.version, table.changed_by, error.list_problems()
             )
-        if not self._consensus.can_propose():
+        if not self._consensus.can_accept():
             return _build_unavailable("the leader is starting")
         if self._consensus.count_pending() >= MAX_PENDING_ENTRIES:
             return _build_unavailable("too many changes are under way")
@@ -174,7 +212,13 @@
 
     def settle(self, action: Settled) -> None:
         """Take the result of a proposal that this instance appended."""
-        if isinstance(action.result, ChangeResult):
+        if action.token == self._under_way:
+            self._under_way = ""
+        is_result = isinstance(action.result, ChangeResult)
+        if is_result and action.result.verdict == REBASED:
+            self._queue.insert(0, action.token)
+            return
+        if is_result:
             answer = _describe_result(action.result)
         elif action.result is Unsettled.NOT_LEADER:
             answer = _build_unavailable("this instance does not lead")
@@ -186,7 +230,8 @@
         proposal = self._proposals.pop(token, None)
         if proposal is None:
             return
-        if answer.verdict == UNAVAILABLE and not proposal.change.first:
+        repeated = isinstance(proposal.change, Change) and not proposal.change.first
+        if answer.verdict == UNAVAILABLE and repeated:
             # An earlier copy of the change may be under way somewhere.
             answer = _build_unknown()
         if not proposal.origin:
@@ -202,8 +247,9 @@
         )
         self._out.append(Send(proposal.origin, message))
 
-    def drop_late(self, now: float) -> None:
-        """Answer proposals that waited too long."""
+    def tick(self, now: float) -> None:
+        """Go on with what waits and answer proposals that waited too long."""
+        self._serve_queue(now)
         late = [t for t, p in self._proposals.items() if now >= p.give_up_at]
         for token in late:
             target = self._proposals[token].target
@@ -222,7 +268,9 @@
         self._seen_tokens[message.token] = None
         while len(self._seen_tokens) > REMEMBERED_TOKENS:
             self._seen_tokens.popitem(last=False)
-        change = Change.from_wire(message.change)
+        is_desired = len(message.change) == DESIRED_FIELDS
+        kind = DesiredState if is_desired else Change
+        change = kind.from_wire(message.change)
         self._proposals[message.token] = _Proposal(change, peer, now + PROPOSAL_TIMEOUT_S)
         if self._leads():
             self._propose_here(now, message.token, change)
@@ -259,14 +307,20 @@
         # An operator who reads this instance after the answer must see the change.
         waiting = []
         for item in self._accepted:
-            table = self._state.tables.tables[item.proposal.change.table]
-            hidden = item.answer.verdict == "accepted" and table.version < item.answer.version
+            held = self._get_held(item.proposal.change)
+            hidden = item.answer.verdict == "accepted" and held < item.answer.version
             if hidden and now < item.proposal.give_up_at:
                 waiting.append(item)
             else:
                 self._out.append(ChangeSettled(item.token, item.answer))
         self._accepted = waiting
 
+    def _get_held(self, change: Change | DesiredState) -> int:
+        tables = self._state.tables
+        if isinstance(change, DesiredState):
+            return tables.desired_number
+        return tables.tables[change.table].version
+
     def _leads(self) -> bool:
         return self._consensus is not None and self._consensus.role is Role.LEADER
 
--- a/src/foxtaildrum/proxy.py
+++ b/src/foxtaildrum/proxy.py
@@ -8,6 +8,7 @@
 from urllib.parse import quote
 
 from .claims import ClaimOutcome, Verdict
+from .dialects import Dialect
 from .dispatch import Dispatch, Refusal, TruncatedAnswerError, UpstreamAnswer
 from .exchange import Exchange
 from .idempotency import ClaimedCall, ClaimGate, compute_request_digest
@@ -18,6 +19,7 @@
 from .problem import StartResponse, format_status, send_problem
 from .records import Route
 from .routing import Router, is_idempotent
+from .splits import PoolChooser
 from .transport import HOP_BY_HOP, OutgoingRequest
 
 ARRIVED_KEY = "foxtaildrum.arrived"
@@ -25,6 +27,7 @@
 MAX_REQUEST_ID = 128
 MAX_IDEMPOTENCY_KEY = 255
 MAX_START_DELAY_S = 0.25
+PATIENCE_RATIO = 0.5
 SERVER_ERROR = 500
 
 _CLAIM_REFUSALS = {
@@ -39,7 +42,6 @@
     "expect",
     "x-forwarded-for",
     "x-request-id",
-    "x-request-timeout-ms",
     "foxtaildrum-attempt",
 }
 
@@ -55,10 +57,16 @@
         Pools by name.
     """
 
-    __slots__ = ("pools", "router")
+    __slots__ = ("chooser", "pools", "router")
 
-    def __init__(self, router: Router, pools: dict[str, UpstreamPool]) -> None:
+    def __init__(
+        self,
+        router: Router,
+        pools: dict[str, UpstreamPool],
+        chooser: PoolChooser | None = None,
+    ) -> None:
         self.router = router
+        self.chooser = chooser or PoolChooser([])
         self.pools = pools
 
 
@@ -86,9 +94,14 @@
         Counts requests.
     access_log : bool
         Whether each request is logged.
+    dialect : Dialect or None
+        Names on the wire; None takes the product's own.
     """
 
-    def __init__(self, meter: Meter, access_log: bool) -> None:
+    def __init__(self, meter: Meter, access_log: bool, dialect: Dialect | None = None) -> None:
+        self.dialect = dialect or Dialect()
+        self._timeout_key = _name_environ(self.dialect.timeout_header)
+        self._replaced = _REPLACED_HEADERS | {self.dialect.timeout_header.lower()}
         self.view = View(Router([]), {})
         self.is_open: Callable[[], bool] = _always
         self.claims: ClaimGate | None = None
@@ -109,14 +122,15 @@
         if isinstance(found, ErrorKind):
             return self._refuse(call, start_response, found)
         call.route = found
-        timeout_s = _read_timeout(environ, found)
+        timeout_s = _read_timeout(environ.get(self._timeout_key), found)
         if timeout_s is None:
             return self._refuse(call, start_response, ErrorKind.BAD_REQUEST)
-        pool = view.pools.get(found.pool)
+        pool = view.pools.get(view.chooser.choose(found))
         if pool is None:
             return self._refuse(call, start_response, ErrorKind.NO_UPSTREAM)
         idempotent = is_idempotent(found, call.method)
-        key = environ.get("HTTP_IDEMPOTENCY_KEY", "")
+        key_header = self.dialect.key_header
+        key = environ.get(_name_environ(key_header), "") if key_header else ""
         if idempotent or not key or self.claims is None:
             return self._dispatch(call, start_response, pool, timeout_s, idempotent, None)
         if len(key) > MAX_IDEMPOTENCY_KEY:
@@ -168,14 +182,18 @@
             call.arrived + timeout_s,
             pool.compute_hedge_delay(call.arrived) if idempotent else None,
             pool,
+            call.route.max_attempts,
+            self.dialect.promise_statuses,
         )
         dispatch = Dispatch(
             exchange,
             pool,
-            _build_outgoing(call),
+            _build_outgoing(call, self._replaced),
             environ.get("waitress.client_disconnected", _never),
-            call.route.timeout_ms / 1000,
+            self.dialect,
             environ.get("SERVER_PROTOCOL") == "HTTP/1.0",
+            call.route.priority,
+            PATIENCE_RATIO * call.route.objective_latency_ms / 1000,
         )
         try:
             result = dispatch.run()
@@ -228,11 +246,11 @@
         outcome: Outcome = Outcome.NOT_RUN,
         attempts: int = 0,
     ) -> Iterable[bytes]:
-        status = ANSWERS[kind].status
+        status = self.dialect.get_status(kind, outcome)
         latency_s = read_clock() - call.arrived
         failed = status >= SERVER_ERROR
         self._record(call, status, failed, latency_s, attempts=attempts, kind=kind.value)
-        return send_problem(start_response, kind, outcome, call.request_id)
+        return send_problem(start_response, kind, outcome, call.request_id, self.dialect)
 
     def _record(
         self, call: _Call, status: int, failed: bool, latency_s: float, **fields: Any
@@ -316,8 +334,11 @@
     return uuid.uuid4().hex
 
 
-def _read_timeout(environ: dict[str, Any], route: Route) -> float | None:
-    text = environ.get("HTTP_X_REQUEST_TIMEOUT_MS")
+def _name_environ(header: str) -> str:
+    return "HTTP_" + header.upper().replace("-", "_")
+
+
+def _read_timeout(text: str | None, route: Route) -> float | None:
     if text is None:
         return route.timeout_ms / 1000
     if not (text.isascii() and text.isdigit() and 0 < int(text) <= MAX_TIMEOUT_MS):
@@ -325,9 +346,9 @@
     return min(int(text), route.timeout_ms) / 1000
 
 
-def _build_outgoing(call: _Call) -> OutgoingRequest:
+def _build_outgoing(call: _Call, replaced: frozenset[str]) -> OutgoingRequest:
     environ = call.environ
-    headers = _copy_headers(environ)
+    headers = _copy_headers(environ, replaced)
     headers["X-Request-Id"] = call.request_id
     forwarded = environ.get("HTTP_X_FORWARDED_FOR")
     caller = environ.get("REMOTE_ADDR", "")
@@ -344,7 +365,7 @@
     )
 
 
-def _copy_headers(environ: dict[str, Any]) -> dict[str, str]:
+def _copy_headers(environ: dict[str, Any], replaced: frozenset[str]) -> dict[str, str]:
     nominated = {t.strip().lower() for t in environ.get("HTTP_CONNECTION", "").split(",")}
     headers = {}
     for key, value in environ.items():
@@ -352,7 +373,7 @@
             continue
         name = key[5:].replace("_", "-")
         lowered = name.lower()
-        if lowered not in _REPLACED_HEADERS and lowered not in nominated:
+        if lowered not in replaced and lowered not in nominated:
             headers[name.title()] = value
     if environ.get("CONTENT_TYPE"):
         headers["Content-Type"] = environ["CONTENT_TYPE"]
--- a/src/foxtaildrum/records.py
+++ b/src/foxtaildrum/records.py
@@ -13,46 +13,42 @@
 
 
 @dataclass(kw_only=True, slots=True)
-class Route:
+class Share:
     """
-    One row of the routes table.
+    Share of a pool in the requests of a route.
     """
 
-    name: str
-    """
-    Unique name of the route.
-    """
     pool: str
     """
-    Name of the pool that serves the route.
-    """
-    host: str = ""
-    """
-    Host to match; empty matches every host.
+    Name of the pool.
     """
-    path_prefix: str = "/"
+    weight: float
     """
-    Path prefix to match; the longest prefix wins.
+    Weight of the pool among the shares of the route.
     """
-    methods: list[str] = field(default_factory=list)
+
+
+@dataclass(kw_only=True, slots=True)
+class Limits:
     """
-    Methods to match; empty matches every method.
+    Bounds on what a caller may send.
     """
-    timeout_ms: int = 10000
+
+    max_header_bytes: int = 32768
     """
-    Time allowed for a request, in milliseconds.
+    Largest header section of a request, in bytes.
     """
-    idempotent: bool | None = None
+    max_body_bytes: int = 1073741824
     """
-    Whether a request may be repeated; by method when null.
+    Largest body of a request, in bytes.
     """
-    objective_latency_ms: int = 1000
+    header_timeout_ms: float = 60000
     """
-    Latency objective, in milliseconds.
+    Time that the header section of a request may take, in milliseconds.
     """
-    objective_ratio: float = 0.999
+    idle_timeout_ms: float = 120000
     """
-    Share of requests that must meet the objective.
+    Time that a connection may stay idle, in milliseconds.
     """
 
 
@@ -86,6 +82,22 @@
     """
     Path of the load endpoint; empty when there is none.
     """
+    health_path: str = ""
+    """
+    Path of the status check; empty when there is none.
+    """
+    max_conns: int = 0
+    """
+    Connections that an upstream accepts from all callers together; 0 when unknown.
+    """
+    protocol: Literal["h1"] = "h1"
+    """
+    Protocol of the upstreams.
+    """
+    tls: Literal[False] = False
+    """
+    Whether the upstreams speak TLS.
+    """
 
 
 @dataclass(kw_only=True, slots=True)
@@ -118,6 +130,22 @@
     """
     Number that grows with each start of the upstream.
     """
+    sequence: int = 0
+    """
+    Number that grows with each announcement of one incarnation; 0 when not given.
+    """
+    born: int = 0
+    """
+    Unix time of the upstream's start, in milliseconds; stands for the incarnation where that is not given.
+    """
+    warmup_left_ms: float = 0
+    """
+    Time that the upstream stays slow after its start, in milliseconds.
+    """
+    version: str = ""
+    """
+    Version of the upstream's software.
+    """
     lease_s: float = 15
     """
     Seconds until the announcement expires.
@@ -154,6 +182,34 @@
     """
     Address for other instances; empty for a site of one instance.
     """
+    seeds: str = ""
+    """
+    Instances to join, as ID=HOST:PORT,...; the control group is learnt from them.
+    """
+    bootstrap: bool = False
+    """
+    Whether the seeds form a new control group, at the very first start only.
+    """
+    tolerated_losses: int = 0
+    """
+    Control instances whose disks may be lost at once; a change is accepted once it is synced on one disk more.
+    """
+    announcement_lease_s: float = 15
+    """
+    Seconds until an announcement that names no lease expires.
+    """
+    sample_size: int = 0
+    """
+    Upstreams whose load is asked for before a request is sent; 0 asks none.
+    """
+    probes_per_s: float = 0
+    """
+    Status checks that each upstream may get a second from all entry instances together.
+    """
+    retry_slack: float = 0
+    """
+    Retries and hedges of a pool allowed at once by all entry instances together, beside the ratio; 0 allows 10 to each instance.
+    """
     control: str = ""
     """
     Control instances as ID=HOST:PORT,...; empty for a site of one instance.
@@ -162,6 +218,10 @@
     """
     Folder of the durable state.
     """
+    dialect: str = "foxtaildrum"
+    """
+    Registered name of the names used towards callers and upstreams.
+    """
     statsd: str = ""
     """
     HOST:PORT that receives statsd metrics; empty sends none.
@@ -578,6 +638,10 @@
     """
     Entries as lists.
     """
+    token: str
+    """
+    Asks for a receipt under this identifier; empty asks for none.
+    """
 
 
 @dataclass(kw_only=True, slots=True)
@@ -850,3 +914,103 @@
     """
     Term of the leader.
     """
+
+
+@dataclass(kw_only=True, slots=True)
+class NewsReceipt:
+    """
+    Tells that the news under a token was taken.
+    """
+
+    token: str
+    """
+    Identifier taken from the news.
+    """
+
+
+@dataclass(kw_only=True, slots=True)
+class ReadRequest:
+    """
+    Asks the leader for an index that every accepted change is below.
+    """
+
+    token: str
+    """
+    Identifier of the read.
+    """
+
+
+@dataclass(kw_only=True, slots=True)
+class ReadReply:
+    """
+    Answers a read request.
+    """
+
+    token: str
+    """
+    Identifier of the read.
+    """
+    index: int
+    """
+    Index that the reader must have applied; -1 when it cannot be told.
+    """
+
+
+@dataclass(kw_only=True, slots=True)
+class Route:
+    """
+    One row of the routes table.
+    """
+
+    name: str
+    """
+    Unique name of the route.
+    """
+    pool: str = ""
+    """
+    Name of the pool that serves the route; empty where the route is split.
+    """
+    split: list[Share] = field(default_factory=list)
+    """
+    Pools that share the requests by weight.
+    """
+    type: Literal["", "safe", "unsafe", "download"] = ""
+    """
+    What may be repeated: safe and download may, unsafe may not; by method when empty.
+    """
+    max_attempts: int = 4
+    """
+    Most upstreams that one request may be sent to.
+    """
+    priority: int = 0
+    """
+    Rank of the route; 0 is the most urgent.
+    """
+    host: str = ""
+    """
+    Host to match; empty matches every host.
+    """
+    path_prefix: str = "/"
+    """
+    Path prefix to match; the longest prefix wins.
+    """
+    methods: list[str] = field(default_factory=list)
+    """
+    Methods to match; empty matches every method.
+    """
+    timeout_ms: float = 10000
+    """
+    Time allowed for a request, in milliseconds.
+    """
+    idempotent: bool | None = None
+    """
+    Whether a request may be repeated; by method when null.
+    """
+    objective_latency_ms: float = 1000
+    """
+    Latency objective, in milliseconds.
+    """
+    objective_ratio: float = 0.999
+    """
+    Share of requests that must meet the objective.
+    """
--- a/src/foxtaildrum/routing.py
+++ b/src/foxtaildrum/routing.py
@@ -8,6 +8,7 @@
 from .records import Route
 
 IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "PUT", "DELETE"})
+REPEATABLE_TYPES = frozenset({"safe", "download"})
 ANY_HOST = ""
 REFUSED_METHODS = frozenset({"CONNECT", "TRACE"})
 
@@ -62,6 +63,8 @@
     """Return whether a request on ``route`` may be sent more than once."""
     if route.idempotent is not None:
         return route.idempotent
+    if route.type:
+        return route.type in REPEATABLE_TYPES
     return method in IDEMPOTENT_METHODS
 
 
--- a/src/foxtaildrum/runtime.py
+++ b/src/foxtaildrum/runtime.py
@@ -6,11 +6,13 @@
 import uuid
 from collections.abc import Callable
 from dataclasses import dataclass
+from operator import attrgetter
 from typing import Any
 
 import pykka
 
 from .claimer import ClaimSettled
+from .desired import DesiredState
 from .events import Received, Send
 from .exceptions import FrameError
 from .logs import log_event
@@ -18,9 +20,12 @@
 from .node import ChangeSettled, MemberChanged, Node, UpstreamsLost, Write
 from .peers import PeerNetwork
 from .pools import read_clock
+from .reads import ReadDone
+from .receipts import ReceiptsDone
 from .records import Announcement, ClaimFinish
 from .storage import Written
 from .tables import Change
+from .upstreams import DRAINING
 from .views import ViewPublisher
 
 TICK_S = 0.1
@@ -74,26 +79,59 @@
         elif isinstance(message, Written):
             self._note_written(now, message)
 
-    def propose(self, change: Change, answer: pykka.Future) -> None:
+    def propose(self, change: Change | DesiredState, answer: pykka.Future) -> None:
         """Propose a change; ``answer`` gets its answer."""
-        token = uuid.uuid4().hex
-        self._futures[token] = answer
         now = read_clock()
-        self._perform(now, self._node.propose(now, token, change))
+        self._perform(now, self._node.propose(now, self._keep(answer), change))
 
-    def announce(self, upstream_id: str, announcement: Announcement) -> str:
-        """Take an announcement; return the reason of a refusal."""
+    def read_tables(self, done: pykka.Future) -> None:
+        """Ask whether the tables here are current; ``done`` gets the answer."""
+        now = read_clock()
+        self._perform(now, self._node.read(now, self._keep(done)))
+
+    def announce(
+        self, upstream_id: str, announcement: Announcement
+    ) -> tuple[str, pykka.Future | None]:
+        """Take an announcement.
+
+        Returns
+        -------
+        str
+            Reason of a refusal; empty when it was taken.
+        Future or None
+            Tells whether most control instances know of a drain.
+        """
         now = read_clock()
-        refusal, actions = self._node.announce(now, upstream_id, announcement)
+        spread = pykka.ThreadingFuture() if announcement.state == DRAINING else None
+        token = self._keep(spread) if spread is not None else ""
+        refusal, actions = self._node.announce(now, upstream_id, announcement, token)
         self._perform(now, actions)
-        return refusal
-
-    def leave_upstream(self, upstream_id: str) -> bool:
-        """Take an upstream out; return whether it was known."""
+        if refusal:
+            self._futures.pop(token, None)
+            spread = None
+        return refusal, spread
+
+    def leave_upstream(self, upstream_id: str, incarnation: int) -> tuple[bool, pykka.Future]:
+        """Take an upstream out.
+
+        Returns
+        -------
+        bool
+            Whether it was known.
+        Future
+            Tells whether most control instances know that it left.
+        """
         now = read_clock()
-        known, actions = self._node.leave_upstream(now, upstream_id)
+        spread = pykka.ThreadingFuture()
+        token = self._keep(spread)
+        known, actions = self._node.leave_upstream(now, upstream_id, incarnation, token)
         self._perform(now, actions)
-        return known
+        return known, spread
+
+    def _keep(self, future: pykka.Future) -> str:
+        token = uuid.uuid4().hex
+        self._futures[token] = future
+        return token
 
     def note_draining(self, upstream_id: str) -> None:
         """Take note of a drain that an answer told."""
@@ -152,21 +190,16 @@
                 self._send(action)
             elif isinstance(action, Write):
                 self._storage(action)
-            elif isinstance(action, ChangeSettled):
-                self._settle(action.token, action.answer)
-            elif isinstance(action, ClaimSettled):
-                self._settle(action.token, action.outcome)
-            elif isinstance(action, UpstreamsLost):
-                for upstream_id in action.upstream_ids:
-                    log_event("upstream_lost", upstream=upstream_id)
-            elif isinstance(action, MemberChanged):
-                log_event("member_changed", member=action.instance_id, state=action.state)
+            elif isinstance(action, UpstreamsLost | MemberChanged):
+                _log_change(action)
+            else:
+                self._settle(action.token, _RESULTS[type(action)](action))
         self._publisher.publish(now, self._node)
 
     def _send(self, action: Send) -> None:
         if self._network is None:
             return
-        address = self._node.members.find_address(action.peer_id)
+        address = self._node.find_address(action.peer_id)
         if address:
             self._network.send(action.peer_id, address, action.message)
 
@@ -176,6 +209,22 @@
             future.set(value)
 
 
+_RESULTS: dict[type, Callable[[Any], Any]] = {
+    ChangeSettled: attrgetter("answer"),
+    ClaimSettled: attrgetter("outcome"),
+    ReadDone: attrgetter("current"),
+    ReceiptsDone: attrgetter("known"),
+}
+
+
+def _log_change(action: UpstreamsLost | MemberChanged) -> None:
+    if isinstance(action, MemberChanged):
+        log_event("member_changed", member=action.instance_id, state=action.state)
+        return
+    for upstream_id in action.upstream_ids:
+        log_event("upstream_lost", upstream=upstream_id)
+
+
 class Ticker:
     """Tells the node that time passes."""
 
--- a/src/foxtaildrum/server.py
+++ b/src/foxtaildrum/server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import math
 import socket
 import threading
 import time
@@ -20,6 +21,7 @@
 from .logs import log_event
 from .problem import build_problem
 from .proxy import ARRIVED_KEY
+from .records import Limits
 from .settings import parse_address
 
 OUTPUT_BUFFER_BYTES = 262_144
@@ -229,6 +231,13 @@
         host, port = self._server.socket.getsockname()[:2]
         return f"{host}:{port}"
 
+    def apply_limits(self, limits: Limits) -> None:
+        """Bound what callers may send from now on."""
+        settings = self._server.adj
+        settings.max_request_header_size = limits.max_header_bytes
+        settings.max_request_body_size = limits.max_body_bytes
+        settings.channel_timeout = math.ceil(limits.idle_timeout_ms / 1000)
+
     def start(self) -> None:
         """Serve in a thread of its own."""
         self._thread.start()
--- a/src/foxtaildrum/settings.py
+++ b/src/foxtaildrum/settings.py
@@ -7,6 +7,7 @@
 from pathlib import Path
 from typing import Any
 
+from .dialects import list_dialects
 from .exceptions import FieldError, InvalidSettingsError
 from .records import Settings
 from .validation import find_problems, list_properties
@@ -62,6 +63,7 @@
             problems.append(FieldError(name, str(error)))
     problems += find_problems("Settings", values, "")
     problems += _find_bad_ports(values)
+    problems += _find_unknown_dialect(values)
     problems += _find_missing_files(values)
     if not problems:
         problems += _find_contradictions(Settings(**values))
@@ -128,9 +130,20 @@
     return problems
 
 
+def _find_unknown_dialect(values: Mapping[str, Any]) -> list[FieldError]:
+    name = values.get("dialect")
+    if name is None or name in list_dialects():
+        return []
+    return [FieldError("dialect", f"{name!r} is not one of {list_dialects()}")]
+
+
 def _find_contradictions(settings: Settings) -> list[FieldError]:
     members = parse_control(settings.control)
     problems = []
+    if settings.seeds and settings.control:
+        problems.append(FieldError("seeds", "cannot be given beside --control"))
+    if settings.seeds and not settings.peer_listen:
+        problems.append(FieldError("peer_listen", "is needed to join the seeds"))
     if settings.role == "control" and members and settings.instance_id not in members:
         reason = f"role control needs {settings.instance_id!r} in --control"
         problems.append(FieldError("role", reason))
--- a/src/foxtaildrum/status.py
+++ b/src/foxtaildrum/status.py
@@ -60,7 +60,7 @@
         "role": consensus.role.value,
         "term": consensus.term,
         "leader": consensus.leader_id,
-        "members": consensus.members,
+        "members": sorted(consensus.voters),
         "commit_index": consensus.commit_index,
         "last_index": consensus.log.last_index,
         "disk_id": consensus.disk_id,
--- a/src/foxtaildrum/tables.py
+++ b/src/foxtaildrum/tables.py
@@ -9,7 +9,7 @@
 
 from .exceptions import FieldError, InvalidTableError
 from .policies import list_policies
-from .records import Pool, Route
+from .records import Pool, Route, Share
 from .validation import find_problems
 
 TABLE_NAMES = ("routes", "pools")
@@ -179,9 +179,12 @@
     Deterministic: equal sequences of patches give equal states on every replica.
     """
 
-    __slots__ = ("remembered", "tables")
+    __slots__ = ("desired_digest", "desired_number", "limits", "remembered", "tables")
 
     def __init__(self) -> None:
+        self.desired_number = 0
+        self.desired_digest = ""
+        self.limits: dict[str, Any] = {}
         self.tables = {name: Table({}, 0, "") for name in TABLE_NAMES}
         self.remembered: OrderedDict[str, tuple[str, ChangeResult]] = OrderedDict()
 
@@ -221,7 +224,7 @@
 
     def list_routes(self) -> list[Route]:
         """Return the rows of the routes table."""
-        return [Route(**row) for row in self.tables["routes"].rows.values()]
+        return [_build_route(row) for row in self.tables["routes"].rows.values()]
 
     def list_pools(self) -> list[Pool]:
         """Return the rows of the pools table."""
@@ -236,10 +239,11 @@
             Whether the answers to past changes are included.
         """
         tables = [[n, t.list_rows(), t.version, t.changed_by] for n, t in self.tables.items()]
+        desired = [self.desired_number, self.desired_digest, self.limits]
         if not with_answers:
-            return [tables, []]
+            return [tables, [], desired]
         remembered = [[i, d, r.to_wire()] for i, (d, r) in self.remembered.items()]
-        return [tables, remembered]
+        return [tables, remembered, desired]
 
     @classmethod
     def from_wire(cls, fields: list[Any]) -> Tables:
@@ -249,6 +253,7 @@
             state.tables[name] = Table({r["name"]: r for r in rows}, version, changed_by)
         for change_id, digest, result in fields[1]:
             state.remembered[change_id] = (digest, ChangeResult(*result))
+        state.desired_number, state.desired_digest, state.limits = fields[2]
         return state
 
     def _answer_repeat(
@@ -283,8 +288,15 @@
     InvalidTableError
         With every problem, each with its row and field.
     """
+    problems = find_table_problems(table, rows)
+    if problems:
+        raise InvalidTableError("invalid table", problems)
+
+
+def find_table_problems(table: str, rows: Any) -> list[FieldError]:
+    """Return every problem of the rows of one table, each with its row and field."""
     if not isinstance(rows, list):
-        raise InvalidTableError("invalid table", [FieldError(table, "must be a list of rows")])
+        return [FieldError(table, "must be a list of rows")]
     problems: list[FieldError] = []
     for number, row in enumerate(rows):
         problems += find_problems(_RECORDS[table], row, f"{table}[{number}]")
@@ -293,29 +305,72 @@
         problems += _find_unknown_policies(rows)
     if table == "routes":
         problems += _find_duplicate_matches(rows)
-    if problems:
-        raise InvalidTableError("invalid table", problems)
+        problems += _find_bad_targets(rows)
+    return problems
 
 
 def check_references(
     routes: dict[str, dict[str, Any]], pools: dict[str, dict[str, Any]]
 ) -> None:
-    """Check that each route names a pool that exists.
+    """Check that each route names pools that exist.
 
     Raises
     ------
     InvalidTableError
         With every route whose pool is missing.
     """
-    problems = [
-        FieldError(f"routes[{number}].pool", f"pool {row['pool']!r} does not exist")
-        for number, row in enumerate(routes.values())
-        if row["pool"] not in pools
-    ]
+    problems = find_reference_problems(list(routes.values()), list(pools.values()))
     if problems:
         raise InvalidTableError("invalid table", problems)
 
 
+def find_reference_problems(routes: Any, pools: Any) -> list[FieldError]:
+    """Return a problem for each pool that a route names and that does not exist."""
+    if not isinstance(routes, list) or not isinstance(pools, list):
+        return []
+    known = {row.get("name") for _, row in _list_rows(pools) if _is_text(row.get("name"))}
+    problems = []
+    for number, row in _list_rows(routes):
+        for field, pool in _list_targets(row):
+            if _is_text(pool) and pool not in known:
+                reason = f"pool {pool!r} does not exist"
+                problems.append(FieldError(f"routes[{number}].{field}", reason))
+    return problems
+
+
+def _is_text(value: Any) -> bool:
+    return isinstance(value, str)
+
+
+def _list_targets(row: dict[str, Any]) -> list[tuple[str, Any]]:
+    """Return the pools that a row names, each with its field."""
+    targets = [("pool", row["pool"])] if row.get("pool") else []
+    split = row.get("split")
+    for number, share in enumerate(split if isinstance(split, list) else []):
+        if isinstance(share, dict):
+            targets.append((f"split[{number}].pool", share.get("pool")))
+    return targets
+
+
+def _find_bad_targets(rows: list[Any]) -> list[FieldError]:
+    problems = []
+    for number, row in _list_rows(rows):
+        split = row.get("split")
+        if bool(row.get("pool")) == bool(split):
+            reason = "must name either a pool or a split"
+            problems.append(FieldError(f"routes[{number}].pool", reason))
+        weights = [
+            share.get("weight")
+            for share in (split if isinstance(split, list) else [])
+            if isinstance(share, dict)
+        ]
+        numbers = [w for w in weights if isinstance(w, int | float)]
+        if split and len(numbers) == len(weights) and sum(numbers) <= 0:
+            reason = "the weights must add up to more than 0"
+            problems.append(FieldError(f"routes[{number}].split", reason))
+    return problems
+
+
 def _list_rows(rows: list[Any]) -> list[tuple[int, dict[str, Any]]]:
     return [(n, row) for n, row in enumerate(rows) if isinstance(row, dict)]
 
@@ -353,3 +408,9 @@
                     FieldError(f"routes[{number}]", f"matches the same requests as row {first}")
                 )
     return problems
+
+
+def _build_route(row: dict[str, Any]) -> Route:
+    route = Route(**row)
+    route.split = [Share(**share) for share in row.get("split", [])]
+    return route
--- a/src/foxtaildrum/transport.py
+++ b/src/foxtaildrum/transport.py
@@ -5,7 +5,8 @@
 import http.client
 import select
 import socket
-from collections.abc import Callable, Iterator
+import time
+from collections.abc import Callable, Iterator, Mapping
 from typing import IO, Protocol
 
 import urllib3
@@ -31,6 +32,10 @@
     }
 )
 PRIVATE_HEADERS = frozenset({"x-upstream-state", "foxtaildrum-attempt"})
+CANCEL_POLL_S = 0.05
+SILENCE_TIMEOUT_MS = 1000
+KEEPALIVE_S = 1
+KEEPALIVE_MISSES = 3
 
 _HTTP_ERRORS = (OSError, http.client.HTTPException, urllib3.exceptions.HTTPError)
 
@@ -49,25 +54,31 @@
         self.kind = kind
 
 
+class CancelledError(Exception):
+    """The caller left while its answer was read."""
+
+
 class Head:
     """Status and headers of an upstream's answer.
 
     Attributes
     ----------
     length : int or None
-        Bytes of the body; None for a chunked body.
+        Bytes of the body; None for a body whose length is not declared.
+    headers : list of tuple
+        Headers to relay.
+    stated : Mapping
+        Every header that the upstream sent.
     """
 
-    __slots__ = ("attempt", "draining", "headers", "length", "not_run", "reason", "status")
+    __slots__ = ("headers", "length", "reason", "stated", "status")
 
     def __init__(self, status: int, reason: str, length: int | None) -> None:
         self.status = status
         self.reason = reason
         self.length = length
         self.headers: list[tuple[str, str]] = []
-        self.draining = False
-        self.not_run = False
-        self.attempt = ""
+        self.stated: Mapping[str, str] = {}
 
 
 class OutgoingRequest:
@@ -112,8 +123,18 @@
     def read_head(self, timeout_s: float) -> Head:
         """Read the status and headers; raise :class:`TransportError` on failure."""
 
-    def read_body(self, timeout_s: float) -> Iterator[bytes]:
-        """Yield the body; raise :class:`TransportError` if it is not whole."""
+    def read_body(
+        self, until: float, is_cancelled: Callable[[], bool] | None = None
+    ) -> Iterator[bytes]:
+        """Yield the body; raise :class:`TransportError` if it is not whole.
+
+        Parameters
+        ----------
+        until : float
+            Time by which the whole body must have arrived, in seconds.
+        is_cancelled : callable or None
+            Asked while the upstream is silent; :class:`CancelledError` follows.
+        """
 
     def close(self) -> None:
         """Close the connection, which cancels the work of the upstream."""
@@ -190,7 +211,7 @@
         When the connection cannot be opened.
     """
 
-    __slots__ = ("_connection", "_method", "_response", "whole")
+    __slots__ = ("_connection", "_method", "_response", "_sock", "accepts_excess", "whole")
 
     def __init__(self, address: str, timeout_s: float) -> None:
         host, port = parse_address(address)
@@ -198,11 +219,13 @@
         self._method = ""
         self._response: _BodyResponse | None = None
         self.whole = False
+        self.accepts_excess = False
         try:
             self._connection.connect()
         except _HTTP_ERRORS as error:
             raise TransportError(ErrorKind.CONNECT_FAILED) from error
-        self._connection.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._sock = self._connection.sock
+        _watch_silence(self._sock)
 
     def send(self, request: OutgoingRequest, timeout_s: float) -> None:
         """Send the whole request; raise :class:`TransportError` on failure."""
@@ -243,20 +266,19 @@
             raise TransportError(ErrorKind.ANSWER_INVALID) from error
         return self._build_head(self._response)
 
-    def read_body(self, timeout_s: float) -> Iterator[bytes]:
+    def read_body(
+        self, until: float, is_cancelled: Callable[[], bool] | None = None
+    ) -> Iterator[bytes]:
         """Yield the body; raise :class:`TransportError` if it is not whole."""
         response = self._response
-        if self._connection.sock is not None:
-            self._connection.sock.settimeout(timeout_s)
         try:
             if response.chunked:
-                while chunk := response.read1(CHUNK_BYTES):
-                    yield chunk
+                yield from self._read_chunks(response, until, is_cancelled)
             else:
-                yield from self._read_sized(response)
+                yield from self._read_sized(response, until, is_cancelled)
         except _HTTP_ERRORS as error:
             raise TransportError(ErrorKind.ANSWER_LOST) from error
-        self.whole = self._connection.sock is not None
+        self.whole = self._connection.sock is not None and not response.has_excess
 
     def close(self) -> None:
         """Close the connection, which cancels the work of the upstream."""
@@ -264,18 +286,56 @@
         if self._response is not None:
             self._response.close()
 
-    def _read_sized(self, response: _BodyResponse) -> Iterator[bytes]:
+    def _read_chunks(
+        self, response: _BodyResponse, until: float, is_cancelled: Callable[[], bool] | None
+    ) -> Iterator[bytes]:
+        while True:
+            self._wait_for_input(response, until, is_cancelled)
+            chunk = response.read1(CHUNK_BYTES)
+            if not chunk:
+                return
+            yield chunk
+
+    def _read_sized(
+        self, response: _BodyResponse, until: float, is_cancelled: Callable[[], bool] | None
+    ) -> Iterator[bytes]:
         # The last chunk is held back until the length has been verified.
         held = b""
-        while chunk := response.read(CHUNK_BYTES):
+        while not response.isclosed():
+            self._wait_for_input(response, until, is_cancelled)
+            chunk = response.read1(CHUNK_BYTES)
+            if not chunk:
+                break
             if held:
                 yield held
             held = chunk
-        if response.length or response.has_excess:
+        if response.length == 0 and not response.isclosed():
+            response.read()
+        if response.length or (response.has_excess and not self.accepts_excess):
             raise TransportError(ErrorKind.ANSWER_LOST)
         if held:
             yield held
 
+    def _wait_for_input(
+        self, response: _BodyResponse, until: float, is_cancelled: Callable[[], bool] | None
+    ) -> None:
+        """Wait until the answer can be read on, or raise."""
+        if response.fp is None or response.length == 0:
+            return
+        self._sock.settimeout(0)
+        try:
+            if response.fp.peek(1):
+                return
+        finally:
+            self._sock.settimeout(max(0.001, until - read_clock()))
+        poll = select.poll()
+        poll.register(self._sock.fileno(), select.POLLIN)
+        while not poll.poll(CANCEL_POLL_S * 1000):
+            if is_cancelled is not None and is_cancelled():
+                raise CancelledError
+            if read_clock() >= until:
+                raise TimeoutError("the body did not arrive in time")
+
     def _has_early_answer(self) -> bool:
         sock = self._connection.sock
         if sock is None or not has_input(sock.fileno()):
@@ -294,10 +354,7 @@
             if lowered in HOP_BY_HOP or lowered in nominated or lowered in PRIVATE_HEADERS:
                 continue
             head.headers.append((name, value))
-        head.draining = response.headers.get("X-Upstream-State", "").lower() == "draining"
-        stated = response.headers.get("Foxtaildrum-Outcome", "").lower()
-        head.not_run = response.status == 503 and stated == "not-run"
-        head.attempt = response.headers.get("Foxtaildrum-Attempt", "")
+        head.stated = response.headers
         return head
 
     def _find_length(self, response: _BodyResponse) -> int | None:
@@ -315,8 +372,8 @@
         if encoding:
             return None
         if not declared:
-            # Without a length a truncated answer cannot be told from a whole one.
-            raise TransportError(ErrorKind.ANSWER_INVALID)
+            # Such an answer ends with its connection; a reset tells a truncated one.
+            return None
         return int(declared)
 
 
@@ -326,6 +383,21 @@
     return Urllib3Connection(address, timeout_s)
 
 
+def read_clock() -> float:
+    """Return the present time of the instance in seconds, pauses included."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+def _watch_silence(sock: socket.socket) -> None:
+    """Let the operating system end a connection whose other side is silent."""
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, SILENCE_TIMEOUT_MS)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_MISSES)
+
+
 def _join_values(response: _BodyResponse, name: str) -> str:
     return ", ".join(response.headers.get_all(name, ())).strip()
 
--- a/src/foxtaildrum/upstreams.py
+++ b/src/foxtaildrum/upstreams.py
@@ -20,6 +20,8 @@
 LEFT = "left"
 TOMBSTONE_S = 900.0
 MAX_ENTRIES = 100_000
+UNKNOWN_POOL = "-"
+UNKNOWN_ADDRESS = "0.0.0.0:0"
 
 _STATE_RANK = {READY: 0, DRAINING: 1, LEFT: 2}
 
@@ -138,12 +140,21 @@
         This instance.
     """
 
-    __slots__ = ("_by_pool", "_changed_pools", "_news", "digest", "entries", "instance_id")
+    __slots__ = (
+        "_by_pool",
+        "_changed_pools",
+        "_holders",
+        "_news",
+        "digest",
+        "entries",
+        "instance_id",
+    )
 
     def __init__(self, instance_id: str) -> None:
         self.instance_id = instance_id
         self.entries: dict[str, Entry] = {}
         self.digest = BucketDigest()
+        self._holders: dict[str, tuple[int, str]] = {}
         self._by_pool: dict[str, dict[str, Entry]] = {}
         self._changed_pools: set[str] = set()
         self._news: dict[str, Entry] = {}
@@ -183,8 +194,14 @@
                 f"{upstream_id} is known as {known.state} under incarnation "
                 f"{known.announcement.incarnation}; announce a higher incarnation"
             )
+        if _is_late(known.announcement, announcement):
+            raise StaleAnnouncementError(
+                f"{upstream_id} has announced itself since, under sequence "
+                f"{known.announcement.sequence}"
+            )
         same = known.describe_offer() == entry.describe_offer()
         if same and known.owner == self.instance_id:
+            known.announcement.sequence = announcement.sequence
             known.announcement.lease_s = announcement.lease_s
             known.expires_at = entry.expires_at
             return ""
@@ -202,11 +219,26 @@
             known.announcement.lease_s = lease_s
             known.expires_at = now + lease_s
 
-    def leave(self, now: float, upstream_id: str) -> bool:
-        """Record that an upstream left; return whether it was known."""
+    def leave(self, now: float, upstream_id: str, incarnation: int = 0) -> bool:
+        """Record that an upstream left; return whether it was known.
+
+        Parameters
+        ----------
+        incarnation : int
+            Incarnation that leaves; 0 for the one that is known.
+        """
         known = self.entries.get(upstream_id)
-        if known is None or known.dead:
+        if incarnation and (known is None or known.announcement.incarnation < incarnation):
+            announcement = Announcement(
+                pool=UNKNOWN_POOL, address=UNKNOWN_ADDRESS, incarnation=incarnation
+            )
+            entry = self._build_next(now, upstream_id, announcement, LEFT, None)
+            self._store(entry, spread=True)
+            return True
+        if known is None or known.state == LEFT:
             return False
+        if incarnation and known.announcement.incarnation > incarnation:
+            return True
         entry = self._build_next(now, upstream_id, known.announcement, LEFT, known)
         self._store(entry, spread=True)
         return True
@@ -260,7 +292,24 @@
 
     def list_members(self, pool: str) -> list[Entry]:
         """Return the entries of ``pool`` that are in force."""
-        return [e for e in self._by_pool.get(pool, {}).values() if not e.dead]
+        entries = self._by_pool.get(pool, {}).values()
+        return [e for e in entries if not e.dead and self._holds_address(e)]
+
+    def _holds_address(self, entry: Entry) -> bool:
+        # An address belongs to the latest incarnation that announced it.
+        incarnation, _ = self._holders.get(entry.announcement.address, (0, ""))
+        return entry.announcement.incarnation >= incarnation
+
+    def _note_holder(self, entry: Entry) -> None:
+        address = entry.announcement.address
+        rank = (entry.announcement.incarnation, entry.upstream_id)
+        before = self._holders.get(address)
+        if before is not None and rank <= before:
+            return
+        self._holders[address] = rank
+        former = self.entries.get(before[1]) if before is not None else None
+        if former is not None:
+            self._changed_pools.add(former.announcement.pool)
 
     def take_changed_pools(self) -> set[str]:
         """Return the pools whose members changed since the last call."""
@@ -285,6 +334,9 @@
 
     def _drop(self, entry: Entry) -> None:
         del self.entries[entry.upstream_id]
+        address = entry.announcement.address
+        if self._holders.get(address, (0, ""))[1] == entry.upstream_id:
+            del self._holders[address]
         self._remove_from_pool(entry)
         self.digest.remove(entry.upstream_id, _describe_rank(entry))
         self._changed_pools.add(entry.announcement.pool)
@@ -298,6 +350,7 @@
         self.entries[entry.upstream_id] = entry
         self._by_pool.setdefault(pool, {})[entry.upstream_id] = entry
         self.digest.add(entry.upstream_id, _describe_rank(entry))
+        self._note_holder(entry)
         if known is None:
             self._changed_pools.add(pool)
         elif known.describe_offer() != entry.describe_offer():
@@ -329,3 +382,9 @@
 def _describe_rank(entry: Entry) -> str:
     incarnation, state, sequence, owner, lost = entry.rank()
     return f"{incarnation}.{state}.{sequence}.{owner}.{lost:d}"
+
+
+def _is_late(known: Announcement, announcement: Announcement) -> bool:
+    if known.incarnation != announcement.incarnation:
+        return False
+    return 0 < announcement.sequence < known.sequence
--- a/src/foxtaildrum/views.py
+++ b/src/foxtaildrum/views.py
@@ -10,8 +10,9 @@
 from .node import Node
 from .pools import UpstreamPool
 from .proxy import Proxy, View
-from .records import Settings
+from .records import Limits, Settings
 from .routing import Router
+from .splits import PoolChooser
 from .transport import get_adapter
 
 
@@ -34,6 +35,8 @@
         self._meter = meter
         self._generation = -1
         self.tell_draining: Callable[[str], None] = _ignore
+        self.apply_limits: Callable[[Limits], None] = _ignore
+        self._entries = 0
 
     def publish(self, now: float, node: Node) -> None:
         """Bring the view up to the node's state if that has changed."""
@@ -42,9 +45,27 @@
             self._generation = node.follower.generation
             changed |= self._publish_tables(node)
         pools = self._proxy.view.pools
+        self._share_budgets(node, pools)
         for name in changed & pools.keys():
             pools[name].update_members(now, node.upstreams.list_members(name))
 
+    def _share_budgets(self, node: Node, pools: dict[str, UpstreamPool]) -> None:
+        """Give this instance its share of what the fleet may do."""
+        entries = node.count_entries()
+        if entries == self._entries:
+            return
+        self._entries = entries
+        for pool in pools.values():
+            self._set_budgets(pool)
+
+    def _set_budgets(self, pool: UpstreamPool) -> None:
+        settings = self._settings
+        if not self._entries:
+            return
+        if settings.retry_slack:
+            pool.set_retry_slack(settings.retry_slack / self._entries)
+        pool.set_probe_rate(settings.probes_per_s / self._entries, settings.sample_size)
+
     def _publish_tables(self, node: Node) -> set[str]:
         """Put the tables in force; return the pools that are new or changed."""
         tables = node.state.tables
@@ -69,8 +90,11 @@
                     random.Random(),
                 )
             pool.configure(record, busy_limit)
+            self._set_budgets(pool)
             pools[record.name] = pool
-        self._proxy.view = View(Router(routes), pools)
+        chooser = PoolChooser(routes, self._proxy.view.chooser)
+        self._proxy.view = View(Router(routes), pools, chooser)
+        self.apply_limits(Limits(**tables.limits))
         self._meter.set_routes(routes)
         for name in set(known) - set(pools):
             known[name].close()
@@ -82,5 +106,5 @@
         self.tell_draining(upstream_id)
 
 
-def _ignore(upstream_id: str) -> None:
+def _ignore(value: object) -> None:
     return None
--- a/tests/standins/slopes.py
+++ b/tests/standins/slopes.py
@@ -16,6 +16,7 @@
 from foxtaildrum.balancer import Balancer, Ticket
 from foxtaildrum.follower import Follower, TableState
 from foxtaildrum.frames import FrameWriter, derive_key
+from foxtaildrum.loads import LoadReport
 from foxtaildrum.membership import Knowledge, Member, Membership, MemberState
 from foxtaildrum.policies import list_policies
 from foxtaildrum.routing import Router
@@ -66,7 +67,7 @@
     balancer = Balancer(pool, "zone-1", 64, random.Random(1))
     balancer.update_members(0.0, [build_entry(n, "p") for n in range(upstreams)])
     for upstream in balancer.upstreams.values():
-        balancer.report_load(1.0, upstream, balancer.rng.random() * 6)
+        balancer.report_load(1.0, upstream, LoadReport(balancer.rng.random() * 6))
     return balancer
 
 
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -17,7 +17,7 @@
 )
 from foxtaildrum.budget import Budget
 from foxtaildrum.kinds import ErrorKind
-from foxtaildrum.loads import parse_slots_in_use
+from foxtaildrum.loads import LoadReport, parse_load_figures, parse_load_metrics
 from foxtaildrum.policies import list_policies
 from foxtaildrum.records import Announcement, Pool
 from foxtaildrum.steps import Ended
@@ -220,9 +220,9 @@
 def test_a_report_counts_less_as_it_ages():
     balancer = build_balancer("ab")
     for upstream in balancer.upstreams.values():
-        balancer.report_load(0.0, upstream, 0.0)
+        balancer.report_load(0.0, upstream, LoadReport(0.0))
     busy = balancer.upstreams["a"]
-    balancer.report_load(1.0, busy, 3.0)
+    balancer.report_load(1.0, busy, LoadReport(3.0))
     assert set(choose_often(balancer, 1.0, 50)) == {"b"}
     assert "a" in choose_often(balancer, 2.0, 50)
 
@@ -230,7 +230,7 @@
 def test_full_upstreams_hold_requests_back_until_news_is_old():
     balancer = build_balancer("a")
     for _ in range(200):
-        balancer.report_load(1.0, balancer.upstreams["a"], 40.0)
+        balancer.report_load(1.0, balancer.upstreams["a"], LoadReport(40.0))
     held = ask(balancer, 1.0)
     assert not held.settled
     balancer.serve_queue(60.0)
@@ -271,7 +271,8 @@
     ],
 )
 def test_load_reports_are_read_or_ignored(value, expected):
-    assert parse_slots_in_use([("Endpoint-Load-Metrics", value)]) == expected
+    report = parse_load_metrics(value)
+    assert (None if report is None else report.slots_in_use) == expected
 
 
 def test_probes_go_to_the_silent_and_stay_inside_the_budget():
@@ -285,7 +286,7 @@
         now += 0.1
         balancer.earn_budgets(0.02)
         held += 0.02
-        balancer.report_load(now, balancer.upstreams["a"], 1.0)
+        balancer.report_load(now, balancer.upstreams["a"], LoadReport(1.0))
         while (target := balancer.choose_probe(now)) is not None:
             assert target.upstream_id == "b"
             spent += PROBE_COST_S
