Close kept connections before the end of a stop; reload settings on SIGHUP

SIGHUP had no handler and ended the process. An upstream's refusals took up to seven attempts from the retry budget (test matrix).

Ruled out: waiting longer (any pause has the same gap).

Change: answers announce the close from the start of the stop; after the listener is closed, idle connections are closed as they become idle, and the process ends when none is left. Seeds and log level are taken over on SIGHUP. A request makes at most max(4, max_attempts) attempts. An answer without a length is taken in a dialect that allows it only. Elections 0.8 to 1.6 s, the first 0.2 to 0.5 s after a start.

--- a/src/foxtaildrum/balancer.py
+++ b/src/foxtaildrum/balancer.py
@@ -235,6 +235,7 @@
         self.busy_limit = sys.maxsize
         self.upstreams: dict[str, UpstreamLoad] = {}
         self.queue: OrderedDict[int, Ticket] = OrderedDict()
+        self._shares_retries = False
         self._probes_per_s = 0.0
         self._sample_size = 0
         self._probe_tokens = 0.0
@@ -403,8 +404,10 @@
     def spend_hedge(self) -> bool:
         """Take one hedge from the budgets; return whether it was there.
 
-        A hedge reaches an upstream like a retry, so it is paid from that budget too.
+        Where the fleet shares a budget of extra arrivals, a hedge is paid from it too.
         """
+        if not self._shares_retries:
+            return self.measuring_budget.spend(self.load.mean_service_s)
         if not self.retry_budget.has(1.0):
             return False
         if not self.measuring_budget.spend(self.load.mean_service_s):
@@ -412,7 +415,8 @@
         return self.retry_budget.spend(1.0)
 
     def set_retry_slack(self, tokens: float) -> None:
-        """Set how many retries may be made at once beside the ratio."""
+        """Set the share of extra arrivals that the fleet may make beside the ratio."""
+        self._shares_retries = True
         self.retry_budget.resize(tokens)
 
     def earn_budgets(self, held_s: float) -> None:
--- a/src/foxtaildrum/cli.py
+++ b/src/foxtaildrum/cli.py
@@ -4,13 +4,14 @@
 
 import argparse
 import json
+import logging
 import os
 import signal
 import sys
 import threading
 import tomllib
 import uuid
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from pathlib import Path
 from typing import Any
 
@@ -27,7 +28,7 @@
     StaleVersionError,
 )
 from .instance import Instance
-from .logs import configure_logs
+from .logs import configure_logs, log_event
 from .objectives import merge_levels
 from .report import format_report, list_formats
 from .settings import add_flags, list_flag, load_settings, read_secret
@@ -40,9 +41,20 @@
 DEFAULT_ADMIN = "127.0.0.1:8081"
 
 
-def main(argv: Sequence[str] | None = None) -> int:
-    """Run the command line and return its exit status."""
+def main(
+    argv: Sequence[str] | None = None, reload: Callable[[], Sequence[str]] | None = None
+) -> int:
+    """Run the command line and return its exit status.
+
+    Parameters
+    ----------
+    argv : list of str or None
+        Arguments; None takes those of the process.
+    reload : callable or None
+        Returns the arguments anew when an instance is told to read its settings again.
+    """
     arguments = build_parser().parse_args(argv)
+    arguments.reload = reload or (lambda: argv)
     try:
         return arguments.run(arguments)
     except InvalidSettingsError as error:
@@ -97,19 +109,45 @@
         if stop_requested.is_set():
             os._exit(EXIT_FAILED)
         stop_requested.set()
+        wake.set()
 
     signal.signal(signal.SIGTERM, handle_signal)
     signal.signal(signal.SIGINT, handle_signal)
+    reload_requested = threading.Event()
+    wake = threading.Event()
+
+    def handle_reload(number: int, frame: Any) -> None:
+        reload_requested.set()
+        wake.set()
+
+    signal.signal(signal.SIGHUP, handle_reload)
     try:
         instance = Instance.from_settings(settings)
     except CorruptJournalError as error:
         _complain(f"{settings.data_dir}: {error}; replace the disk as docs/operations.md says")
         return EXIT_FAILED
     instance.start()
-    stop_requested.wait()
+    while not stop_requested.is_set():
+        wake.wait()
+        wake.clear()
+        if reload_requested.is_set():
+            reload_requested.clear()
+            reload_settings(instance, arguments)
     return EXIT_OK if instance.stop() else EXIT_FAILED
 
 
+def reload_settings(instance: Instance, arguments: argparse.Namespace) -> None:
+    """Read the settings of a running instance again; bad ones change nothing."""
+    try:
+        again = build_parser().parse_args(arguments.reload())
+        settings = load_settings(vars(again), os.environ)
+    except (OSError, ValueError, InvalidSettingsError) as error:
+        log_event("settings_refused", level=logging.ERROR, reason=repr(error))
+        return
+    kept = instance.apply_settings(settings)
+    log_event("settings_reloaded", need_restart=",".join(kept) or "-")
+
+
 def run_get(arguments: argparse.Namespace) -> int:
     """Print a table as TOML."""
     rows, version = _build_client(arguments).get_table(arguments.table)
--- a/src/foxtaildrum/consensus.py
+++ b/src/foxtaildrum/consensus.py
@@ -44,9 +44,10 @@
     VoteRequest,
 )
 
-HEARTBEAT_S = 0.4
-ELECTION_MIN_S = 1.5
-ELECTION_MAX_S = 3.0
+HEARTBEAT_S = 0.2
+ELECTION_MIN_S = 0.8
+ELECTION_MAX_S = 1.6
+FIRST_ELECTION_S = 0.5
 PROBE_S = 0.5
 MAX_ENTRIES_PER_MESSAGE = 64
 PIECE_BYTES = 65_536
@@ -193,8 +194,11 @@
             self._restore_snapshot()
         self._read_configs()
         self.role = Role.FOLLOWER if self.is_voter() else Role.LEARNER
-        self._election_at = now
-        self._reset_election(now)
+        # After a restart of the whole group nobody leads; before a vote is asked for, the
+        # others tell whether they hear a leader.
+        self._election_at = now + FIRST_ELECTION_S * (0.4 + 0.6 * rng.random())
+        if len(self.voters) == 1:
+            self._election_at = now
 
     @property
     def voters(self) -> dict[str, list[str]]:
--- a/src/foxtaildrum/dialects.py
+++ b/src/foxtaildrum/dialects.py
@@ -39,6 +39,8 @@
         Statuses that promise a caller that its request was not run.
     accepts_excess : bool
         Whether an answer counts as whole when further bytes follow it.
+    accepts_unframed : bool
+        Whether an answer may have no length and end with its connection.
     announcement_fields : tuple of str
         Fields that every announcement has.
     probe_header : str
@@ -53,6 +55,7 @@
     key_header = "Idempotency-Key"
     promise_statuses: frozenset[int] = frozenset()
     accepts_excess = False
+    accepts_unframed = False
     announcement_fields: tuple[str, ...] = ()
     probe_header = ""
 
--- a/src/foxtaildrum/dispatch.py
+++ b/src/foxtaildrum/dispatch.py
@@ -249,6 +249,7 @@
         try:
             attempt.connection = connections.take(read_clock(), timeout_s, repeatable)
             attempt.connection.accepts_excess = self._dialect.accepts_excess
+            attempt.connection.accepts_unframed = self._dialect.accepts_unframed
         except TransportError:
             return x.ConnectFailed(action.attempt)
         return x.Connected(action.attempt)
--- a/src/foxtaildrum/exchange.py
+++ b/src/foxtaildrum/exchange.py
@@ -37,7 +37,6 @@
 )
 
 MAX_ATTEMPTS = 4
-EXTRA_NOT_RUN_ATTEMPTS = 3
 MISDIRECTED_STATUS = 421
 RETRYABLE_STATUSES = frozenset({500, 502, 503, 504})
 
@@ -300,8 +299,8 @@
 
     def _has_attempts_left(self) -> bool:
         sent = sum(a.may_have_run for a in self._attempts)
-        allowed = self._max_attempts
-        return sent < allowed and len(self._attempts) < allowed + EXTRA_NOT_RUN_ATTEMPTS
+        tried = len(self._attempts)
+        return sent < self._max_attempts and tried < max(MAX_ATTEMPTS, self._max_attempts)
 
     def _may_replace(self, now: float) -> bool:
         if not self.idempotent or now >= self.deadline:
--- a/src/foxtaildrum/instance.py
+++ b/src/foxtaildrum/instance.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import dataclasses
 import logging
 import random
 import threading
@@ -20,7 +21,7 @@
 from .entries import Saved
 from .events import Received
 from .journal import FolderDisk, Journal
-from .logs import log_event
+from .logs import configure_logs, log_event
 from .membership import Member, MemberState
 from .metrics import Meter, StatsdSender
 from .node import CLAIM_STREAM, LOG_STREAM, Joining, Node, Write
@@ -40,7 +41,8 @@
 ADMIN_MAX_CONNECTIONS = 1000
 STATSD_PERIOD_S = 1.0
 CONNECTION_TIMEOUT_S = 120
-LEAVE_PAUSE_S = 0.3
+LEAVE_PAUSE_S = 0.2
+RELOADABLE = frozenset({"seeds", "log_level"})
 
 
 class Instance:
@@ -114,18 +116,33 @@
         deadline = time.monotonic() + self.settings.shutdown_grace_s
         log_event("stopping", grace_s=self.settings.shutdown_grace_s)
         self._node.begin_stop().get()
-        self._pause(min(self.settings.unready_s, self.settings.shutdown_grace_s / 2))
         idle = True
         if self.callers is not None:
             self.callers.announce_close()
+            self._pause(min(self.settings.unready_s, self.settings.shutdown_grace_s / 2))
             self.callers.stop_accepting()
-            idle = self.callers.wait_idle(deadline)
+            idle = self.callers.wait_closed(deadline - LEAVE_PAUSE_S)
         self._node.end_stop().get()
         self._pause(LEAVE_PAUSE_S)
         self.close()
         log_event("stopped", all_requests_ended=idle)
         return idle
 
+    def apply_settings(self, settings: Settings) -> list[str]:
+        """Take over changed settings; return the names of those that need a restart."""
+        changed = [
+            f.name
+            for f in dataclasses.fields(Settings)
+            if getattr(settings, f.name) != getattr(self.settings, f.name)
+        ]
+        if "seeds" in changed:
+            self._node.replace_seeds(parse_control(settings.seeds))
+        if "log_level" in changed:
+            configure_logs(settings.log_level, settings.log_format)
+        for name in RELOADABLE.intersection(changed):
+            setattr(self.settings, name, getattr(settings, name))
+        return sorted(set(changed) - RELOADABLE)
+
     def close(self) -> None:
         """Release threads, sockets and files without waiting for requests."""
         self._stopped.set()
--- a/src/foxtaildrum/membership.py
+++ b/src/foxtaildrum/membership.py
@@ -168,6 +168,10 @@
         self._news: dict[str, Member] = {}
         self._store(me)
 
+    def replace_seeds(self, seeds: dict[str, str]) -> None:
+        """Take over other instances to join."""
+        self.seeds = {i: a for i, a in seeds.items() if i != self.me.instance_id}
+
     def tick(self, now: float, knowledge: Knowledge) -> list[Send]:
         """Send due pings, judge silent members and spread news."""
         out = self._check_timeouts(now)
--- a/src/foxtaildrum/runtime.py
+++ b/src/foxtaildrum/runtime.py
@@ -156,6 +156,10 @@
         now = read_clock()
         self._perform(now, self._node.release_claim(now, key, claim_id))
 
+    def replace_seeds(self, seeds: dict[str, str]) -> None:
+        """Take over other instances to join."""
+        self._node.members.replace_seeds(seeds)
+
     def begin_stop(self) -> None:
         """Hand over what the instance holds."""
         now = read_clock()
--- a/src/foxtaildrum/server.py
+++ b/src/foxtaildrum/server.py
@@ -23,6 +23,7 @@
 from .proxy import ARRIVED_KEY
 from .records import Limits
 from .settings import parse_address
+from .transport import has_input
 
 OUTPUT_BUFFER_BYTES = 262_144
 LINGER_S = 2.0
@@ -30,7 +31,7 @@
 THREAD_STEP = 2
 GROW_PERIOD_S = 0.01
 SHRINK_PERIOD_S = 2.0
-LOOP_TIMEOUT_S = 0.2
+LOOP_TIMEOUT_S = 1.0
 POLL_S = 0.02
 
 _KIND_OF_STATUS = {
@@ -250,6 +251,25 @@
         """Close the listener; open connections stay."""
         self._server.trigger.pull_trigger(lambda: wasyncore.dispatcher.close(self._server))
 
+    def close_idle(self) -> None:
+        """Close the connections without a request; one that is arriving is still read."""
+        self._server.trigger.pull_trigger(self._close_idle_channels)
+
+    def _close_idle_channels(self) -> None:
+        for channel in list(self._server.active_channels.values()):
+            busy = channel.requests or channel.total_outbufs_len or channel.request
+            if not busy and not has_input(channel.socket.fileno()):
+                channel.handle_close()
+
+    def wait_closed(self, until: float) -> bool:
+        """Close connections as they become idle; return whether all were closed."""
+        while self._server.active_channels:
+            if time.monotonic() >= until:
+                return False
+            self.close_idle()
+            time.sleep(POLL_S)
+        return True
+
     def count_busy(self) -> int:
         """Return the connections with a request or unsent bytes."""
         return sum(
--- a/src/foxtaildrum/transport.py
+++ b/src/foxtaildrum/transport.py
@@ -211,7 +211,15 @@
         When the connection cannot be opened.
     """
 
-    __slots__ = ("_connection", "_method", "_response", "_sock", "accepts_excess", "whole")
+    __slots__ = (
+        "_connection",
+        "_method",
+        "_response",
+        "_sock",
+        "accepts_excess",
+        "accepts_unframed",
+        "whole",
+    )
 
     def __init__(self, address: str, timeout_s: float) -> None:
         host, port = parse_address(address)
@@ -220,6 +228,7 @@
         self._response: _BodyResponse | None = None
         self.whole = False
         self.accepts_excess = False
+        self.accepts_unframed = False
         try:
             self._connection.connect()
         except _HTTP_ERRORS as error:
@@ -372,7 +381,9 @@
         if encoding:
             return None
         if not declared:
-            # Such an answer ends with its connection; a reset tells a truncated one.
+            # Without a length only a reset of the connection tells a truncated answer.
+            if not self.accepts_unframed:
+                raise TransportError(ErrorKind.ANSWER_INVALID)
             return None
         return int(declared)
 
