--- a/scripts/generate.sh
+++ b/scripts/generate.sh
@@ -10,3 +10,7 @@
   --use-standard-collections --use-union-operator --strict-nullable --disable-timestamp \
   --enum-field-as-literal all --disable-warnings --formatters ruff-format \
   --custom-file-header '"""Records generated from schema.json; run scripts/generate.sh after a change."""'
+
+checks="${2:-src/foxtaildrum/checks.py}"
+python scripts/generate_checks.py src/foxtaildrum/schema.json "$checks"
+ruff format --quiet "$checks"
--- /dev/null
+++ b/scripts/generate_checks.py
@@ -0,0 +1,38 @@
+"""Writes the validators of src/foxtaildrum/checks.py from schema.json."""
+
+import json
+import re
+import sys
+
+import fastjsonschema
+
+CHECKED = ("Settings", "Announcement", "Route", "Pool", "Limits")
+HEADER = '"""Validators generated from schema.json with scripts/generate.sh."""\n'
+IMPORTS = "from .exceptions import SchemaMismatchError\n"
+
+
+def build_schema(path: str) -> dict:
+    """Return one schema whose properties are the records to check."""
+    with open(path, encoding="utf-8") as file:
+        defs = json.load(file)["$defs"]
+    records = {name: {"$ref": f"#/$defs/{name}"} for name in CHECKED}
+    return {"type": "object", "properties": records, "$defs": defs}
+
+
+def main(schema_path: str, out_path: str) -> None:
+    """Generate the validators."""
+    code = fastjsonschema.compile_to_code(build_schema(schema_path), use_default=False)
+    code = code[code.index("REGEX_PATTERNS") :]
+    code = re.sub(r"(?m)^NoneType = .*$", "", code)
+    code = re.sub(r"\bNoneType\b", "type(None)", code)
+    # The problems themselves are listed elsewhere; here only that there are some counts.
+    code = re.sub(r"raise JsonSchemaValueException\(.*", "raise SchemaMismatchError", code)
+    code = re.sub(r"(?m)^def validate\(.*?(?=^def )", "", code, flags=re.DOTALL)
+    code = code.replace("validate____defs_", "check_")
+    code = code.replace(", Decimal)", ")")
+    with open(out_path, "w", encoding="utf-8") as file:
+        file.write(f"{HEADER}\nimport re\n\n{IMPORTS}\n{code}")
+
+
+if __name__ == "__main__":
+    main(sys.argv[1], sys.argv[2])
--- a/src/foxtaildrum/exceptions.py
+++ b/src/foxtaildrum/exceptions.py
@@ -63,6 +63,10 @@
         self.changed_by = changed_by
 
 
+class SchemaMismatchError(FoxtaildrumError):
+    """A value does not match the schema."""
+
+
 class NotSpreadError(FoxtaildrumError):
     """Too few control instances heard of a drain or a leave."""
 
--- a/src/foxtaildrum/instance.py
+++ b/src/foxtaildrum/instance.py
@@ -20,17 +20,18 @@
 from .dialects import get_dialect
 from .entries import Saved
 from .events import Received
+from .exceptions import CorruptJournalError
 from .journal import FolderDisk, Journal
 from .logs import configure_logs, log_event
 from .membership import Member, MemberState
 from .metrics import Meter, StatsdSender
-from .node import CLAIM_STREAM, LOG_STREAM, Joining, Node, Write
+from .node import CLAIM_STREAM, LOG_STREAM, UPSTREAM_STREAM, Joining, Node, Write
 from .peers import PeerNetwork
 from .pools import read_clock
 from .probes import Prober
 from .proxy import Proxy
 from .records import Limits, Settings
-from .runtime import NodeActor, Ticker
+from .runtime import CALM_TICK_S, TICK_S, NodeActor, Ticker
 from .server import HttpServer
 from .settings import parse_control, read_secret
 from .storage import Drain, JournalWriter, StorageActor
@@ -78,7 +79,7 @@
         self.proxy.claims = NodeClaims(self._node)
         self._open = False
         self.proxy.is_open = self._is_open
-        self._ticker = Ticker(self._actor.tell)
+        self._ticker = Ticker(self._actor.tell, lambda: self._get_tick(node))
         self._prober = Prober(lambda: self.proxy.view.pools.values(), self.meter, self._dialect)
         self._statsd = StatsdSender(settings.statsd) if settings.statsd else None
         self._stopped = threading.Event()
@@ -100,7 +101,8 @@
         if self.callers is not None:
             self.callers.start()
             self._prober.start()
-        threading.Thread(target=self._send_metrics, name="metrics", daemon=True).start()
+        if self._statsd is not None:
+            threading.Thread(target=self._send_metrics, name="metrics", daemon=True).start()
         if self._network is not None and not self.settings.fleet_key_file:
             log_event("frames_unsigned", level=logging.WARNING, setting="fleet_key_file")
         log_event(
@@ -164,6 +166,10 @@
         if self.callers is not None and self._read_node.state.tables.limits:
             self.callers.apply_limits(limits)
 
+    def _get_tick(self, node: Node) -> float:
+        quick = node.consensus is not None or node.is_starting()
+        return TICK_S if quick else CALM_TICK_S
+
     def _is_open(self) -> bool:
         return self._read_node.is_open(read_clock())
 
@@ -210,11 +216,15 @@
             journals = {
                 LOG_STREAM: Journal(self._disk, "log"),
                 CLAIM_STREAM: Journal(self._disk, "claims"),
+                UPSTREAM_STREAM: Journal(self._disk, "upstreams"),
             }
             saved = load_saved(journals[LOG_STREAM])
             claim_records = _unpack(journals[CLAIM_STREAM].load())
         rng = random.Random()
         node = Node(me, control, saved, claim_records, rng, read_clock(), joining)
+        if has_log:
+            saved_upstreams = load_upstreams(journals[UPSTREAM_STREAM])
+            node.restore_upstreams(read_clock(), saved_upstreams)
         return node, journals
 
     def _build_callers(self) -> HttpServer | None:
@@ -285,5 +295,14 @@
     return Saved(records)
 
 
+def load_upstreams(journal: Journal) -> list[list[Any]]:
+    """Return the saved upstream list; a damaged one is left out, as it is announced anew."""
+    try:
+        return _unpack(journal.load())
+    except (CorruptJournalError, ValueError) as error:
+        log_event("upstreams_not_restored", level=logging.WARNING, reason=str(error))
+        return []
+
+
 def _unpack(records: list[bytes]) -> list[list[Any]]:
     return [msgpack.unpackb(record, strict_map_key=False) for record in records]
--- a/src/foxtaildrum/membership.py
+++ b/src/foxtaildrum/membership.py
@@ -23,7 +23,8 @@
 MISSES_BEFORE_HELP = 2
 MISSES_BEFORE_SUSPECT = 3
 SUSPECT_S = 3.0
-REJOIN_PERIOD_S = 5.0
+EAGER_PING_PERIOD_S = 0.2
+REJOIN_PERIOD_S = 1.0
 FORGET_S = 3600.0
 SUCCESSORS = 2
 PUSH_FANOUT = 4
@@ -172,12 +173,18 @@
         """Take over other instances to join."""
         self.seeds = {i: a for i, a in seeds.items() if i != self.me.instance_id}
 
-    def tick(self, now: float, knowledge: Knowledge) -> list[Send]:
-        """Send due pings, judge silent members and spread news."""
+    def tick(self, now: float, knowledge: Knowledge, eager: bool = False) -> list[Send]:
+        """Send due pings, judge silent members and spread news.
+
+        Parameters
+        ----------
+        eager : bool
+            Whether this instance is starting and must learn quickly.
+        """
         out = self._check_timeouts(now)
         self._judge_suspects(now)
         if now >= self._ping_at:
-            self._ping_at = now + PING_PERIOD_S
+            self._ping_at = now + (EAGER_PING_PERIOD_S if eager else PING_PERIOD_S)
             for target in self._pick_ping_targets():
                 out.append(self._ping(now, target, knowledge))
         if now >= self._rejoin_at:
--- a/src/foxtaildrum/node.py
+++ b/src/foxtaildrum/node.py
@@ -47,6 +47,8 @@
 
 LOG_STREAM = "log"
 CLAIM_STREAM = "claims"
+UPSTREAM_STREAM = "upstreams"
+SAVE_PERIOD_S = 0.5
 
 
 @dataclass(slots=True)
@@ -175,6 +177,9 @@
             self._leads, self.proposer.pick_control, self._get_index, self._submit_read
         )
         self.receipts = Receipts(me.instance_id)
+        self._saved_root = 0
+        self._save_at = now
+        self._save_token = 0
         self.stopping = False
         self._started_at = now
         self._started = False
@@ -191,7 +196,9 @@
         if self.consensus is not None:
             self._run_consensus(now, Tick())
             self._note_own_beacon(now)
-        self._out += self.members.tick(now, self._describe_knowledge(now))
+        knowledge = self._describe_knowledge(now)
+        self._out += self.members.tick(now, knowledge, eager=not self._started)
+        self._save_upstreams(now)
         self._expire_leases(now)
         if self.holder is not None:
             self._take_claim_actions(now, self.holder.tick(now))
@@ -225,7 +232,7 @@
         """Take note that a write was synced."""
         if stream == LOG_STREAM:
             self._run_consensus(now, Persisted(token))
-        else:
+        elif stream == CLAIM_STREAM:
             self._take_claim_actions(now, self.holder.take_persisted(token))
         return self._finish(now)
 
@@ -233,7 +240,8 @@
         """Take note that a write failed; its disk is not used again."""
         if stream == LOG_STREAM:
             self._run_consensus(now, PersistFailed(token))
-        self.holder.take_persist_failed()
+        if stream != UPSTREAM_STREAM:
+            self.holder.take_persist_failed()
         return self._finish(now)
 
     # Operators.
@@ -310,6 +318,28 @@
         members = self.members.members.values()
         return max(1, sum(m.usable and m.role != "control" for m in members))
 
+    def restore_upstreams(self, now: float, records: list[list[Any]]) -> None:
+        """Take over what the disk holds of the upstream list.
+
+        It may be old: a later announcement outranks it, and a request that reaches
+        another upstream at the address is refused by that one.
+        """
+        for fields in records:
+            self.upstreams.merge(now, Entry.from_wire(now, fields))
+
+    def _save_upstreams(self, now: float) -> None:
+        """Write the upstream list beside the log, so that a restart of all knows it."""
+        if self.consensus is None or now < self._save_at:
+            return
+        root = self.upstreams.digest.compute_root()
+        if root == self._saved_root:
+            return
+        self._saved_root = root
+        self._save_at = now + SAVE_PERIOD_S
+        self._save_token += 1
+        entries = [e.to_wire(now) for e in self.upstreams.entries.values()]
+        self._out.append(Write(UPSTREAM_STREAM, self._save_token, entries, True))
+
     def list_control(self) -> list[str]:
         """Return the control instances that are known."""
         if self.control:
@@ -380,6 +410,10 @@
             reasons.append("the disk failed")
         return reasons
 
+    def is_starting(self) -> bool:
+        """Return whether this instance has not yet learnt the present tables."""
+        return not self._started
+
     def is_open(self, now: float) -> bool:
         """Return whether callers are served."""
         return self._started and not self.is_cut_off(now)
--- a/src/foxtaildrum/peers.py
+++ b/src/foxtaildrum/peers.py
@@ -31,7 +31,7 @@
 IDLE_S = 60.0
 RETRY_S = 0.2
 HANDSHAKE_TIMEOUT_S = 2.0
-LOOP_S = 0.25
+LOOP_S = 1.0
 
 Deliver = Callable[[str, Message], None]
 
--- a/src/foxtaildrum/probes.py
+++ b/src/foxtaildrum/probes.py
@@ -17,6 +17,7 @@
 from .transport import OutgoingRequest, TransportError
 
 PROBE_PERIOD_S = 0.05
+CALM_PERIOD_S = 2.0
 PROBE_TIMEOUT_S = 0.5
 
 
@@ -54,8 +55,11 @@
         self._stopped.set()
 
     def _run(self) -> None:
-        while not self._stopped.wait(PROBE_PERIOD_S):
-            for pool in list(self._list_pools()):
+        while True:
+            pools = [pool for pool in self._list_pools() if pool.load_path]
+            if self._stopped.wait(PROBE_PERIOD_S if pools else CALM_PERIOD_S):
+                return
+            for pool in pools:
                 target = pool.choose_probe(read_clock())
                 if target is not None:
                     self._probe(pool, target)
--- a/src/foxtaildrum/problem.py
+++ b/src/foxtaildrum/problem.py
@@ -11,6 +11,7 @@
 
 CONTENT_TYPE = "application/problem+json"
 RETRY_AFTER_S = 0.25
+RETRY_AFTER_BY_KIND_S = {ErrorKind.NOT_READY: 0.8, ErrorKind.NO_UPSTREAM: 0.5}
 OUTCOME_HEADER = "Foxtaildrum-Outcome"
 
 StartResponse = Callable[[str, list[tuple[str, str]]], object]
@@ -39,7 +40,8 @@
         ("X-Request-Id", request_id),
     ]
     if status == http.client.SERVICE_UNAVAILABLE:
-        headers.append(("Retry-After", dialect.format_retry_after(RETRY_AFTER_S)))
+        wait_s = RETRY_AFTER_BY_KIND_S.get(kind, RETRY_AFTER_S)
+        headers.append(("Retry-After", dialect.format_retry_after(wait_s)))
     return format_status(status), headers, body
 
 
--- a/src/foxtaildrum/report.py
+++ b/src/foxtaildrum/report.py
@@ -7,9 +7,6 @@
 from collections.abc import Callable
 from typing import Any
 
-import pygal
-from pygal.style import CleanStyle
-
 from .objectives import WINDOWS_S, compute_burn
 
 Formatter = Callable[[list[dict[str, Any]]], str]
@@ -124,6 +121,10 @@
         total = sum(pair[0] for pair in minute)
         bad = sum(pair[1] for pair in minute)
         burn.append(round(bad / total / allowed, 3) if total else None)
+    # The library is large, and only this report draws.
+    import pygal
+    from pygal.style import CleanStyle
+
     chart = pygal.Line(
         width=PLOT_WIDTH,
         height=PLOT_HEIGHT,
--- a/src/foxtaildrum/runtime.py
+++ b/src/foxtaildrum/runtime.py
@@ -29,6 +29,7 @@
 from .views import ViewPublisher
 
 TICK_S = 0.1
+CALM_TICK_S = 0.25
 
 
 @dataclass(slots=True)
@@ -230,10 +231,21 @@
 
 
 class Ticker:
-    """Tells the node that time passes."""
+    """Tells the node that time passes.
 
-    def __init__(self, tell: Callable[[TimePassed], None]) -> None:
+    Parameters
+    ----------
+    tell : callable
+        Takes the message.
+    get_period : callable
+        Returns the time until the next message, in seconds.
+    """
+
+    def __init__(
+        self, tell: Callable[[TimePassed], None], get_period: Callable[[], float]
+    ) -> None:
         self._tell = tell
+        self._get_period = get_period
         self._stopped = threading.Event()
         self._thread = threading.Thread(target=self._run, name="ticker", daemon=True)
 
@@ -246,5 +258,5 @@
         self._stopped.set()
 
     def _run(self) -> None:
-        while not self._stopped.wait(TICK_S):
+        while not self._stopped.wait(self._get_period()):
             self._tell(TimePassed())
--- a/src/foxtaildrum/validation.py
+++ b/src/foxtaildrum/validation.py
@@ -5,11 +5,21 @@
 import functools
 import json
 from importlib import resources
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
-import jsonschema
+from . import checks
+from .exceptions import FieldError, SchemaMismatchError
 
-from .exceptions import FieldError
+if TYPE_CHECKING:
+    import jsonschema
+
+_CHECKS = {
+    "Announcement": checks.check_announcement,
+    "Limits": checks.check_limits,
+    "Pool": checks.check_pool,
+    "Route": checks.check_route,
+    "Settings": checks.check_settings,
+}
 
 
 @functools.cache
@@ -21,6 +31,9 @@
 
 @functools.cache
 def _build_validator(record: str) -> jsonschema.Draft202012Validator:
+    # The library is large, and a running instance seldom needs it.
+    import jsonschema
+
     schema = load_schema()
     return jsonschema.Draft202012Validator(
         {"$ref": f"#/$defs/{record}", "$defs": schema["$defs"]}
@@ -49,6 +62,14 @@
     list of FieldError
         Empty when the value is valid.
     """
+    try:
+        _CHECKS[record](value)
+        return []
+    except SchemaMismatchError:
+        return _list_problems(record, value, prefix)
+
+
+def _list_problems(record: str, value: Any, prefix: str) -> list[FieldError]:
     errors = _build_validator(record).iter_errors(value)
     return [FieldError(_describe_path(prefix, e), _describe_reason(e)) for e in errors]
 
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -270,7 +270,7 @@
         ("", None),
     ],
 )
-def test_load_reports_are_read_or_ignored(value, expected):
+def test_load_metrics_are_read_or_ignored(value, expected):
     report = parse_load_metrics(value)
     assert (None if report is None else report.slots_in_use) == expected
 
@@ -299,3 +299,62 @@
     balancer.update_members(0.0, [build_entry("a")])
     balancer.earn_budgets(100.0)
     assert balancer.choose_probe(1.0) is None
+
+
+@pytest.mark.parametrize(
+    ("value", "expected"),
+    [
+        ("3,1,6", (4.0, 1.0)),
+        ("3,0,6,250", (3.0, 2.5)),
+        ("3,0", None),
+        ("3,0,6,0", None),
+        ("3,0,6,nan", None),
+        ("-1,0,6,100", None),
+        ("many,0,6", None),
+        ("", None),
+    ],
+)
+def test_load_figures_are_read_or_ignored(value, expected):
+    report = parse_load_figures(value)
+    assert (None if report is None else (report.slots_in_use, report.pace)) == expected
+
+
+def test_a_slow_pace_counts_more_than_a_few_others_and_fades():
+    balancer = build_balancer("ab")
+    balancer.report_load(1.0, balancer.upstreams["a"], LoadReport(0.0, 5.0))
+    balancer.report_load(1.0, balancer.upstreams["b"], LoadReport(4.0, 1.0))
+    assert set(choose_often(balancer, 1.001, 20)) == {"b"}
+    assert set(choose_often(balancer, 60.0, 100)) == {"a", "b"}
+
+
+def test_samples_are_paid_from_the_budget_of_probes():
+    balancer = build_balancer("abc")
+    assert balancer.choose_samples(1.0, NOBODY) == []
+    balancer.set_probe_rate(2.0, 3)
+    assert len(balancer.choose_samples(10.0, NOBODY)) == 3
+    asked = sum(len(balancer.choose_samples(10.0 + n / 100, NOBODY)) for n in range(200))
+    assert asked <= 6 + 2 * 6
+
+
+def test_urgent_requests_wait_in_front_and_displace_less_urgent_ones():
+    balancer = build_balancer("a", queue_limit=2)
+    for _ in range(balancer.upstreams["a"].slots):
+        assert ask(balancer).granted
+    late = [Ticket(FAR, NOBODY, priority) for priority in (3, 2, 1)]
+    for ticket in late:
+        balancer.request_slot(0.0, ticket, may_wait=True)
+    assert late[0].refused is ErrorKind.OVERLOADED
+    assert balancer.take_displaced() == [late[0]]
+    settled = balancer.release(1.0, balancer.upstreams["a"], Ended.OK, 0.01)
+    assert settled == [late[2]]
+
+
+def test_a_request_waits_no_longer_than_its_patience():
+    balancer = build_balancer("a")
+    for _ in range(balancer.upstreams["a"].slots):
+        ask(balancer)
+    ticket = Ticket(FAR, NOBODY, 0, patience_s=0.1)
+    balancer.request_slot(0.0, ticket, may_wait=True)
+    assert not ticket.settled
+    balancer.serve_queue(0.2)
+    assert ticket.refused is ErrorKind.DEADLINE_UNREACHABLE
