--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -16,15 +16,25 @@
 from foxtaildrum.claimer import ClaimSettled
 from foxtaildrum.claims import ClaimOutcome, Verdict
 from foxtaildrum.consensus import Role
+from foxtaildrum.desired import DesiredState
 from foxtaildrum.events import Send
 from foxtaildrum.exceptions import FrameError
 from foxtaildrum.instance import load_saved
 from foxtaildrum.journal import Journal
 from foxtaildrum.membership import Member, MemberState
 from foxtaildrum.messages import decode_message, encode_message
-from foxtaildrum.node import CLAIM_STREAM, LOG_STREAM, Node, Write
+from foxtaildrum.node import (
+    CLAIM_STREAM,
+    LOG_STREAM,
+    UPSTREAM_STREAM,
+    Joining,
+    Node,
+    Write,
+)
 from foxtaildrum.node_api import ChangeAnswer
 from foxtaildrum.proposals import ChangeSettled
+from foxtaildrum.reads import ReadDone
+from foxtaildrum.receipts import ReceiptsDone
 from foxtaildrum.records import Announcement, ClaimFinish
 from foxtaildrum.tables import Change
 
@@ -68,6 +78,7 @@
         self.disk = FakeDisk() if has_disk else None
         self.node: Node | None = None
         self.life = 0
+        self.late = False
         self.paused = False
         self.held: list[tuple[str, Any]] = []
         self.skew_s = 0.0
@@ -105,8 +116,19 @@
                 msgpack.unpackb(record, strict_map_key=False)
                 for record in Journal(self.disk, CLAIM_STREAM).load()
             ]
-        control = {i: i for i in self.fleet.control}
-        self.node = Node(me, control, saved, claims, rng, now)
+        if self.fleet.seeds:
+            me.role = "control" if saved is not None else "entry"
+            seeds = {i: i for i in self.fleet.seeds}
+            bootstrap = self.life == 1 and not self.late
+            joining = Joining(seeds, bootstrap, self.fleet.tolerated)
+            self.node = Node(me, {}, saved, claims, rng, now, joining)
+        else:
+            control = {i: i for i in self.fleet.control}
+            self.node = Node(me, control, saved, claims, rng, now)
+        if saved is not None:
+            journal = Journal(self.disk, UPSTREAM_STREAM)
+            records = [msgpack.unpackb(r, strict_map_key=False) for r in journal.load()]
+            self.node.restore_upstreams(now, records)
         self.fleet.schedule(TICK_S * rng.random(), "tick", self.instance_id, self.life)
 
     def crash(self) -> None:
@@ -139,10 +161,20 @@
         Number of entry instances; their identifiers begin with ``e``.
     seed : int
         Seed of every random choice.
+    seeds : int
+        Number of control instances that the others join; 0 names every one of them.
+    tolerated : int
+        Disks that may be lost at once.
     """
 
-    def __init__(self, control: int, entry: int, seed: int) -> None:
+    def __init__(
+        self, control: int, entry: int, seed: int, seeds: int = 0, tolerated: int = 0
+    ) -> None:
         self.seed = seed
+        self.seeds = [f"c{n + 1}" for n in range(seeds)]
+        self.tolerated = tolerated
+        self.reads: dict[str, bool] = {}
+        self.receipts: dict[str, bool] = {}
         self.now = 1000.0
         self.rng = random.Random(seed)
         self.control = [f"c{n + 1}" for n in range(control)]
@@ -269,6 +301,10 @@
                 self.note_answer(action.answer, action.token)
             elif isinstance(action, ClaimSettled):
                 self.claims[action.token] = action.outcome
+            elif isinstance(action, ReadDone):
+                self.reads[action.token] = action.current
+            elif isinstance(action, ReceiptsDone):
+                self.receipts[action.token] = action.known
         self.check(host)
 
     def send(self, sender: str, target: str, message: Any) -> None:
@@ -403,6 +439,38 @@
             self.run(0.5)
         raise AssertionError("no change was accepted")
 
+    def put_desired(self, name: str, number: int, text: str) -> str:
+        """Propose a desired state whose only pool is named ``text``; return the token."""
+        host = self.hosts[name]
+        self.order += 1
+        token = f"desired-{number}-{text}@{name}-{self.order}"
+        desired = DesiredState(number, {"routes": [], "pools": [{"name": text}]}, {})
+        self.perform(host, host.node.propose(host.read_clock(), token, desired))
+        return token
+
+    def accept_desired(self, number: int, text: str) -> None:
+        """Send a desired state to one control instance after the other until accepted."""
+        for attempt in range(60):
+            names = [c for c in self.control if self.hosts[c].node is not None]
+            token = self.put_desired(names[attempt % len(names)], number, text)
+            self.run_until(lambda t=token: t in self.answers, 1.0)
+            answer = self.answers.get(token)
+            if answer is not None and answer.verdict in ("accepted", "superseded"):
+                return
+            self.run(0.3)
+        raise AssertionError("the desired state was not accepted\n" + self.describe())
+
+    def read_desired(self, name: str) -> int | None:
+        """Return the number that a read at ``name`` shows; None when it is refused."""
+        host = self.hosts[name]
+        self.order += 1
+        token = f"read@{name}-{self.order}"
+        self.perform(host, host.node.read(host.read_clock(), token))
+        self.run_until(lambda: token in self.reads, 2.0)
+        if not self.reads.get(token):
+            return None
+        return host.node.state.tables.desired_number
+
     def announce(self, name: str, upstream_id: str, incarnation: int = 1, **fields: Any) -> str:
         host = self.hosts[name]
         values = {"pool": "p", "address": "127.0.0.1:1", "lease_s": 6.0, **fields}
@@ -432,6 +500,8 @@
     # Checks.
 
     def note_answer(self, answer: ChangeAnswer, token: str) -> None:
+        if token.startswith("desired-"):
+            return
         if answer.verdict == "accepted":
             key = ("pools", answer.version)
             known = self.accepted.setdefault(key, answer.changed_by)
@@ -512,7 +582,7 @@
             if control is not None:
                 line += f" {control.role} term {control.term} commit {control.commit_index}"
                 line += f" last {control.log.last_index} voter {control.is_voter()}"
-                line += f" admitted {control.admitted} claims {node.holder.recovered}"
+                line += f" voters {control.voters} claims {node.holder.recovered}"
             lines.append(line)
         return "\n".join(lines)
 
@@ -531,3 +601,16 @@
     fleet = Fleet(control, entry, seed)
     assert fleet.run_until(fleet.is_converged, 60.0), "the fleet does not form"
     return fleet
+
+
+def form_joined_fleet(control: int = 5, entry: int = 3, seed: int = 1) -> Fleet:
+    """Return a fleet that joined three seeds and tolerates the loss of two disks."""
+    fleet = Fleet(control, entry, seed, seeds=3, tolerated=2)
+    assert fleet.run_until(lambda: is_full(fleet), 60.0), fleet.describe()
+    return fleet
+
+
+def is_full(fleet: Fleet) -> bool:
+    """Return whether a leader has all the voters that it wants, and accepts changes."""
+    leader = fleet.find_leader()
+    return bool(leader) and fleet.hosts[leader].node.consensus.can_accept()
--- /dev/null
+++ b/tests/test_group.py
@@ -0,0 +1,134 @@
+"""Control groups that form from seeds, grow, replace members and survive lost disks."""
+
+from __future__ import annotations
+
+import itertools
+
+import pytest
+
+from foxtaildrum.consensus import Role
+
+from .fleet import FakeDisk, Fleet, form_joined_fleet, is_full
+
+
+def list_voters(fleet: Fleet) -> set[str]:
+    return set(fleet.hosts[fleet.find_leader()].node.consensus.voters)
+
+
+def test_a_group_forms_from_the_seeds_and_admits_the_others():
+    fleet = form_joined_fleet()
+    assert list_voters(fleet) == {"c1", "c2", "c3", "c4", "c5"}
+
+
+def test_nothing_is_accepted_while_the_group_is_smaller_than_it_can_become():
+    fleet = Fleet(5, 1, 3, seeds=3, tolerated=2)
+    tokens = []
+    while not is_full(fleet):
+        leader = fleet.find_leader()
+        if leader:
+            tokens.append(fleet.put_desired(leader, 1, "early"))
+        fleet.step()
+        assert not any(
+            a.verdict == "accepted" for t, a in fleet.answers.items() if t in tokens
+        ), "accepted before the group was full"
+    assert fleet.run_until(lambda: any(fleet.answers.get(t) is not None for t in tokens), 5.0)
+
+
+def test_a_group_whose_other_members_never_come_accepts_after_a_wait():
+    fleet = Fleet(5, 1, 4, seeds=3, tolerated=2)
+    for name in ("c4", "c5"):
+        fleet.crash(name)
+    fleet.run(8.0)
+    fleet.accept_desired(1, "small")
+
+
+def test_an_empty_disk_without_the_first_start_never_forms_a_group():
+    fleet = Fleet(3, 1, 5, seeds=3, tolerated=1)
+    for name in fleet.control:
+        fleet.hosts[name].crash()
+        fleet.hosts[name].disk = FakeDisk()
+        fleet.hosts[name].start()
+    fleet.run(30.0)
+    assert fleet.find_leader() == ""
+
+
+@pytest.mark.parametrize(
+    "lost", list(itertools.combinations(["c1", "c2", "c3", "c4", "c5"], 2))
+)
+def test_two_disks_lost_after_an_acknowledgement_lose_nothing(lost):
+    fleet = form_joined_fleet(seed=6)
+    fleet.accept_desired(7, "kept")
+    for name in fleet.control:
+        fleet.crash(name)
+    for name in fleet.control:
+        fleet.restart(name, lose_disk=name in lost)
+    assert fleet.run_until(lambda: fleet.read_desired("c1") == 7, 30.0), fleet.describe()
+    fleet.accept_desired(8, "after")
+    assert fleet.run_until(lambda: len(list_voters(fleet)) == 5, 30.0), fleet.describe()
+
+
+def test_a_second_pair_of_disks_may_be_lost_once_the_first_is_replaced():
+    fleet = form_joined_fleet(seed=7)
+    fleet.accept_desired(3, "kept")
+    for pair in (("c1", "c2"), ("c3", "c4"), ("c5", "c1")):
+        for name in pair:
+            fleet.crash(name)
+        for name in pair:
+            fleet.restart(name, lose_disk=True)
+        assert fleet.run_until(
+            lambda: all(fleet.hosts[c].node.consensus.is_voter() for c in fleet.control),
+            30.0,
+        ), fleet.describe()
+        fleet.run(1.0)
+    assert fleet.read_desired("c5") == 3
+
+
+def test_a_control_instance_at_a_new_address_takes_the_place_of_one_that_is_gone():
+    fleet = Fleet(6, 2, 8, seeds=3, tolerated=2)
+    newcomer = fleet.hosts["c6"]
+    newcomer.crash()
+    newcomer.late = True
+    assert fleet.run_until(lambda: is_full(fleet), 30.0)
+    fleet.accept_desired(4, "kept")
+    fleet.crash("c2")
+    newcomer.disk = FakeDisk()
+    newcomer.start()
+    assert fleet.run_until(
+        lambda: (
+            bool(fleet.find_leader()) and list_voters(fleet) == {"c1", "c3", "c4", "c5", "c6"}
+        ),
+        40.0,
+    ), fleet.describe()
+    assert fleet.read_desired("c6") == 4
+
+
+def test_a_group_of_which_all_processes_are_killed_comes_back():
+    fleet = form_joined_fleet(seed=9)
+    fleet.accept_desired(2, "kept")
+    fleet.announce("c1", "u", pool="kept", address="127.0.0.1:9")
+    fleet.run(1.0)
+    for name in list(fleet.hosts):
+        fleet.crash(name)
+    for name in list(fleet.hosts):
+        fleet.restart(name)
+    fleet.run(3.0)
+    for host in fleet.hosts.values():
+        assert host.node.state.tables.desired_number == 2, fleet.describe()
+        assert host.node.is_open(host.read_clock()), host.instance_id
+        assert [e.upstream_id for e in host.node.upstreams.list_members("kept")] == ["u"]
+
+
+def test_a_leader_that_was_cut_off_accepts_and_reads_nothing():
+    fleet = form_joined_fleet(seed=10)
+    fleet.accept_desired(1, "first")
+    old = fleet.find_leader()
+    fleet.cut([old])
+    fleet.put_desired(old, 2, "lost")
+    fleet.run(0.05)
+    assert fleet.read_desired(old) is None
+    fleet.run(5.0)
+    assert fleet.hosts[old].node.consensus.role is not Role.LEADER
+    fleet.accept_desired(3, "kept") if fleet.find_leader() != old else None
+    fleet.heal()
+    fleet.run(3.0)
+    assert fleet.read_desired(old) == 3
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,97 @@
+"""Names and formats of the users' platform, as the folder ``platform/`` has them."""
+
+from __future__ import annotations
+
+import importlib.util
+import sys
+from pathlib import Path
+
+import pytest
+
+from foxtaildrum.dialects import Dialect
+from foxtaildrum.kinds import ANSWERS, ErrorKind, Outcome
+from foxtaildrum.settings import load_settings
+
+FOLDER = Path(__file__).parent.parent / "platform"
+
+
+def load_part(name: str):
+    spec = importlib.util.spec_from_file_location(name, FOLDER / f"{name}.py")
+    module = importlib.util.module_from_spec(spec)
+    sys.modules[name] = module
+    spec.loader.exec_module(module)
+    return module
+
+
+@pytest.fixture(scope="module")
+def dialect():
+    return load_part("dialect").PlatformDialect()
+
+
+@pytest.fixture(scope="module")
+def main(dialect):
+    return load_part("main")
+
+
+NODE = {
+    "ip": "10.1.0.18",
+    "availability_zone": "zone-a",
+    "listen": {"front": "10.1.0.18:8381", "ready": "10.1.0.18:8388"},
+    "internal_ports": [7200, 7215],
+    "seeds": ["10.1.0.21:8382", "10.2.0.37:8382"],
+    "bootstrap": True,
+    "data_dir": None,
+    "heartbeat_ms": 1500,
+    "fault_tolerance": {"machines": 2},
+    "bounds": {"grace_s": 6, "retry_slack": 62, "probes_per_s": 60},
+}
+
+
+def read_settings(main, role: str, node: dict):
+    settings = main.translate_settings(role, node)
+    return load_settings({name: str(value) for name, value in settings.items()}, {})
+
+
+def test_the_settings_of_an_edge_machine_are_valid_settings(main):
+    settings = read_settings(main, "entry", NODE)
+    assert settings.instance_id == "10.1.0.18"
+    assert settings.seeds == "10.1.0.21=10.1.0.21:7200,10.2.0.37=10.2.0.37:7200"
+    assert settings.admin_listen == "10.1.0.18:8388"
+    assert settings.shutdown_grace_s < 6
+
+
+def test_the_settings_of_a_core_machine_name_its_folder(main):
+    listen = {"control": "10.1.0.21:8382"}
+    node = {**NODE, "listen": listen, "data_dir": "/data/x", "ip": "10.1.0.21"}
+    settings = read_settings(main, "control", node)
+    assert (settings.admin_listen, settings.data_dir) == ("10.1.0.21:8382", "/data/x")
+    assert settings.tolerated_losses == 2
+
+
+@pytest.mark.parametrize("kind", list(ErrorKind))
+@pytest.mark.parametrize("outcome", list(Outcome))
+def test_only_a_request_that_was_not_run_gets_a_status_that_promises_it(dialect, kind, outcome):
+    status = dialect.get_status(kind, outcome)
+    if outcome is Outcome.UNKNOWN:
+        assert status not in dialect.promise_statuses
+    if outcome is Outcome.NOT_RUN and ANSWERS[kind].status >= 500 and status != 500:
+        assert status == 503
+
+
+@pytest.mark.parametrize(
+    ("status", "headers", "expected"),
+    [
+        (421, {}, True),
+        (503, {"X-Not-Executed": "1"}, True),
+        (429, {"X-Not-Executed": "1"}, True),
+        (503, {}, False),
+        (500, {}, False),
+    ],
+)
+def test_only_what_an_upstream_states_counts_as_not_run(dialect, status, headers, expected):
+    assert dialect.read_not_run(status, headers) is expected
+
+
+def test_waits_may_be_fractions_here_and_are_whole_seconds_elsewhere(dialect):
+    assert float(dialect.format_retry_after(0.25)) == 0.25
+    assert Dialect().format_retry_after(0.25) == "1"
--- /dev/null
+++ b/tests/test_splits.py
@@ -0,0 +1,50 @@
+"""Routes that several pools share by weight."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from foxtaildrum.records import Route, Share
+from foxtaildrum.splits import PoolChooser, SplitChooser
+
+
+def build_route(weights: dict[str, float]) -> Route:
+    return Route(name="r", split=[Share(pool=p, weight=w) for p, w in weights.items()])
+
+
+@given(
+    st.dictionaries(st.sampled_from("abcd"), st.integers(0, 50), min_size=1).filter(
+        lambda w: sum(w.values()) > 0
+    ),
+    st.integers(1, 300),
+)
+def test_any_run_of_requests_is_close_to_the_weights(weights, count):
+    chooser = SplitChooser(build_route(weights))
+    seen = Counter(chooser.choose() for _ in range(count))
+    for pool, weight in weights.items():
+        exact = count * weight / sum(weights.values())
+        assert abs(seen[pool] - exact) <= len(weights)
+
+
+def test_a_pool_without_weight_gets_nothing():
+    chooser = SplitChooser(build_route({"a": 1, "b": 0}))
+    assert {chooser.choose() for _ in range(50)} == {"a"}
+
+
+def test_an_unchanged_split_goes_on_where_it_was_when_other_rows_change():
+    route = build_route({"a": 1, "b": 1})
+    first = PoolChooser([route])
+    taken = [first.choose(route)]
+    second = PoolChooser([build_route({"a": 1, "b": 1}), Route(name="s", pool="a")], first)
+    taken.append(second.choose(route))
+    assert sorted(taken) == ["a", "b"]
+
+
+@pytest.mark.parametrize("name", ["p", "q"])
+def test_a_route_without_a_split_goes_to_its_pool(name):
+    route = Route(name="r", pool=name)
+    assert PoolChooser([route]).choose(route) == name
