--- a/Makefile
+++ b/Makefile
@@ -17,8 +17,8 @@
 	$(BIN)/python -m pytest
 
 lint: $(VENV)/ready
-	$(BIN)/ruff format --check src tests
-	$(BIN)/ruff check src tests
+	$(BIN)/ruff format --check src tests platform scripts
+	$(BIN)/ruff check src tests platform scripts
 	PATH="$(CURDIR)/$(BIN):$$PATH" scripts/check-generated.sh
 
 generate: $(VENV)/ready
--- a/src/foxtaildrum/balancer.py
+++ b/src/foxtaildrum/balancer.py
@@ -34,6 +34,8 @@
 MEAN_FADE_SERVICE_TIMES = 3.0
 RETRY_TOKENS = 10.0
 SILENT_PACE = 10.0
+LARGE_ANSWER_BYTES = 30_000
+FAR_SAMPLES = 1
 MOVED_PAUSE_S = 2.0
 HEDGE_TOKENS_SERVICE_TIMES = 10.0
 
@@ -116,16 +118,25 @@
     ----------
     mean_service_s : float
         Mean time that an attempt holds a slot, in seconds.
+    answer_bytes : float
+        Expected size of the answer to the request at hand.
     mean_pace : float
         Mean of how long work takes, as a multiple of the usual.
     mean_others : float
         Mean of the slots that others use at an upstream.
     """
 
-    __slots__ = ("mean_others", "mean_pace", "mean_service_s", "reported_at")
+    __slots__ = (
+        "answer_bytes",
+        "mean_others",
+        "mean_pace",
+        "mean_service_s",
+        "reported_at",
+    )
 
     def __init__(self) -> None:
         self.mean_service_s = INITIAL_SERVICE_S
+        self.answer_bytes = 0.0
         self.mean_others = 0.0
         self.mean_pace = 1.0
         self.reported_at = float("-inf")
@@ -156,6 +167,8 @@
         Rank of the request; 0 is the most urgent.
     patience_s : float
         Longest wait for a slot, in seconds.
+    answer_bytes : float
+        Expected size of the answer.
 
     Attributes
     ----------
@@ -166,6 +179,7 @@
     """
 
     __slots__ = (
+        "answer_bytes",
         "deadline",
         "excluded",
         "give_up_at",
@@ -182,8 +196,10 @@
         excluded: frozenset[str],
         priority: int = 0,
         patience_s: float = float("inf"),
+        answer_bytes: float = 0.0,
     ) -> None:
         self.deadline = deadline
+        self.answer_bytes = answer_bytes
         self.priority = priority
         self.patience_s = patience_s
         self.give_up_at = deadline
@@ -341,8 +357,13 @@
         self._probes_per_s = probes_per_s
         self._sample_size = sample_size
 
-    def choose_samples(self, now: float, excluded: frozenset[str]) -> list[UpstreamLoad]:
-        """Return the upstreams to ask for their load before one is chosen."""
+    def choose_samples(
+        self, now: float, excluded: frozenset[str], answer_bytes: float = 0.0
+    ) -> list[UpstreamLoad]:
+        """Return the upstreams to ask for their load before one is chosen.
+
+        Most are of the own availability zone; where a large answer is expected, all are.
+        """
         if not self._sample_size:
             return []
         candidates = self._list_candidates(now, excluded)
@@ -350,7 +371,12 @@
         self._refill_probes(now, len(self.upstreams))
         count = min(count, int(self._probe_tokens))
         self._probe_tokens -= count
-        return self.rng.sample(candidates, count)
+        near = [u for u in candidates if not u.remote]
+        large = answer_bytes >= LARGE_ANSWER_BYTES
+        near_count = count if large else max(count - FAR_SAMPLES, 0)
+        chosen = self.rng.sample(near, min(near_count, len(near)))
+        others = [u for u in candidates if u not in chosen]
+        return chosen + self.rng.sample(others, count - len(chosen))
 
     def _refill_probes(self, now: float, upstreams: int) -> None:
         rate = self._probes_per_s * upstreams
@@ -447,6 +473,7 @@
         candidates = self._list_candidates(now, ticket.excluded)
         if not candidates:
             return
+        self.load.answer_bytes = ticket.answer_bytes
         chosen = self.choose(now, candidates, self.load, self.rng)
         if chosen is None:
             return
--- a/src/foxtaildrum/dispatch.py
+++ b/src/foxtaildrum/dispatch.py
@@ -151,6 +151,8 @@
         Rank of the request; 0 is the most urgent.
     patience_s : float
         Longest wait for a slot, in seconds.
+    answer_bytes : float
+        Expected size of the answer.
     """
 
     def __init__(
@@ -163,6 +165,7 @@
         spool_chunked: bool,
         priority: int = 0,
         patience_s: float = float("inf"),
+        answer_bytes: float = 0.0,
     ) -> None:
         self._exchange = exchange
         self._pool = pool
@@ -171,6 +174,7 @@
         self._dialect = dialect
         self._priority = priority
         self._patience_s = patience_s
+        self._answer_bytes = answer_bytes
         self._spool_chunked = spool_chunked
         self._tries: dict[int, _Try] = {}
         self._actions: deque[x.Action] = deque()
@@ -208,9 +212,13 @@
 
     def _acquire_slot(self, action: x.AcquireSlot) -> x.Event:
         ticket = Ticket(
-            self._exchange.deadline, action.excluded, self._priority, self._patience_s
+            self._exchange.deadline,
+            action.excluded,
+            self._priority,
+            self._patience_s,
+            self._answer_bytes,
         )
-        Sampler(self._pool, self._dialect).sample(action.excluded)
+        Sampler(self._pool, self._dialect).sample(action.excluded, self._answer_bytes)
         self._pool.request_slot(read_clock(), ticket, action.may_wait)
         if not ticket.settled:
             self._wait_for_slot(ticket)
--- a/src/foxtaildrum/metrics.py
+++ b/src/foxtaildrum/metrics.py
@@ -22,6 +22,7 @@
 
     def __init__(self) -> None:
         self._lock = threading.Lock()
+        self._routes: dict[str, Route] = {}
         self._levels: dict[str, RouteLevel] = {}
         self._latencies: dict[str, RecentLatency] = {}
         self._counters: Counter[str] = Counter()
@@ -30,15 +31,12 @@
     def set_routes(self, routes: list[Route]) -> None:
         """Follow the routes table; counts of kept routes stay."""
         with self._lock:
-            levels = {}
-            for route in routes:
-                level = self._levels.get(route.name) or RouteLevel(route)
-                level.route = route
-                levels[route.name] = level
-            self._levels = levels
-            self._latencies = {
-                r.name: self._latencies.get(r.name) or RecentLatency() for r in routes
-            }
+            # A level takes 20 KB, so a route gets one with its first request.
+            self._routes = {route.name: route for route in routes}
+            self._levels = {n: v for n, v in self._levels.items() if n in self._routes}
+            self._latencies = {n: v for n, v in self._latencies.items() if n in self._routes}
+            for name, level in self._levels.items():
+                level.route = self._routes[name]
 
     def count(self, name: str, amount: int = 1) -> None:
         """Add to a counter."""
@@ -54,16 +52,21 @@
             for name in ("requests", f"requests.{route}.{status // 100}xx"):
                 self._counters[name] += 1
                 self._unsent[name] += 1
-            level = self._levels.get(route)
-            if level is None:
+            if route not in self._routes:
                 return
-            level.add(now, failed, latency_s)
+            if route not in self._levels:
+                self._levels[route] = RouteLevel(self._routes[route])
+                self._latencies[route] = RecentLatency()
+            self._levels[route].add(now, failed, latency_s)
             self._latencies[route].record(now, latency_s)
 
     def describe_levels(self, now: float) -> list[dict[str, Any]]:
         """Return the service level of each route."""
         with self._lock:
-            return [level.describe(now) for level in self._levels.values()]
+            return [
+                (self._levels.get(name) or RouteLevel(route)).describe(now)
+                for name, route in self._routes.items()
+            ]
 
     def describe_counters(self) -> dict[str, int]:
         """Return every counter since the start."""
--- a/src/foxtaildrum/policies.py
+++ b/src/foxtaildrum/policies.py
@@ -18,6 +18,7 @@
 FAILURE_FADE_S = 2.0
 PACE_FADE_S = 0.1
 REMOTE_ZONE_COST = 0.1
+REMOTE_BYTE_COST = 1e-4
 MAX_LOAD_RATIO = 2.0
 TIE_MARGIN_SLOTS = 0.05
 HOT_COLD_SAMPLE = 16
@@ -116,7 +117,7 @@
         if candidate.ramp_until > now:
             score = (score + 1.0) / candidate.compute_ramp(now)
         if candidate.remote:
-            score += REMOTE_ZONE_COST
+            score += REMOTE_ZONE_COST + REMOTE_BYTE_COST * pool.answer_bytes
         scores.append(score)
     if not acceptable:
         return None
--- a/src/foxtaildrum/pools.py
+++ b/src/foxtaildrum/pools.py
@@ -160,12 +160,14 @@
         with self._lock:
             self._balancer.set_probe_rate(probes_per_s, sample_size)
 
-    def choose_samples(self, now: float, excluded: frozenset[str]) -> list[UpstreamLoad]:
+    def choose_samples(
+        self, now: float, excluded: frozenset[str], answer_bytes: float
+    ) -> list[UpstreamLoad]:
         """Return the upstreams to ask for their load, paid from the budget."""
         if not self.health_path:
             return []
         with self._lock:
-            return self._balancer.choose_samples(now, excluded)
+            return self._balancer.choose_samples(now, excluded, answer_bytes)
 
     def note_silent(self, now: float, upstream: UpstreamLoad) -> None:
         """Take note that a status check was not answered in time."""
--- a/src/foxtaildrum/proxy.py
+++ b/src/foxtaildrum/proxy.py
@@ -19,6 +19,7 @@
 from .problem import StartResponse, format_status, send_problem
 from .records import Route
 from .routing import Router, is_idempotent
+from .sizes import AnswerSizes
 from .splits import PoolChooser
 from .transport import HOP_BY_HOP, OutgoingRequest
 
@@ -100,6 +101,7 @@
 
     def __init__(self, meter: Meter, access_log: bool, dialect: Dialect | None = None) -> None:
         self.dialect = dialect or Dialect()
+        self.sizes = AnswerSizes()
         self._timeout_key = _name_environ(self.dialect.timeout_header)
         self._replaced = _REPLACED_HEADERS | {self.dialect.timeout_header.lower()}
         self.view = View(Router([]), {})
@@ -194,6 +196,7 @@
             environ.get("SERVER_PROTOCOL") == "HTTP/1.0",
             call.route.priority,
             PATIENCE_RATIO * call.route.objective_latency_ms / 1000,
+            self.sizes.get(call.route.name),
         )
         try:
             result = dispatch.run()
@@ -224,6 +227,8 @@
         start_response(format_status(head.status, head.reason), headers)
         latency_s = read_clock() - call.arrived
         failed = head.status >= SERVER_ERROR
+        if head.length is not None:
+            self.sizes.note(call.route.name, head.length)
 
         def finish(kind: str) -> None:
             self._record(
--- a/src/foxtaildrum/samples.py
+++ b/src/foxtaildrum/samples.py
@@ -45,9 +45,9 @@
         self._pool = pool
         self._dialect = dialect
 
-    def sample(self, excluded: frozenset[str]) -> None:
+    def sample(self, excluded: frozenset[str], answer_bytes: float) -> None:
         """Refresh the reports of the upstreams that the pool wants to compare."""
-        upstreams = self._pool.choose_samples(read_clock(), excluded)
+        upstreams = self._pool.choose_samples(read_clock(), excluded, answer_bytes)
         asked = [a for a in map(self._ask, upstreams) if a is not None]
         if asked:
             self._collect(asked)
--- a/src/foxtaildrum/views.py
+++ b/src/foxtaildrum/views.py
@@ -69,6 +69,15 @@
     def _publish_tables(self, node: Node) -> set[str]:
         """Put the tables in force; return the pools that are new or changed."""
         tables = node.state.tables
+        versions = {f"{n}_version": t.version for n, t in tables.tables.items()}
+        log_event(
+            "tables_in_force",
+            index=node.follower.index,
+            version=tables.desired_number,
+            **versions,
+        )
+        if self._settings.role == "control":
+            return set()
         routes = tables.list_routes()
         known = self._proxy.view.pools
         pools = {}
@@ -96,10 +105,9 @@
         self._proxy.view = View(Router(routes), pools, chooser)
         self.apply_limits(Limits(**tables.limits))
         self._meter.set_routes(routes)
+        self._proxy.sizes.keep({route.name for route in routes})
         for name in set(known) - set(pools):
             known[name].close()
-        versions = {f"{n}_version": t.version for n, t in tables.tables.items()}
-        log_event("tables_in_force", index=node.follower.index, **versions)
         return changed
 
     def _pass_draining(self, upstream_id: str) -> None:
