Spend the fleet's whole share of retries; tell a shed request to come back at once

Change: the retry ratio is a setting where the pool's row has none; every request earns, whatever becomes of it; shares count instances that seem dead; a shed request may come back after 20 ms.

--- a/scripts/generate_checks.py
+++ b/scripts/generate_checks.py
@@ -29,7 +29,7 @@
     code = re.sub(r"raise JsonSchemaValueException\(.*", "raise SchemaMismatchError", code)
     code = re.sub(r"(?m)^def validate\(.*?(?=^def )", "", code, flags=re.DOTALL)
     code = code.replace("validate____defs_", "check_")
-    code = code.replace(", Decimal)", ")")
+    code = re.sub(r", Decimal\b", "", code)
     with open(out_path, "w", encoding="utf-8") as file:
         file.write(f"{HEADER}\nimport re\n\n{IMPORTS}\n{code}")
 
--- a/src/foxtaildrum/balancer.py
+++ b/src/foxtaildrum/balancer.py
@@ -32,6 +32,7 @@
 PROBE_COST_S = 0.006
 PROBE_AGE_SERVICE_TIMES = 3.0
 MEAN_FADE_SERVICE_TIMES = 3.0
+DEFAULT_RETRY_RATIO = 0.1
 RETRY_TOKENS = 10.0
 SILENT_PACE = 10.0
 LARGE_ANSWER_BYTES = 30_000
@@ -257,7 +258,8 @@
         self._probe_tokens = 0.0
         self._probes_at = 0.0
         self._displaced: list[Ticket] = []
-        self.retry_budget = Budget(pool.retry_budget_ratio, RETRY_TOKENS, RETRY_TOKENS)
+        self.default_retry_ratio = DEFAULT_RETRY_RATIO
+        self.retry_budget = Budget(DEFAULT_RETRY_RATIO, RETRY_TOKENS, RETRY_TOKENS)
         self.measuring_budget = Budget(pool.measuring_budget_ratio, 0.0)
         self.configure(pool)
 
@@ -265,7 +267,8 @@
         """Take over a changed row of the pools table."""
         self.pool = pool
         self.choose = get_policy(pool.policy)
-        self.retry_budget.ratio = pool.retry_budget_ratio
+        own_ratio = pool.retry_budget_ratio
+        self.retry_budget.ratio = self.default_retry_ratio if own_ratio is None else own_ratio
         self.measuring_budget.ratio = pool.measuring_budget_ratio
 
     def update_members(self, now: float, entries: Iterable[Entry]) -> list[Ticket]:
@@ -440,14 +443,22 @@
             return False
         return self.retry_budget.spend(1.0)
 
+    def set_default_retry_ratio(self, ratio: float) -> None:
+        """Set the retries allowed per request where the pool's row does not say."""
+        self.default_retry_ratio = ratio
+        self.configure(self.pool)
+
     def set_retry_slack(self, tokens: float) -> None:
         """Set the share of extra arrivals that the fleet may make beside the ratio."""
         self._shares_retries = True
         self.retry_budget.resize(tokens)
 
-    def earn_budgets(self, held_s: float) -> None:
-        """Credit the budgets for one finished request."""
+    def note_request(self) -> None:
+        """Credit the retry budget for one request, whatever becomes of it."""
         self.retry_budget.earn(1.0)
+
+    def earn_measuring(self, held_s: float) -> None:
+        """Credit the measuring budget for one finished request."""
         capacity = HEDGE_TOKENS_SERVICE_TIMES * self.load.mean_service_s
         self.measuring_budget.capacity = max(capacity, 2 * PROBE_COST_S)
         self.measuring_budget.earn(held_s)
--- a/src/foxtaildrum/checks.py
+++ b/src/foxtaildrum/checks.py
@@ -154,7 +154,7 @@
         if "retry_budget_ratio" in data_keys:
             data_keys.remove("retry_budget_ratio")
             data__retrybudgetratio = data["retry_budget_ratio"]
-            if not isinstance(data__retrybudgetratio, (int, float)) or isinstance(
+            if not isinstance(data__retrybudgetratio, (int, float, type(None))) or isinstance(
                 data__retrybudgetratio, bool
             ):
                 raise SchemaMismatchError
@@ -696,6 +696,20 @@
                     raise SchemaMismatchError
                 if data__probespers > 10000:
                     raise SchemaMismatchError
+        if "retry_budget_ratio" in data_keys:
+            data_keys.remove("retry_budget_ratio")
+            data__retrybudgetratio = data["retry_budget_ratio"]
+            if not isinstance(data__retrybudgetratio, (int, float)) or isinstance(
+                data__retrybudgetratio, bool
+            ):
+                raise SchemaMismatchError
+            if isinstance(data__retrybudgetratio, (int, float)) and not isinstance(
+                data__retrybudgetratio, bool
+            ):
+                if data__retrybudgetratio < 0:
+                    raise SchemaMismatchError
+                if data__retrybudgetratio > 1:
+                    raise SchemaMismatchError
         if "retry_slack" in data_keys:
             data_keys.remove("retry_slack")
             data__retryslack = data["retry_slack"]
--- a/src/foxtaildrum/dispatch.py
+++ b/src/foxtaildrum/dispatch.py
@@ -193,6 +193,7 @@
 
     def run(self) -> Refusal | UpstreamAnswer:
         """Return the answer to the caller; its body may still be on its way."""
+        self._pool.note_request()
         self._feed(x.Start())
         while self._result is None:
             if self._actions:
--- a/src/foxtaildrum/node.py
+++ b/src/foxtaildrum/node.py
@@ -314,9 +314,14 @@
         self._out += self.receipts.take_out(now, voters)
 
     def count_entries(self) -> int:
-        """Return the instances that serve callers, this one at least."""
+        """Return the instances that serve callers, this one at least.
+
+        Those that seem dead count: an instance that is cut off must not take the shares
+        of the others.
+        """
         members = self.members.members.values()
-        return max(1, sum(m.usable and m.role != "control" for m in members))
+        present = (m for m in members if m.state is not MemberState.LEFT)
+        return max(1, sum(m.role != "control" for m in present))
 
     def restore_upstreams(self, now: float, records: list[list[Any]]) -> None:
         """Take over what the disk holds of the upstream list.
--- a/src/foxtaildrum/pools.py
+++ b/src/foxtaildrum/pools.py
@@ -77,6 +77,16 @@
             self._balancer.configure(pool)
             self._balancer.busy_limit = busy_limit
 
+    def note_request(self) -> None:
+        """Credit the retry budget for one request."""
+        with self._lock:
+            self._balancer.note_request()
+
+    def set_default_retry_ratio(self, ratio: float) -> None:
+        """Set the retries allowed per request where the pool's row does not say."""
+        with self._lock:
+            self._balancer.set_default_retry_ratio(ratio)
+
     def set_retry_slack(self, tokens: float) -> None:
         """Set how many retries this instance may make at once beside the ratio."""
         with self._lock:
@@ -119,7 +129,7 @@
             settled = self._balancer.release(now, upstream, result, held_s)
             if result is Ended.OK:
                 self._latency.record(now, held_s)
-                self._balancer.earn_budgets(held_s)
+                self._balancer.earn_measuring(held_s)
         _wake_all(settled)
 
     def note_answer(
--- a/src/foxtaildrum/problem.py
+++ b/src/foxtaildrum/problem.py
@@ -11,7 +11,11 @@
 
 CONTENT_TYPE = "application/problem+json"
 RETRY_AFTER_S = 0.25
-RETRY_AFTER_BY_KIND_S = {ErrorKind.NOT_READY: 0.8, ErrorKind.NO_UPSTREAM: 0.5}
+RETRY_AFTER_BY_KIND_S = {
+    ErrorKind.NOT_READY: 0.8,
+    ErrorKind.NO_UPSTREAM: 0.5,
+    ErrorKind.SHED: 0.02,
+}
 OUTCOME_HEADER = "Foxtaildrum-Outcome"
 
 StartResponse = Callable[[str, list[tuple[str, str]]], object]
--- a/src/foxtaildrum/records.py
+++ b/src/foxtaildrum/records.py
@@ -74,9 +74,9 @@
     """
     Share of the pool's upstream time that probes and hedges may cost.
     """
-    retry_budget_ratio: float = 0.1
+    retry_budget_ratio: float | None = None
     """
-    Retries allowed per request.
+    Retries allowed per request; null takes the setting.
     """
     load_path: str = ""
     """
@@ -206,6 +206,10 @@
     """
     Status checks that each upstream may get a second from all entry instances together.
     """
+    retry_budget_ratio: float = 0.1
+    """
+    Retries allowed per request in pools whose row does not say.
+    """
     retry_slack: float = 0
     """
     Retries and hedges of a pool allowed at once by all entry instances together, beside the ratio; 0 allows 10 to each instance.
--- a/src/foxtaildrum/views.py
+++ b/src/foxtaildrum/views.py
@@ -99,6 +99,7 @@
                     random.Random(),
                 )
             pool.configure(record, busy_limit)
+            pool.set_default_retry_ratio(self._settings.retry_budget_ratio)
             self._set_budgets(pool)
             pools[record.name] = pool
         chooser = PoolChooser(routes, self._proxy.view.chooser)
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -284,7 +284,8 @@
     now = 0.0
     for _ in range(200):
         now += 0.1
-        balancer.earn_budgets(0.02)
+        balancer.note_request()
+        balancer.earn_measuring(0.02)
         held += 0.02
         balancer.report_load(now, balancer.upstreams["a"], LoadReport(1.0))
         while (target := balancer.choose_probe(now)) is not None:
@@ -297,7 +298,7 @@
     pool = Pool(name="p", load_path="/load", measuring_budget_ratio=0.0)
     balancer = Balancer(pool, "here", 4, random.Random(1))
     balancer.update_members(0.0, [build_entry("a")])
-    balancer.earn_budgets(100.0)
+    balancer.earn_measuring(100.0)
     assert balancer.choose_probe(1.0) is None
 
 
