Log decisions from a closed list of events; explain a request from its id

Cause: on-call engineers had a line a request at most, on standard error, unbounded, and no way from a request's id to its cause.

Change: events and their fields are in the schema; lines go to standard output by a queue that drops and counts; each event is bounded a second, half of it kept for failures; an attempt line tells on which report a choice rested and how old it was; leaders, voters, currency, drains and members are logged as they change; 'foxtaildrum explain' puts the story of one request together from several logs.

--- a/scripts/generate.sh
+++ b/scripts/generate.sh
@@ -14,3 +14,7 @@
 checks="${2:-src/foxtaildrum/checks.py}"
 python scripts/generate_checks.py src/foxtaildrum/schema.json "$checks"
 ruff format --quiet "$checks"
+
+events="${3:-src/foxtaildrum/logevents.py}"
+python scripts/generate_events.py src/foxtaildrum/schema.json "$events"
+ruff format --quiet "$events"
--- a/src/foxtaildrum/checks.py
+++ b/src/foxtaildrum/checks.py
@@ -743,6 +743,24 @@
                 data__datadir_len = len(data__datadir)
                 if data__datadir_len < 1:
                     raise SchemaMismatchError
+        if "log_lines_per_s" in data_keys:
+            data_keys.remove("log_lines_per_s")
+            data__loglinespers = data["log_lines_per_s"]
+            if (
+                not isinstance(data__loglinespers, (int))
+                and not (
+                    isinstance(data__loglinespers, float) and data__loglinespers.is_integer()
+                )
+                or isinstance(data__loglinespers, bool)
+            ):
+                raise SchemaMismatchError
+            if isinstance(data__loglinespers, (int, float)) and not isinstance(
+                data__loglinespers, bool
+            ):
+                if data__loglinespers < 0:
+                    raise SchemaMismatchError
+                if data__loglinespers > 100000:
+                    raise SchemaMismatchError
         if "dialect" in data_keys:
             data_keys.remove("dialect")
             data__dialect = data["dialect"]
--- a/src/foxtaildrum/cli.py
+++ b/src/foxtaildrum/cli.py
@@ -27,6 +27,7 @@
     InvalidTableError,
     StaleVersionError,
 )
+from .explain import explain_request, format_story
 from .instance import Instance
 from .logs import configure_logs, log_event
 from .objectives import merge_levels
@@ -88,6 +89,10 @@
     check = commands.add_parser("check", help="validate table files without an instance")
     check.add_argument("files", nargs="+", metavar="FILE")
     check.set_defaults(run=run_check)
+    explain = commands.add_parser("explain", help="tell the story of one request from logs")
+    explain.add_argument("request_id", metavar="REQUEST-ID")
+    explain.add_argument("files", nargs="+", metavar="FILE", help="logs of instances")
+    explain.set_defaults(run=run_explain)
     status = commands.add_parser("status", help="show the state of an instance")
     _add_admin_flags(status)
     status.add_argument("--format", choices=("text", "json"), default="text")
@@ -102,7 +107,7 @@
 def run_serve(arguments: argparse.Namespace) -> int:
     """Run an instance until a signal stops it."""
     settings = load_settings(vars(arguments), os.environ)
-    configure_logs(settings.log_level, settings.log_format)
+    configure_logs(settings.log_level, settings.log_format, settings.log_lines_per_s)
     stop_requested = threading.Event()
 
     def handle_signal(number: int, frame: Any) -> None:
@@ -200,6 +205,14 @@
     return EXIT_OK
 
 
+def run_explain(arguments: argparse.Namespace) -> int:
+    """Tell the story of one request from the logs of several instances."""
+    logs = {path: Path(path).read_text("utf-8", "replace") for path in arguments.files}
+    story = explain_request(arguments.request_id, logs)
+    print("\n".join(format_story(story)))
+    return EXIT_OK if story.lines else EXIT_FAILED
+
+
 def run_status(arguments: argparse.Namespace) -> int:
     """Show the state of an instance."""
     status = _build_client(arguments).get_status()
--- a/src/foxtaildrum/dispatch.py
+++ b/src/foxtaildrum/dispatch.py
@@ -4,7 +4,6 @@
 
 import http.client
 import select
-import tempfile
 from collections import deque
 from collections.abc import Callable, Iterator
 from typing import IO
@@ -29,6 +28,7 @@
 CONNECT_TIMEOUT_S = 0.4
 CALLER_POLL_S = 0.05
 PREFETCH_BYTES = 262_144
+UNKNOWN_AGE_S = 3600.0
 
 
 class TruncatedAnswerError(Exception):
@@ -119,11 +119,21 @@
 class _Try:
     """Resources of one attempt."""
 
-    __slots__ = ("body", "connection", "granted_at", "head", "released", "upstream")
+    __slots__ = (
+        "body",
+        "connection",
+        "granted_at",
+        "head",
+        "known",
+        "released",
+        "upstream",
+    )
 
     def __init__(self, upstream: UpstreamLoad, granted_at: float) -> None:
         self.upstream = upstream
         self.granted_at = granted_at
+        # What the choice rested on; the upstream's figures go on changing.
+        self.known = (upstream.reported_others, upstream.pace, upstream.reported_at)
         self.released = False
         self.connection: Connection | None = None
         self.head: Head | None = None
@@ -293,6 +303,25 @@
             self._pool.get_connections(attempt.upstream).give(now, connection)
         held_s = now - attempt.granted_at
         self._pool.release(now, attempt.upstream, action.ended, held_s)
+        if action.ended is not x.Ended.OK or len(self._tries) > 1:
+            self._log_attempt(action, attempt, held_s)
+
+    def _log_attempt(self, action: x.Release, attempt: _Try, held_s: float) -> None:
+        others, pace, reported_at = attempt.known
+        age_s = attempt.granted_at - reported_at
+        log_event(
+            "attempt",
+            failed=action.ended not in (x.Ended.OK, x.Ended.CANCELLED),
+            request_id=self._request.request_id,
+            attempt=action.attempt,
+            upstream=attempt.upstream.upstream_id,
+            ended=action.ended.value,
+            status=attempt.head.status if attempt.head else 0,
+            held_ms=round(held_s * 1000, 1),
+            others=round(others, 1),
+            pace=pace,
+            report_age_ms=round(age_s * 1000, 1) if age_s < UNKNOWN_AGE_S else -1,
+        )
 
     def _relay(self, action: x.Relay) -> None:
         attempt = self._tries[action.attempt]
@@ -409,6 +438,9 @@
             return b"".join(self._read_body(attempt))
         if not self._spool_chunked:
             return None
+        # Only a caller of HTTP/1.0 needs it, and the module is large.
+        import tempfile
+
         spool = tempfile.SpooledTemporaryFile(max_size=CHUNK_BYTES)  # noqa: SIM115
         for chunk in self._read_body(attempt):
             spool.write(chunk)
--- a/src/foxtaildrum/instance.py
+++ b/src/foxtaildrum/instance.py
@@ -22,7 +22,7 @@
 from .events import Received
 from .exceptions import CorruptJournalError
 from .journal import FolderDisk, Journal
-from .logs import configure_logs, log_event
+from .logs import LOGGER_NAME, log_event
 from .membership import Member, MemberState
 from .metrics import Meter, StatsdSender
 from .node import CLAIM_STREAM, LOG_STREAM, UPSTREAM_STREAM, Joining, Node, Write
@@ -140,7 +140,7 @@
         if "seeds" in changed:
             self._node.replace_seeds(parse_control(settings.seeds))
         if "log_level" in changed:
-            configure_logs(settings.log_level, settings.log_format)
+            logging.getLogger(LOGGER_NAME).setLevel(settings.log_level.upper())
         for name in RELOADABLE.intersection(changed):
             setattr(self.settings, name, getattr(settings, name))
         return sorted(set(changed) - RELOADABLE)
--- a/src/foxtaildrum/node.py
+++ b/src/foxtaildrum/node.py
@@ -36,7 +36,7 @@
 from .reads import ReadDone, Reader
 from .receipts import Receipts, ReceiptsDone
 from .tables import Change
-from .upstreams import Entry, UpstreamList
+from .upstreams import READY, Entry, UpstreamList
 
 START_AGE_S = 5.0
 CUT_OFF_S = 15.0
@@ -68,6 +68,16 @@
     upstream_ids: list[str]
 
 
+@dataclass(slots=True)
+class UpstreamLeaving:
+    """An upstream drains or has left."""
+
+    upstream_id: str
+    pool: str
+    state: str
+    incarnation: int
+
+
 @dataclass(slots=True)
 class MemberChanged:
     """Another instance changed its state."""
@@ -84,6 +94,7 @@
     | ReadDone
     | ReceiptsDone
     | UpstreamsLost
+    | UpstreamLeaving
     | MemberChanged
 )
 
@@ -455,6 +466,7 @@
         if news:
             message = r.UpstreamNews(entries=[e.to_wire(now) for e in news], token="")
             self._out += [Send(t, message) for t in self._pick_news_targets()]
+            self._out += [_describe_leaving(e) for e in news if e.state != READY]
         self._out += self.members.flush_news()
         for member in self.members.take_changed():
             if member is not self.members.me:
@@ -765,5 +777,12 @@
         return self._node.find_address(instance_id)
 
 
+def _describe_leaving(entry: Entry) -> UpstreamLeaving:
+    announcement = entry.announcement
+    return UpstreamLeaving(
+        entry.upstream_id, announcement.pool, entry.state, announcement.incarnation
+    )
+
+
 def _is_control(member: Member) -> bool:
     return member.usable and member.role in CONTROL_ROLES
--- a/src/foxtaildrum/proxy.py
+++ b/src/foxtaildrum/proxy.py
@@ -56,17 +56,23 @@
         Matches requests to routes.
     pools : dict
         Pools by name.
+    chooser : PoolChooser or None
+        Names the pool of each request.
+    version : int
+        Number of the desired state in force.
     """
 
-    __slots__ = ("chooser", "pools", "router")
+    __slots__ = ("chooser", "pools", "router", "version")
 
     def __init__(
         self,
         router: Router,
         pools: dict[str, UpstreamPool],
         chooser: PoolChooser | None = None,
+        version: int = 0,
     ) -> None:
         self.router = router
+        self.version = version
         self.chooser = chooser or PoolChooser([])
         self.pools = pools
 
@@ -254,7 +260,15 @@
         status = self.dialect.get_status(kind, outcome)
         latency_s = read_clock() - call.arrived
         failed = status >= SERVER_ERROR
-        self._record(call, status, failed, latency_s, attempts=attempts, kind=kind.value)
+        self._record(
+            call,
+            status,
+            failed,
+            latency_s,
+            attempts=attempts,
+            kind=kind.value,
+            outcome=outcome.value,
+        )
         return send_problem(start_response, kind, outcome, call.request_id, self.dialect)
 
     def _record(
@@ -269,12 +283,14 @@
         if self._access_log:
             log_event(
                 "request",
+                failed=failed or bool(fields["kind"]),
                 request_id=call.request_id,
                 method=call.method,
                 path=call.path,
                 route=route,
                 status=status,
                 latency_ms=round(latency_s * 1000, 3),
+                version=self.view.version,
                 **fields,
             )
 
--- a/src/foxtaildrum/records.py
+++ b/src/foxtaildrum/records.py
@@ -222,6 +222,10 @@
     """
     Folder of the durable state.
     """
+    log_lines_per_s: int = 200
+    """
+    Lines of one event logged a second; half of them are kept for failures.
+    """
     dialect: str = "foxtaildrum"
     """
     Registered name of the names used towards callers and upstreams.
--- a/src/foxtaildrum/runtime.py
+++ b/src/foxtaildrum/runtime.py
@@ -11,13 +11,21 @@
 
 import pykka
 
+from .changelog import ChangeLog
 from .claimer import ClaimSettled
 from .desired import DesiredState
 from .events import Received, Send
 from .exceptions import FrameError
 from .logs import log_event
 from .metrics import Meter
-from .node import ChangeSettled, MemberChanged, Node, UpstreamsLost, Write
+from .node import (
+    ChangeSettled,
+    MemberChanged,
+    Node,
+    UpstreamLeaving,
+    UpstreamsLost,
+    Write,
+)
 from .peers import PeerNetwork
 from .pools import read_clock
 from .reads import ReadDone
@@ -69,6 +77,7 @@
         self._publisher = publisher
         self._meter = meter
         self._futures: dict[str, pykka.Future] = {}
+        self._changes = ChangeLog()
 
     def on_receive(self, message: Any) -> None:
         """Take one message of the ticker, the network or the storage."""
@@ -77,6 +86,7 @@
             self._receive(now, message)
         elif isinstance(message, TimePassed):
             self._perform(now, self._node.tick(now))
+            self._changes.note(now, self._node)
         elif isinstance(message, Written):
             self._note_written(now, message)
 
@@ -195,7 +205,7 @@
                 self._send(action)
             elif isinstance(action, Write):
                 self._storage(action)
-            elif isinstance(action, UpstreamsLost | MemberChanged):
+            elif isinstance(action, UpstreamsLost | MemberChanged | UpstreamLeaving):
                 _log_change(action)
             else:
                 self._settle(action.token, _RESULTS[type(action)](action))
@@ -222,7 +232,16 @@
 }
 
 
-def _log_change(action: UpstreamsLost | MemberChanged) -> None:
+def _log_change(action: UpstreamsLost | MemberChanged | UpstreamLeaving) -> None:
+    if isinstance(action, UpstreamLeaving):
+        log_event(
+            "drain_heard",
+            upstream=action.upstream_id,
+            pool=action.pool,
+            state=action.state,
+            incarnation=action.incarnation,
+        )
+        return
     if isinstance(action, MemberChanged):
         log_event("member_changed", member=action.instance_id, state=action.state)
         return
--- a/src/foxtaildrum/validation.py
+++ b/src/foxtaildrum/validation.py
@@ -4,7 +4,7 @@
 
 import functools
 import json
-from importlib import resources
+import pkgutil
 from typing import TYPE_CHECKING, Any
 
 from . import checks
@@ -25,8 +25,7 @@
 @functools.cache
 def load_schema() -> dict[str, Any]:
     """Return the packaged schema."""
-    text = resources.files(__package__).joinpath("schema.json").read_text("utf-8")
-    return json.loads(text)
+    return json.loads(pkgutil.get_data(__package__, "schema.json"))
 
 
 @functools.cache
--- a/src/foxtaildrum/views.py
+++ b/src/foxtaildrum/views.py
@@ -103,7 +103,7 @@
             self._set_budgets(pool)
             pools[record.name] = pool
         chooser = PoolChooser(routes, self._proxy.view.chooser)
-        self._proxy.view = View(Router(routes), pools, chooser)
+        self._proxy.view = View(Router(routes), pools, chooser, tables.desired_number)
         self.apply_limits(Limits(**tables.limits))
         self._meter.set_routes(routes)
         self._proxy.sizes.keep({route.name for route in routes})
