--- a/src/foxtaildrum/balancer.py
+++ b/src/foxtaildrum/balancer.py
@@ -35,6 +35,8 @@
 DEFAULT_RETRY_RATIO = 0.1
 RETRY_TOKENS = 10.0
 SILENT_PACE = 10.0
+SILENT_PAUSE_S = 0.1
+SILENT_PAUSE_MAX_S = 4.0
 LARGE_ANSWER_BYTES = 30_000
 FAR_SAMPLES = 1
 MOVED_PAUSE_S = 2.0
@@ -73,6 +75,7 @@
         "reported_others",
         "service_s",
         "sheds",
+        "silences",
         "slots",
         "state",
         "upstream_id",
@@ -92,6 +95,7 @@
         self.reported_at = float("-inf")
         self.service_s = 0.0
         self.sheds = 0
+        self.silences = 0
         self.failures = 0
         self.failure_level = 0.0
         self.failed_at = float("-inf")
@@ -348,6 +352,7 @@
         """Take the load that an answer reported, its own request included."""
         others = max(0.0, report.slots_in_use - upstream.in_flight)
         upstream.pace = report.pace
+        upstream.silences = 0
         self.load.mean_pace += (report.pace - self.load.mean_pace) * MEAN_WEIGHT
         upstream.reported_others = others
         upstream.reported_at = now
@@ -391,6 +396,9 @@
         """Take note that an upstream did not answer a status check in time."""
         upstream.pace = SILENT_PACE
         upstream.reported_at = now
+        pause_s = min(SILENT_PAUSE_MAX_S, SILENT_PAUSE_S * 2**upstream.silences)
+        upstream.silences += 1
+        upstream.ejected_until = max(upstream.ejected_until, now + pause_s)
 
     def note_moved(self, now: float, upstream: UpstreamLoad) -> None:
         """Take note that another upstream answers at the address."""
--- a/src/foxtaildrum/node.py
+++ b/src/foxtaildrum/node.py
@@ -658,10 +658,21 @@
 
     def _on_upstream_news(self, now: float, peer: str, message: r.UpstreamNews) -> None:
         for fields in message.entries:
-            self.upstreams.merge(now, Entry.from_wire(now, fields))
+            entry = Entry.from_wire(now, fields)
+            if not self._has_expired_here(entry):
+                self.upstreams.merge(now, entry)
         if message.token:
             self._out.append(Send(peer, r.NewsReceipt(token=message.token)))
 
+    def _has_expired_here(self, entry: Entry) -> bool:
+        """Return whether an entry without an owner has run out here already.
+
+        Others let it run out a moment later; taken back from them it would live on.
+        """
+        owner = self.members.members.get(entry.owner)
+        is_orphan = owner is not None and not owner.usable and not entry.dead
+        return is_orphan and entry.upstream_id not in self.upstreams.entries
+
     def _on_news_receipt(self, now: float, peer: str, message: r.NewsReceipt) -> None:
         self.receipts.take_receipt(peer, message)
         self._tell_again(now)
--- a/src/foxtaildrum/policies.py
+++ b/src/foxtaildrum/policies.py
@@ -20,6 +20,8 @@
 REMOTE_ZONE_COST = 0.1
 REMOTE_BYTE_COST = 1e-4
 MAX_LOAD_RATIO = 2.0
+FRESH_LOAD_RATIO = 1.15
+FRESH_S = 0.02
 TIE_MARGIN_SLOTS = 0.05
 HOT_COLD_SAMPLE = 16
 HOT_QUANTILE = 0.75
@@ -102,13 +104,14 @@
     """
     fade_s = REPORT_FADE_SERVICE_TIMES * pool.mean_service_s
     mean_others = pool.estimate_mean_others(now)
+    limit = _limit_load(now, candidates)
     acceptable = []
     scores = []
     for candidate in candidates:
         weight = math.exp((candidate.reported_at - now) / fade_s)
         others = mean_others + (candidate.reported_others - mean_others) * weight
         score = others + candidate.in_flight
-        if score >= candidate.slots * MAX_LOAD_RATIO:
+        if score >= candidate.slots * limit:
             continue
         acceptable.append(candidate)
         pace = _estimate_pace(now, candidate, pool)
@@ -150,6 +153,13 @@
     return candidate.last_turn
 
 
+def _limit_load(now: float, candidates: Sequence[UpstreamLoad]) -> float:
+    # Fresh reports tell a full pool from a busy upstream: what would only wait behind
+    # others is better refused while its caller can still come back in time.
+    fresh = any(now - c.reported_at <= FRESH_S for c in candidates)
+    return FRESH_LOAD_RATIO if fresh else MAX_LOAD_RATIO
+
+
 def _estimate_pace(now: float, candidate: UpstreamLoad, pool: PoolLoad) -> float:
     # The pace of an upstream changes many times a second, so a report of it fades fast.
     weight = math.exp((candidate.reported_at - now) / PACE_FADE_S)
--- a/src/foxtaildrum/problem.py
+++ b/src/foxtaildrum/problem.py
@@ -15,6 +15,7 @@
     ErrorKind.NOT_READY: 0.8,
     ErrorKind.NO_UPSTREAM: 0.5,
     ErrorKind.SHED: 0.02,
+    ErrorKind.OVERLOADED: 0.1,
 }
 OUTCOME_HEADER = "Foxtaildrum-Outcome"
 
--- a/tests/test_upstreams.py
+++ b/tests/test_upstreams.py
@@ -153,3 +153,58 @@
     fleet.crash("e1")
     fleet.run(60.0)
     assert len(list_knowing(fleet)) == 7
+
+
+def test_an_address_belongs_to_the_latest_incarnation_whatever_comes_late():
+    upstreams = UpstreamList("me")
+    announce_at(upstreams, "old", 5, "10.0.0.1:80")
+    announce_at(upstreams, "new", 9, "10.0.0.1:80")
+    assert [e.upstream_id for e in upstreams.list_members("p")] == ["new"]
+    announce_at(upstreams, "old", 5, "10.0.0.1:80")
+    assert [e.upstream_id for e in upstreams.list_members("p")] == ["new"]
+
+
+def test_a_call_that_overtook_an_older_one_is_not_undone_by_it():
+    upstreams = UpstreamList("me")
+    announce_at(upstreams, "u", 1, "10.0.0.1:80", sequence=5)
+    with pytest.raises(StaleAnnouncementError):
+        announce_at(upstreams, "u", 1, "10.0.0.1:80", sequence=4)
+    announce_at(upstreams, "u", 2, "10.0.0.1:80", sequence=1)
+    assert upstreams.entries["u"].announcement.incarnation == 2
+
+
+def test_an_unknown_upstream_that_leaves_stays_away():
+    upstreams = UpstreamList("me")
+    assert upstreams.leave(0.0, "u", 7)
+    with pytest.raises(StaleAnnouncementError):
+        announce_at(upstreams, "u", 7, "10.0.0.1:80")
+    announce_at(upstreams, "u", 8, "10.0.0.1:80")
+    assert [e.upstream_id for e in upstreams.list_members("p")] == ["u"]
+
+
+def test_the_leave_of_an_older_incarnation_takes_nothing_out():
+    upstreams = UpstreamList("me")
+    announce_at(upstreams, "u", 8, "10.0.0.1:80")
+    assert upstreams.leave(0.0, "u", 7)
+    assert [e.upstream_id for e in upstreams.list_members("p")] == ["u"]
+
+
+@pytest.mark.parametrize("cut", [0, 1, 2])
+def test_a_drain_is_acknowledged_only_once_most_control_instances_know_it(cut):
+    fleet = form_fleet(3, 2)
+    fleet.announce("c1", "u")
+    fleet.run(1.0)
+    fleet.cut(["c2", "c3"][:cut])
+    host = fleet.hosts["c1"]
+    document = Announcement(pool="p", address="127.0.0.1:1", incarnation=1, state=DRAINING)
+    _, actions = host.node.announce(host.read_clock(), "u", document, "token")
+    fleet.perform(host, actions)
+    fleet.run(2.0)
+    assert fleet.receipts == {"token": cut < 2}
+
+
+def announce_at(upstreams, upstream_id, incarnation, address, sequence=0):
+    document = Announcement(
+        pool="p", address=address, incarnation=incarnation, sequence=sequence
+    )
+    upstreams.announce(0.0, upstream_id, document, lambda _: True)
