Avoid upstreams that are far too slow; hedge from the shared budget of extra arrivals

Change: a report fades towards what is usual at its upstream; an upstream far slower than the pool takes nothing; hedges are paid from the shared budget where there is one.

--- a/src/foxtaildrum/balancer.py
+++ b/src/foxtaildrum/balancer.py
@@ -28,6 +28,7 @@
 INITIAL_SERVICE_S = 0.01
 MEAN_WEIGHT = 0.05
 LATENCY_WEIGHT = 0.2
+USUAL_PACE_WEIGHT = 0.2
 RUN_SERVICE_TIMES = 2.0
 PROBE_COST_S = 0.006
 PROBE_AGE_SERVICE_TIMES = 3.0
@@ -79,6 +80,7 @@
         "slots",
         "state",
         "upstream_id",
+        "usual_pace",
     )
 
     def __init__(self, upstream_id: str) -> None:
@@ -92,6 +94,7 @@
         self.last_turn = 0
         self.reported_others = 0.0
         self.pace = 1.0
+        self.usual_pace = 1.0
         self.reported_at = float("-inf")
         self.service_s = 0.0
         self.sheds = 0
@@ -256,7 +259,7 @@
         self.busy_limit = sys.maxsize
         self.upstreams: dict[str, UpstreamLoad] = {}
         self.queue: OrderedDict[int, Ticket] = OrderedDict()
-        self._shares_retries = False
+        self.shares_retries = False
         self._probes_per_s = 0.0
         self._sample_size = 0
         self._probe_tokens = 0.0
@@ -352,6 +355,7 @@
         """Take the load that an answer reported, its own request included."""
         others = max(0.0, report.slots_in_use - upstream.in_flight)
         upstream.pace = report.pace
+        upstream.usual_pace += (report.pace - upstream.usual_pace) * USUAL_PACE_WEIGHT
         upstream.silences = 0
         self.load.mean_pace += (report.pace - self.load.mean_pace) * MEAN_WEIGHT
         upstream.reported_others = others
@@ -439,17 +443,13 @@
         return sum(u.slots for u in self.upstreams.values() if u.state == READY)
 
     def spend_hedge(self) -> bool:
-        """Take one hedge from the budgets; return whether it was there.
+        """Take one hedge from its budget; return whether it was there.
 
-        Where the fleet shares a budget of extra arrivals, a hedge is paid from it too.
+        Where the fleet shares a budget of extra arrivals, a hedge is paid from it alone.
         """
-        if not self._shares_retries:
-            return self.measuring_budget.spend(self.load.mean_service_s)
-        if not self.retry_budget.has(1.0):
-            return False
-        if not self.measuring_budget.spend(self.load.mean_service_s):
-            return False
-        return self.retry_budget.spend(1.0)
+        if self.shares_retries:
+            return self.retry_budget.spend(1.0)
+        return self.measuring_budget.spend(self.load.mean_service_s)
 
     def set_default_retry_ratio(self, ratio: float) -> None:
         """Set the retries allowed per request where the pool's row does not say."""
@@ -458,7 +458,7 @@
 
     def set_retry_slack(self, tokens: float) -> None:
         """Set the share of extra arrivals that the fleet may make beside the ratio."""
-        self._shares_retries = True
+        self.shares_retries = True
         self.retry_budget.resize(tokens)
 
     def note_request(self) -> None:
--- a/src/foxtaildrum/budget.py
+++ b/src/foxtaildrum/budget.py
@@ -27,10 +27,6 @@
         """Credit the share of ``amount`` units of useful work."""
         self._tokens = min(self.capacity, self._tokens + amount * self.ratio)
 
-    def has(self, cost: float) -> bool:
-        """Return whether ``cost`` tokens are there."""
-        return self.ratio > 0 and self._tokens >= cost
-
     def resize(self, capacity: float) -> None:
         """Change the most tokens held at once; what is held grows by the difference."""
         if capacity != self.capacity:
--- a/src/foxtaildrum/policies.py
+++ b/src/foxtaildrum/policies.py
@@ -17,6 +17,9 @@
 REPORT_FADE_SERVICE_TIMES = 3.0
 FAILURE_FADE_S = 2.0
 PACE_FADE_S = 0.1
+USUAL_FADE_S = 4.0
+MAX_PACE = 3.0
+MAX_PACE_RATIO = 1.5
 REMOTE_ZONE_COST = 0.1
 REMOTE_BYTE_COST = 1e-4
 MAX_LOAD_RATIO = 2.0
@@ -99,12 +102,14 @@
 ) -> UpstreamLoad | None:
     """Choose the lowest estimate, in which reports fade with their age.
 
-    Returns None when every candidate has more waiting than it serves: the request then
-    waits in the instance, from where it can still go anywhere or be refused.
+    Returns None when every candidate has more waiting than it serves or is far slower
+    than usual: the request then waits in the instance, from where it can still go
+    anywhere or be refused.
     """
     fade_s = REPORT_FADE_SERVICE_TIMES * pool.mean_service_s
     mean_others = pool.estimate_mean_others(now)
     limit = _limit_load(now, candidates)
+    pace_limit = max(MAX_PACE, MAX_PACE_RATIO * pool.mean_pace)
     acceptable = []
     scores = []
     for candidate in candidates:
@@ -113,8 +118,10 @@
         score = others + candidate.in_flight
         if score >= candidate.slots * limit:
             continue
-        acceptable.append(candidate)
         pace = _estimate_pace(now, candidate, pool)
+        if pace > pace_limit:
+            continue
+        acceptable.append(candidate)
         score = (score + candidate.slots) * pace - candidate.slots
         score += _estimate_failure_cost(now, candidate)
         if candidate.ramp_until > now:
@@ -161,9 +168,17 @@
 
 
 def _estimate_pace(now: float, candidate: UpstreamLoad, pool: PoolLoad) -> float:
-    # The pace of an upstream changes many times a second, so a report of it fades fast.
-    weight = math.exp((candidate.reported_at - now) / PACE_FADE_S)
-    return pool.mean_pace + (candidate.pace - pool.mean_pace) * weight
+    # The pace of an upstream changes many times a second, so a report of it fades fast
+    # towards what is usual there, and that more slowly towards what is usual in the pool.
+    # A few quick reports do not make an old one better than a fresh report of another.
+    age_s = now - candidate.reported_at
+    usual = max(candidate.usual_pace, pool.mean_pace)
+    usual = _fade(usual, pool.mean_pace, age_s / USUAL_FADE_S)
+    return _fade(candidate.pace, usual, age_s / PACE_FADE_S)
+
+
+def _fade(value: float, towards: float, ages: float) -> float:
+    return towards + (value - towards) * math.exp(-ages)
 
 
 def _estimate_failure_cost(now: float, candidate: UpstreamLoad) -> float:
--- a/src/foxtaildrum/pools.py
+++ b/src/foxtaildrum/pools.py
@@ -21,6 +21,7 @@
 
 HEDGE_PERCENTILE = 95.0
 HEDGE_MIN_SAMPLES = 50
+HEDGE_OBJECTIVE_RATIO = 0.75
 HEDGE_MIN_SERVICE_TIMES = 2.0
 
 
@@ -198,14 +199,21 @@
                 self._connections[upstream.address] = pool
             return pool
 
-    def compute_hedge_delay(self, now: float) -> float | None:
-        """Return the wait before a hedge in seconds, or None to send none."""
+    def compute_hedge_delay(self, now: float, objective_s: float) -> float | None:
+        """Return the wait before a hedge in seconds, or None to send none.
+
+        Parameters
+        ----------
+        objective_s : float
+            Latency objective of the route, which stands in while few answers are known.
+        """
         balancer = self._balancer
         if balancer.pool.measuring_budget_ratio <= 0:
             return None
         with self._lock:
             if self._latency.count() < HEDGE_MIN_SAMPLES:
-                return None
+                shares = balancer.shares_retries
+                return HEDGE_OBJECTIVE_RATIO * objective_s if shares else None
             quantile = self._latency.compute_quantile(now, HEDGE_PERCENTILE)
         return max(quantile, HEDGE_MIN_SERVICE_TIMES * balancer.load.mean_service_s)
 
--- a/src/foxtaildrum/proxy.py
+++ b/src/foxtaildrum/proxy.py
@@ -188,7 +188,9 @@
         exchange = Exchange(
             idempotent,
             call.arrived + timeout_s,
-            pool.compute_hedge_delay(call.arrived) if idempotent else None,
+            pool.compute_hedge_delay(call.arrived, call.route.objective_latency_ms / 1000)
+            if idempotent
+            else None,
             pool,
             call.route.max_attempts,
             self.dialect.promise_statuses,
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -384,3 +384,31 @@
     assert pauses[0] < pauses[-1]
     balancer.report_load(4.0, upstream, LoadReport(0.0))
     assert upstream.silences == 0
+
+
+def test_an_upstream_that_is_slow_again_and_again_is_avoided_while_its_report_is_old():
+    balancer = build_balancer("ab")
+    for number in range(20):
+        now = 1.0 + number * 0.2
+        balancer.report_load(now, balancer.upstreams["a"], LoadReport(0.0, 10.0))
+        balancer.report_load(now, balancer.upstreams["b"], LoadReport(0.0, 1.0))
+    assert set(choose_often(balancer, now + 1.0, 50)) == {"b"}
+    assert set(choose_often(balancer, now + 120.0, 200)) == {"a", "b"}
+
+
+def test_an_idle_upstream_that_is_far_too_slow_is_no_way_out_of_a_full_pool():
+    balancer = build_balancer("ab")
+    balancer.report_load(1.0, balancer.upstreams["a"], LoadReport(0.0, 12.0))
+    full = LoadReport(balancer.upstreams["b"].slots * 1.5)
+    balancer.report_load(1.0, balancer.upstreams["b"], full)
+    ticket = Ticket(FAR, NOBODY, patience_s=0.05)
+    balancer.request_slot(1.001, ticket, may_wait=True)
+    assert not ticket.settled
+
+
+def test_a_pool_that_is_slow_as_a_whole_is_still_used():
+    balancer = build_balancer("ab")
+    for number in range(200):
+        for upstream in balancer.upstreams.values():
+            balancer.report_load(1.0 + number / 100, upstream, LoadReport(0.0, 8.0))
+    assert ask(balancer, 3.0).granted
