Add 'foxtaildrum tables get|apply' and test both tables as one change over HTTP

Cause: desired states could be put only by hand-written HTTP.

Tests of bad bodies, forged announcements and leaves before an upstream was known.

--- a/src/foxtaildrum/cli.py
+++ b/src/foxtaildrum/cli.py
@@ -17,6 +17,7 @@
 
 from . import __version__
 from .client import AdminClient
+from .desired import ACCEPTED, DesiredState
 from .exceptions import (
     AdminRequestError,
     CorruptJournalError,
@@ -86,6 +87,7 @@
     serve.set_defaults(run=run_serve)
     for name in TABLE_NAMES:
         _add_table_commands(commands, name)
+    _add_desired_commands(commands)
     check = commands.add_parser("check", help="validate table files without an instance")
     check.add_argument("files", nargs="+", metavar="FILE")
     check.set_defaults(run=run_check)
@@ -181,6 +183,51 @@
     return EXIT_OK
 
 
+def run_get_tables(arguments: argparse.Namespace) -> int:
+    """Print both tables and the limits as TOML."""
+    document = _build_client(arguments).get_tables()
+    print(format_desired(document), end="")
+    return EXIT_OK
+
+
+def run_apply_tables(arguments: argparse.Namespace) -> int:
+    """Replace both tables and the limits by the content of a file."""
+    document = read_desired(arguments.file)
+    if arguments.version is not None:
+        document["version"] = arguments.version
+    DesiredState.from_document(document)
+    verdict, version = _build_client(arguments).put_tables(document)
+    print(version)
+    if verdict != ACCEPTED:
+        _complain(f"version {document['version']} changes nothing: {version} is in force")
+    return EXIT_OK
+
+
+def read_desired(path: str) -> dict[str, Any]:
+    """Return the desired state in a TOML file.
+
+    Raises
+    ------
+    InvalidTableError
+        When the file is not TOML.
+    """
+    try:
+        return tomllib.loads(Path(path).read_text("utf-8"))
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        raise InvalidTableError("invalid file", [FieldError(path, str(error))]) from error
+
+
+def format_desired(document: dict[str, Any]) -> str:
+    """Return a desired state as TOML."""
+    blocks = [f"version = {document['version']}\n"]
+    limits = document.get("limits", {})
+    if limits:
+        lines = [f"{name} = {json.dumps(value)}" for name, value in limits.items()]
+        blocks.append("\n".join(["[limits]", *lines]) + "\n")
+    blocks += [format_table(name, document[name]) for name in TABLE_NAMES]
+    return "\n".join(blocks)
+
+
 def run_check(arguments: argparse.Namespace) -> int:
     """Validate table files; references are checked when both tables are given."""
     problems: list[Exception] = []
@@ -271,7 +318,7 @@
     blocks = []
     for row in rows:
         lines = [f"[[{name}]]"]
-        lines += [f"{k} = {json.dumps(v)}" for k, v in row.items() if v is not None]
+        lines += [f"{k} = {_format_value(v)}" for k, v in row.items() if v is not None]
         blocks.append("\n".join(lines) + "\n")
     return "\n".join(blocks)
 
@@ -318,6 +365,30 @@
     return lines
 
 
+def _format_value(value: Any) -> str:
+    """Return a value of a row as TOML."""
+    if isinstance(value, list) and value and isinstance(value[0], dict):
+        items = [
+            "{ " + ", ".join(f"{k} = {json.dumps(v)}" for k, v in item.items()) + " }"
+            for item in value
+        ]
+        return "[" + ", ".join(items) + "]"
+    return json.dumps(value)
+
+
+def _add_desired_commands(commands: Any) -> None:
+    tables = commands.add_parser("tables", help="read or change both tables as one")
+    actions = tables.add_subparsers(metavar="ACTION", required=True)
+    get = actions.add_parser("get", help="print both tables and the limits as TOML")
+    _add_admin_flags(get)
+    get.set_defaults(run=run_get_tables)
+    apply = actions.add_parser("apply", help="replace both tables and the limits by a file")
+    apply.add_argument("file", metavar="FILE")
+    apply.add_argument("--version", type=int, help="number of the change; the highest wins")
+    _add_admin_flags(apply)
+    apply.set_defaults(run=run_apply_tables)
+
+
 def _add_table_commands(commands: Any, name: str) -> None:
     table = commands.add_parser(name, help=f"read or change the {name} table")
     actions = table.add_subparsers(metavar="ACTION", required=True)
--- a/src/foxtaildrum/client.py
+++ b/src/foxtaildrum/client.py
@@ -68,6 +68,36 @@
             _raise_invalid(json.loads(response.data))
         return _read_document(response)["version"]
 
+    def get_tables(self) -> dict[str, Any]:
+        """Return both tables and the limits with every change that was accepted."""
+        return _read_document(self._request("GET", "/v1/tables"))
+
+    def put_tables(self, document: dict[str, Any]) -> tuple[str, int]:
+        """Replace both tables and the limits under the number in ``document``.
+
+        Returns
+        -------
+        str
+            ``accepted``, or ``superseded`` when a higher number is held.
+        int
+            Number that is held now.
+
+        Raises
+        ------
+        StaleVersionError
+            When the number is held with another content.
+        InvalidTableError
+            When the document is not valid.
+        """
+        response = self._request("PUT", "/v1/tables", document)
+        if response.status == 409:
+            held = json.loads(response.data)["version"]
+            raise StaleVersionError(held, "another content under this number")
+        if response.status == 422:
+            _raise_invalid(json.loads(response.data))
+        answer = _read_document(response)
+        return answer["verdict"], answer["version"]
+
     def announce(self, upstream_id: str, announcement: dict[str, Any]) -> None:
         """Announce or renew an upstream."""
         _read_document(self._request("PUT", f"/v1/upstreams/{upstream_id}", announcement))
--- /dev/null
+++ b/tests/test_tables_admin.py
@@ -0,0 +1,128 @@
+"""Both tables as one change, over HTTP and by the command line."""
+
+from __future__ import annotations
+
+import json
+import tomllib
+
+import pytest
+import urllib3
+
+from foxtaildrum.cli import EXIT_FAILED, EXIT_LOST_RACE, EXIT_OK, main
+
+from .sites import open_site
+
+
+@pytest.fixture(scope="module")
+def site(tmp_path_factory):
+    with open_site(tmp_path_factory.mktemp("tables")) as site:
+        yield site
+
+
+@pytest.fixture
+def call(site):
+    http = urllib3.PoolManager(retries=False, timeout=10)
+
+    def call(method, path, body=None):
+        if not isinstance(body, bytes | None):
+            body = json.dumps(body).encode()
+        return http.request(method, f"http://{site.instance.admin.address}{path}", body=body)
+
+    return call
+
+
+def build(number: int, pool: str = "p", **extra):
+    route = {"name": "r", "path_prefix": "/r/", "pool": pool, "type": "safe"}
+    return {"version": number, "routes": [route], "pools": [{"name": pool}], **extra}
+
+
+def get_number(call) -> int:
+    return json.loads(call("GET", "/v1/tables").data)["version"]
+
+
+def test_a_desired_state_is_put_read_resent_overtaken_and_refused(call):
+    document = build(10, limits={"idle_timeout_ms": 15000})
+    assert call("PUT", "/v1/tables", document).status == 200
+    assert json.loads(call("GET", "/v1/tables").data) == document
+    assert call("PUT", "/v1/tables", document).status == 200
+    assert call("PUT", "/v1/tables", build(9, "old")).status == 200
+    assert call("PUT", "/v1/tables", build(10, "other")).status == 409
+    assert json.loads(call("GET", "/v1/tables").data) == document
+
+
+@pytest.mark.parametrize(
+    ("body", "status"),
+    [
+        (b"", 422),
+        (b"{", 400),
+        (b"\xff\xfe", 400),
+        (b"[]", 422),
+        (json.dumps(build(99)).encode()[:-9], 400),
+        (json.dumps({**build(99), "extra": 1}).encode(), 422),
+        (json.dumps({**build(99), "pools": []}).encode(), 422),
+        (json.dumps(build(True)).encode(), 422),
+    ],
+)
+def test_what_cannot_be_read_in_full_is_refused_and_changes_nothing(call, body, status):
+    before = get_number(call)
+    assert call("PUT", "/v1/tables", body).status == status
+    assert get_number(call) == before
+
+
+def test_every_problem_is_named_in_one_answer(call):
+    document = build(99, "missing", extra=1)
+    document["pools"] = [{"name": "a", "colour": 1}]
+    problems = json.loads(call("PUT", "/v1/tables", document).data)["problems"]
+    assert {p["field"] for p in problems} >= {"extra", "routes[0].pool", "pools[0]"}
+
+
+@pytest.mark.parametrize(
+    "body",
+    [b"{", b"null", b"{}", b'{"pool": "p"}', b'{"pool": 3, "address": "127.0.0.1:1"}'],
+)
+def test_an_announcement_from_another_writer_names_no_upstream(call, site, body):
+    assert 400 <= call("PUT", "/v1/upstreams/forged", body).status < 500
+    upstreams = [u["upstream"] for u in site.client.get_status()["upstreams"]]
+    assert "forged" not in upstreams
+
+
+def test_an_upstream_that_names_its_start_may_leave_before_it_was_known(call):
+    assert call("DELETE", "/v1/upstreams/early", {"born": "soon"}).status == 422
+    assert call("DELETE", "/v1/upstreams/early", {"born": 5}).status == 200
+    late = {"pool": "p", "address": "127.0.0.1:1", "born": 5}
+    assert call("PUT", "/v1/upstreams/early", late).status == 409
+    assert call("PUT", "/v1/upstreams/early", {**late, "born": 6}).status == 200
+
+
+def test_the_command_line_applies_and_prints_both_tables(call, site, tmp_path, capsys):
+    address = ["--admin", site.instance.admin.address]
+    text = """
+[limits]
+idle_timeout_ms = 9000
+
+[[routes]]
+name = "split"
+path_prefix = "/split/"
+split = [{pool = "a", weight = 9}, {pool = "b", weight = 1}]
+
+[[pools]]
+name = "a"
+
+[[pools]]
+name = "b"
+"""
+    path = tmp_path / "tables.toml"
+    path.write_text(text)
+    number = get_number(call) + 5
+    apply = ["tables", "apply", str(path), *address]
+    assert main([*apply, "--version", str(number)]) == EXIT_OK
+    assert capsys.readouterr().out == f"{number}\n"
+    assert main(["tables", "get", *address]) == EXIT_OK
+    printed = tomllib.loads(capsys.readouterr().out)
+    assert printed == {"version": number, **tomllib.loads(text)}
+    assert main([*apply, "--version", "1"]) == EXIT_OK
+    assert "changes nothing" in capsys.readouterr().err
+    path.write_text(text.replace("9000", "8000"))
+    assert main([*apply, "--version", str(number)]) == EXIT_LOST_RACE
+    assert main(apply) == EXIT_FAILED
+    assert "version" in capsys.readouterr().err
