--- a/src/foxtaildrum/entries.py
+++ b/src/foxtaildrum/entries.py
@@ -91,6 +91,7 @@
 
     def __init__(self, records: list[list[Any]]) -> None:
         self.disk_id = ""
+        self.replaces_damaged = False
         self.formed: dict[str, list[str]] = {}
         self.term = 0
         self.voted_for = ""
--- a/src/foxtaildrum/instance.py
+++ b/src/foxtaildrum/instance.py
@@ -218,7 +218,8 @@
                 CLAIM_STREAM: Journal(self._disk, "claims"),
                 UPSTREAM_STREAM: Journal(self._disk, "upstreams"),
             }
-            saved = load_saved(journals[LOG_STREAM])
+            saved = load_saved(journals[LOG_STREAM], may_rejoin=joins)
+            joining.bootstrap = joining.bootstrap and not saved.replaces_damaged
             claim_records = _unpack(journals[CLAIM_STREAM].load())
         rng = random.Random()
         node = Node(me, control, saved, claim_records, rng, read_clock(), joining)
@@ -286,13 +287,35 @@
         return gauges
 
 
-def load_saved(journal: Journal) -> Saved:
-    """Return the content of the log's journal; a new disk gets an identifier."""
-    records = _unpack(journal.load())
+def load_saved(journal: Journal, may_rejoin: bool = False) -> Saved:
+    """Return the content of the log's journal; a new disk gets an identifier.
+
+    Parameters
+    ----------
+    may_rejoin : bool
+        Whether a damaged journal is set aside: the instance then rejoins its group as
+        one that lost its disk.
+
+    Raises
+    ------
+    CorruptJournalError
+        When the journal is damaged and the instance may not rejoin.
+    """
+    damaged = False
+    try:
+        records = _unpack(journal.load())
+    except CorruptJournalError as error:
+        if not may_rejoin:
+            raise
+        log_event("journal_set_aside", level=logging.ERROR, reason=str(error))
+        journal.set_aside()
+        records, damaged = [], True
     if not records:
         records = [["disk", uuid.uuid4().hex]]
         journal.append(msgpack.packb(records[0]))
-    return Saved(records)
+    saved = Saved(records)
+    saved.replaces_damaged = damaged
+    return saved
 
 
 def load_upstreams(journal: Journal) -> list[list[Any]]:
--- a/src/foxtaildrum/journal.py
+++ b/src/foxtaildrum/journal.py
@@ -14,6 +14,7 @@
 
 from .exceptions import CorruptJournalError
 
+ASIDE_SUFFIX = ".damaged"
 MAX_RECORD_BYTES = 64 * 1024 * 1024
 
 _HEADER = struct.Struct(">II")
@@ -34,6 +35,9 @@
     def truncate(self, name: str, size: int) -> None:
         """Cut a file to ``size`` bytes and sync it."""
 
+    def set_aside(self, name: str) -> None:
+        """Keep a file under another name, so that the name is free."""
+
 
 class FolderDisk:
     """Files in a folder of the operating system.
@@ -82,6 +86,12 @@
         os.ftruncate(descriptor, size)
         os.fsync(descriptor)
 
+    def set_aside(self, name: str) -> None:
+        """Keep a file under another name, so that the name is free."""
+        self._close(name)
+        os.replace(self._path(name), self._path(name + ASIDE_SUFFIX))
+        self._sync_folder()
+
     def close(self) -> None:
         """Close every file."""
         for name in list(self._files):
@@ -139,6 +149,10 @@
             self._disk.truncate(self._name, size)
         return records
 
+    def set_aside(self) -> None:
+        """Begin anew; what the journal held is kept under another name."""
+        self._disk.set_aside(self._name)
+
     def append(self, record: bytes) -> None:
         """Append one record; it is durable when this returns."""
         self._disk.append(self._name, pack_record(record))
--- a/src/foxtaildrum/logevents.py
+++ b/src/foxtaildrum/logevents.py
@@ -23,6 +23,7 @@
     "frame_refused": ("direction", "peer", "reason"),
     "frames_unsigned": ("setting",),
     "internal_error": ("request_id", "reason"),
+    "journal_set_aside": ("reason",),
     "leader_changed": ("leader", "term", "role"),
     "lines_left_out": ("left_out", "count"),
     "member_changed": ("member", "state"),
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -64,6 +64,9 @@
             raise OSError("the disk failed")
         self.files[name] = data
 
+    def set_aside(self, name: str) -> None:
+        self.files[name + ".damaged"] = self.files.pop(name)
+
     def truncate(self, name: str, size: int) -> None:
         self.files[name] = self.files.get(name, b"")[:size]
 
@@ -111,7 +114,7 @@
         saved = None
         claims: list[Any] = []
         if self.disk is not None:
-            saved = load_saved(Journal(self.disk, LOG_STREAM))
+            saved = load_saved(Journal(self.disk, LOG_STREAM), bool(self.fleet.seeds))
             claims = [
                 msgpack.unpackb(record, strict_map_key=False)
                 for record in Journal(self.disk, CLAIM_STREAM).load()
--- a/tests/test_group.py
+++ b/tests/test_group.py
@@ -7,6 +7,9 @@
 import pytest
 
 from foxtaildrum.consensus import Role
+from foxtaildrum.exceptions import CorruptJournalError
+from foxtaildrum.instance import load_saved
+from foxtaildrum.journal import Journal
 
 from .fleet import FakeDisk, Fleet, form_joined_fleet, is_full
 
@@ -132,3 +135,29 @@
     fleet.heal()
     fleet.run(3.0)
     assert fleet.read_desired(old) == 3
+
+
+@pytest.mark.parametrize("where", [0, 0.3, 0.7])
+def test_a_damaged_journal_is_set_aside_and_its_instance_rejoins(where):
+    fleet = form_joined_fleet(seed=11)
+    for number in range(1, 6):
+        fleet.accept_desired(number, f"p{number}")
+    fleet.crash("c4")
+    data = bytearray(fleet.hosts["c4"].disk.files["log"])
+    data[int(len(data) * where) + 9] ^= 0xFF
+    fleet.hosts["c4"].disk.files["log"] = bytes(data)
+    fleet.hosts["c4"].start()
+    assert "log.damaged" in fleet.hosts["c4"].disk.files
+    assert not fleet.hosts["c4"].node.consensus.is_voter()
+    assert fleet.run_until(lambda: fleet.hosts["c4"].node.consensus.is_voter(), 30.0), (
+        fleet.describe()
+    )
+    assert fleet.read_desired("c4") == 5
+
+
+def test_a_damaged_journal_of_a_site_of_one_is_refused():
+    fleet = form_joined_fleet(seed=12)
+    disk = fleet.hosts["c1"].disk
+    disk.files["log"] = b"x" * 9 + disk.files["log"]
+    with pytest.raises(CorruptJournalError):
+        load_saved(Journal(disk, "log"))
