--- a/src/foxtaildrum/__init__.py
+++ b/src/foxtaildrum/__init__.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-__version__ = "0.1.0"
+__version__ = "0.2.0"
 
 from .client import AdminClient
 from .exceptions import FoxtaildrumError
--- a/src/foxtaildrum/cli.py
+++ b/src/foxtaildrum/cli.py
@@ -131,7 +131,7 @@
     try:
         instance = Instance.from_settings(settings)
     except CorruptJournalError as error:
-        _complain(f"{settings.data_dir}: {error}; replace the disk as docs/operations.md says")
+        _complain(f"{settings.data_dir}: {error}; replace the disk as docs/OPERATIONS.md says")
         return EXIT_FAILED
     instance.start()
     while not stop_requested.is_set():
--- a/src/foxtaildrum/explain.py
+++ b/src/foxtaildrum/explain.py
@@ -106,7 +106,7 @@
                 story.skipped += bool(row.strip())
             elif line.fields.get("request_id") == request_id:
                 story.lines.append(line)
-            elif line.event in RELATED_EVENTS:
+            elif line.event in RELATED_EVENTS and line.fields.get("state") != "alive":
                 known.append(line)
     story.lines.sort(key=_get_time)
     story.related = _find_related(story.lines, known)
