--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import http.client
 import signal
 import threading
 
@@ -27,9 +28,9 @@
     answers = []
 
     def call() -> None:
-        http = urllib3.PoolManager(retries=False, timeout=10)
+        caller = urllib3.PoolManager(retries=False, timeout=10)
         url = f"http://{instance.listen}/x"
-        answers.append(http.request("GET", url, headers={"X-Fault": "slow=800"}).status)
+        answers.append(caller.request("GET", url, headers={"X-Fault": "slow=800"}).status)
 
     threads = [threading.Thread(target=call) for _ in range(REQUESTS)]
     for thread in threads:
@@ -61,21 +62,54 @@
 
 def test_a_killed_site_comes_back_with_its_tables_and_claims(tmp_path):
     instance, upstreams = start_site(tmp_path)
-    http = urllib3.PoolManager(retries=False, timeout=10)
+    caller = urllib3.PoolManager(retries=False, timeout=10)
     headers = {"Idempotency-Key": "order-1"}
-    first = http.request("POST", f"http://{instance.listen}/o", body=b"x", headers=headers)
+    first = caller.request("POST", f"http://{instance.listen}/o", body=b"x", headers=headers)
     instance.kill()
     again = InstanceProcess(tmp_path, "one", admin_listen=instance.admin_listen)
     again.wait_ready()
     assert again.client.get_table("routes")[1] == 1
     assert wait_until(lambda: len(again.status().get("upstreams", [])) == 2)
-    second = http.request("POST", f"http://{again.listen}/o", body=b"x", headers=headers)
+    second = caller.request("POST", f"http://{again.listen}/o", body=b"x", headers=headers)
     assert (second.status, second.data) == (first.status, first.data)
     assert upstreams.count_runs()["order-1"] == 1
     again.stop()
     upstreams.stop()
 
 
+def send_on(connection: http.client.HTTPConnection) -> http.client.HTTPResponse:
+    connection.request("GET", "/x")
+    answer = connection.getresponse()
+    answer.read()
+    return answer
+
+
+def test_a_request_on_a_kept_connection_is_answered_during_a_stop(tmp_path):
+    instance, upstreams = start_site(tmp_path, unready_s="2")
+    host, port = instance.listen.split(":")
+    kept = [http.client.HTTPConnection(host, int(port), timeout=10) for _ in range(3)]
+    for connection in kept:
+        assert send_on(connection).getheader("Connection") is None
+    instance.popen.send_signal(signal.SIGTERM)
+    assert wait_until(lambda: not instance.client.is_ready())
+    for connection in kept[:2]:
+        answer = send_on(connection)
+        assert (answer.status, answer.getheader("Connection")) == (200, "close")
+    # The third stays idle and is closed, so that the process need not wait for it.
+    assert instance.popen.wait(20) == 0
+    assert kept[2].sock.recv(1) == b""
+    upstreams.stop()
+
+
+def test_a_hangup_reads_the_settings_again_and_ends_nothing(tmp_path):
+    instance, upstreams = start_site(tmp_path)
+    instance.popen.send_signal(signal.SIGHUP)
+    assert wait_until(lambda: "settings_reloaded" in instance.log.read_text())
+    assert instance.client.is_ready()
+    assert instance.stop() == 0
+    upstreams.stop()
+
+
 def _call_quietly(listen: str) -> None:
     try:
         urllib3.PoolManager(retries=False, timeout=10).request(
