--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -230,3 +230,42 @@
     answer = ANSWERS[kind]
     assert 400 <= answer.status <= 599
     assert answer.title
+
+
+def take_first(exchange: Exchange, status: int, not_run: bool) -> list[x.Action]:
+    exchange.handle(0.0, x.Start())
+    exchange.handle(0.0, x.SlotGranted(0, "u1"))
+    exchange.handle(0.0, x.Connected(0))
+    exchange.handle(0.0, x.Sent(0))
+    return exchange.handle(0.1, x.HeadReceived(0, status, not_run))
+
+
+@pytest.mark.parametrize("status", [408, 421, 429, 503])
+def test_a_status_that_would_promise_too_much_is_not_passed_on(status):
+    promises = frozenset({408, 421, 429, 503})
+    exchange = Exchange(False, DEADLINE_S, None, FakeAllowance(3, 0), 4, promises)
+    reply = take_first(exchange, status, not_run=False)[-2]
+    assert reply.outcome is Outcome.UNKNOWN
+    assert ANSWERS[reply.kind].status == 502
+
+
+def test_an_upstream_that_moved_is_not_asked_again_soon():
+    exchange = Exchange(False, DEADLINE_S, None, FakeAllowance(3, 0))
+    release, again = take_first(exchange, 421, not_run=True)
+    assert release.ended is x.Ended.UNREACHABLE
+    assert again.excluded == {"u1"}
+
+
+@pytest.mark.parametrize("max_attempts", [1, 2, 3])
+def test_what_may_have_run_is_sent_to_no_more_upstreams_than_the_route_allows(max_attempts):
+    exchange = Exchange(True, DEADLINE_S, HEDGE_S, FakeAllowance(99, 99), max_attempts)
+    actions = exchange.handle(0.0, x.Start())
+    sends = 0
+    while isinstance(actions[-1], x.AcquireSlot):
+        number = actions[-1].attempt
+        exchange.handle(0.0, x.SlotGranted(number, f"u{number}"))
+        exchange.handle(0.0, x.Connected(number))
+        exchange.handle(0.0, x.Sent(number))
+        sends += 1
+        actions = exchange.handle(0.1, x.AttemptFailed(number, ErrorKind.ANSWER_LOST))
+    assert sends == max_attempts
