Date requests by the clock that counts suspensions; pass reads on to the leader

Cause: deciding went over to the clock that counts a suspension, but the server dated a request's arrival by the one that does not: after its machine had been suspended once, an instance refused every request as late. An entry instance's read met a control instance that does not lead in two of five cases and failed.

Ruled out: the old clock everywhere (a suspended instance would take old word for recent).

Change: one clock; a control instance that does not lead passes a read on, once.

--- a/src/foxtaildrum/reads.py
+++ b/src/foxtaildrum/reads.py
@@ -83,25 +83,29 @@
 
     def take_request(self, now: float, peer: str, message: ReadRequest) -> None:
         """Take a read that another instance asks for."""
+        token = f"{peer}{ORIGIN_MARK}{message.token}"
         if self._leads():
-            self._submit(now, f"{peer}{ORIGIN_MARK}{message.token}")
+            self._submit(now, token)
+            return
+        leader = self._pick_control(now)
+        if leader and ORIGIN_MARK not in message.token:
+            self._out.append(Send(leader, ReadRequest(token=token)))
         else:
             self._out.append(Send(peer, ReadReply(token=message.token, index=-1)))
 
     def take_reply(self, message: ReadReply) -> None:
-        """Take the index of a read."""
+        """Take the index of a read; one that was passed on goes back to where it came from."""
+        origin, mark, token = message.token.partition(ORIGIN_MARK)
+        if mark:
+            self._out.append(Send(origin, ReadReply(token=token, index=message.index)))
+            return
         read = self._reads.get(message.token)
         if read is not None and message.index >= 0:
             read.index = max(read.index, message.index)
 
     def settle(self, action: ReadSettled) -> None:
         """Take the index that this instance's own log tells."""
-        origin, _, token = action.token.rpartition(ORIGIN_MARK)
-        reply = ReadReply(token=token, index=action.index)
-        if origin:
-            self._out.append(Send(origin, reply))
-        else:
-            self.take_reply(reply)
+        self.take_reply(ReadReply(token=action.token, index=action.index))
 
     def take_out(self) -> list[Send | ReadDone]:
         """Return the messages and answers that are due."""
--- a/src/foxtaildrum/server.py
+++ b/src/foxtaildrum/server.py
@@ -23,7 +23,7 @@
 from .proxy import ARRIVED_KEY
 from .records import Limits
 from .settings import parse_address
-from .transport import has_input
+from .transport import has_input, read_clock
 
 OUTPUT_BUFFER_BYTES = 262_144
 LINGER_S = 2.0
@@ -115,7 +115,7 @@
         known = len(self.requests)
         result = super().received(data)
         for request in self.requests[known:]:
-            request.arrived = time.monotonic()
+            request.arrived = read_clock()
         return result
 
     def _flush_outbufs_below_high_watermark(self) -> None:
--- a/tests/test_group.py
+++ b/tests/test_group.py
@@ -161,3 +161,9 @@
     disk.files["log"] = b"x" * 9 + disk.files["log"]
     with pytest.raises(CorruptJournalError):
         load_saved(Journal(disk, "log"))
+
+
+def test_an_entry_instance_reads_through_any_control_instance():
+    fleet = form_joined_fleet(seed=13)
+    fleet.accept_desired(6, "kept")
+    assert [fleet.read_desired("e1") for _ in range(12)] == [6] * 12
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -310,3 +310,14 @@
     assert (reply.status, reply.outcome) == (500, outcome)
     assert wait_until(lambda: pool.balancer.in_flight == 0)
     assert site.send("GET", "/one/x").status == 200
+
+
+def test_an_instance_that_was_suspended_once_serves_on(monkeypatch, tmp_path):
+    # The clock that counts suspensions is then ahead of the one that does not.
+    real = time.clock_gettime
+    monkeypatch.setattr(time, "clock_gettime", lambda clock: real(clock) + 1000.0)
+    with open_site(tmp_path) as site:
+        site.apply("pools", [{"name": "p"}])
+        site.apply("routes", [{"name": "r", "pool": "p", "timeout_ms": 2000}])
+        site.add_upstreams("p", 1, service_ms=1, fixed=True)
+        assert site.send("GET", "/x").status == 200
