--- a/src/foxtaildrum/peers.py
+++ b/src/foxtaildrum/peers.py
@@ -20,6 +20,7 @@
     derive_key,
     pack_greeting,
 )
+from .listeners import open_listener
 from .logs import log_event
 from .messages import Message
 from .metrics import Meter
@@ -116,7 +117,8 @@
         self._wake_read, self._wake_write = socket.socketpair()
         self._wake_read.setblocking(False)
         self._selector.register(self._wake_read, selectors.EVENT_READ, None)
-        self._listener = _open_listener(listen)
+        self._listener = open_listener(listen)
+        self._listener.setblocking(False)
         self._selector.register(self._listener, selectors.EVENT_READ, None)
         self._stopping = False
         self._thread = threading.Thread(target=self._run, name="peers", daemon=True)
@@ -363,14 +365,3 @@
     def _refuse(self, direction: str, peer_id: str, error: FrameError) -> None:
         self._meter.count("frames.refused")
         log_event("frame_refused", direction=direction, peer=peer_id, reason=str(error))
-
-
-def _open_listener(listen: str) -> socket.socket:
-    host, port = parse_address(listen)
-    family = socket.AF_INET6 if ":" in host else socket.AF_INET
-    sock = socket.socket(family, socket.SOCK_STREAM)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    sock.bind((host, port))
-    sock.listen(1024)
-    sock.setblocking(False)
-    return sock
--- a/src/foxtaildrum/proposals.py
+++ b/src/foxtaildrum/proposals.py
@@ -39,14 +39,13 @@
 class _Proposal:
     """A change proposed at this instance or passed on by another."""
 
-    __slots__ = ("change", "give_up_at", "origin", "redirects", "retry_at", "sent", "target")
+    __slots__ = ("change", "give_up_at", "origin", "redirects", "sent", "target")
 
     def __init__(self, change: Change | DesiredState, origin: str, give_up_at: float) -> None:
         self.change = change
         self.origin = origin
         self.give_up_at = give_up_at
         self.redirects = 0
-        self.retry_at = give_up_at
         self.sent = False
         self.target = ""
 
--- a/src/foxtaildrum/proxy.py
+++ b/src/foxtaildrum/proxy.py
@@ -112,6 +112,8 @@
         self.dialect = dialect or Dialect()
         self.sizes = AnswerSizes()
         self._timeout_key = _name_environ(self.dialect.timeout_header)
+        key_header = self.dialect.key_header
+        self._idempotency_key = _name_environ(key_header) if key_header else ""
         self._replaced = _REPLACED_HEADERS | {self.dialect.timeout_header.lower()}
         self.view = View(Router([]), {})
         self.is_open: Callable[[], bool] = _always
@@ -141,8 +143,7 @@
         if pool is None:
             return self._refuse(call, start_response, ErrorKind.NO_UPSTREAM)
         idempotent = is_idempotent(found, call.method)
-        key_header = self.dialect.key_header
-        key = environ.get(_name_environ(key_header), "") if key_header else ""
+        key = environ.get(self._idempotency_key, "")
         if idempotent or not key or self.claims is None:
             return self._dispatch(call, start_response, pool, timeout_s, idempotent, None)
         if len(key) > MAX_IDEMPOTENCY_KEY:
--- a/src/foxtaildrum/reads.py
+++ b/src/foxtaildrum/reads.py
@@ -29,10 +29,9 @@
 class _Read:
     """A read asked for at this instance."""
 
-    __slots__ = ("asked_at", "give_up_at", "index", "retry_at")
+    __slots__ = ("give_up_at", "index", "retry_at")
 
     def __init__(self, now: float) -> None:
-        self.asked_at = now
         self.give_up_at = now + READ_TIMEOUT_S
         self.retry_at = now
         self.index = -1
--- a/src/foxtaildrum/server.py
+++ b/src/foxtaildrum/server.py
@@ -275,20 +275,5 @@
             time.sleep(POLL_S)
         return True
 
-    def count_busy(self) -> int:
-        """Return the connections with a request or unsent bytes."""
-        return sum(
-            bool(channel.requests or channel.total_outbufs_len or channel.request)
-            for channel in list(self._server.active_channels.values())
-        )
-
-    def wait_idle(self, until: float) -> bool:
-        """Wait until no request is in flight; return whether that came true."""
-        while self.count_busy():
-            if time.monotonic() >= until:
-                return False
-            time.sleep(POLL_S)
-        return True
-
     def _run(self) -> None:
         wasyncore.loop(timeout=LOOP_TIMEOUT_S, map=self._map, use_poll=True)
