Share status checks between requests, read late answers, allow bursts

Cause: after a restart of all, two in three choices that were logged rested on no report or on an old one. One instance is ready first and for a moment gets the callers of many; its budget of status checks, an even share for one second, was spent after ten requests. Besides, an answer that arrived in time but was read late, because the instance was busy, counted as silence.

Ruled out: slow upstreams (the checks that were sent came back in 3 to 10 ms), unknown upstreams, connections that failed.

Change: an upstream that reported within the last 20 ms counts as asked; past the time limit the sampler looks once more without waiting; unused status checks are kept for five seconds.

--- a/src/foxtaildrum/balancer.py
+++ b/src/foxtaildrum/balancer.py
@@ -11,7 +11,7 @@
 from .budget import Budget
 from .kinds import ErrorKind
 from .loads import LoadReport
-from .policies import get_policy
+from .policies import FRESH_S, get_policy
 from .records import Pool
 from .steps import Ended
 from .upstreams import READY, Entry
@@ -31,6 +31,7 @@
 USUAL_PACE_WEIGHT = 0.2
 RUN_SERVICE_TIMES = 2.0
 PROBE_COST_S = 0.006
+PROBE_BURST_S = 5.0
 PROBE_AGE_SERVICE_TIMES = 3.0
 MEAN_FADE_SERVICE_TIMES = 3.0
 DEFAULT_RETRY_RATIO = 0.1
@@ -375,11 +376,15 @@
         """Return the upstreams to ask for their load before one is chosen.
 
         Most are of the own availability zone; where a large answer is expected, all are.
+        One that has just reported counts as asked, so that requests that arrive together
+        share their status checks.
         """
         if not self._sample_size:
             return []
-        candidates = self._list_candidates(now, excluded)
-        count = min(self._sample_size, len(candidates))
+        known = self._list_candidates(now, excluded)
+        candidates = [u for u in known if now - u.reported_at > FRESH_S]
+        wanted = self._sample_size - (len(known) - len(candidates))
+        count = max(0, min(wanted, len(candidates)))
         self._refill_probes(now, len(self.upstreams))
         count = min(count, int(self._probe_tokens))
         self._probe_tokens -= count
@@ -393,7 +398,9 @@
     def _refill_probes(self, now: float, upstreams: int) -> None:
         rate = self._probes_per_s * upstreams
         earned = (now - self._probes_at) * rate
-        self._probe_tokens = min(max(rate, self._sample_size), self._probe_tokens + earned)
+        # Callers come unevenly: for a moment an instance may get the share of many.
+        capacity = max(rate * PROBE_BURST_S, self._sample_size)
+        self._probe_tokens = min(capacity, self._probe_tokens + earned)
         self._probes_at = now
 
     def note_silent(self, now: float, upstream: UpstreamLoad) -> None:
--- a/src/foxtaildrum/samples.py
+++ b/src/foxtaildrum/samples.py
@@ -76,8 +76,10 @@
             poll.register(number, select.POLLIN)
         until = read_clock() + SAMPLE_TIMEOUT_S
         while pending:
-            left_s = until - read_clock()
-            ready = poll.poll(max(0.0, left_s) * 1000) if left_s > 0 else []
+            # Past the time limit one more look tells an upstream that is silent from an
+            # instance that was too busy to read its answer.
+            left_s = max(0.0, until - read_clock())
+            ready = poll.poll(left_s * 1000)
             if not ready:
                 break
             for number, _ in ready:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from foxtaildrum.balancer import PROBE_BURST_S
 from foxtaildrum.dialects import Dialect
 from foxtaildrum.kinds import ANSWERS, ErrorKind, Outcome
 from foxtaildrum.settings import load_settings
@@ -95,3 +96,9 @@
 def test_waits_may_be_fractions_here_and_are_whole_seconds_elsewhere(dialect):
     assert float(dialect.format_retry_after(0.25)) == 0.25
     assert Dialect().format_retry_after(0.25) == "1"
+
+
+def test_bursts_of_status_checks_stay_within_the_bound_over_a_short_day():
+    shortest_day_s = 20.0
+    share = load_part("main").PROBE_SHARE
+    assert share * (PROBE_BURST_S + shortest_day_s) <= shortest_day_s
--- a/tests/test_samples.py
+++ b/tests/test_samples.py
@@ -114,6 +114,24 @@
     assert world.get("b").ejected_until < read_clock()
 
 
+def test_an_answer_that_a_busy_instance_reads_late_counts(monkeypatch):
+    world = World(a={"Name": "a", "Load": "2,0,4"}, b={"Name": "b", "Load": "1,0,4"})
+    times = iter(read_clock() + second for second in range(100))
+    monkeypatch.setattr("foxtaildrum.samples.read_clock", lambda: next(times))
+    world.sampler.sample(frozenset(), 0.0)
+    assert world.get("a").silences == world.get("b").silences == 0
+    assert (world.get("a").reported_others, world.get("b").reported_others) == (2.0, 1.0)
+
+
+def test_requests_that_arrive_together_share_their_status_checks():
+    answer = {"Load": "1,0,4"}
+    world = World(a=answer, b=answer, c=answer, d=answer, e=answer)
+    world.sampler.sample(frozenset(), 0.0)
+    reported_at = max(u.reported_at for u in world.pool.balancer.upstreams.values())
+    assert world.pool.choose_samples(reported_at, frozenset(), 0.0) == []
+    assert len(world.pool.choose_samples(reported_at + 1.0, frozenset(), 0.0)) == 3
+
+
 def test_an_address_that_another_upstream_answers_at_is_not_used():
     world = World(a={"Name": "other", "Load": "0,0,4"}, b={"Name": "b"}, far={"Name": "far"})
     world.sampler.sample(frozenset(), 0.0)
