Group the modules by subsystem (a move, nothing else)

Change: requests, balancing, control, fleet and admin, each a flat set of modules; what all of them use stays at the top. Imports follow. One test listed the source files of a flat folder and now lists them in all folders.

--- a/src/foxtaildrum/__init__.py
+++ b/src/foxtaildrum/__init__.py
@@ -8,7 +8,7 @@
 __version__ = "0.2.0"
 
 _SOURCES = {
-    "AdminClient": ".client",
+    "AdminClient": ".admin.client",
     "ErrorKind": ".kinds",
     "FoxtaildrumError": ".exceptions",
     "Outcome": ".kinds",
--- a/src/foxtaildrum/access.py
+++ b/src/foxtaildrum/admin/access.py
@@ -8,20 +8,20 @@
 
 import pykka
 
-from .claims import ClaimOutcome, Verdict, compute_claim_key
-from .desired import DesiredState, describe_desired
-from .dispatch import Refusal, UpstreamAnswer
-from .exceptions import NotSpreadError
-from .idempotency import StoredAnswer
-from .logs import log_event
+from ..balancing.pools import read_clock
+from ..control.claims import ClaimOutcome, Verdict, compute_claim_key
+from ..control.desired import DesiredState, describe_desired
+from ..control.tables import Change
+from ..exceptions import NotSpreadError
+from ..fleet.node import Node
+from ..fleet.node_api import ChangeAnswer
+from ..logs import log_event
+from ..records import Announcement, ClaimFinish
+from ..requests.dispatch import Refusal, UpstreamAnswer
+from ..requests.idempotency import StoredAnswer
+from ..requests.proxy import Proxy
 from .metrics import Meter
-from .node import Node
-from .node_api import ChangeAnswer
-from .pools import read_clock
-from .proxy import Proxy
-from .records import Announcement, ClaimFinish
 from .status import describe_node, describe_pool
-from .tables import Change
 
 ANSWER_TIMEOUT_S = 10.0
 CLAIM_ANSWER_TIMEOUT_S = 3.0
--- a/src/foxtaildrum/admin.py
+++ b/src/foxtaildrum/admin/admin.py
@@ -9,13 +9,13 @@
 from collections.abc import Callable, Iterable
 from typing import Any
 
-from .desired import DesiredState
-from .exceptions import FieldError, InvalidTableError, NotSpreadError
-from .node_api import ChangeAnswer, NodeApi
-from .problem import StartResponse, format_status
-from .records import Announcement
-from .tables import TABLE_NAMES, Change
-from .validation import find_problems
+from ..control.desired import DesiredState
+from ..control.tables import TABLE_NAMES, Change
+from ..exceptions import FieldError, InvalidTableError, NotSpreadError
+from ..fleet.node_api import ChangeAnswer, NodeApi
+from ..records import Announcement
+from ..requests.problem import StartResponse, format_status
+from ..validation import find_problems
 
 MAX_CHANGE_ID = 128
 MAX_UPSTREAM_ID = 128
--- a/src/foxtaildrum/client.py
+++ b/src/foxtaildrum/admin/client.py
@@ -7,7 +7,7 @@
 
 import urllib3
 
-from .exceptions import AdminRequestError, FieldError, InvalidTableError, StaleVersionError
+from ..exceptions import AdminRequestError, FieldError, InvalidTableError, StaleVersionError
 
 TIMEOUT_S = 15.0
 
--- a/src/foxtaildrum/metrics.py
+++ b/src/foxtaildrum/admin/metrics.py
@@ -8,10 +8,10 @@
 
 import statsd
 
-from .latency import RecentLatency
+from ..balancing.latency import RecentLatency
+from ..records import Route
+from ..settings import parse_address
 from .objectives import RouteLevel
-from .records import Route
-from .settings import parse_address
 
 PREFIX = "foxtaildrum"
 PERCENTILES = (50.0, 99.0, 99.9)
--- a/src/foxtaildrum/objectives.py
+++ b/src/foxtaildrum/admin/objectives.py
@@ -5,7 +5,7 @@
 from array import array
 from typing import Any
 
-from .records import Route
+from ..records import Route
 
 WINDOWS_S = {"5m": 300, "1h": 3600, "6h": 21600, "3d": 259200}
 FAST_BURN = 14.4
--- a/src/foxtaildrum/status.py
+++ b/src/foxtaildrum/admin/status.py
@@ -4,8 +4,8 @@
 
 from typing import Any
 
-from .node import Node
-from .pools import UpstreamPool
+from ..balancing.pools import UpstreamPool
+from ..fleet.node import Node
 
 
 def describe_node(node: Node, now: float) -> dict[str, Any]:
--- /dev/null
+++ b/src/foxtaildrum/balancing/__init__.py
@@ -0,0 +1,1 @@
+"""The choice of an upstream and what it rests on."""
--- a/src/foxtaildrum/balancer.py
+++ b/src/foxtaildrum/balancing/balancer.py
@@ -8,13 +8,13 @@
 from collections import OrderedDict
 from collections.abc import Iterable
 
+from ..fleet.upstreams import READY, Entry
+from ..kinds import ErrorKind
+from ..records import Pool
+from ..requests.steps import Ended
 from .budget import Budget
-from .kinds import ErrorKind
 from .loads import LoadReport
 from .policies import FRESH_S, get_policy
-from .records import Pool
-from .steps import Ended
-from .upstreams import READY, Entry
 
 RAMP_S = 5.0
 RAMP_FLOOR = 0.1
--- a/src/foxtaildrum/pools.py
+++ b/src/foxtaildrum/balancing/pools.py
@@ -6,16 +6,16 @@
 import threading
 from collections.abc import Callable, Iterable
 
+from ..fleet.upstreams import DRAINING, Entry
+from ..kinds import ErrorKind
+from ..records import Pool
+from ..requests.connections import ConnectionPool
+from ..requests.exchange import Allowance
+from ..requests.steps import Ended
+from ..requests.transport import Adapter, read_clock
 from .balancer import Balancer, Ticket, UpstreamLoad
-from .connections import ConnectionPool
-from .exchange import Allowance
-from .kinds import ErrorKind
 from .latency import RecentLatency
 from .loads import LoadReport
-from .records import Pool
-from .steps import Ended
-from .transport import Adapter, read_clock
-from .upstreams import DRAINING, Entry
 
 __all__ = ["UpstreamPool", "read_clock"]
 
--- a/src/foxtaildrum/probes.py
+++ b/src/foxtaildrum/balancing/probes.py
@@ -9,12 +9,12 @@
 import threading
 from collections.abc import Callable, Iterable
 
+from ..admin.metrics import Meter
+from ..requests.dialects import Dialect
+from ..requests.transport import OutgoingRequest, TransportError
 from .balancer import UpstreamLoad
-from .dialects import Dialect
 from .loads import LoadReport
-from .metrics import Meter
 from .pools import UpstreamPool, read_clock
-from .transport import OutgoingRequest, TransportError
 
 PROBE_PERIOD_S = 0.05
 CALM_PERIOD_S = 2.0
--- a/src/foxtaildrum/samples.py
+++ b/src/foxtaildrum/balancing/samples.py
@@ -9,10 +9,10 @@
 
 import select
 
+from ..requests.dialects import Dialect
+from ..requests.transport import Connection, OutgoingRequest, TransportError, read_clock
 from .balancer import UpstreamLoad
-from .dialects import Dialect
 from .pools import UpstreamPool
-from .transport import Connection, OutgoingRequest, TransportError, read_clock
 
 SAMPLE_TIMEOUT_S = 0.012
 CONNECT_TIMEOUT_S = 0.05
--- a/src/foxtaildrum/splits.py
+++ b/src/foxtaildrum/balancing/splits.py
@@ -4,7 +4,7 @@
 
 import threading
 
-from .records import Route
+from ..records import Route
 
 
 class SplitChooser:
--- a/src/foxtaildrum/cli.py
+++ b/src/foxtaildrum/cli.py
@@ -17,8 +17,12 @@
 from typing import Any
 
 from . import __version__
-from .client import AdminClient
-from .desired import ACCEPTED, DesiredState
+from .admin.client import AdminClient
+from .admin.explain import explain_request, format_story
+from .admin.objectives import merge_levels
+from .admin.report import format_report, list_formats
+from .control.desired import ACCEPTED, DesiredState
+from .control.tables import TABLE_NAMES, check_references, check_table
 from .exceptions import (
     AdminRequestError,
     CorruptJournalError,
@@ -29,13 +33,9 @@
     InvalidTableError,
     StaleVersionError,
 )
-from .explain import explain_request, format_story
 from .instance import Instance
 from .logs import configure_logs, log_event
-from .objectives import merge_levels
-from .report import format_report, list_formats
 from .settings import add_flags, list_flag, load_settings, read_secret
-from .tables import TABLE_NAMES, check_references, check_table
 
 EXIT_OK = 0
 EXIT_FAILED = 1
--- /dev/null
+++ b/src/foxtaildrum/control/__init__.py
@@ -0,0 +1,1 @@
+"""Tables and claims that survive failures: the replicated log and its followers."""
--- a/src/foxtaildrum/changelog.py
+++ b/src/foxtaildrum/control/changelog.py
@@ -4,8 +4,8 @@
 
 import logging
 
-from .logs import log_event
-from .node import Node
+from ..fleet.node import Node
+from ..logs import log_event
 
 
 class ChangeLog:
--- a/src/foxtaildrum/claimer.py
+++ b/src/foxtaildrum/control/claimer.py
@@ -4,15 +4,15 @@
 
 from dataclasses import dataclass
 
-from .claims import ClaimOutcome, Verdict
-from .events import Send
-from .records import (
+from ..events import Send
+from ..records import (
     ClaimFinish,
     ClaimFinished,
     ClaimRelease,
     ClaimReply,
     ClaimRequest,
 )
+from .claims import ClaimOutcome, Verdict
 
 CLAIM_TIMEOUT_S = 1.0
 FINISH_TIMEOUT_S = 0.2
--- a/src/foxtaildrum/consensus.py
+++ b/src/foxtaildrum/control/consensus.py
@@ -15,8 +15,7 @@
 
 import msgpack
 
-from .entries import Entry, Saved
-from .events import (
+from ..events import (
     Action,
     Committed,
     Event,
@@ -32,8 +31,7 @@
     StateReplaced,
     Tick,
 )
-from .gate import SyncGate
-from .records import (
+from ..records import (
     AppendReply,
     AppendRequest,
     ControlProbe,
@@ -43,6 +41,8 @@
     VoteReply,
     VoteRequest,
 )
+from .entries import Entry, Saved
+from .gate import SyncGate
 
 HEARTBEAT_S = 0.2
 ELECTION_MIN_S = 0.8
--- a/src/foxtaildrum/desired.py
+++ b/src/foxtaildrum/control/desired.py
@@ -6,7 +6,8 @@
 import json
 from typing import Any
 
-from .exceptions import FieldError, InvalidTableError
+from ..exceptions import FieldError, InvalidTableError
+from ..validation import find_problems
 from .tables import (
     TABLE_NAMES,
     ChangeResult,
@@ -15,7 +16,6 @@
     find_reference_problems,
     find_table_problems,
 )
-from .validation import find_problems
 
 MAX_NUMBER = 2**63 - 1
 
--- a/src/foxtaildrum/follower.py
+++ b/src/foxtaildrum/control/follower.py
@@ -7,9 +7,9 @@
 
 import msgpack
 
+from ..events import Send
+from ..records import FollowEntries, FollowPiece, FollowRequest
 from .desired import DesiredPatch, apply_patch
-from .events import Send
-from .records import FollowEntries, FollowPiece, FollowRequest
 from .tables import Patch, Tables
 
 WINDOW_ENTRIES = 256
--- a/src/foxtaildrum/gate.py
+++ b/src/foxtaildrum/control/gate.py
@@ -4,7 +4,7 @@
 
 from typing import Any
 
-from .events import Persist, Rewrite, Send
+from ..events import Persist, Rewrite, Send
 
 
 class PendingWrite:
--- a/src/foxtaildrum/holder.py
+++ b/src/foxtaildrum/control/holder.py
@@ -4,10 +4,8 @@
 
 from typing import Any
 
-from .claims import RETENTION_S, Claim, Verdict
-from .events import Persist, Rewrite, Send
-from .gate import SyncGate
-from .records import (
+from ..events import Persist, Rewrite, Send
+from ..records import (
     ClaimBatch,
     ClaimFetch,
     ClaimFinish,
@@ -16,6 +14,8 @@
     ClaimReply,
     ClaimRequest,
 )
+from .claims import RETENTION_S, Claim, Verdict
+from .gate import SyncGate
 
 MAX_CLAIMS = 100_000
 RECOVERY_WAIT_S = 5.0
--- a/src/foxtaildrum/journal.py
+++ b/src/foxtaildrum/control/journal.py
@@ -12,7 +12,7 @@
 from collections.abc import Iterable
 from typing import Protocol
 
-from .exceptions import CorruptJournalError
+from ..exceptions import CorruptJournalError
 
 ASIDE_SUFFIX = ".damaged"
 MAX_RECORD_BYTES = 64 * 1024 * 1024
--- a/src/foxtaildrum/proposals.py
+++ b/src/foxtaildrum/control/proposals.py
@@ -7,13 +7,13 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from . import records as r
+from .. import records as r
+from ..events import Send, Settled
+from ..exceptions import InvalidTableError
+from ..fleet.node_api import ChangeAnswer
 from .consensus import Consensus, Role, Unsettled
 from .desired import REBASED, DesiredState, build_patch, judge_number
-from .events import Send, Settled
-from .exceptions import InvalidTableError
 from .follower import CHANGE, DESIRED, TableState
-from .node_api import ChangeAnswer
 from .tables import Change, ChangeResult, Patch, check_table
 
 PROPOSAL_TIMEOUT_S = 3.0
--- a/src/foxtaildrum/reads.py
+++ b/src/foxtaildrum/control/reads.py
@@ -10,8 +10,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from .events import ReadSettled, Send
-from .records import ReadReply, ReadRequest
+from ..events import ReadSettled, Send
+from ..records import ReadReply, ReadRequest
 
 READ_TIMEOUT_S = 0.85
 RETRY_S = 0.2
--- a/src/foxtaildrum/storage.py
+++ b/src/foxtaildrum/control/storage.py
@@ -10,9 +10,9 @@
 import msgpack
 import pykka
 
+from ..fleet.node import Write
+from ..logs import log_event
 from .journal import Journal
-from .logs import log_event
-from .node import Write
 
 
 @dataclass(slots=True)
--- a/src/foxtaildrum/tables.py
+++ b/src/foxtaildrum/control/tables.py
@@ -7,10 +7,10 @@
 from collections import OrderedDict
 from typing import Any
 
-from .exceptions import FieldError, InvalidTableError
-from .policies import list_policies
-from .records import Pool, Route, Share
-from .validation import find_problems
+from ..balancing.policies import list_policies
+from ..exceptions import FieldError, InvalidTableError
+from ..records import Pool, Route, Share
+from ..validation import find_problems
 
 TABLE_NAMES = ("routes", "pools")
 REMEMBERED_CHANGES = 4096
--- a/src/foxtaildrum/events.py
+++ b/src/foxtaildrum/events.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from .messages import Message
+from .fleet.messages import Message
 
 
 @dataclass(slots=True)
--- a/src/foxtaildrum/frames.py
+++ b/src/foxtaildrum/fleet/frames.py
@@ -12,7 +12,7 @@
 
 import msgpack
 
-from .exceptions import FrameError
+from ..exceptions import FrameError
 from .messages import Message, decode_message, encode_message
 
 VERSION = 1
--- a/src/foxtaildrum/membership.py
+++ b/src/foxtaildrum/fleet/membership.py
@@ -14,9 +14,9 @@
 from collections.abc import Iterable
 from typing import Any
 
+from ..events import Send
+from ..records import Ack, MemberNews, Ping, PingReport, PingRequest
 from .digest import BucketDigest, find_bucket
-from .events import Send
-from .records import Ack, MemberNews, Ping, PingReport, PingRequest
 
 PING_PERIOD_S = 1.0
 PING_TIMEOUT_S = 0.6
--- a/src/foxtaildrum/messages.py
+++ b/src/foxtaildrum/fleet/messages.py
@@ -8,9 +8,9 @@
 import msgpack
 import msgspec
 
-from . import records
-from .exceptions import FrameError
-from .validation import load_schema
+from .. import records
+from ..exceptions import FrameError
+from ..validation import load_schema
 
 Message = Any
 
--- a/src/foxtaildrum/node.py
+++ b/src/foxtaildrum/fleet/node.py
@@ -7,12 +7,17 @@
 from dataclasses import dataclass
 from typing import Any
 
-from . import records as r
-from .claimer import Claimer, ClaimSettled
-from .consensus import Consensus, ControlDirectory, Role
-from .desired import DesiredState
-from .entries import Saved
-from .events import (
+from .. import records as r
+from ..control.claimer import Claimer, ClaimSettled
+from ..control.consensus import Consensus, ControlDirectory, Role
+from ..control.desired import DesiredState
+from ..control.entries import Saved
+from ..control.follower import Follower, TableState
+from ..control.holder import ClaimHolder
+from ..control.proposals import ChangeSettled, Proposer
+from ..control.reads import ReadDone, Reader
+from ..control.tables import Change
+from ..events import (
     Committed,
     HandoverRequested,
     Persist,
@@ -28,14 +33,9 @@
     StateReplaced,
     Tick,
 )
-from .exceptions import FrameError, StaleAnnouncementError
-from .follower import Follower, TableState
-from .holder import ClaimHolder
+from ..exceptions import FrameError, StaleAnnouncementError
 from .membership import Knowledge, Member, Membership, MemberState
-from .proposals import ChangeSettled, Proposer
-from .reads import ReadDone, Reader
 from .receipts import Receipts, ReceiptsDone
-from .tables import Change
 from .upstreams import READY, Entry, UpstreamList
 
 START_AGE_S = 5.0
--- a/src/foxtaildrum/node_api.py
+++ b/src/foxtaildrum/fleet/node_api.py
@@ -4,9 +4,9 @@
 
 from typing import Any, Protocol
 
-from .desired import DesiredState
-from .records import Announcement
-from .tables import Change
+from ..control.desired import DesiredState
+from ..control.tables import Change
+from ..records import Announcement
 
 
 class ChangeAnswer:
--- a/src/foxtaildrum/peers.py
+++ b/src/foxtaildrum/fleet/peers.py
@@ -11,7 +11,11 @@
 from collections import deque
 from collections.abc import Callable
 
-from .exceptions import FrameError
+from ..admin.metrics import Meter
+from ..exceptions import FrameError
+from ..logs import log_event
+from ..requests.listeners import open_listener
+from ..settings import parse_address
 from .frames import (
     NONCE_BYTES,
     FrameReader,
@@ -20,11 +24,7 @@
     derive_key,
     pack_greeting,
 )
-from .listeners import open_listener
-from .logs import log_event
 from .messages import Message
-from .metrics import Meter
-from .settings import parse_address
 
 MAX_QUEUED_MESSAGES = 2000
 MAX_INBOUND = 20_000
--- a/src/foxtaildrum/receipts.py
+++ b/src/foxtaildrum/fleet/receipts.py
@@ -9,7 +9,7 @@
 import uuid
 from dataclasses import dataclass
 
-from .records import NewsReceipt
+from ..records import NewsReceipt
 from .upstreams import Entry
 
 RECEIPT_TIMEOUT_S = 0.9
--- a/src/foxtaildrum/runtime.py
+++ b/src/foxtaildrum/fleet/runtime.py
@@ -11,13 +11,18 @@
 
 import pykka
 
-from .changelog import ChangeLog
-from .claimer import ClaimSettled
-from .desired import DesiredState
-from .events import Received, Send
-from .exceptions import FrameError
-from .logs import log_event
-from .metrics import Meter
+from ..admin.metrics import Meter
+from ..balancing.pools import read_clock
+from ..control.changelog import ChangeLog
+from ..control.claimer import ClaimSettled
+from ..control.desired import DesiredState
+from ..control.reads import ReadDone
+from ..control.storage import Written
+from ..control.tables import Change
+from ..events import Received, Send
+from ..exceptions import FrameError
+from ..logs import log_event
+from ..records import Announcement, ClaimFinish
 from .node import (
     ChangeSettled,
     MemberChanged,
@@ -27,12 +32,7 @@
     Write,
 )
 from .peers import PeerNetwork
-from .pools import read_clock
-from .reads import ReadDone
 from .receipts import ReceiptsDone
-from .records import Announcement, ClaimFinish
-from .storage import Written
-from .tables import Change
 from .upstreams import DRAINING
 from .views import ViewPublisher
 
--- a/src/foxtaildrum/upstreams.py
+++ b/src/foxtaildrum/fleet/upstreams.py
@@ -11,9 +11,9 @@
 from collections.abc import Callable
 from typing import Any
 
+from ..exceptions import StaleAnnouncementError
+from ..records import Announcement
 from .digest import BucketDigest, find_bucket
-from .exceptions import StaleAnnouncementError
-from .records import Announcement
 
 READY = "ready"
 DRAINING = "draining"
--- a/src/foxtaildrum/views.py
+++ b/src/foxtaildrum/fleet/views.py
@@ -5,15 +5,15 @@
 import random
 from collections.abc import Callable
 
-from .logs import log_event
-from .metrics import Meter
+from ..admin.metrics import Meter
+from ..balancing.pools import UpstreamPool
+from ..balancing.splits import PoolChooser
+from ..logs import log_event
+from ..records import Limits, Settings
+from ..requests.proxy import Proxy, View
+from ..requests.routing import Router
+from ..requests.transport import get_adapter
 from .node import Node
-from .pools import UpstreamPool
-from .proxy import Proxy, View
-from .records import Limits, Settings
-from .routing import Router
-from .splits import PoolChooser
-from .transport import get_adapter
 
 
 class ViewPublisher:
--- a/src/foxtaildrum/instance.py
+++ b/src/foxtaildrum/instance.py
@@ -16,27 +16,27 @@
 import msgpack
 import pykka
 
-from .access import NodeAccess, NodeClaims
-from .admin import Admin
-from .dialects import get_dialect
-from .entries import Saved
+from .admin.access import NodeAccess, NodeClaims
+from .admin.admin import Admin
+from .admin.metrics import Meter, StatsdSender
+from .balancing.pools import read_clock
+from .balancing.probes import Prober
+from .control.entries import Saved
+from .control.journal import FolderDisk, Journal
+from .control.storage import Drain, JournalWriter, StorageActor
 from .events import Received
 from .exceptions import CorruptJournalError
-from .journal import FolderDisk, Journal
+from .fleet.membership import Member, MemberState
+from .fleet.node import CLAIM_STREAM, LOG_STREAM, UPSTREAM_STREAM, Joining, Node, Write
+from .fleet.peers import PeerNetwork
+from .fleet.runtime import NodeActor, Ticker
+from .fleet.views import ViewPublisher
 from .logs import LOGGER_NAME, log_event
-from .membership import Member, MemberState
-from .metrics import Meter, StatsdSender
-from .node import CLAIM_STREAM, LOG_STREAM, UPSTREAM_STREAM, Joining, Node, Write
-from .peers import PeerNetwork
-from .pools import read_clock
-from .probes import Prober
-from .proxy import Proxy
 from .records import Limits, Settings
-from .runtime import NodeActor, Ticker
-from .server import HttpServer
+from .requests.dialects import get_dialect
+from .requests.proxy import Proxy
+from .requests.server import HttpServer
 from .settings import parse_control, read_secret
-from .storage import Drain, JournalWriter, StorageActor
-from .views import ViewPublisher
 
 ADMIN_THREADS = 8
 ADMIN_MAX_BODY_BYTES = 4 * 1024 * 1024
--- a/src/foxtaildrum/dialects.py
+++ b/src/foxtaildrum/requests/dialects.py
@@ -10,8 +10,8 @@
 import math
 from collections.abc import Callable, Mapping
 
-from .kinds import ANSWERS, ErrorKind, Outcome
-from .loads import LoadReport, parse_load_metrics
+from ..balancing.loads import LoadReport, parse_load_metrics
+from ..kinds import ANSWERS, ErrorKind, Outcome
 
 Headers = Mapping[str, str]
 
--- a/src/foxtaildrum/dispatch.py
+++ b/src/foxtaildrum/requests/dispatch.py
@@ -8,14 +8,14 @@
 from collections.abc import Callable, Iterator
 from typing import IO
 
+from ..balancing.balancer import Ticket, UpstreamLoad
+from ..balancing.pools import UpstreamPool, read_clock
+from ..balancing.samples import Sampler
+from ..kinds import ErrorKind, Outcome
+from ..logs import log_event
 from . import steps as x
-from .balancer import Ticket, UpstreamLoad
 from .dialects import Dialect
 from .exchange import RETRYABLE_STATUSES, Exchange
-from .kinds import ErrorKind, Outcome
-from .logs import log_event
-from .pools import UpstreamPool, read_clock
-from .samples import Sampler
 from .transport import (
     CHUNK_BYTES,
     CancelledError,
--- a/src/foxtaildrum/exchange.py
+++ b/src/foxtaildrum/requests/exchange.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from .kinds import ANSWERS, ErrorKind, Outcome, Retry
+from ..kinds import ANSWERS, ErrorKind, Outcome, Retry
 from .steps import (
     AcquireSlot,
     Action,
--- a/src/foxtaildrum/idempotency.py
+++ b/src/foxtaildrum/requests/idempotency.py
@@ -5,9 +5,9 @@
 import hashlib
 from typing import IO, Protocol
 
-from .claims import ClaimOutcome
+from ..control.claims import ClaimOutcome
+from ..kinds import Outcome
 from .dispatch import Refusal, UpstreamAnswer
-from .kinds import Outcome
 from .transport import CHUNK_BYTES
 
 MAX_STORED_BODY_BYTES = 65_536
--- a/src/foxtaildrum/problem.py
+++ b/src/foxtaildrum/requests/problem.py
@@ -6,8 +6,8 @@
 import json
 from collections.abc import Callable, Iterable
 
+from ..kinds import ANSWERS, ErrorKind, Outcome
 from .dialects import Dialect
-from .kinds import ANSWERS, ErrorKind, Outcome
 
 CONTENT_TYPE = "application/problem+json"
 RETRY_AFTER_S = 0.25
--- a/src/foxtaildrum/proxy.py
+++ b/src/foxtaildrum/requests/proxy.py
@@ -8,20 +8,20 @@
 from typing import Any
 from urllib.parse import quote
 
-from .claims import ClaimOutcome, Verdict
+from ..admin.metrics import Meter
+from ..balancing.pools import UpstreamPool, read_clock
+from ..balancing.splits import PoolChooser
+from ..control.claims import ClaimOutcome, Verdict
+from ..kinds import ANSWERS, ErrorKind, Outcome
+from ..logs import log_event
+from ..records import Route
 from .dialects import Dialect
 from .dispatch import Dispatch, Refusal, TruncatedAnswerError, UpstreamAnswer
 from .exchange import Exchange
 from .idempotency import ClaimedCall, ClaimGate, compute_request_digest
-from .kinds import ANSWERS, ErrorKind, Outcome
-from .logs import log_event
-from .metrics import Meter
-from .pools import UpstreamPool, read_clock
 from .problem import StartResponse, format_status, send_problem
-from .records import Route
 from .routing import Router, is_idempotent
 from .sizes import AnswerSizes
-from .splits import PoolChooser
 from .transport import HOP_BY_HOP, OutgoingRequest
 
 ARRIVED_KEY = "foxtaildrum.arrived"
--- a/src/foxtaildrum/routing.py
+++ b/src/foxtaildrum/requests/routing.py
@@ -4,8 +4,8 @@
 
 from collections.abc import Iterator
 
-from .kinds import ErrorKind
-from .records import Route
+from ..kinds import ErrorKind
+from ..records import Route
 
 IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "PUT", "DELETE"})
 REPEATABLE_TYPES = frozenset({"safe", "download"})
--- a/src/foxtaildrum/server.py
+++ b/src/foxtaildrum/requests/server.py
@@ -17,12 +17,12 @@
 from waitress.server import TcpWSGIServer
 from waitress.task import ErrorTask, ThreadedTaskDispatcher, WSGITask
 
-from .kinds import ANSWERS, ErrorKind
-from .logs import log_event
+from ..kinds import ANSWERS, ErrorKind
+from ..logs import log_event
+from ..records import Limits
+from ..settings import parse_address
 from .problem import build_problem
 from .proxy import ARRIVED_KEY
-from .records import Limits
-from .settings import parse_address
 from .transport import has_input, read_clock
 
 OUTPUT_BUFFER_BYTES = 262_144
--- a/src/foxtaildrum/steps.py
+++ b/src/foxtaildrum/requests/steps.py
@@ -5,7 +5,7 @@
 import enum
 from dataclasses import dataclass
 
-from .kinds import ErrorKind, Outcome
+from ..kinds import ErrorKind, Outcome
 
 
 class Phase(enum.Enum):
--- a/src/foxtaildrum/transport.py
+++ b/src/foxtaildrum/requests/transport.py
@@ -13,8 +13,8 @@
 from urllib3.connection import HTTPConnection
 from urllib3.util import SKIP_HEADER
 
-from .kinds import ErrorKind
-from .settings import parse_address
+from ..kinds import ErrorKind
+from ..settings import parse_address
 
 CHUNK_BYTES = 65536
 BODYLESS_STATUSES = frozenset({204, 304})
--- a/src/foxtaildrum/settings.py
+++ b/src/foxtaildrum/settings.py
@@ -7,9 +7,9 @@
 from pathlib import Path
 from typing import Any
 
-from .dialects import list_dialects
 from .exceptions import FieldError, InvalidSettingsError
 from .records import Settings
+from .requests.dialects import list_dialects
 from .validation import find_problems, list_properties
 
 ENVIRONMENT_PREFIX = "FOXTAILDRUM_"
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -13,17 +13,19 @@
 
 import msgpack
 
-from foxtaildrum.claimer import ClaimSettled
-from foxtaildrum.claims import ClaimOutcome, Verdict
-from foxtaildrum.consensus import Role
-from foxtaildrum.desired import DesiredState
+from foxtaildrum.control.claimer import ClaimSettled
+from foxtaildrum.control.claims import ClaimOutcome, Verdict
+from foxtaildrum.control.consensus import Role
+from foxtaildrum.control.desired import DesiredState
+from foxtaildrum.control.journal import Journal
+from foxtaildrum.control.proposals import ChangeSettled
+from foxtaildrum.control.reads import ReadDone
+from foxtaildrum.control.tables import Change
 from foxtaildrum.events import Send
 from foxtaildrum.exceptions import FrameError
-from foxtaildrum.instance import load_saved
-from foxtaildrum.journal import Journal
-from foxtaildrum.membership import Member, MemberState
-from foxtaildrum.messages import decode_message, encode_message
-from foxtaildrum.node import (
+from foxtaildrum.fleet.membership import Member, MemberState
+from foxtaildrum.fleet.messages import decode_message, encode_message
+from foxtaildrum.fleet.node import (
     CLAIM_STREAM,
     LOG_STREAM,
     UPSTREAM_STREAM,
@@ -31,12 +33,10 @@
     Node,
     Write,
 )
-from foxtaildrum.node_api import ChangeAnswer
-from foxtaildrum.proposals import ChangeSettled
-from foxtaildrum.reads import ReadDone
-from foxtaildrum.receipts import ReceiptsDone
+from foxtaildrum.fleet.node_api import ChangeAnswer
+from foxtaildrum.fleet.receipts import ReceiptsDone
+from foxtaildrum.instance import load_saved
 from foxtaildrum.records import Announcement, ClaimFinish
-from foxtaildrum.tables import Change
 
 SYNC_S = 0.001
 MIN_DELAY_S = 0.0005
--- a/tests/sites.py
+++ b/tests/sites.py
@@ -10,7 +10,7 @@
 from pathlib import Path
 from typing import Any
 
-from foxtaildrum.client import AdminClient
+from foxtaildrum.admin.client import AdminClient
 from foxtaildrum.exceptions import AdminRequestError
 from foxtaildrum.instance import Instance
 from foxtaildrum.records import Settings
--- a/tests/standins/processes.py
+++ b/tests/standins/processes.py
@@ -14,7 +14,7 @@
 from pathlib import Path
 from typing import Any
 
-from foxtaildrum.client import AdminClient
+from foxtaildrum.admin.client import AdminClient
 from foxtaildrum.exceptions import AdminRequestError
 
 START_TIMEOUT_S = 30.0
--- a/tests/standins/slopes.py
+++ b/tests/standins/slopes.py
@@ -13,16 +13,16 @@
 import pykka
 
 from foxtaildrum import records as r
-from foxtaildrum.balancer import Balancer, Ticket
-from foxtaildrum.follower import Follower, TableState
-from foxtaildrum.frames import FrameWriter, derive_key
-from foxtaildrum.loads import LoadReport
-from foxtaildrum.membership import Knowledge, Member, Membership, MemberState
-from foxtaildrum.policies import list_policies
-from foxtaildrum.routing import Router
-from foxtaildrum.steps import Ended
-from foxtaildrum.tables import Change
-from foxtaildrum.upstreams import Entry, UpstreamList
+from foxtaildrum.balancing.balancer import Balancer, Ticket
+from foxtaildrum.balancing.loads import LoadReport
+from foxtaildrum.balancing.policies import list_policies
+from foxtaildrum.control.follower import Follower, TableState
+from foxtaildrum.control.tables import Change
+from foxtaildrum.fleet.frames import FrameWriter, derive_key
+from foxtaildrum.fleet.membership import Knowledge, Member, Membership, MemberState
+from foxtaildrum.fleet.upstreams import Entry, UpstreamList
+from foxtaildrum.requests.routing import Router
+from foxtaildrum.requests.steps import Ended
 
 REPEATS = 5
 
--- a/tests/standins/upstream.py
+++ b/tests/standins/upstream.py
@@ -14,7 +14,7 @@
 import time
 from collections import Counter
 
-from foxtaildrum.client import AdminClient
+from foxtaildrum.admin.client import AdminClient
 from foxtaildrum.exceptions import AdminRequestError
 
 STALL_POLL_S = 0.01
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -8,7 +8,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from foxtaildrum.balancer import (
+from foxtaildrum.balancing.balancer import (
     EJECT_AFTER_FAILURES,
     PROBE_BURST_S,
     PROBE_COST_S,
@@ -16,13 +16,13 @@
     Balancer,
     Ticket,
 )
-from foxtaildrum.budget import Budget
+from foxtaildrum.balancing.budget import Budget
+from foxtaildrum.balancing.loads import LoadReport, parse_load_figures, parse_load_metrics
+from foxtaildrum.balancing.policies import list_policies
+from foxtaildrum.fleet.upstreams import Entry
 from foxtaildrum.kinds import ErrorKind
-from foxtaildrum.loads import LoadReport, parse_load_figures, parse_load_metrics
-from foxtaildrum.policies import list_policies
 from foxtaildrum.records import Announcement, Pool
-from foxtaildrum.steps import Ended
-from foxtaildrum.upstreams import Entry
+from foxtaildrum.requests.steps import Ended
 
 FAR = 1e9
 NOBODY: frozenset[str] = frozenset()
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from foxtaildrum import holder
-from foxtaildrum.claims import Verdict, compute_claim_key
+from foxtaildrum.control import holder
+from foxtaildrum.control.claims import Verdict, compute_claim_key
 
 from .fleet import Fleet, form_fleet
 
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -4,7 +4,7 @@
 
 import socket
 
-from foxtaildrum.connections import (
+from foxtaildrum.requests.connections import (
     MAX_IDLE_CONNECTIONS,
     MAX_IDLE_S,
     MAX_IDLE_UNREPEATABLE_S,
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -6,10 +6,10 @@
 
 import pytest
 
-from foxtaildrum.consensus import COMPACT_ENTRIES, Consensus, Role
-from foxtaildrum.entries import Saved
+from foxtaildrum.control.consensus import COMPACT_ENTRIES, Consensus, Role
+from foxtaildrum.control.entries import Saved
+from foxtaildrum.control.follower import TableState
 from foxtaildrum.events import Persist, Persisted, PersistFailed, Received, Send
-from foxtaildrum.follower import TableState
 from foxtaildrum.records import AppendReply, AppendRequest, VoteReply, VoteRequest
 
 from .fleet import form_fleet
--- a/tests/test_desired.py
+++ b/tests/test_desired.py
@@ -6,15 +6,15 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from foxtaildrum.desired import (
+from foxtaildrum.control.desired import (
     DesiredPatch,
     DesiredState,
     apply_patch,
     build_patch,
     describe_desired,
 )
+from foxtaildrum.control.tables import Tables
 from foxtaildrum.exceptions import InvalidTableError
-from foxtaildrum.tables import Tables
 
 from .fleet import form_fleet
 
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -6,9 +6,9 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from foxtaildrum import steps as x
-from foxtaildrum.exchange import MAX_ATTEMPTS, Allowance, Exchange
 from foxtaildrum.kinds import ANSWERS, ErrorKind, Outcome
+from foxtaildrum.requests import steps as x
+from foxtaildrum.requests.exchange import MAX_ATTEMPTS, Allowance, Exchange
 
 DEADLINE_S = 10.0
 HEDGE_S = 1.0
--- a/tests/test_fleet_matrix.py
+++ b/tests/test_fleet_matrix.py
@@ -14,8 +14,8 @@
 
 import pytest
 
-from foxtaildrum import consensus, follower
 from foxtaildrum import records as r
+from foxtaildrum.control import consensus, follower
 
 from .fleet import Fleet, form_fleet
 
--- a/tests/test_frames.py
+++ b/tests/test_frames.py
@@ -9,10 +9,11 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from foxtaildrum import frames, records
+from foxtaildrum import records
 from foxtaildrum.exceptions import FrameError
-from foxtaildrum.frames import FrameReader, FrameWriter, Greeting, derive_key
-from foxtaildrum.messages import decode_message, encode_message, list_message_types
+from foxtaildrum.fleet import frames
+from foxtaildrum.fleet.frames import FrameReader, FrameWriter, Greeting, derive_key
+from foxtaildrum.fleet.messages import decode_message, encode_message, list_message_types
 
 KEY = b"fleet key"
 SESSION = derive_key(KEY, b"a" * 16, b"b" * 16)
--- a/tests/test_group.py
+++ b/tests/test_group.py
@@ -6,10 +6,10 @@
 
 import pytest
 
-from foxtaildrum.consensus import Role
+from foxtaildrum.control.consensus import Role
+from foxtaildrum.control.journal import Journal
 from foxtaildrum.exceptions import CorruptJournalError
 from foxtaildrum.instance import load_saved
-from foxtaildrum.journal import Journal
 
 from .fleet import FakeDisk, Fleet, form_joined_fleet, is_full
 
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -6,8 +6,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from foxtaildrum.control.journal import FolderDisk, Journal, pack_record
 from foxtaildrum.exceptions import CorruptJournalError
-from foxtaildrum.journal import FolderDisk, Journal, pack_record
 
 from .fleet import FakeDisk
 
--- a/tests/test_listeners.py
+++ b/tests/test_listeners.py
@@ -7,10 +7,10 @@
 
 import pytest
 
-from foxtaildrum.client import AdminClient
+from foxtaildrum.admin.client import AdminClient
 from foxtaildrum.instance import Instance
-from foxtaildrum.listeners import open_listener
 from foxtaildrum.records import Settings
+from foxtaildrum.requests.listeners import open_listener
 
 
 def test_a_request_sent_before_the_start_is_answered_after_it(tmp_path):
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -12,7 +12,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from foxtaildrum.explain import explain_request, format_story, parse_line
+from foxtaildrum.admin.explain import explain_request, format_story, parse_line
 from foxtaildrum.logevents import EVENTS
 from foxtaildrum.logs import BoundedQueueHandler, LineGate, format_value
 
@@ -20,7 +20,7 @@
 
 
 def list_logged():
-    for path in SOURCE.glob("*.py"):
+    for path in SOURCE.rglob("*.py"):
         for call in ast.walk(ast.parse(path.read_text())):
             if isinstance(call, ast.Call) and getattr(call.func, "id", "") == "log_event":
                 names = {k.arg for k in call.keywords} - {"level", "failed", None}
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -8,9 +8,9 @@
 
 import pytest
 
-from foxtaildrum.balancer import PROBE_BURST_S
-from foxtaildrum.dialects import Dialect
+from foxtaildrum.balancing.balancer import PROBE_BURST_S
 from foxtaildrum.kinds import ANSWERS, ErrorKind, Outcome
+from foxtaildrum.requests.dialects import Dialect
 from foxtaildrum.settings import load_settings
 
 FOLDER = Path(__file__).parent.parent / "platform"
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -12,7 +12,7 @@
 
 import pytest
 
-from foxtaildrum.metrics import StatsdSender
+from foxtaildrum.admin.metrics import StatsdSender
 
 from .sites import open_site
 from .standins.processes import wait_until
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -7,7 +7,7 @@
 
 from foxtaildrum.kinds import ErrorKind
 from foxtaildrum.records import Route
-from foxtaildrum.routing import Router, is_idempotent
+from foxtaildrum.requests.routing import Router, is_idempotent
 
 SEGMENTS = st.lists(st.sampled_from(["a", "b", "ab", ""]), max_size=4)
 PATHS = SEGMENTS.map(lambda parts: "/" + "/".join(parts))
--- a/tests/test_samples.py
+++ b/tests/test_samples.py
@@ -6,15 +6,15 @@
 import socket
 from types import SimpleNamespace
 
-from foxtaildrum.dialects import Dialect
+from foxtaildrum.balancing.loads import LoadReport, parse_load_figures
+from foxtaildrum.balancing.pools import UpstreamPool
+from foxtaildrum.balancing.samples import Sampler
+from foxtaildrum.fleet.upstreams import READY, Entry
 from foxtaildrum.kinds import ErrorKind
-from foxtaildrum.loads import LoadReport, parse_load_figures
-from foxtaildrum.pools import UpstreamPool
 from foxtaildrum.records import Announcement, Pool
-from foxtaildrum.samples import Sampler
-from foxtaildrum.sizes import AnswerSizes
-from foxtaildrum.transport import TransportError, read_clock
-from foxtaildrum.upstreams import READY, Entry
+from foxtaildrum.requests.dialects import Dialect
+from foxtaildrum.requests.sizes import AnswerSizes
+from foxtaildrum.requests.transport import TransportError, read_clock
 
 HERE, THERE = "here", "there"
 
@@ -117,7 +117,7 @@
 def test_an_answer_that_a_busy_instance_reads_late_counts(monkeypatch):
     world = World(a={"Name": "a", "Load": "2,0,4"}, b={"Name": "b", "Load": "1,0,4"})
     times = iter(read_clock() + second for second in range(100))
-    monkeypatch.setattr("foxtaildrum.samples.read_clock", lambda: next(times))
+    monkeypatch.setattr("foxtaildrum.balancing.samples.read_clock", lambda: next(times))
     world.sampler.sample(frozenset(), 0.0)
     assert world.get("a").silences == world.get("b").silences == 0
     assert (world.get("a").reported_others, world.get("b").reported_others) == (2.0, 1.0)
--- a/tests/test_splits.py
+++ b/tests/test_splits.py
@@ -8,8 +8,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from foxtaildrum.balancing.splits import PoolChooser, SplitChooser
 from foxtaildrum.records import Route, Share
-from foxtaildrum.splits import PoolChooser, SplitChooser
 
 
 def build_route(weights: dict[str, float]) -> Route:
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -6,9 +6,9 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from foxtaildrum.journal import Journal
-from foxtaildrum.node import Write
-from foxtaildrum.storage import JournalWriter, Written
+from foxtaildrum.control.journal import Journal
+from foxtaildrum.control.storage import JournalWriter, Written
+from foxtaildrum.fleet.node import Write
 
 from .fleet import FakeDisk
 
--- a/tests/test_tables.py
+++ b/tests/test_tables.py
@@ -6,8 +6,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from foxtaildrum.control.tables import Change, Tables, check_table
 from foxtaildrum.exceptions import InvalidTableError
-from foxtaildrum.tables import Change, Tables, check_table
 
 POOLS = [{"name": "lookup"}, {"name": "dispatch"}]
 
--- a/tests/test_upstreams.py
+++ b/tests/test_upstreams.py
@@ -9,8 +9,8 @@
 from hypothesis import strategies as st
 
 from foxtaildrum.exceptions import StaleAnnouncementError
+from foxtaildrum.fleet.upstreams import DRAINING, LEFT, READY, Entry, UpstreamList
 from foxtaildrum.records import Announcement
-from foxtaildrum.upstreams import DRAINING, LEFT, READY, Entry, UpstreamList
 
 from .fleet import form_fleet
 
