Split the balancer: candidates, tickets and the budget of status checks

Ruled out: changing a decision on the way.

Change: what policies read of an upstream is candidates, a request that asks for a slot is tickets, the budget of status checks is beside the other budgets.

--- a/src/foxtaildrum/balancing/balancer.py
+++ b/src/foxtaildrum/balancing/balancer.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 import random
 import sys
 from collections import OrderedDict
@@ -12,12 +11,12 @@
 from ..kinds import ErrorKind
 from ..records import Pool
 from ..requests.steps import Ended
-from .budget import Budget
+from .budget import Budget, SampleBudget
+from .candidates import RAMP_S, PoolLoad, UpstreamLoad
 from .loads import LoadReport
-from .policies import FRESH_S, get_policy
+from .policies import get_policy
+from .tickets import Ticket
 
-RAMP_S = 5.0
-RAMP_FLOOR = 0.1
 EJECT_AFTER_FAILURES = 5
 EJECT_BASE_S = 1.0
 EJECT_MAX_S = 30.0
@@ -25,204 +24,21 @@
 MAX_FAILURE_LEVEL = 16.0
 SHED_PAUSE_S = 0.05
 SHED_PAUSE_MAX_S = 2.0
-INITIAL_SERVICE_S = 0.01
 MEAN_WEIGHT = 0.05
 LATENCY_WEIGHT = 0.2
 USUAL_PACE_WEIGHT = 0.2
 RUN_SERVICE_TIMES = 2.0
 PROBE_COST_S = 0.006
-PROBE_BURST_S = 5.0
 PROBE_AGE_SERVICE_TIMES = 3.0
-MEAN_FADE_SERVICE_TIMES = 3.0
 DEFAULT_RETRY_RATIO = 0.1
 RETRY_TOKENS = 10.0
 SILENT_PACE = 10.0
 SILENT_PAUSE_S = 0.1
 SILENT_PAUSE_MAX_S = 4.0
-LARGE_ANSWER_BYTES = 30_000
-FAR_SAMPLES = 1
 MOVED_PAUSE_S = 2.0
 HEDGE_TOKENS_SERVICE_TIMES = 10.0
 
 
-class UpstreamLoad:
-    """What one instance knows of the load of one upstream.
-
-    Attributes
-    ----------
-    in_flight : int
-        Own requests that hold a slot.
-    reported_others : float
-        Slots that others used according to the last report.
-    reported_at : float
-        Time of the last report, in seconds.
-    service_s : float
-        Recent mean of the time that own requests held a slot, in seconds.
-    """
-
-    __slots__ = (
-        "address",
-        "ejected_until",
-        "ejections",
-        "failed_at",
-        "failure_level",
-        "failures",
-        "in_flight",
-        "incarnation",
-        "last_turn",
-        "pace",
-        "ramp_until",
-        "remote",
-        "reported_at",
-        "reported_others",
-        "service_s",
-        "sheds",
-        "silences",
-        "slots",
-        "state",
-        "upstream_id",
-        "usual_pace",
-    )
-
-    def __init__(self, upstream_id: str) -> None:
-        self.upstream_id = upstream_id
-        self.address = ""
-        self.state = READY
-        self.slots = 1
-        self.incarnation = -1
-        self.remote = False
-        self.in_flight = 0
-        self.last_turn = 0
-        self.reported_others = 0.0
-        self.pace = 1.0
-        self.usual_pace = 1.0
-        self.reported_at = float("-inf")
-        self.service_s = 0.0
-        self.sheds = 0
-        self.silences = 0
-        self.failures = 0
-        self.failure_level = 0.0
-        self.failed_at = float("-inf")
-        self.ejected_until = float("-inf")
-        self.ejections = 0
-        self.ramp_until = float("-inf")
-
-    def compute_ramp(self, now: float) -> float:
-        """Return the share of its slots that a starting upstream may use."""
-        if now >= self.ramp_until:
-            return 1.0
-        return max(RAMP_FLOOR, 1.0 - (self.ramp_until - now) / RAMP_S)
-
-    def has_free_slot(self, now: float) -> bool:
-        """Return whether one more request may be sent."""
-        if now >= self.ramp_until:
-            return self.in_flight < self.slots
-        return self.in_flight < max(1, int(self.slots * self.compute_ramp(now)))
-
-
-class PoolLoad:
-    """Averages over a pool that policies read.
-
-    Attributes
-    ----------
-    mean_service_s : float
-        Mean time that an attempt holds a slot, in seconds.
-    answer_bytes : float
-        Expected size of the answer to the request at hand.
-    mean_pace : float
-        Mean of how long work takes, as a multiple of the usual.
-    mean_others : float
-        Mean of the slots that others use at an upstream.
-    """
-
-    __slots__ = (
-        "answer_bytes",
-        "mean_others",
-        "mean_pace",
-        "mean_service_s",
-        "reported_at",
-    )
-
-    def __init__(self) -> None:
-        self.mean_service_s = INITIAL_SERVICE_S
-        self.answer_bytes = 0.0
-        self.mean_others = 0.0
-        self.mean_pace = 1.0
-        self.reported_at = float("-inf")
-
-    def estimate_mean_others(self, now: float) -> float:
-        """Return the mean, faded when no answer has reported for long.
-
-        Without the fading an instance that holds requests back for a high mean would
-        never hear of a lower one.
-        """
-        silent_s = now - self.reported_at - self.mean_service_s
-        if silent_s <= 0:
-            return self.mean_others
-        fade_s = MEAN_FADE_SERVICE_TIMES * self.mean_service_s
-        return self.mean_others * math.exp(-silent_s / fade_s)
-
-
-class Ticket:
-    """A request that asks for a slot.
-
-    Parameters
-    ----------
-    deadline : float
-        Time by which the answer must have arrived, in seconds.
-    excluded : frozenset of str
-        Upstreams that were tried already.
-    priority : int
-        Rank of the request; 0 is the most urgent.
-    patience_s : float
-        Longest wait for a slot, in seconds.
-    answer_bytes : float
-        Expected size of the answer.
-
-    Attributes
-    ----------
-    granted : UpstreamLoad or None
-        Upstream whose slot was granted.
-    refused : ErrorKind or None
-        Kind of the refusal.
-    """
-
-    __slots__ = (
-        "answer_bytes",
-        "deadline",
-        "excluded",
-        "give_up_at",
-        "granted",
-        "patience_s",
-        "priority",
-        "refused",
-        "wake",
-    )
-
-    def __init__(
-        self,
-        deadline: float,
-        excluded: frozenset[str],
-        priority: int = 0,
-        patience_s: float = float("inf"),
-        answer_bytes: float = 0.0,
-    ) -> None:
-        self.deadline = deadline
-        self.answer_bytes = answer_bytes
-        self.priority = priority
-        self.patience_s = patience_s
-        self.give_up_at = deadline
-        self.excluded = excluded
-        self.granted: UpstreamLoad | None = None
-        self.refused: ErrorKind | None = None
-        self.wake = None
-
-    @property
-    def settled(self) -> bool:
-        """Whether the ticket was granted or refused."""
-        return self.granted is not None or self.refused is not None
-
-
 class Balancer:
     """Gives slots of a pool's upstreams to requests.
 
@@ -261,10 +77,7 @@
         self.upstreams: dict[str, UpstreamLoad] = {}
         self.queue: OrderedDict[int, Ticket] = OrderedDict()
         self.shares_retries = False
-        self._probes_per_s = 0.0
-        self._sample_size = 0
-        self._probe_tokens = 0.0
-        self._probes_at = 0.0
+        self._samples = SampleBudget()
         self._displaced: list[Ticket] = []
         self.default_retry_ratio = DEFAULT_RETRY_RATIO
         self.retry_budget = Budget(DEFAULT_RETRY_RATIO, RETRY_TOKENS, RETRY_TOKENS)
@@ -367,41 +180,16 @@
 
     def set_probe_rate(self, probes_per_s: float, sample_size: int) -> None:
         """Set how often each upstream may be asked, and how many are compared."""
-        self._probes_per_s = probes_per_s
-        self._sample_size = sample_size
+        self._samples.configure(probes_per_s, sample_size)
 
     def choose_samples(
         self, now: float, excluded: frozenset[str], answer_bytes: float = 0.0
     ) -> list[UpstreamLoad]:
-        """Return the upstreams to ask for their load before one is chosen.
-
-        Most are of the own availability zone; where a large answer is expected, all are.
-        One that has just reported counts as asked, so that requests that arrive together
-        share their status checks.
-        """
-        if not self._sample_size:
-            return []
-        known = self._list_candidates(now, excluded)
-        candidates = [u for u in known if now - u.reported_at > FRESH_S]
-        wanted = self._sample_size - (len(known) - len(candidates))
-        count = max(0, min(wanted, len(candidates)))
-        self._refill_probes(now, len(self.upstreams))
-        count = min(count, int(self._probe_tokens))
-        self._probe_tokens -= count
-        near = [u for u in candidates if not u.remote]
-        large = answer_bytes >= LARGE_ANSWER_BYTES
-        near_count = count if large else max(count - FAR_SAMPLES, 0)
-        chosen = self.rng.sample(near, min(near_count, len(near)))
-        others = [u for u in candidates if u not in chosen]
-        return chosen + self.rng.sample(others, count - len(chosen))
-
-    def _refill_probes(self, now: float, upstreams: int) -> None:
-        rate = self._probes_per_s * upstreams
-        earned = (now - self._probes_at) * rate
-        # Callers come unevenly: for a moment an instance may get the share of many.
-        capacity = max(rate * PROBE_BURST_S, self._sample_size)
-        self._probe_tokens = min(capacity, self._probe_tokens + earned)
-        self._probes_at = now
+        """Return the upstreams to ask for their load before one is chosen."""
+        candidates = self._list_candidates(now, excluded) if self._samples.size else []
+        return self._samples.choose(
+            now, candidates, len(self.upstreams), answer_bytes, self.rng
+        )
 
     def note_silent(self, now: float, upstream: UpstreamLoad) -> None:
         """Take note that an upstream did not answer a status check in time."""
--- a/src/foxtaildrum/balancing/budget.py
+++ b/src/foxtaildrum/balancing/budget.py
@@ -2,6 +2,16 @@
 
 from __future__ import annotations
 
+import random
+from collections.abc import Sequence
+
+from .candidates import UpstreamLoad
+from .policies import FRESH_S
+
+PROBE_BURST_S = 5.0
+LARGE_ANSWER_BYTES = 30_000
+FAR_SAMPLES = 1
+
 
 class Budget:
     """Spends at most a fixed share of what is earned.
@@ -39,3 +49,69 @@
             return False
         self._tokens -= cost
         return True
+
+
+class SampleBudget:
+    """Status checks that one instance may send to the upstreams of a pool.
+
+    Attributes
+    ----------
+    size : int
+        Upstreams that are compared for one choice; 0 sends no status check.
+    """
+
+    __slots__ = ("_earned_at", "_per_upstream_s", "_tokens", "size")
+
+    def __init__(self) -> None:
+        self.size = 0
+        self._per_upstream_s = 0.0
+        self._tokens = 0.0
+        self._earned_at = 0.0
+
+    def configure(self, per_upstream_s: float, size: int) -> None:
+        """Set how often each upstream may be asked, and how many are compared."""
+        self._per_upstream_s = per_upstream_s
+        self.size = size
+
+    def choose(
+        self,
+        now: float,
+        candidates: Sequence[UpstreamLoad],
+        upstreams: int,
+        answer_bytes: float,
+        rng: random.Random,
+    ) -> list[UpstreamLoad]:
+        """Return the candidates to ask, paid from the budget.
+
+        Most are of the own availability zone; where a large answer is expected, all are.
+        One that has just reported counts as asked, so that requests that arrive together
+        share their status checks.
+
+        Parameters
+        ----------
+        upstreams : int
+            Upstreams of the pool, whether they are candidates or not.
+        answer_bytes : float
+            Expected size of the answer.
+        """
+        unknown = [u for u in candidates if now - u.reported_at > FRESH_S]
+        wanted = self.size - (len(candidates) - len(unknown))
+        count = self._spend(now, min(wanted, len(unknown)), upstreams)
+        near = [u for u in unknown if not u.remote]
+        large = answer_bytes >= LARGE_ANSWER_BYTES
+        near_count = count if large else max(count - FAR_SAMPLES, 0)
+        chosen = rng.sample(near, min(near_count, len(near)))
+        others = [u for u in unknown if u not in chosen]
+        return chosen + rng.sample(others, count - len(chosen))
+
+    def _spend(self, now: float, wanted: int, upstreams: int) -> int:
+        """Return how many of the wanted status checks the budget pays for."""
+        rate = self._per_upstream_s * upstreams
+        # Callers come unevenly: for a moment an instance may get the share of many.
+        capacity = max(rate * PROBE_BURST_S, self.size)
+        earned = (now - self._earned_at) * rate
+        self._tokens = min(capacity, self._tokens + earned)
+        self._earned_at = now
+        count = max(0, min(wanted, int(self._tokens)))
+        self._tokens -= count
+        return count
--- a/src/foxtaildrum/balancing/policies.py
+++ b/src/foxtaildrum/balancing/policies.py
@@ -5,14 +5,10 @@
 import math
 import random
 from collections.abc import Callable, Sequence
-from typing import TYPE_CHECKING
 
-if TYPE_CHECKING:
-    from .balancer import PoolLoad, UpstreamLoad
+from .candidates import PoolLoad, UpstreamLoad
 
-Policy = Callable[
-    [float, Sequence["UpstreamLoad"], "PoolLoad", random.Random], "UpstreamLoad | None"
-]
+Policy = Callable[[float, Sequence[UpstreamLoad], PoolLoad, random.Random], UpstreamLoad | None]
 
 REPORT_FADE_SERVICE_TIMES = 3.0
 FAILURE_FADE_S = 2.0
--- a/src/foxtaildrum/balancing/pools.py
+++ b/src/foxtaildrum/balancing/pools.py
@@ -13,9 +13,11 @@
 from ..requests.exchange import Allowance
 from ..requests.steps import Ended
 from ..requests.transport import Adapter, read_clock
-from .balancer import Balancer, Ticket, UpstreamLoad
+from .balancer import Balancer
+from .candidates import UpstreamLoad
 from .latency import RecentLatency
 from .loads import LoadReport
+from .tickets import Ticket
 
 __all__ = ["UpstreamPool", "read_clock"]
 
--- a/src/foxtaildrum/balancing/probes.py
+++ b/src/foxtaildrum/balancing/probes.py
@@ -12,7 +12,7 @@
 from ..admin.metrics import Meter
 from ..requests.dialects import Dialect
 from ..requests.transport import OutgoingRequest, TransportError
-from .balancer import UpstreamLoad
+from .candidates import UpstreamLoad
 from .loads import LoadReport
 from .pools import UpstreamPool, read_clock
 
--- a/src/foxtaildrum/balancing/samples.py
+++ b/src/foxtaildrum/balancing/samples.py
@@ -11,7 +11,7 @@
 
 from ..requests.dialects import Dialect
 from ..requests.transport import Connection, OutgoingRequest, TransportError, read_clock
-from .balancer import UpstreamLoad
+from .candidates import UpstreamLoad
 from .pools import UpstreamPool
 
 SAMPLE_TIMEOUT_S = 0.012
--- /dev/null
+++ b/src/foxtaildrum/balancing/tickets.py
@@ -0,0 +1,66 @@
+"""Requests that ask a pool for a slot."""
+
+from __future__ import annotations
+
+from ..kinds import ErrorKind
+from .candidates import UpstreamLoad
+
+
+class Ticket:
+    """A request that asks for a slot.
+
+    Parameters
+    ----------
+    deadline : float
+        Time by which the answer must have arrived, in seconds.
+    excluded : frozenset of str
+        Upstreams that were tried already.
+    priority : int
+        Rank of the request; 0 is the most urgent.
+    patience_s : float
+        Longest wait for a slot, in seconds.
+    answer_bytes : float
+        Expected size of the answer.
+
+    Attributes
+    ----------
+    granted : UpstreamLoad or None
+        Upstream whose slot was granted.
+    refused : ErrorKind or None
+        Kind of the refusal.
+    """
+
+    __slots__ = (
+        "answer_bytes",
+        "deadline",
+        "excluded",
+        "give_up_at",
+        "granted",
+        "patience_s",
+        "priority",
+        "refused",
+        "wake",
+    )
+
+    def __init__(
+        self,
+        deadline: float,
+        excluded: frozenset[str],
+        priority: int = 0,
+        patience_s: float = float("inf"),
+        answer_bytes: float = 0.0,
+    ) -> None:
+        self.deadline = deadline
+        self.answer_bytes = answer_bytes
+        self.priority = priority
+        self.patience_s = patience_s
+        self.give_up_at = deadline
+        self.excluded = excluded
+        self.granted: UpstreamLoad | None = None
+        self.refused: ErrorKind | None = None
+        self.wake = None
+
+    @property
+    def settled(self) -> bool:
+        """Whether the ticket was granted or refused."""
+        return self.granted is not None or self.refused is not None
--- a/src/foxtaildrum/requests/dispatch.py
+++ b/src/foxtaildrum/requests/dispatch.py
@@ -8,9 +8,10 @@
 from collections.abc import Callable, Iterator
 from typing import IO
 
-from ..balancing.balancer import Ticket, UpstreamLoad
+from ..balancing.candidates import UpstreamLoad
 from ..balancing.pools import UpstreamPool, read_clock
 from ..balancing.samples import Sampler
+from ..balancing.tickets import Ticket
 from ..kinds import ErrorKind, Outcome
 from ..logs import log_event
 from . import steps as x
--- a/tests/standins/experiment.py
+++ b/tests/standins/experiment.py
@@ -19,7 +19,7 @@
 from pathlib import Path
 from typing import Any
 
-from foxtaildrum.balancing.balancer import RAMP_S
+from foxtaildrum.balancing.candidates import RAMP_S
 
 from .processes import InstanceProcess, UpstreamProcess, pick_port, wait_until
 
--- a/tests/standins/slopes.py
+++ b/tests/standins/slopes.py
@@ -13,9 +13,10 @@
 import pykka
 
 from foxtaildrum import records as r
-from foxtaildrum.balancing.balancer import Balancer, Ticket
+from foxtaildrum.balancing.balancer import Balancer
 from foxtaildrum.balancing.loads import LoadReport
 from foxtaildrum.balancing.policies import list_policies
+from foxtaildrum.balancing.tickets import Ticket
 from foxtaildrum.control.follower import Follower, TableState
 from foxtaildrum.control.tables import Change
 from foxtaildrum.fleet.frames import FrameWriter, derive_key
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from foxtaildrum.balancing.balancer import PROBE_BURST_S
+from foxtaildrum.balancing.budget import PROBE_BURST_S
 from foxtaildrum.kinds import ANSWERS, ErrorKind, Outcome
 from foxtaildrum.requests.dialects import Dialect
 from foxtaildrum.settings import load_settings
