A silent upstream gets no request before it answers a status check

Ruled out: the lease (four heartbeats; a shorter one would lose upstreams whose announcements are late), the time allowed to connect (far regions need it).

Change: an upstream that did not answer its last status check, or did not take a connection where checks are in use, gets checks but no request until it answers one. A pool of which most are silent is used as before.

Tests: three in test_balancer.py; the first two failed before.

--- a/src/foxtaildrum/balancing/balancer.py
+++ b/src/foxtaildrum/balancing/balancer.py
@@ -186,7 +186,9 @@
         self, now: float, excluded: frozenset[str], answer_bytes: float = 0.0
     ) -> list[UpstreamLoad]:
         """Return the upstreams to ask for their load before one is chosen."""
-        candidates = self._list_candidates(now, excluded) if self._samples.size else []
+        if not self._samples.size:
+            return []
+        candidates = self._list_candidates(now, excluded, silent=True)
         return self._samples.choose(
             now, candidates, len(self.upstreams), answer_bytes, self.rng
         )
@@ -274,6 +276,7 @@
         if announcement.incarnation > upstream.incarnation and not first_view:
             upstream.ramp_until = now + RAMP_S
             upstream.failures = 0
+            upstream.silences = 0
             upstream.failure_level = 0.0
             upstream.ejected_until = float("-inf")
         upstream.incarnation = announcement.incarnation
@@ -297,9 +300,18 @@
         chosen.last_turn = self.turn
         ticket.granted = chosen
 
-    def _list_candidates(self, now: float, excluded: frozenset[str]) -> list[UpstreamLoad]:
+    def _list_candidates(
+        self, now: float, excluded: frozenset[str], silent: bool = False
+    ) -> list[UpstreamLoad]:
+        """Return the upstreams that may take a request, or a status check if ``silent``.
+
+        One that did not answer its last status check gets no request before it answers
+        another: what is known of it fades, and it would soon look idle.
+        """
         ready = [u for u in self.upstreams.values() if u.state == READY]
         healthy = [u for u in ready if u.ejected_until <= now]
+        if not silent:
+            healthy = [u for u in healthy if not u.silences]
         if len(healthy) < len(ready) * (1 - MAX_EJECTED_RATIO):
             healthy = ready
         if excluded:
@@ -333,6 +345,7 @@
         if result is Ended.OK:
             upstream.failures = 0
             upstream.sheds = 0
+            upstream.silences = 0
             upstream.ejections = 0
             upstream.failure_level *= 0.5
             upstream.service_s += (held_s - upstream.service_s) * LATENCY_WEIGHT
@@ -351,6 +364,8 @@
         upstream.failed_at = now
         if result is Ended.UNREACHABLE or upstream.failures >= EJECT_AFTER_FAILURES:
             upstream.ejections += 1
+            if result is Ended.UNREACHABLE and self._samples.size:
+                upstream.silences += 1
             pause_s = min(EJECT_MAX_S, EJECT_BASE_S * 2 ** (upstream.ejections - 1))
             upstream.ejected_until = now + pause_s
 
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -390,6 +390,38 @@
     assert upstream.silences == 0
 
 
+def test_a_silent_upstream_gets_no_request_before_it_answers_a_status_check():
+    balancer = build_balancer("abc")
+    balancer.set_probe_rate(1000.0, 3)
+    balancer.note_silent(1.0, balancer.upstreams["a"])
+    later = balancer.upstreams["a"].ejected_until + 3.0
+    for name in "bc":
+        balancer.report_load(later, balancer.upstreams[name], LoadReport(1.0))
+    assert set(choose_often(balancer, later, 50)) == {"b", "c"}
+    asked = balancer.choose_samples(later, NOBODY)
+    assert [u.upstream_id for u in asked] == ["a"]
+    balancer.report_load(later, balancer.upstreams["a"], LoadReport(0.0))
+    assert "a" in choose_often(balancer, later, 50)
+
+
+def test_an_upstream_that_refused_a_connection_must_answer_a_status_check_first():
+    balancer = build_balancer("abc")
+    balancer.set_probe_rate(1000.0, 3)
+    upstream = balancer.upstreams["a"]
+    upstream.in_flight = 1
+    balancer.in_flight = 1
+    balancer.release(1.0, upstream, Ended.UNREACHABLE, 0.1)
+    assert set(choose_often(balancer, 60.0, 50)) == {"b", "c"}
+    assert upstream in balancer.choose_samples(60.0, NOBODY)
+
+
+def test_a_pool_of_which_most_are_silent_is_still_used():
+    balancer = build_balancer("abc")
+    for name in "ab":
+        balancer.note_silent(1.0, balancer.upstreams[name])
+    assert set(choose_often(balancer, 60.0, 100)) & {"a", "b"}
+
+
 def test_an_upstream_that_is_slow_again_and_again_is_avoided_while_its_report_is_old():
     balancer = build_balancer("ab")
     for number in range(20):
