Metrics as text on an address of their own, burn rates, and 'foxtaildrum settings'

Cause: on-call engineers have logs and metrics only; statsd has no histograms and needs a server, GET /v1/report gave counts without burn rates, lines that the log queue dropped were told nowhere, and where a setting came from could not be seen.

The report gives burn rates. 'settings' checks all settings and shows the source of each. A settings file that lacks a field no longer ends a running process on SIGHUP.

--- a/src/foxtaildrum/admin/access.py
+++ b/src/foxtaildrum/admin/access.py
@@ -15,11 +15,13 @@
 from ..exceptions import NotSpreadError
 from ..fleet.node import Node
 from ..fleet.node_api import ChangeAnswer
-from ..logs import log_event
+from ..logs import describe_left_out, log_event
 from ..records import Announcement, ClaimFinish
 from ..requests.dispatch import Refusal, UpstreamAnswer
 from ..requests.idempotency import StoredAnswer
 from ..requests.proxy import Proxy
+from .exposition import Snapshot
+from .gauges import list_node_gauges, list_pool_gauges
 from .metrics import Meter
 from .status import describe_node, describe_pool
 
@@ -123,6 +125,16 @@
         """Return the service level of each route."""
         return self._meter.describe_levels(read_clock())
 
+    def describe_metrics(self) -> Snapshot:
+        """Return what the page of metrics shows."""
+        snapshot = Snapshot.from_counters(self._meter.describe_counters())
+        snapshot.left_out = describe_left_out()
+        snapshot.route_latencies = self._meter.list_buckets()
+        pools = self._proxy.view.pools
+        snapshot.pool_latencies = {name: pool.held for name, pool in pools.items()}
+        snapshot.gauges = self._read(list_node_gauges) + list_pool_gauges(pools)
+        return snapshot
+
     def get_table(self, name: str) -> tuple[list[dict[str, Any]], int, bool]:
         """Return the rows, the version and whether they are known to be current."""
         return self._read(lambda node, now: _read_table(node, now, name))
--- a/src/foxtaildrum/admin/admin.py
+++ b/src/foxtaildrum/admin/admin.py
@@ -16,22 +16,30 @@
 from ..records import Announcement
 from ..requests.problem import StartResponse, format_status
 from ..validation import find_problems
+from .exposition import CONTENT_TYPE, format_exposition
+from .objectives import compute_burn
 
 MAX_CHANGE_ID = 128
 MAX_UPSTREAM_ID = 128
 DEFAULT_LEASE_S = 15.0
 ALLOW_STALE = "stale=allow"
 JSON_TYPE = "application/json"
+METRICS_PATH = "/metrics"
 
 
 class Reply:
     """Answer of an admin handler."""
 
-    __slots__ = ("document", "headers", "status")
+    __slots__ = ("document", "headers", "status", "text_type")
 
     def __init__(
-        self, status: int, document: Any, headers: list[tuple[str, str]] | None = None
+        self,
+        status: int,
+        document: Any,
+        headers: list[tuple[str, str]] | None = None,
+        text_type: str = "",
     ) -> None:
+        self.text_type = text_type
         self.status = status
         self.document = document
         self.headers = headers or []
@@ -123,6 +131,28 @@
         raise AdminError(http.client.NOT_FOUND, "No such page")
 
 
+class MetricsPage:
+    """Serves the page of metrics and nothing else, for an address of its own.
+
+    Parameters
+    ----------
+    node : NodeApi
+        State of the instance.
+    """
+
+    def __init__(self, node: NodeApi) -> None:
+        self._node = node
+
+    def __call__(
+        self, environ: dict[str, Any], start_response: StartResponse
+    ) -> Iterable[bytes]:
+        """Serve one request."""
+        if environ.get("PATH_INFO") != METRICS_PATH:
+            error = AdminError(http.client.NOT_FOUND, f"Only {METRICS_PATH} is served here")
+            return _send(start_response, error.reply)
+        return _send(start_response, _describe_metrics(self._node))
+
+
 @register_handler("GET", "/livez")
 def get_liveness(admin: Admin, environ: dict[str, Any], segment: str) -> Reply:
     """Tell that the process answers."""
@@ -145,8 +175,15 @@
 
 @register_handler("GET", "/v1/report")
 def get_report(admin: Admin, environ: dict[str, Any], segment: str) -> Reply:
-    """Describe the service levels of the instance."""
-    return Reply(http.client.OK, {"routes": admin.node.describe_levels()})
+    """Describe the service levels of the instance with their burn rates."""
+    levels = [{**level, **compute_burn(level)} for level in admin.node.describe_levels()]
+    return Reply(http.client.OK, {"routes": levels})
+
+
+@register_handler("GET", METRICS_PATH)
+def get_metrics(admin: Admin, environ: dict[str, Any], segment: str) -> Reply:
+    """Show counters, latencies and gauges in the text format of monitoring systems."""
+    return _describe_metrics(admin.node)
 
 
 def get_table(admin: Admin, environ: dict[str, Any], segment: str) -> Reply:
@@ -253,6 +290,11 @@
     return Reply(http.client.OK, {"upstream": segment})
 
 
+def _describe_metrics(node: NodeApi) -> Reply:
+    page = format_exposition(node.describe_metrics())
+    return Reply(http.client.OK, page, text_type=CONTENT_TYPE)
+
+
 def _describe_answer(table: str, answer: ChangeAnswer) -> Reply:
     etag = [("ETag", f'"{answer.version}"')]
     document = {
@@ -327,9 +369,12 @@
 
 
 def _send(start_response: StartResponse, reply: Reply) -> Iterable[bytes]:
-    body = json.dumps(reply.document, indent=2).encode() + b"\n"
-    is_problem = reply.status >= http.client.BAD_REQUEST
-    content_type = "application/problem+json" if is_problem else JSON_TYPE
+    if reply.text_type:
+        body, content_type = reply.document, reply.text_type
+    else:
+        body = json.dumps(reply.document, indent=2).encode() + b"\n"
+        is_problem = reply.status >= http.client.BAD_REQUEST
+        content_type = "application/problem+json" if is_problem else JSON_TYPE
     headers = [("Content-Type", content_type), ("Content-Length", str(len(body)))]
     start_response(format_status(reply.status), headers + reply.headers)
     return [body]
--- /dev/null
+++ b/src/foxtaildrum/admin/gauges.py
@@ -0,0 +1,73 @@
+"""Present figures of an instance and of its pools, for the page of metrics."""
+
+from __future__ import annotations
+
+import math
+
+from ..balancing.pools import UpstreamPool
+from ..control.consensus import Role
+from ..fleet.node import Node
+from .exposition import Gauge
+
+
+def list_node_gauges(node: Node, now: float) -> list[Gauge]:
+    """Return what the node knows of itself, its group and the currency of its tables."""
+    age_s = node.follower.compute_age(now)
+    members = node.members.members.values()
+    states = {m.state.name.lower(): 0.0 for m in members}
+    for member in members:
+        states[member.state.name.lower()] += 1.0
+    ready = float(not node.list_unready_reasons(now))
+    gauges = [
+        Gauge("ready", "Whether callers should be sent here.", {"": ready}),
+        Gauge("table_index", "Index of the log that is in force.", {"": node.follower.index}),
+        Gauge(
+            "table_age_seconds",
+            "Age of the last word of a quorum on the tables.",
+            {"": math.inf if age_s is None else age_s},
+        ),
+        Gauge("members", "Known instances by state.", states, "state"),
+        Gauge("upstreams", "Known upstreams.", {"": len(node.upstreams.entries)}),
+    ]
+    return gauges + _list_group_gauges(node)
+
+
+def _list_group_gauges(node: Node) -> list[Gauge]:
+    consensus = node.consensus
+    if consensus is None:
+        return []
+    roles = {role.value: float(role is consensus.role) for role in Role}
+    return [
+        Gauge("control_role", "1 for the role of this control instance.", roles, "role"),
+        Gauge("control_term", "Term of the control group.", {"": consensus.term}),
+        Gauge("control_voters", "Voters of the control group.", {"": len(consensus.voters)}),
+        Gauge(
+            "control_entries_pending",
+            "Entries of the log that wait for their commit.",
+            {"": consensus.count_pending()},
+        ),
+    ]
+
+
+def list_pool_gauges(pools: dict[str, UpstreamPool]) -> list[Gauge]:
+    """Return the load and the budgets of each pool."""
+    balancers = {name: pool.balancer for name, pool in pools.items()}
+    figures = (
+        ("pool_waiting", "Requests that wait for a slot.", lambda b: len(b.queue)),
+        ("pool_in_flight", "Requests that hold a slot.", lambda b: b.in_flight),
+        ("pool_upstreams", "Upstreams of the pool.", lambda b: len(b.upstreams)),
+        (
+            "pool_mean_service_seconds",
+            "Mean time that an attempt holds a slot.",
+            lambda b: b.load.mean_service_s,
+        ),
+        (
+            "pool_retry_tokens",
+            "Retries that this instance may make at once.",
+            lambda b: b.retry_budget.tokens,
+        ),
+    )
+    return [
+        Gauge(name, text, {n: float(read(b)) for n, b in balancers.items()}, "pool")
+        for name, text, read in figures
+    ]
--- a/src/foxtaildrum/balancing/budget.py
+++ b/src/foxtaildrum/balancing/budget.py
@@ -33,6 +33,11 @@
         self.capacity = capacity
         self._tokens = tokens
 
+    @property
+    def tokens(self) -> float:
+        """Tokens held."""
+        return self._tokens
+
     def earn(self, amount: float) -> None:
         """Credit the share of ``amount`` units of useful work."""
         self._tokens = min(self.capacity, self._tokens + amount * self.ratio)
--- a/src/foxtaildrum/balancing/pools.py
+++ b/src/foxtaildrum/balancing/pools.py
@@ -15,7 +15,7 @@
 from ..requests.transport import Adapter, read_clock
 from .balancer import Balancer
 from .candidates import UpstreamLoad
-from .latency import RecentLatency
+from .latency import BucketCounts, RecentLatency
 from .loads import LoadReport
 from .tickets import Ticket
 
@@ -62,6 +62,7 @@
         self._connections: dict[str, ConnectionPool] = {}
         self._tell_draining = tell_draining
         self._latency = RecentLatency()
+        self.held = BucketCounts()
 
     @property
     def balancer(self) -> Balancer:
@@ -132,6 +133,7 @@
             settled = self._balancer.release(now, upstream, result, held_s)
             if result is Ended.OK:
                 self._latency.record(now, held_s)
+                self.held.record(held_s)
                 self._balancer.earn_measuring(held_s)
         _wake_all(settled)
 
--- a/src/foxtaildrum/checks.py
+++ b/src/foxtaildrum/checks.py
@@ -766,6 +766,14 @@
             data__dialect = data["dialect"]
             if not isinstance(data__dialect, (str)):
                 raise SchemaMismatchError
+        if "metrics_listen" in data_keys:
+            data_keys.remove("metrics_listen")
+            data__metricslisten = data["metrics_listen"]
+            if not isinstance(data__metricslisten, (str)):
+                raise SchemaMismatchError
+            if isinstance(data__metricslisten, str):
+                if not REGEX_PATTERNS["^(.+:[0-9]{1,5})?$"].search(data__metricslisten):
+                    raise SchemaMismatchError
         if "statsd" in data_keys:
             data_keys.remove("statsd")
             data__statsd = data["statsd"]
--- a/src/foxtaildrum/cli.py
+++ b/src/foxtaildrum/cli.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import argparse
+import dataclasses
 import json
 import logging
 import os
@@ -35,7 +36,8 @@
 )
 from .instance import Instance
 from .logs import configure_logs, log_event
-from .settings import add_flags, list_flag, load_settings, read_secret
+from .records import Settings
+from .settings import add_flags, find_source, list_flag, load_settings, read_secret
 
 EXIT_OK = 0
 EXIT_FAILED = 1
@@ -91,6 +93,11 @@
     serve = commands.add_parser("serve", help="run an instance")
     add_flags(serve)
     serve.set_defaults(run=run_serve)
+    settings = commands.add_parser(
+        "settings", help="check the settings of serve; show each value and its source"
+    )
+    add_flags(settings)
+    settings.set_defaults(run=run_settings)
     for name in TABLE_NAMES:
         _add_table_commands(commands, name)
     _add_desired_commands(commands)
@@ -149,12 +156,22 @@
     return EXIT_OK if instance.stop() else EXIT_FAILED
 
 
+def run_settings(arguments: argparse.Namespace) -> int:
+    """Print every setting with its value and where the value comes from."""
+    flags = vars(arguments)
+    settings = load_settings(flags, os.environ)
+    for field in dataclasses.fields(Settings):
+        value = _format_value(getattr(settings, field.name))
+        print(f"{field.name} = {value}  # {find_source(field.name, flags, os.environ)}")
+    return EXIT_OK
+
+
 def reload_settings(instance: Instance, arguments: argparse.Namespace) -> None:
     """Read the settings of a running instance again; bad ones change nothing."""
     try:
         again = build_parser().parse_args(arguments.reload())
         settings = load_settings(vars(again), os.environ)
-    except (OSError, ValueError, InvalidSettingsError) as error:
+    except (OSError, ValueError, LookupError, InvalidSettingsError) as error:
         log_event("settings_refused", level=logging.ERROR, reason=repr(error))
         return
     kept = instance.apply_settings(settings)
--- a/src/foxtaildrum/fleet/node_api.py
+++ b/src/foxtaildrum/fleet/node_api.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
-from typing import Any, Protocol
+from typing import TYPE_CHECKING, Any, Protocol
 
 from ..control.desired import DesiredState
 from ..control.tables import Change
 from ..records import Announcement
 
+if TYPE_CHECKING:
+    from ..admin.exposition import Snapshot
+
 
 class ChangeAnswer:
     """Answer to a proposed change of a table.
@@ -47,6 +50,10 @@
     def describe_status(self) -> dict[str, Any]:
         """Return the status document."""
 
+    def describe_metrics(self) -> Snapshot:
+        """Return what the page of metrics shows."""
+        raise NotImplementedError
+
     def describe_levels(self) -> list[dict[str, Any]]:
         """Return the service level of each route."""
 
--- a/src/foxtaildrum/instance.py
+++ b/src/foxtaildrum/instance.py
@@ -17,7 +17,7 @@
 import pykka
 
 from .admin.access import NodeAccess, NodeClaims
-from .admin.admin import Admin
+from .admin.admin import Admin, MetricsPage
 from .admin.metrics import Meter, StatsdSender
 from .balancing.pools import read_clock
 from .balancing.probes import Prober
@@ -41,6 +41,8 @@
 ADMIN_THREADS = 8
 ADMIN_MAX_BODY_BYTES = 4 * 1024 * 1024
 ADMIN_MAX_CONNECTIONS = 1000
+METRICS_THREADS = 1
+METRICS_MAX_CONNECTIONS = 20
 STATSD_PERIOD_S = 1.0
 CONNECTION_TIMEOUT_S = 120
 LEAVE_PAUSE_S = 0.2
@@ -91,6 +93,7 @@
         self._read_node = node
         self.callers = self._build_callers()
         self.admin = self._build_admin()
+        self.metrics = self._build_metrics()
 
     @classmethod
     def from_settings(
@@ -105,6 +108,8 @@
             self._network.start()
         self._ticker.start()
         self.admin.start()
+        if self.metrics is not None:
+            self.metrics.start()
         if self.callers is not None:
             self.callers.start()
             self._prober.start()
@@ -265,6 +270,19 @@
             channel_timeout=CONNECTION_TIMEOUT_S,
         )
 
+    def _build_metrics(self) -> HttpServer | None:
+        settings = self.settings
+        if not settings.metrics_listen:
+            return None
+        return HttpServer(
+            MetricsPage(self.access),
+            settings.metrics_listen,
+            METRICS_THREADS,
+            settings.write_deadline_s,
+            connection_limit=METRICS_MAX_CONNECTIONS,
+            channel_timeout=CONNECTION_TIMEOUT_S,
+        )
+
     def _send_metrics(self) -> None:
         while not self._stopped.wait(STATSD_PERIOD_S):
             if self._statsd is None:
--- a/src/foxtaildrum/logs.py
+++ b/src/foxtaildrum/logs.py
@@ -56,7 +56,14 @@
         Lines of one event a second; 0 sets no bound.
     """
 
-    __slots__ = ("_counts", "_left_out", "_lock", "_second", "lines_per_s")
+    __slots__ = (
+        "_counts",
+        "_left_out",
+        "_lock",
+        "_second",
+        "lines_per_s",
+        "total_left_out",
+    )
 
     def __init__(self, lines_per_s: int) -> None:
         self.lines_per_s = lines_per_s
@@ -64,6 +71,7 @@
         self._second = -1
         self._counts: Counter[str] = Counter()
         self._left_out: Counter[str] = Counter()
+        self.total_left_out: Counter[str] = Counter()
 
     def admit(self, now: float, event: str, failed: bool) -> tuple[bool, dict[str, int]]:
         """Return whether a line may be written, and what was left out before.
@@ -89,15 +97,29 @@
                 self._counts[event] += 1
             else:
                 self._left_out[event] += 1
+                self.total_left_out[event] += 1
             return admitted, left_out
 
 
 class BoundedQueueHandler(logging.handlers.QueueHandler):
-    """Passes lines to the thread that writes them; drops them when it falls behind."""
+    """Passes lines to the thread that writes them; drops them when it falls behind.
 
-    def __init__(self, lines: queue.Queue[logging.LogRecord]) -> None:
+    Parameters
+    ----------
+    lines : Queue
+        Lines that wait to be written.
+    left_out : Counter or None
+        Also counts the lines that were dropped, by event.
+    """
+
+    def __init__(
+        self,
+        lines: queue.Queue[logging.LogRecord],
+        left_out: Counter[str] | None = None,
+    ) -> None:
         super().__init__(lines)
         self.dropped = 0
+        self._left_out = Counter() if left_out is None else left_out
 
     def prepare(self, record: logging.LogRecord) -> logging.LogRecord:
         """Return the record as it is: it stays in the process."""
@@ -109,6 +131,7 @@
             self.queue.put_nowait(record)
         except queue.Full:
             self.dropped += 1
+            self._left_out[record.msg] += 1
 
 
 _gate = LineGate(0)
@@ -136,7 +159,7 @@
     listener.start()
     atexit.register(listener.stop)
     root = logging.getLogger()
-    root.handlers[:] = [BoundedQueueHandler(lines)]
+    root.handlers[:] = [BoundedQueueHandler(lines, _gate.total_left_out)]
     root.setLevel(logging.WARNING)
     logging.getLogger(LOGGER_NAME).setLevel(level.upper())
     # The server library logs each disconnected caller; the access log has them.
@@ -144,6 +167,11 @@
     _gate.lines_per_s = lines_per_s
 
 
+def describe_left_out() -> dict[str, int]:
+    """Return the lines since the start that were not written, by event."""
+    return dict(_gate.total_left_out)
+
+
 def format_time(record: logging.LogRecord, datefmt: str | None = None) -> str:
     """Return the time of a record in UTC with milliseconds."""
     moment = datetime.datetime.fromtimestamp(record.created, datetime.UTC)
--- a/src/foxtaildrum/records.py
+++ b/src/foxtaildrum/records.py
@@ -230,6 +230,10 @@
     """
     Registered name of the names used towards callers and upstreams.
     """
+    metrics_listen: str = ""
+    """
+    Address that shows nothing but metrics, beside the admin address; empty opens none.
+    """
     statsd: str = ""
     """
     HOST:PORT that receives statsd metrics; empty sends none.
--- a/src/foxtaildrum/settings.py
+++ b/src/foxtaildrum/settings.py
@@ -52,13 +52,11 @@
     values: dict[str, Any] = {}
     problems: list[FieldError] = []
     for name, schema in list_properties("Settings").items():
-        text = flags.get(name)
-        if text is None:
-            text = environ.get(ENVIRONMENT_PREFIX + name.upper())
-        if text is None:
+        given = _find_given(name, flags, environ)
+        if given is None:
             continue
         try:
-            values[name] = _parse_text(schema["type"], text)
+            values[name] = _parse_text(schema["type"], given.text)
         except ValueError as error:
             problems.append(FieldError(name, str(error)))
     problems += find_problems("Settings", values, "")
@@ -72,6 +70,41 @@
     return Settings(**values)
 
 
+class Given:
+    """Text of a setting and where it was given.
+
+    Parameters
+    ----------
+    text : str
+        Value as it was written.
+    source : str
+        The flag or the environment variable.
+    """
+
+    __slots__ = ("source", "text")
+
+    def __init__(self, text: str, source: str) -> None:
+        self.text = text
+        self.source = source
+
+
+def find_source(name: str, flags: Mapping[str, str | None], environ: Mapping[str, str]) -> str:
+    """Return where a setting was given: a flag, an environment variable or ``default``."""
+    given = _find_given(name, flags, environ)
+    return "default" if given is None else given.source
+
+
+def _find_given(
+    name: str, flags: Mapping[str, str | None], environ: Mapping[str, str]
+) -> Given | None:
+    text = flags.get(name)
+    if text is not None:
+        return Given(text, list_flag(name))
+    variable = ENVIRONMENT_PREFIX + name.upper()
+    text = environ.get(variable)
+    return None if text is None else Given(text, variable)
+
+
 def parse_address(text: str) -> tuple[str, int]:
     """Split ``HOST:PORT`` into the host and the port number."""
     host, _, port = text.rpartition(":")
@@ -122,7 +155,7 @@
 
 def _find_bad_ports(values: Mapping[str, Any]) -> list[FieldError]:
     problems = []
-    for name in ("listen", "admin_listen", "peer_listen", "statsd"):
+    for name in ("listen", "admin_listen", "peer_listen", "metrics_listen", "statsd"):
         text = values.get(name, "")
         port = text.rpartition(":")[2]
         if port.isdigit() and int(port) > MAX_PORT:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -4,6 +4,7 @@
 
 import importlib.util
 import sys
+import tomllib
 from pathlib import Path
 
 import pytest
@@ -102,3 +103,11 @@
     shortest_day_s = 20.0
     share = load_part("main").PROBE_SHARE
     assert share * (PROBE_BURST_S + shortest_day_s) <= shortest_day_s
+
+
+def test_the_deploy_file_names_the_address_of_the_metrics(main):
+    deploy = tomllib.loads((FOLDER.parent / "deploy" / "system.toml").read_text())
+    settings = read_settings(main, "entry", NODE)
+    port = settings.metrics_listen.rpartition(":")[2]
+    for role in deploy["roles"].values():
+        assert role["metrics"] == f"{port}/metrics"
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -7,6 +7,7 @@
 from foxtaildrum.cli import EXIT_USAGE, main
 from foxtaildrum.exceptions import InvalidSettingsError
 from foxtaildrum.settings import load_settings
+from foxtaildrum.validation import list_properties
 
 
 def test_the_flag_wins_over_the_variable():
@@ -64,3 +65,19 @@
     text = capsys.readouterr().err
     assert "--role" in text
     assert "--threads" in text
+
+
+def test_the_settings_command_shows_each_value_and_its_source(capsys, monkeypatch):
+    monkeypatch.setenv("FOXTAILDRUM_THREADS", "9")
+    assert main(["settings", "--listen=127.0.0.1:1", "--log-level=error"]) == 0
+    lines = capsys.readouterr().out.splitlines()
+    assert 'listen = "127.0.0.1:1"  # --listen' in lines
+    assert "threads = 9  # FOXTAILDRUM_THREADS" in lines
+    assert 'statsd = ""  # default' in lines
+    assert len(lines) == len(list_properties("Settings"))
+
+
+def test_the_settings_command_lists_every_problem_at_once(capsys):
+    assert main(["settings", "--threads=many", "--role=king"]) == 2
+    complaints = capsys.readouterr().err
+    assert "--threads" in complaints and "--role" in complaints
