A fault soak of real processes on loopback

Ruled out: hooks inside the processes, a simulator.

Change: tests/soak plays drawn faults (signals, lost disks, proxies before the upstreams, upstreams that misbehave) while callers and an operator use the site, and checks the promises by what they and the upstreams saw.

Time and disk inside the processes are not harmed yet (design/soak.md).

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: run test lint generate build measure policies clean
+.PHONY: run test lint generate build measure policies soak clean
 
 $(VENV)/ready: requirements.lock pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -42,5 +42,8 @@
 	  --without-exact --policies two_choices,aged_load --faults \
 	  "one 10x slower,one fails fast (500),one sheds (503),one reports no load,no load reports"
 
+soak: $(VENV)/ready
+	$(BIN)/python -m tests.soak --seeds 1-50 --duration-s 10
+
 clean:
 	rm -rf $(VENV) build dist
--- /dev/null
+++ b/tests/soak/faults.py
@@ -0,0 +1,167 @@
+"""Faults that a soak injects, kept in a registry that a decorator fills."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+from .site import SoakSite
+
+Undo = Callable[[], None]
+Fault = Callable[[SoakSite, random.Random], Undo | None]
+
+FAULTS: dict[str, Fault] = {}
+
+
+def register_fault(name: str) -> Callable[[Fault], Fault]:
+    """Register the decorated function; it returns its undoing, or None if not possible."""
+
+    def register(function: Fault) -> Fault:
+        FAULTS[name] = function
+        return function
+
+    return register
+
+
+def _pick(site: SoakSite, rng: random.Random, names: list[str]) -> str:
+    free = [n for n in names if n not in site.harmed]
+    return rng.choice(free) if free else ""
+
+
+def _restart_later(site: SoakSite, names: list[str]) -> Undo:
+    def undo() -> None:
+        for name in names:
+            site.start(name)
+            site.harmed.discard(name)
+
+    return undo
+
+
+def _kill(site: SoakSite, names: list[str]) -> Undo | None:
+    if not names or site.harmed.intersection(names):
+        return None
+    site.harmed.update(names)
+    for name in names:
+        site.instances[name].kill()
+    return _restart_later(site, names)
+
+
+@register_fault("kill an entry instance")
+def kill_entry(site: SoakSite, rng: random.Random) -> Undo | None:
+    name = _pick(site, rng, site.entries)
+    return _kill(site, [name]) if name else None
+
+
+@register_fault("kill a control instance")
+def kill_control(site: SoakSite, rng: random.Random) -> Undo | None:
+    name = _pick(site, rng, site.control)
+    return _kill(site, [name]) if name else None
+
+
+@register_fault("kill the control group")
+def kill_group(site: SoakSite, rng: random.Random) -> Undo | None:
+    return _kill(site, list(site.control))
+
+
+@register_fault("kill every instance")
+def kill_all(site: SoakSite, rng: random.Random) -> Undo | None:
+    return _kill(site, list(site.instances))
+
+
+@register_fault("lose a disk")
+def lose_disk(site: SoakSite, rng: random.Random) -> Undo | None:
+    # One disk may be lost at once: the others must be up and the last one replaced.
+    if site.harmed.intersection(site.control) or not site.is_whole():
+        return None
+    name = rng.choice(site.control)
+    undo = _kill(site, [name])
+    site.wipe(name)
+    return undo
+
+
+@register_fault("stop an entry instance")
+def stop_entry(site: SoakSite, rng: random.Random) -> Undo | None:
+    name = _pick(site, rng, site.entries)
+    if not name:
+        return None
+    site.harmed.add(name)
+    site.instances[name].popen.terminate()
+
+    def undo() -> None:
+        site.instances[name].stop()
+        _restart_later(site, [name])()
+
+    return undo
+
+
+@register_fault("pause an instance")
+def pause(site: SoakSite, rng: random.Random) -> Undo | None:
+    name = _pick(site, rng, list(site.instances))
+    if not name:
+        return None
+    site.harmed.add(name)
+    process = site.instances[name]
+    process.pause()
+
+    def undo() -> None:
+        process.resume()
+        site.harmed.discard(name)
+
+    return undo
+
+
+def _harm_link(site: SoakSite, rng: random.Random, **harm: object) -> Undo:
+    proxy = site.proxies[rng.choice(sorted(site.proxies))]
+    for name, value in harm.items():
+        setattr(proxy, name, value)
+    return proxy.heal
+
+
+@register_fault("delay a link")
+def delay_link(site: SoakSite, rng: random.Random) -> Undo:
+    return _harm_link(site, rng, delay_s=rng.uniform(0.05, 0.5))
+
+
+@register_fault("silence a link")
+def silence_link(site: SoakSite, rng: random.Random) -> Undo:
+    return _harm_link(site, rng, swallows="both")
+
+
+@register_fault("lose the answers of a link")
+def lose_answers(site: SoakSite, rng: random.Random) -> Undo:
+    return _harm_link(site, rng, swallows="down")
+
+
+@register_fault("refuse connections of a link")
+def refuse_link(site: SoakSite, rng: random.Random) -> Undo:
+    return _harm_link(site, rng, refuses=True)
+
+
+@register_fault("reset a link")
+def reset_link(site: SoakSite, rng: random.Random) -> Undo:
+    proxy = site.proxies[rng.choice(sorted(site.proxies))]
+    proxy.reset_all()
+    return proxy.heal
+
+
+@register_fault("shed at an upstream")
+def shed(site: SoakSite, rng: random.Random) -> Undo:
+    return _misbehave(site, rng, shed=True)
+
+
+@register_fault("slow an upstream")
+def slow(site: SoakSite, rng: random.Random) -> Undo:
+    return _misbehave(site, rng, forced_factor=40.0)
+
+
+@register_fault("fail at an upstream")
+def fail(site: SoakSite, rng: random.Random) -> Undo:
+    return _misbehave(site, rng, fail_status=500)
+
+
+def _misbehave(site: SoakSite, rng: random.Random, **behaviour: object) -> Undo:
+    process = site.upstreams[rng.choice(sorted(site.upstreams))]
+    upstream_id = rng.choice(sorted(process.ports))
+    process.control(upstream_id, **behaviour)
+    calm = {"shed": False, "forced_factor": 1.0, "fail_status": 0}
+    return lambda: process.control(upstream_id, **{n: calm[n] for n in behaviour})
--- /dev/null
+++ b/tests/soak/play.py
@@ -0,0 +1,134 @@
+"""Plays faults on a site while callers and an operator use it, and checks the promises."""
+
+from __future__ import annotations
+
+import random
+import time
+from collections.abc import Callable
+from pathlib import Path
+
+from tests.standins.processes import wait_until
+
+from .faults import FAULTS, Undo
+from .site import SoakSite
+from .traffic import Callers, Operator
+
+MIN_FAULT_S = 0.3
+MAX_FAULT_S = 3.0
+MIN_GAP_S = 0.1
+MAX_GAP_S = 1.2
+
+
+class Result:
+    """What a soak injected and saw.
+
+    Attributes
+    ----------
+    violations : list of str
+        Promises that were broken.
+    """
+
+    def __init__(self, seed: int) -> None:
+        self.seed = seed
+        self.injected: list[str] = []
+        self.violations: list[str] = []
+        self.outcomes: dict[str, int] = {}
+        self.accepted = 0
+
+    def format(self) -> str:
+        lines = [f"seed {self.seed}: {len(self.injected)} faults"]
+        lines += [f"  {fault}" for fault in self.injected]
+        lines.append(f"  callers were told: {self.outcomes}")
+        lines.append(f"  desired states acknowledged up to {self.accepted}")
+        lines += [f"  BROKEN: {violation}" for violation in self.violations]
+        lines.append(f"  again: python -m tests.soak --seeds {self.seed}")
+        return "\n".join(lines)
+
+
+class Schedule:
+    """Draws faults one after the other; they may overlap."""
+
+    def __init__(self, site: SoakSite, seed: int, result: Result) -> None:
+        self._site = site
+        self._rng = random.Random(f"{seed}-faults")
+        self._result = result
+        self._under_way: list[tuple[float, Undo]] = []
+        self._next_at = 0.0
+
+    def step(self, elapsed_s: float) -> None:
+        """End what is due and begin the next fault."""
+        for item in [i for i in self._under_way if i[0] <= elapsed_s]:
+            self._under_way.remove(item)
+            item[1]()
+        if elapsed_s < self._next_at:
+            return
+        self._next_at = elapsed_s + self._rng.uniform(MIN_GAP_S, MAX_GAP_S)
+        name = self._rng.choice(sorted(FAULTS))
+        duration_s = self._rng.uniform(MIN_FAULT_S, MAX_FAULT_S)
+        undo = FAULTS[name](self._site, self._rng)
+        if undo is not None:
+            self._result.injected.append(f"{elapsed_s:6.1f} s: {name} for {duration_s:.1f} s")
+            self._under_way.append((elapsed_s + duration_s, undo))
+
+    def end(self) -> None:
+        """End every fault."""
+        for _, undo in self._under_way:
+            undo()
+        self._under_way.clear()
+
+
+def play(
+    folder: Path, seed: int, duration_s: float, show: Callable[[float], None] | None = None
+) -> Result:
+    """Play one seed and return what was seen."""
+    result = Result(seed)
+    site = SoakSite(folder)
+    try:
+        operator = Operator(site, seed)
+        if not site.wait_settled() or not wait_until(operator.put_next):
+            result.violations.append("the site did not start")
+            return result
+        callers = Callers(site, seed)
+        schedule = Schedule(site, seed, result)
+        callers.start()
+        operator.start()
+        began = time.monotonic()
+        while (elapsed_s := time.monotonic() - began) < duration_s:
+            schedule.step(elapsed_s)
+            time.sleep(0.02)
+            if show is not None:
+                show(elapsed_s / duration_s)
+        schedule.end()
+        callers.stop()
+        operator.stop()
+        _check(site, callers, operator, result)
+    finally:
+        site.close()
+    return result
+
+
+def _check(site: SoakSite, callers: Callers, operator: Operator, result: Result) -> None:
+    result.outcomes = callers.count_outcomes()
+    result.accepted = operator.accepted
+    result.violations += operator.violations
+    if not site.wait_settled():
+        result.violations.append("the site did not come back")
+        return
+    for name in site.control:
+        if operator.read(name) is None:
+            result.violations.append(f"{name} refuses reads after every fault has ended")
+    result.violations += [v for v in operator.violations if v not in result.violations]
+    runs = site.count_runs()
+    for record in callers.records:
+        count = runs.get(record.request_id, 0)
+        told_not_run = record.outcome == "not-run"
+        if record.wrong:
+            result.violations.append(f"{record.request_id}: {record.wrong}")
+        if record.is_order and count > 1:
+            result.violations.append(f"{record.request_id}: an order ran {count} times")
+        if told_not_run and count:
+            result.violations.append(f"{record.request_id}: told not run, ran {count} times")
+        if record.status == 200 and not count:
+            result.violations.append(f"{record.request_id}: answered, never ran")
+    if not any(record.status == 200 for record in callers.records):
+        result.violations.append("no request was served")
--- /dev/null
+++ b/tests/soak/proxy.py
@@ -0,0 +1,94 @@
+"""A proxy on loopback between entry instances and one upstream, which harms on demand."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+import struct
+import threading
+import time
+
+CHUNK_BYTES = 65_536
+POLL_S = 0.05
+
+
+class Proxy:
+    """Passes bytes both ways until it is told to harm them.
+
+    Attributes
+    ----------
+    delay_s : float
+        Wait before each piece is passed on.
+    swallows : str
+        ``up`` or ``down`` for the direction whose bytes vanish; ``both`` for silence.
+    refuses : bool
+        Whether new connections are reset.
+    """
+
+    def __init__(self, port: int) -> None:
+        self._port = port
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.port = self._listener.getsockname()[1]
+        self._pairs: set[tuple[socket.socket, socket.socket]] = set()
+        self._closed = False
+        self.heal()
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def heal(self) -> None:
+        self.delay_s = 0.0
+        self.swallows = ""
+        self.refuses = False
+
+    def reset_all(self) -> None:
+        """Reset every open connection on both sides."""
+        for pair in list(self._pairs):
+            for sock in pair:
+                _reset(sock)
+
+    def close(self) -> None:
+        self._closed = True
+        self._listener.close()
+        self.reset_all()
+
+    def _accept(self) -> None:
+        while not self._closed:
+            try:
+                near, _ = self._listener.accept()
+            except OSError:
+                return
+            if self.refuses:
+                _reset(near)
+                continue
+            try:
+                far = socket.create_connection(("127.0.0.1", self._port), 1.0)
+            except OSError:
+                _reset(near)
+                continue
+            pair = (near, far)
+            self._pairs.add(pair)
+            for source, target, way in ((near, far, "up"), (far, near, "down")):
+                threading.Thread(
+                    target=self._pass, args=(source, target, way, pair), daemon=True
+                ).start()
+
+    def _pass(
+        self, source: socket.socket, target: socket.socket, way: str, pair: tuple
+    ) -> None:
+        with contextlib.suppress(OSError):
+            while data := source.recv(CHUNK_BYTES):
+                if self.delay_s:
+                    time.sleep(self.delay_s)
+                if self.swallows not in (way, "both"):
+                    target.sendall(data)
+        while self.swallows in (way, "both") and not self._closed:
+            time.sleep(POLL_S)
+        for sock in pair:
+            with contextlib.suppress(OSError):
+                sock.close()
+        self._pairs.discard(pair)
+
+
+def _reset(sock: socket.socket) -> None:
+    with contextlib.suppress(OSError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        sock.close()
--- /dev/null
+++ b/tests/soak/site.py
@@ -0,0 +1,118 @@
+"""The site that a soak plays on: real processes, proxies before the upstreams."""
+
+from __future__ import annotations
+
+import shutil
+import threading
+from pathlib import Path
+
+from foxtaildrum.exceptions import AdminRequestError
+from tests.standins.processes import InstanceProcess, UpstreamProcess, pick_port, wait_until
+
+from .proxy import Proxy
+
+ANNOUNCE_PERIOD_S = 0.5
+LEASE_S = 4.0
+SETTLE_S = 60.0
+POOLS = ("lookup", "order")
+
+
+class SoakSite:
+    """Control instances that form a group from seeds, entry instances and upstreams."""
+
+    def __init__(self, folder: Path, control: int = 3, entries: int = 3) -> None:
+        self.folder = folder
+        names = [f"c{n + 1}" for n in range(control)] + [f"e{n + 1}" for n in range(entries)]
+        self.peers = {name: f"127.0.0.1:{pick_port()}" for name in names}
+        self.admins = {name: f"127.0.0.1:{pick_port()}" for name in names}
+        self.control = [n for n in names if n[0] == "c"]
+        self.entries = [n for n in names if n[0] == "e"]
+        self.harmed: set[str] = set()
+        self.instances = {n: self._launch(n, bootstrap=True) for n in names}
+        self.upstreams = {
+            pool: UpstreamProcess(folder, pool, 3, [], behaviour={"service_ms": 5})
+            for pool in POOLS
+        }
+        self.proxies = {
+            upstream_id: Proxy(port)
+            for process in self.upstreams.values()
+            for upstream_id, port in process.ports.items()
+        }
+        self._stopped = threading.Event()
+        self._announcer = threading.Thread(target=self._announce, daemon=True)
+        self._announcer.start()
+
+    def _launch(self, name: str, bootstrap: bool) -> InstanceProcess:
+        seeds = ",".join(f"{c}={self.peers[c]}" for c in self.control)
+        is_control = name in self.control
+        return InstanceProcess(
+            self.folder,
+            name,
+            role="control" if is_control else "entry",
+            availability_zone=f"zone-{int(name[1:]) % 3}",
+            peer_listen=self.peers[name],
+            admin_listen=self.admins[name],
+            seeds=seeds,
+            bootstrap="true" if bootstrap and is_control else "false",
+            tolerated_losses="1",
+            shutdown_grace_s="5",
+        )
+
+    def start(self, name: str) -> None:
+        self.instances[name] = self._launch(name, bootstrap=False)
+
+    def wipe(self, name: str) -> None:
+        shutil.rmtree(self.instances[name].data_dir, ignore_errors=True)
+
+    def is_whole(self) -> bool:
+        """Return whether every control instance leads or follows with an admitted disk."""
+        states = [self.instances[n].status().get("control", {}) for n in self.control]
+        return all(s.get("disk_admitted") and s.get("leader") for s in states)
+
+    def wait_settled(self) -> bool:
+        ready = wait_until(
+            lambda: all(i.client.is_ready() for i in self.instances.values()), SETTLE_S
+        )
+        return ready and wait_until(self.is_whole, SETTLE_S)
+
+    def count_runs(self) -> dict[str, int]:
+        runs: dict[str, int] = {}
+        for process in self.upstreams.values():
+            for key, count in process.count_runs().items():
+                runs[key] = runs.get(key, 0) + count
+        return runs
+
+    def close(self) -> None:
+        self._stopped.set()
+        self._announcer.join()
+        for proxy in self.proxies.values():
+            proxy.close()
+        for process in [*self.instances.values(), *self.upstreams.values()]:
+            process.kill()
+
+    def _announce(self) -> None:
+        turn = 0
+        while not self._stopped.wait(ANNOUNCE_PERIOD_S):
+            for pool, process in self.upstreams.items():
+                for upstream_id in process.ports:
+                    turn += 1
+                    self._announce_one(turn, pool, upstream_id)
+
+    def _announce_one(self, turn: int, pool: str, upstream_id: str) -> None:
+        document = {
+            "pool": pool,
+            "address": f"127.0.0.1:{self.proxies[upstream_id].port}",
+            "slots": 6,
+            "incarnation": 1,
+            "sequence": turn,
+            "lease_s": LEASE_S,
+        }
+        for attempt in range(len(self.control)):
+            name = self.control[(turn + attempt) % len(self.control)]
+            if name in self.harmed:
+                continue
+            try:
+                self.instances[name].client.announce(upstream_id, document)
+            except AdminRequestError:
+                continue
+            return
--- /dev/null
+++ b/tests/soak/traffic.py
@@ -0,0 +1,171 @@
+"""Callers and an operator, and what they saw."""
+
+from __future__ import annotations
+
+import http.client
+import json
+import random
+import threading
+from collections import Counter
+
+from foxtaildrum.exceptions import AdminRequestError, FoxtaildrumError
+
+from .site import SoakSite
+
+CALLER_TIMEOUT_S = 4.0
+PAUSE_S = 0.01
+CHANGE_PERIOD_S = 0.3
+ORDER_SHARE = 0.3
+
+
+class Record:
+    """One request: what it was, and what its caller was told."""
+
+    __slots__ = ("is_order", "outcome", "request_id", "status", "wrong")
+
+    def __init__(self, request_id: str, is_order: bool) -> None:
+        self.request_id = request_id
+        self.is_order = is_order
+        self.status = 0
+        self.outcome = ""
+        self.wrong = ""
+
+
+class Callers:
+    """Callers that keep their connections until an instance is gone."""
+
+    def __init__(self, site: SoakSite, seed: int, count: int = 4) -> None:
+        self._site = site
+        self._seed = seed
+        self._stopped = threading.Event()
+        self.records: list[Record] = []
+        self._threads = [threading.Thread(target=self._run, args=(n,)) for n in range(count)]
+
+    def start(self) -> None:
+        for thread in self._threads:
+            thread.start()
+
+    def stop(self) -> None:
+        self._stopped.set()
+        for thread in self._threads:
+            thread.join()
+
+    def count_outcomes(self) -> dict[str, int]:
+        return dict(Counter(f"{r.status} {r.outcome}".strip() for r in self.records))
+
+    def _run(self, number: int) -> None:
+        rng = random.Random(f"{self._seed}-caller-{number}")
+        connections: dict[str, http.client.HTTPConnection] = {}
+        sent = 0
+        while not self._stopped.wait(PAUSE_S):
+            sent += 1
+            listen = self._site.instances[rng.choice(self._site.entries)].listen
+            record = Record(f"{number}-{sent}", rng.random() < ORDER_SHARE)
+            self.records.append(record)
+            connection = connections.get(listen)
+            if connection is None:
+                host, port = listen.split(":")
+                connection = http.client.HTTPConnection(host, int(port), CALLER_TIMEOUT_S)
+                connections[listen] = connection
+            if not self._send(connection, record):
+                connection.close()
+                del connections[listen]
+
+    def _send(self, connection: http.client.HTTPConnection, record: Record) -> bool:
+        method, pool = ("POST", "order") if record.is_order else ("GET", "lookup")
+        target = f"/{pool}/{record.request_id}"
+        body = b"cut" if record.is_order else None
+        try:
+            connection.request(method, target, body, {"X-Request-Id": record.request_id})
+            answer = connection.getresponse()
+            text = answer.read()
+        except (OSError, http.client.HTTPException):
+            return False
+        record.status = answer.status
+        record.outcome = answer.getheader("Foxtaildrum-Outcome") or ""
+        if answer.status == http.client.OK:
+            record.wrong = _find_wrong(text, target, record.request_id)
+        return not answer.will_close
+
+
+def _find_wrong(text: bytes, target: str, request_id: str) -> str:
+    """Return why an answer is not that of the request; empty when it is."""
+    try:
+        document = json.loads(text)
+    except ValueError:
+        return f"no whole document: {text[:60]!r}"
+    if document["target"] != target or document["headers"]["x-request-id"] != request_id:
+        return f"the answer to {document['target']}"
+    return ""
+
+
+class Operator:
+    """Sends desired states and reads them back.
+
+    Attributes
+    ----------
+    accepted : int
+        Highest number that was acknowledged.
+    violations : list of str
+        Reads that showed an older state than one acknowledged before them.
+    """
+
+    def __init__(self, site: SoakSite, seed: int) -> None:
+        self._site = site
+        self._rng = random.Random(f"{seed}-operator")
+        self._stopped = threading.Event()
+        self._thread = threading.Thread(target=self._run)
+        self.sent = 0
+        self.accepted = 0
+        self.violations: list[str] = []
+
+    def start(self) -> None:
+        self._thread.start()
+
+    def stop(self) -> None:
+        self._stopped.set()
+        self._thread.join()
+
+    def put_next(self) -> bool:
+        """Send the next desired state to any control instance."""
+        self.sent += 1
+        client = self._site.instances[self._rng.choice(self._site.control)].client
+        try:
+            verdict, _ = client.put_tables(build_tables(self.sent))
+        except FoxtaildrumError:
+            return False
+        if verdict == "accepted":
+            self.accepted = max(self.accepted, self.sent)
+        return True
+
+    def read(self, name: str) -> int | None:
+        """Return the number that a read shows; None when it is refused."""
+        before = self.accepted
+        try:
+            number = self._site.instances[name].client.get_tables()["version"]
+        except (AdminRequestError, FoxtaildrumError):
+            return None
+        if number < before:
+            self.violations.append(f"{name} showed {number} after {before} was acknowledged")
+        return number
+
+    def _run(self) -> None:
+        while not self._stopped.wait(CHANGE_PERIOD_S):
+            self.put_next()
+            self.read(self._rng.choice(self._site.control))
+
+
+def build_tables(number: int) -> dict:
+    """Return the desired state under a number; an idle route tells which one it is."""
+    routes = [
+        {"name": "lookup", "path_prefix": "/lookup/", "type": "safe", "pool": "lookup"},
+        {"name": "order", "path_prefix": "/order/", "type": "unsafe", "pool": "order"},
+        {"name": f"n{number}", "path_prefix": f"/n{number}/", "type": "safe", "pool": "lookup"},
+    ]
+    for route in routes:
+        route["timeout_ms"] = 2000
+    return {
+        "version": number,
+        "routes": routes,
+        "pools": [{"name": "lookup"}, {"name": "order"}],
+    }
