Split the replicated log by job: group, election, leadership, following

Ruled out: changing a decision on the way; objects of their own for each job, which would have to share the log, the term, the gate of synced writes and the voters all the same.

Methods moved as they were.

--- a/src/foxtaildrum/admin/gauges.py
+++ b/src/foxtaildrum/admin/gauges.py
@@ -5,7 +5,7 @@
 import math
 
 from ..balancing.pools import UpstreamPool
-from ..control.consensus import Role
+from ..control.group import Role
 from ..fleet.node import Node
 from .exposition import Gauge
 
--- /dev/null
+++ b/src/foxtaildrum/control/group.py
@@ -0,0 +1,329 @@
+"""State of a control instance: log, voters, state machine and journal.
+
+The voters are part of the log: the latest entry that names them is in force on an instance
+from the moment it is in its log, and each such entry adds or removes one disk. An instance
+whose disk is not among the voters is a learner: it neither votes nor counts.
+"""
+
+from __future__ import annotations
+
+import enum
+import random
+from typing import Any, Protocol
+
+import msgpack
+
+from ..events import Action, Committed, Settled
+from .entries import Entry, Saved
+from .gate import SyncGate
+
+FIRST_ELECTION_S = 0.3
+COMPACT_ENTRIES = 1024
+
+NOOP = "noop"
+ADMIT = "admit"
+
+
+class Role(enum.StrEnum):
+    """What an instance is in the group."""
+
+    LEARNER = "learner"
+    FOLLOWER = "follower"
+    CANDIDATE = "candidate"
+    LEADER = "leader"
+    FAILED = "failed"
+
+
+class Unsettled(enum.StrEnum):
+    """Result of a proposal that was not decided here."""
+
+    NOT_LEADER = "not_leader"
+    UNKNOWN = "unknown"
+
+
+class ReplicatedState(Protocol):
+    """State machine that the log drives; deterministic."""
+
+    def apply(self, kind: str, payload: Any) -> Any:
+        """Apply one entry and return its result."""
+
+    def capture(self) -> Any:
+        """Return the state as a value that msgpack can encode."""
+
+    def restore(self, captured: Any) -> None:
+        """Replace the state by a captured one."""
+
+
+class ControlDirectory:
+    """What the log needs to know of the other control instances.
+
+    This one knows none beside the founders; the membership of the fleet gives another.
+    """
+
+    def list_control(self) -> list[str]:
+        """Return the control instances that answer, this one left out."""
+        return []
+
+    def is_gone(self, instance_id: str) -> bool:
+        """Return whether an instance left or was found dead."""
+        return False
+
+    def find_address(self, instance_id: str) -> str:
+        """Return the address of an instance; empty when unknown."""
+        return ""
+
+
+class Peer:
+    """What the leader knows of another control instance."""
+
+    __slots__ = ("confirmed_at", "disk_id", "match_index", "next_index", "offset")
+
+    def __init__(self, next_index: int) -> None:
+        self.next_index = next_index
+        self.match_index = 0
+        self.disk_id = ""
+        self.offset = 0
+        self.confirmed_at = float("-inf")
+
+
+class GroupState:
+    """What one control instance holds of the replicated log.
+
+    Parameters
+    ----------
+    instance_id : str
+        This instance.
+    founders : list of str
+        Control instances that form a new group, this one included; empty for one that
+        only joins.
+    state : ReplicatedState
+        State machine that the log drives.
+    saved : Saved
+        Content of the journal.
+    rng : random.Random
+        Source of election timeouts.
+    now : float
+        Present time in seconds.
+    tolerated : int
+        Disks that may be lost at once.
+    directory : ControlDirectory or None
+        The other control instances.
+    """
+
+    def __init__(
+        self,
+        instance_id: str,
+        founders: list[str],
+        state: ReplicatedState,
+        saved: Saved,
+        rng: random.Random,
+        now: float,
+        tolerated: int = 0,
+        directory: ControlDirectory | None = None,
+    ) -> None:
+        self.instance_id = instance_id
+        self.founders = sorted(founders)
+        self.tolerated = tolerated
+        self._directory = directory or ControlDirectory()
+        self.disk_id = saved.disk_id
+        self.term = saved.term
+        self.voted_for = saved.voted_for
+        self.log = saved.log
+        self.state = state
+        self.leader_id = ""
+        self.commit_index = self.log.snapshot_index
+        self.applied_index = self.log.snapshot_index
+        self._formed = saved.formed
+        self._configs: list[tuple[int, dict[str, list[str]]]] = [(0, self._formed)]
+        self.formed_here = False
+        self._snapshot = saved.snapshot
+        self._rng = rng
+        self._synced_index = self.log.last_index
+        self._gate = SyncGate()
+        self._rewrite = False
+        self._out: list[Action] = []
+        self._probed: dict[str, str] = {}
+        self._peers: dict[str, Peer] = {}
+        self._votes: set[str] = set()
+        self._pre = False
+        self._pending: dict[int, str] = {}
+        self._term_start = 0
+        self._incoming = bytearray()
+        self._incoming_index = 0
+        self._heard_at = float("-inf")
+        self._led_since = now
+        self._waited = False
+        self._reads: dict[str, float] = {}
+        self._heartbeat_at = now
+        self._probe_at = now
+        if self._snapshot:
+            self._restore_snapshot()
+        self._read_configs()
+        self.role = Role.FOLLOWER if self.is_voter() else Role.LEARNER
+        # After a restart of the whole group nobody leads; before a vote is asked for, the
+        # others tell whether they hear a leader.
+        self._election_at = now + FIRST_ELECTION_S * (0.2 + 0.8 * rng.random())
+        if len(self.voters) == 1:
+            self._election_at = now
+
+    @property
+    def voters(self) -> dict[str, list[str]]:
+        """Disk and address of each voter by its instance."""
+        return self._configs[-1][1]
+
+    @property
+    def quorum(self) -> int:
+        """Number of voters that decide."""
+        return len(self.voters) // 2 + 1
+
+    @property
+    def commit_quorum(self) -> int:
+        """Number of disks that must hold an entry before it counts as committed."""
+        return max(self.quorum, min(self.tolerated + 1, len(self.voters)))
+
+    @property
+    def full_size(self) -> int:
+        """Number of voters that the group grows to."""
+        return max(2 * self.tolerated + 1, len(self.founders))
+
+    @property
+    def others(self) -> list[str]:
+        """Every other control instance: voters, founders and those that answer."""
+        known = {*self.voters, *self.founders, *self._directory.list_control()}
+        return sorted(known - {self.instance_id})
+
+    @property
+    def pristine(self) -> bool:
+        """Whether this disk never took part in an election or held an entry."""
+        return self.term == 0 and self.log.last_index == 0
+
+    def find_voter_address(self, instance_id: str) -> str:
+        """Return the address of a voter as the log has it; empty when unknown."""
+        disk_and_address = self.voters.get(instance_id)
+        return disk_and_address[1] if disk_and_address else ""
+
+    def can_propose(self) -> bool:
+        """Whether this leader has applied every entry of earlier terms."""
+        return self.role is Role.LEADER and self.applied_index >= self._term_start
+
+    def can_accept(self) -> bool:
+        """Whether changes of operators may be proposed.
+
+        A group that is still growing would not survive the losses that it is meant to,
+        so it accepts nothing until it is full or nobody came for a while.
+        """
+        if not self.can_propose():
+            return False
+        return self._waited or len(self.voters) >= self.full_size
+
+    def count_pending(self) -> int:
+        """Return the number of entries that wait for their commit."""
+        return self.log.last_index - self.applied_index
+
+    def is_voter(self) -> bool:
+        """Return whether this disk is among the voters."""
+        return self._find_disk(self.instance_id) == self.disk_id
+
+    def _find_disk(self, instance_id: str) -> str:
+        known = self.voters.get(instance_id)
+        return known[0] if known else ""
+
+    def _counts(self, peer: str) -> bool:
+        known = self._peers.get(peer)
+        return (
+            known is not None and bool(known.disk_id) and self._find_disk(peer) == known.disk_id
+        )
+
+    # Voters.
+
+    def _read_configs(self) -> None:
+        """Find the entries of the log that name the voters."""
+        base = self._configs[0] if self._configs[0][0] else (0, self._formed)
+        first = self.log.snapshot_index + 1
+        self._configs = [base]
+        for entry in self.log.list_from(first, len(self.log)):
+            self._note_config(entry)
+
+    def _note_config(self, entry: Entry) -> None:
+        if entry.kind == ADMIT:
+            self._configs.append((entry.index, entry.payload["voters"]))
+
+    def _cut_configs(self, last_index: int) -> None:
+        self._configs = self._configs[:1] + [c for c in self._configs[1:] if c[0] <= last_index]
+
+    def _compact_configs(self, index: int) -> None:
+        held = [c for c in self._configs if c[0] <= index]
+        self._configs = held[-1:] + [c for c in self._configs if c[0] > index]
+
+    def _has_pending_config(self) -> bool:
+        return self._configs[-1][0] > self.commit_index
+
+    # State machine and journal.
+
+    def _restore_snapshot(self) -> None:
+        voters, captured = msgpack.unpackb(self._snapshot, strict_map_key=False)
+        self._configs = [(self.log.snapshot_index, voters)]
+        self.state.restore(captured)
+
+    def _apply_committed(self) -> None:
+        applied = []
+        while self.applied_index < self.commit_index:
+            self.applied_index += 1
+            entry = self.log.get(self.applied_index)
+            result = self.state.apply(entry.kind, entry.payload)
+            applied.append((entry.index, entry.kind, entry.payload))
+            token = self._pending.pop(entry.index, None)
+            if token is not None:
+                self._out.append(Settled(token, result))
+        if applied:
+            self._out.append(Committed(applied))
+        if self.role is Role.LEARNER and self.is_voter():
+            self.role = Role.FOLLOWER
+        if self.applied_index - self.log.snapshot_index >= COMPACT_ENTRIES:
+            self._compact()
+
+    def _compact(self) -> None:
+        term = self.log.get_term(self.applied_index)
+        self._compact_configs(self.applied_index)
+        voters = self._configs[0][1]
+        self._snapshot = msgpack.packb([voters, self.state.capture()])
+        self.log.compact(self.applied_index, term)
+        for peer in self._peers.values():
+            peer.offset = 0
+        self._rewrite = True
+
+    def _cut_log(self, last_index: int) -> None:
+        if last_index >= self.log.last_index:
+            return
+        self.log.cut(last_index)
+        self._cut_configs(last_index)
+        self._synced_index = min(self._synced_index, last_index)
+        for write in self._gate.writes.values():
+            write.marker = min(write.marker, last_index)
+
+    def _append_own(self, kind: str, payload: Any) -> int:
+        entry = Entry(self.log.last_index + 1, self.term, kind, payload)
+        self.log.append(entry)
+        self._note_config(entry)
+        self._persist(["entries", [entry.to_wire()]])
+        return entry.index
+
+    def _persist(self, record: list[Any]) -> None:
+        self._gate.add_record(record)
+
+    def _list_journal(self) -> list[list[Any]]:
+        records: list[list[Any]] = [["disk", self.disk_id], ["formed", self._formed]]
+        if self._snapshot:
+            index, term = self.log.snapshot_index, self.log.snapshot_term
+            records.append(["snapshot", index, term, self._snapshot])
+        records.append(["vote", self.term, self.voted_for])
+        entries = self.log.list_from(self.log.snapshot_index + 1, len(self.log))
+        if entries:
+            records.append(["entries", [e.to_wire() for e in entries]])
+        return records
+
+    def _flush(self) -> list[Action]:
+        out, self._out = self._out, []
+        rewritten = self._list_journal() if self._rewrite else None
+        self._rewrite = False
+        return out + self._gate.flush(self.log.last_index, rewritten)
--- /dev/null
+++ b/src/foxtaildrum/control/leadership.py
@@ -0,0 +1,223 @@
+"""What a leader of the control group does."""
+
+from __future__ import annotations
+
+from ..events import ReadSettled, Send
+from ..records import (
+    AppendReply,
+    AppendRequest,
+    SnapshotPiece,
+    SnapshotReply,
+)
+from .election import ELECTION_MIN_S, Election
+from .group import ADMIT, NOOP, Peer, Role
+
+HEARTBEAT_S = 0.2
+MAX_ENTRIES_PER_MESSAGE = 64
+PIECE_BYTES = 65_536
+FORMING_WAIT_S = 3.0
+
+
+class Leadership(Election):
+    """The part of the leader: replication, commits, confirmed reads and changes of voters."""
+
+    def compute_confirmed_at(self, now: float) -> float | None:
+        """Return when a quorum last confirmed this leader, or None.
+
+        Every change accepted by that time has an index up to ``commit_index``.
+        """
+        if self.role is not Role.LEADER or self.commit_index < self._term_start:
+            return None
+        return self._find_confirmed_at(now)
+
+    def _become_leader(self, now: float) -> None:
+        self.role = Role.LEADER
+        self.leader_id = self.instance_id
+        self._led_since = now
+        self._waited = False
+        self._peers = {p: Peer(self.log.last_index + 1) for p in self.others}
+        if self._configs[-1][0]:
+            self._term_start = self._append_own(NOOP, None)
+        else:
+            group_id = f"{self._rng.getrandbits(64):016x}"
+            payload = {"group_id": group_id, "voters": dict(self._formed)}
+            self._term_start = self._append_own(ADMIT, payload)
+        self._replicate(now)
+
+    def _tick_leader(self, now: float) -> None:
+        if now - max(self._find_confirmed_at(now), self._led_since) > ELECTION_MIN_S:
+            self._step_down(now)
+            return
+        self._waited = now - self._led_since >= FORMING_WAIT_S
+        self._change_voters(now)
+        if now >= self._heartbeat_at:
+            self._replicate(now)
+
+    def _find_confirmed_at(self, now: float) -> float:
+        times = [p.confirmed_at for i, p in self._peers.items() if self._counts(i)]
+        times += [now] if self.is_voter() else []
+        times += [float("-inf")] * (len(self.voters) - len(times))
+        return sorted(times, reverse=True)[self.quorum - 1]
+
+    def _settle_reads(self, now: float) -> None:
+        confirmed_at = self.compute_confirmed_at(now)
+        if confirmed_at is None:
+            return
+        for token, asked_at in list(self._reads.items()):
+            if asked_at <= confirmed_at:
+                del self._reads[token]
+                self._out.append(ReadSettled(token, self.commit_index))
+
+    def _replicate(self, now: float) -> None:
+        self._heartbeat_at = now + HEARTBEAT_S
+        for peer in self.others:
+            self._send_append(now, peer)
+
+    def _send_append(self, now: float, peer: str) -> None:
+        known = self._peers.setdefault(peer, Peer(self.log.last_index + 1))
+        previous = known.next_index - 1
+        previous_term = self.log.get_term(previous)
+        if previous_term is None:
+            self._send_piece(now, peer)
+            return
+        entries = self.log.list_from(known.next_index, MAX_ENTRIES_PER_MESSAGE)
+        request = AppendRequest(
+            term=self.term,
+            previous_index=previous,
+            previous_term=previous_term,
+            entries=[e.to_wire() for e in entries],
+            commit_index=self.commit_index,
+            sent_at=now,
+        )
+        known.next_index += len(entries)
+        self._out.append(Send(peer, request))
+
+    def _send_piece(self, now: float, peer: str) -> None:
+        known = self._peers[peer]
+        if known.offset > len(self._snapshot):
+            known.offset = 0
+        end = known.offset + PIECE_BYTES
+        message = SnapshotPiece(
+            term=self.term,
+            index=self.log.snapshot_index,
+            last_term=self.log.snapshot_term,
+            offset=known.offset,
+            piece=self._snapshot[known.offset : end],
+            final=end >= len(self._snapshot),
+            sent_at=now,
+        )
+        self._out.append(Send(peer, message))
+
+    def _on_append_reply(self, now: float, peer: str, message: AppendReply) -> None:
+        known = self._accept_reply(now, peer, message)
+        if known is None:
+            return
+        if not message.matched:
+            known.next_index = max(1, min(known.next_index - 1, message.match_index + 1))
+            self._send_append(now, peer)
+            return
+        known.match_index = max(known.match_index, message.match_index)
+        known.next_index = max(known.next_index, known.match_index + 1)
+        self._advance_commit(now)
+        self._change_voters(now)
+        self._settle_reads(now)
+        if self.role is Role.LEADER and known.next_index <= self.log.last_index:
+            self._send_append(now, peer)
+
+    def _accept_reply(
+        self, now: float, peer: str, message: AppendReply | SnapshotReply
+    ) -> Peer | None:
+        if message.term > self.term:
+            self._follow_term(now, message.term)
+            return None
+        if self.role is not Role.LEADER or message.term != self.term:
+            return None
+        known = self._peers.get(peer)
+        if known is None:
+            return None
+        if known.disk_id != message.disk_id:
+            known.disk_id = message.disk_id
+            known.match_index = 0
+            known.offset = 0
+        known.confirmed_at = max(known.confirmed_at, message.sent_at)
+        return known
+
+    def _on_snapshot_reply(self, now: float, peer: str, message: SnapshotReply) -> None:
+        known = self._accept_reply(now, peer, message)
+        if known is None:
+            return
+        if message.index != self.log.snapshot_index:
+            known.offset = 0
+            return
+        known.offset = message.offset
+        if message.offset >= len(self._snapshot):
+            known.offset = 0
+            known.match_index = max(known.match_index, message.index)
+            known.next_index = known.match_index + 1
+        self._send_append(now, peer)
+
+    def _advance_commit(self, now: float) -> None:
+        matches = [p.match_index for i, p in self._peers.items() if self._counts(i)]
+        matches += [min(self._synced_index, self.log.last_index)] if self.is_voter() else []
+        matches += [0] * (len(self.voters) - len(matches))
+        index = sorted(matches, reverse=True)[self.commit_quorum - 1]
+        if index > self.commit_index and self.log.get_term(index) == self.term:
+            self.commit_index = index
+            self._apply_committed()
+            self._replicate(now)
+
+    # Changes of voters, one disk at a time.
+
+    def _change_voters(self, now: float) -> None:
+        """Add or remove at most one voter."""
+        if not self.can_propose() or self._has_pending_config():
+            return
+        voters = dict(self.voters)
+        leaving = self._find_leaving_voter()
+        joining = "" if leaving else self._find_joining_learner()
+        if leaving:
+            del voters[leaving]
+        elif joining:
+            address = self._directory.find_address(joining)
+            voters[joining] = [self._peers[joining].disk_id, address]
+        else:
+            return
+        self._append_own(ADMIT, {"voters": voters})
+        self._replicate(now)
+
+    def _find_leaving_voter(self) -> str:
+        """Return a voter whose place a learner that has caught up can take."""
+        for peer in self.voters:
+            if peer != self.instance_id and self._has_new_disk(peer):
+                return peer
+        if len(self.voters) < self.full_size or not self._list_ready_learners():
+            return ""
+        for peer in self.voters:
+            if peer != self.instance_id and self._directory.is_gone(peer):
+                return peer
+        return ""
+
+    def _has_new_disk(self, peer: str) -> bool:
+        known = self._peers.get(peer)
+        return (
+            known is not None
+            and bool(known.disk_id)
+            and known.disk_id != self._find_disk(peer)
+            and known.match_index >= self.commit_index
+        )
+
+    def _find_joining_learner(self) -> str:
+        if len(self.voters) >= self.full_size:
+            return ""
+        ready = self._list_ready_learners()
+        return ready[0] if ready else ""
+
+    def _list_ready_learners(self) -> list[str]:
+        return [
+            peer
+            for peer, known in self._peers.items()
+            if peer not in self.voters
+            and known.disk_id
+            and known.match_index >= self.commit_index
+            and not self._directory.is_gone(peer)
+        ]
--- a/src/foxtaildrum/control/proposals.py
+++ b/src/foxtaildrum/control/proposals.py
@@ -11,9 +11,10 @@
 from ..events import Send, Settled
 from ..exceptions import InvalidTableError
 from ..fleet.node_api import ChangeAnswer
-from .consensus import Consensus, Role, Unsettled
+from .consensus import Consensus
 from .desired import REBASED, DesiredState, build_patch, judge_number
 from .follower import CHANGE, DESIRED, TableState
+from .group import Role, Unsettled
 from .tables import Change, ChangeResult, Patch, check_table
 
 PROPOSAL_TIMEOUT_S = 3.0
--- a/src/foxtaildrum/fleet/node.py
+++ b/src/foxtaildrum/fleet/node.py
@@ -9,10 +9,11 @@
 
 from .. import records as r
 from ..control.claimer import Claimer, ClaimSettled
-from ..control.consensus import Consensus, ControlDirectory, Role
+from ..control.consensus import Consensus
 from ..control.desired import DesiredState
 from ..control.entries import Saved
 from ..control.follower import Follower, TableState
+from ..control.group import ControlDirectory, Role
 from ..control.holder import ClaimHolder
 from ..control.proposals import ChangeSettled, Proposer
 from ..control.reads import ReadDone, Reader
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -15,8 +15,8 @@
 
 from foxtaildrum.control.claimer import ClaimSettled
 from foxtaildrum.control.claims import ClaimOutcome, Verdict
-from foxtaildrum.control.consensus import Role
 from foxtaildrum.control.desired import DesiredState
+from foxtaildrum.control.group import Role
 from foxtaildrum.control.journal import Journal
 from foxtaildrum.control.proposals import ChangeSettled
 from foxtaildrum.control.reads import ReadDone
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -6,9 +6,10 @@
 
 import pytest
 
-from foxtaildrum.control.consensus import COMPACT_ENTRIES, Consensus, Role
+from foxtaildrum.control.consensus import Consensus
 from foxtaildrum.control.entries import Saved
 from foxtaildrum.control.follower import TableState
+from foxtaildrum.control.group import COMPACT_ENTRIES, Role
 from foxtaildrum.events import Persist, Persisted, PersistFailed, Received, Send
 from foxtaildrum.records import AppendReply, AppendRequest, VoteReply, VoteRequest
 
--- a/tests/test_fleet_matrix.py
+++ b/tests/test_fleet_matrix.py
@@ -15,7 +15,7 @@
 import pytest
 
 from foxtaildrum import records as r
-from foxtaildrum.control import consensus, follower
+from foxtaildrum.control import follower, group
 
 from .fleet import Fleet, form_fleet
 
@@ -33,7 +33,7 @@
     "answer": lambda m: isinstance(m, r.ProposeReply),
     "snapshot": lambda m: isinstance(m, r.SnapshotPiece),
     "learner": lambda m: (
-        isinstance(m, r.AppendRequest) and any(e[2] == consensus.ADMIT for e in m.entries)
+        isinstance(m, r.AppendRequest) and any(e[2] == group.ADMIT for e in m.entries)
     ),
     "follow": lambda m: isinstance(m, r.FollowEntries),
     "catch-up": lambda m: isinstance(m, r.FollowRequest),
@@ -255,7 +255,7 @@
 
 @pytest.fixture(autouse=True)
 def small_logs(monkeypatch):
-    monkeypatch.setattr(consensus, "COMPACT_ENTRIES", COMPACT_ENTRIES)
+    monkeypatch.setattr(group, "COMPACT_ENTRIES", COMPACT_ENTRIES)
     monkeypatch.setattr(follower, "WINDOW_ENTRIES", WINDOW_ENTRIES)
 
 
--- a/tests/test_group.py
+++ b/tests/test_group.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from foxtaildrum.control.consensus import Role
+from foxtaildrum.control.group import Role
 from foxtaildrum.control.journal import Journal
 from foxtaildrum.exceptions import CorruptJournalError
 from foxtaildrum.instance import load_saved
