Give the judgement of currency a module of its own

Ruled out: moving the handlers of messages, which need every part of the node.

Change: Currency judges starts, cut-off instances and the size of the fleet; the node feeds it.

--- a/src/foxtaildrum/fleet/node.py
+++ b/src/foxtaildrum/fleet/node.py
@@ -35,13 +35,11 @@
     Tick,
 )
 from ..exceptions import FrameError, StaleAnnouncementError
+from .currency import Currency
 from .membership import Knowledge, Member, Membership, MemberState
 from .receipts import Receipts, ReceiptsDone
 from .upstreams import READY, Entry, UpstreamList
 
-START_AGE_S = 5.0
-CUT_OFF_S = 15.0
-GROUP_DOWN_START_S = 15.0
 EXPIRE_PERIOD_S = 0.5
 TICK_S = 0.1
 CALM_TICK_S = 0.25
@@ -199,12 +197,8 @@
         self._save_token = 0
         self.stopping = False
         self._rng = rng
-        self._started_at = now
-        self._started = False
+        self.currency = Currency(self.follower, self.members, saved is None, now)
         self._ask_at = now
-        self._highest_index = 0
-        self._fleet_size = 0
-        self._heard_at = now
         self._expire_at = now
         self._out: list[Action] = []
 
@@ -226,13 +220,12 @@
         self.proposer.tick(now)
         self.reader.tick(now)
         self._tell_again(now)
-        self._note_fleet(now)
-        self._update_started(now)
+        self.currency.tick(now)
         return self._finish(now)
 
     def get_tick_period(self) -> float:
         """Return the time until :meth:`tick` is next due, in seconds."""
-        if not self._started:
+        if self.is_starting():
             return STARTING_TICK_S
         return CALM_TICK_S if self.consensus is None else TICK_S
 
@@ -433,9 +426,9 @@
         reasons = []
         if self.stopping:
             reasons.append("stopping")
-        if not self._started:
+        if self.is_starting():
             reasons.append("starting: the tables are not known to be current")
-        elif self.is_cut_off(now):
+        elif self.currency.is_cut_off(now):
             reasons.append("cut off from the control instances")
         if self.consensus is not None and self.consensus.role is Role.FAILED:
             reasons.append("the disk failed")
@@ -443,33 +436,15 @@
 
     def is_starting(self) -> bool:
         """Return whether this instance has not yet learnt the present tables."""
-        return not self._started
+        return not self.currency.started
 
     def is_open(self, now: float) -> bool:
         """Return whether callers are served."""
-        return self._started and not self.is_cut_off(now)
+        return self.currency.started and not self.currency.is_cut_off(now)
 
     def is_current(self, now: float) -> bool:
         """Return whether the tables include every change of more than a moment ago."""
-        age_s = self.follower.compute_age(now)
-        return age_s is not None and age_s <= CUT_OFF_S
-
-    def is_cut_off(self, now: float) -> bool:
-        """Return whether this instance, and not the control group, is cut off.
-
-        Without a recent word of a quorum the instance serves on as long as it sees
-        most of the fleet: then the control group is down and no change can have been
-        accepted since. Seeing only a minority it stops. It also stops when it has such
-        a word but not yet the tables, and when it was paused and has heard nobody since.
-        """
-        if self.is_current(now):
-            return False
-        if now - self.follower.get_beacon()[1] <= CUT_OFF_S:
-            return True
-        has_others = self._fleet_size > 1
-        if has_others and now - self._heard_at > CUT_OFF_S:
-            return True
-        return not self._sees_majority()
+        return self.currency.is_current(now)
 
     # Own parts.
 
@@ -557,25 +532,13 @@
         knowledge.upstreams_root = self.upstreams.digest.compute_root()
         return knowledge
 
-    def _update_started(self, now: float) -> None:
-        if self._started:
-            return
-        age_s = self.follower.compute_age(now)
-        if age_s is not None and age_s <= START_AGE_S:
-            self._started = True
-            return
-        waited = now - self._started_at >= GROUP_DOWN_START_S
-        caught_up = 0 < self._highest_index <= self.follower.index
-        if waited and caught_up and self.consensus is None and self._sees_majority():
-            self._started = True
-
     def _ask_control(self, now: float) -> None:
         """Ask control instances for the word of a quorum while this instance starts.
 
         The neighbours on the ring start as well after a failure of the whole fleet and
         have no such word themselves.
         """
-        if self._started or now < self._ask_at:
+        if self.currency.started or now < self._ask_at:
             return
         self._ask_at = now + ASK_PERIOD_S
         others = [i for i in self.list_control() if i != self.instance_id]
@@ -585,26 +548,6 @@
         targets = self._rng.sample(others, min(ASKED_CONTROL, len(others)))
         self._out += self.members.ask(now, targets, self._describe_knowledge(now))
 
-    def _sees_majority(self) -> bool:
-        usable = sum(m.usable for m in self.members.members.values())
-        return usable * 2 > self._fleet_size
-
-    def _note_fleet(self, now: float) -> None:
-        """Keep the size of the fleet that a majority is counted against.
-
-        It holds the usable members and those found dead since the time that the view
-        of the tables is known for. While that is long ago it only grows: an instance
-        that is cut off must not come to take its own side for the whole.
-        """
-        members = self.members.members.values()
-        age_s = self.follower.compute_age(now)
-        known_at = self._started_at if age_s is None else now - age_s
-        size = sum(
-            m.usable or (m.state is MemberState.DEAD and m.changed_at >= known_at)
-            for m in members
-        )
-        self._fleet_size = size if self.is_current(now) else max(self._fleet_size, size)
-
     def _expire_leases(self, now: float) -> None:
         if now < self._expire_at:
             return
@@ -644,16 +587,16 @@
         self._out += out
         if sent_at is None:
             return
-        self._heard_at = max(self._heard_at, sent_at)
+        self.currency.note_answer(sent_at)
         if message.beacon_index >= 0:
             # The answer is no older than its ping; a late answer is dated by it.
             confirmed_at = sent_at - message.beacon_age_s
             self.follower.note_beacon(message.group_id, message.beacon_index, confirmed_at)
         self._compare(now, peer, message)
-        self._update_started(now)
+        self.currency.update_started(now)
 
     def _compare(self, now: float, peer: str, message: r.Ping | r.Ack) -> None:
-        self._highest_index = max(self._highest_index, message.applied_index)
+        self.currency.note_index(message.applied_index)
         self._out += self.follower.ask_if_behind(now, peer, message.applied_index)
         if message.members_root != self.members.digest.compute_root():
             self._out.append(Send(peer, self._build_buckets("members", reply=False)))
