Claims: a disk that formed the group has lost none, however it learned of the group

Cause: of three control instances the last to start could learn of the group it founded from the leader's first entries. Its claim holder then counted as one that lost its disk: it waited 5 s and needed the claims of both others. With one of them killed it never granted a claim, and every keyed order was answered 503 claim_unavailable although two of three lived. Ruled out: the table log (changes are accepted meanwhile), signatures, membership.

Left: claims still follow the configured control instances, not later changes of the group.

--- a/src/foxtaildrum/admin/gauges.py
+++ b/src/foxtaildrum/admin/gauges.py
@@ -46,6 +46,12 @@
             "Entries of the log that wait for their commit.",
             {"": consensus.count_pending()},
         ),
+        Gauge("claims", "Claims stored by this holder.", {"": len(node.holder.claims)}),
+        Gauge(
+            "claims_awaited",
+            "Holders whose claims this one must read before it grants any.",
+            {"": len(node.holder.list_awaited())},
+        ),
     ]
 
 
--- a/src/foxtaildrum/admin/status.py
+++ b/src/foxtaildrum/admin/status.py
@@ -67,6 +67,7 @@
         "disk_admitted": consensus.is_voter(),
         "claims": len(node.holder.claims),
         "claims_recovered": node.holder.recovered,
+        "claims_awaited": node.holder.list_awaited(),
     }
 
 
--- a/src/foxtaildrum/control/consensus.py
+++ b/src/foxtaildrum/control/consensus.py
@@ -140,7 +140,7 @@
             self._form_group(known_disks, now)
 
     def _form_group(self, disks: dict[str, str], now: float) -> None:
-        self.formed_here = True
+        self.holds_founding_disk = True
         voters = {
             peer: [disk, self._directory.find_address(peer)] for peer, disk in disks.items()
         }
--- a/src/foxtaildrum/control/group.py
+++ b/src/foxtaildrum/control/group.py
@@ -110,6 +110,11 @@
         Number of disks that may be lost at the same time.
     directory : ControlDirectory or None
         Information about the other control instances.
+
+    Attributes
+    ----------
+    holds_founding_disk : bool
+        Whether the disk of this instance is among those that formed the group.
     """
 
     def __init__(
@@ -137,7 +142,7 @@
         self.applied_index = self.log.snapshot_index
         self._formed = saved.formed
         self._voter_configs: list[tuple[int, dict[str, list[str]]]] = [(0, self._formed)]
-        self.formed_here = False
+        self.holds_founding_disk = self._names_own_disk(self._formed)
         self._snapshot = saved.snapshot
         self._rng = rng
         self._synced_index = self.log.last_index
@@ -227,6 +232,10 @@
         """Return whether the disk of this instance is a voter."""
         return self._find_voter_disk(self.instance_id) == self.disk_id
 
+    def _names_own_disk(self, voters: dict[str, list[str]]) -> bool:
+        voter = voters.get(self.instance_id)
+        return voter is not None and voter[0] == self.disk_id
+
     def _find_voter_disk(self, instance_id: str) -> str:
         voter = self.voters.get(instance_id)
         return voter[0] if voter else ""
@@ -250,8 +259,13 @@
             self._record_config(entry)
 
     def _record_config(self, entry: Entry) -> None:
-        if entry.kind == ADMIT:
-            self._voter_configs.append((entry.index, entry.payload["voters"]))
+        if entry.kind != ADMIT:
+            return
+        voters = entry.payload["voters"]
+        self._voter_configs.append((entry.index, voters))
+        if "group_id" in entry.payload and self._names_own_disk(voters):
+            # An instance may learn of the group it founded from the leader's first entries.
+            self.holds_founding_disk = True
 
     def _truncate_configs(self, last_index: int) -> None:
         self._voter_configs = self._voter_configs[:1] + [
--- a/src/foxtaildrum/control/holder.py
+++ b/src/foxtaildrum/control/holder.py
@@ -65,8 +65,14 @@
         for record in records:
             self._load(record)
 
-    def handle_group_formed(self) -> list[Persist | Rewrite | Send]:
-        """Mark this holder as recovered: a group that formed on new disks has no claims yet."""
+    def list_awaited(self) -> list[str]:
+        """Return the holders whose claims this recovering holder has not read yet."""
+        if self.recovered:
+            return []
+        return [peer for peer in self.others if peer not in self._read_peers]
+
+    def handle_founding_disk(self) -> list[Persist | Rewrite | Send]:
+        """Mark this holder as recovered: its disk formed the group, before any claim."""
         if self.recovered:
             return []
         self._mark_recovered()
@@ -84,9 +90,7 @@
             self._mark_recovered()
         if not self.recovered and now >= self._fetch_at:
             self._fetch_at = now + FETCH_PERIOD_S
-            actions += [
-                self._build_fetch(peer) for peer in self.others if peer not in self._read_peers
-            ]
+            actions += [self._build_fetch(peer) for peer in self.list_awaited()]
         return actions + self._flush()
 
     def handle_request(
--- a/src/foxtaildrum/control/state_log.py
+++ b/src/foxtaildrum/control/state_log.py
@@ -11,11 +11,12 @@
 class StateChangeLogger:
     """Compares the node with the state logged last and logs each difference once."""
 
-    __slots__ = ("_last_leader", "_last_voters", "_was_open")
+    __slots__ = ("_last_claims", "_last_leader", "_last_voters", "_was_open")
 
     def __init__(self) -> None:
         self._last_leader = ("", "")
         self._last_voters: list[str] = []
+        self._last_claims: tuple[bool, list[str]] = (False, [])
         self._was_open: bool | None = None
 
     def log_changes(self, now: float, node: Node) -> None:
@@ -24,6 +25,7 @@
         consensus = node.consensus
         if consensus is None:
             return
+        self._log_claims(node)
         leader = (consensus.leader_id, consensus.role.value)
         if leader != self._last_leader:
             self._last_leader = leader
@@ -35,6 +37,18 @@
             self._last_voters = voters
             log_event("voters_changed", voters=",".join(voters), index=consensus.log.last_index)
 
+    def _log_claims(self, node: Node) -> None:
+        """Log that the claim holder waits for others, or that it grants claims."""
+        holder = node.holder
+        awaited = holder.list_awaited()
+        if (holder.recovered, awaited) == self._last_claims:
+            return
+        self._last_claims = (holder.recovered, awaited)
+        if holder.recovered:
+            log_event("claims_recovered", claims=len(holder.claims))
+        else:
+            log_event("claims_recovering", awaited=",".join(awaited))
+
     def _log_currency(self, now: float, node: Node) -> None:
         is_open = node.is_open(now)
         if is_open == self._was_open:
--- a/src/foxtaildrum/fleet/node.py
+++ b/src/foxtaildrum/fleet/node.py
@@ -503,10 +503,9 @@
 
     def _run_consensus(self, now: float, event: Any) -> None:
         actions = self.consensus.handle(now, event)
-        if self.consensus.formed_here and not self.holder.recovered:
-            # A group formed on empty disks starts without claims. This is written before
-            # any decision of the group, so that a crash cannot persist a decision without it.
-            self._process_claim_actions(now, self.holder.handle_group_formed())
+        if self.consensus.holds_founding_disk and not self.holder.recovered:
+            # A disk that formed the group was empty before the first claim, so it lost none.
+            self._process_claim_actions(now, self.holder.handle_founding_disk())
         for action in actions:
             if isinstance(action, Send):
                 self._actions.append(action)
--- a/src/foxtaildrum/logevents.py
+++ b/src/foxtaildrum/logevents.py
@@ -16,6 +16,8 @@
     ),
     "attempt_failed": ("request_id", "upstream", "kind", "reason"),
     "claim_not_stored": ("claim",),
+    "claims_recovered": ("claims",),
+    "claims_recovering": ("awaited",),
     "currency_lost": ("age_s",),
     "currency_regained": ("index", "version"),
     "disk_failed": ("stream", "reason"),
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -172,10 +172,18 @@
         the addresses of all control instances.
     tolerated_losses : int
         Number of disks that may be lost at the same time.
+    start_delays : dict or None
+        Delay in seconds before the first start of each host; 0 for those not listed.
     """
 
     def __init__(
-        self, control: int, entry: int, seed: int, seeds: int = 0, tolerated_losses: int = 0
+        self,
+        control: int,
+        entry: int,
+        seed: int,
+        seeds: int = 0,
+        tolerated_losses: int = 0,
+        start_delays: dict[str, float] | None = None,
     ) -> None:
         self.seed = seed
         self.seeds = [f"c{n + 1}" for n in range(seeds)]
@@ -209,8 +217,12 @@
         self.message_bytes = 0
         self.sent_bytes: dict[str, int] = dict.fromkeys(names, 0)
         self.last_arrival: dict[tuple[str, str], float] = {}
-        for host in self.hosts.values():
-            host.start()
+        for name, host in self.hosts.items():
+            delay_s = (start_delays or {}).get(name, 0.0)
+            if delay_s:
+                self.schedule(delay_s, "restart", name)
+            else:
+                host.start()
 
     # Simulated time and events.
 
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import itertools
+
 import pytest
 
 from foxtaildrum.control import holder
@@ -136,3 +138,58 @@
 @pytest.mark.parametrize("text", ["a", "a" * 255, "schlüssel"])
 def test_claim_keys_have_a_fixed_length(text):
     assert len(compute_claim_key(text)) == 32
+
+
+START_STEP_S = 0.4
+# Time after its start during which nothing reaches the last instance, in seconds: the others
+# tried to connect to it before it was listening, and wait before they try again.
+UNREACHABLE_S = 0.9
+# Times after the last start at which one control instance is killed, in seconds.
+KILL_DELAYS_S = (1.2, 2.0, 4.0)
+
+
+def list_start_orders(control: int) -> list[tuple[str, ...]]:
+    """Return every order of starts; for groups above 3, every choice of the last one."""
+    names = [f"c{n + 1}" for n in range(control)]
+    if control == 3:
+        return list(itertools.permutations(names))
+    return [(*(n for n in names if n != last), last) for last in names]
+
+
+def form_fleet_in_order(order: tuple[str, ...], seed: int) -> Fleet:
+    """Start control instances one after the other; the last one is heard before it hears."""
+    starts = {name: n * START_STEP_S for n, name in enumerate(order)}
+    fleet = Fleet(len(order), 2, seed, start_delays=starts)
+    last = order[-1]
+    inward = {(peer, last) for peer in fleet.hosts if peer != last}
+    fleet.blocked |= inward
+    fleet.run(starts[last] + UNREACHABLE_S)
+    fleet.blocked -= inward
+    return fleet
+
+
+@pytest.mark.parametrize("kill_delay_s", KILL_DELAYS_S)
+@pytest.mark.parametrize("order", list_start_orders(3) + list_start_orders(5))
+def test_orders_go_on_when_a_control_instance_of_a_new_group_is_killed(order, kill_delay_s):
+    for victim in order:
+        fleet = form_fleet_in_order(order, len(order))
+        fleet.run(kill_delay_s - UNREACHABLE_S)
+        fleet.crash(victim)
+        fleet.run(1.0)
+        verdicts = [claim(fleet, "e1", f"{victim}-{n}", key=f"k{n}") for n in range(2)]
+        assert verdicts[-1] is Verdict.GRANTED, f"without {victim}: {verdicts}"
+        fleet.claim("e2", "again", "k1")
+        fleet.run(2.0)
+        fleet.check_granted_once([f"{victim}-1", "again"])
+
+
+def test_a_holder_whose_disk_is_not_of_the_first_group_reads_the_others():
+    fleet = Fleet(3, 1, 1, start_delays={"c3": 0.4})
+    assert fleet.run_until(fleet.is_converged, 60.0)
+    fleet.restart("c3", lose_disk=True)
+    fleet.run(3.0)
+    assert not fleet.hosts["c3"].node.holder.recovered
+    assert fleet.hosts["c3"].node.holder.list_awaited() == ["c1", "c2"]
+    fleet.run(10.0)
+    assert fleet.hosts["c3"].node.holder.recovered
+    assert fleet.hosts["c3"].node.holder.list_awaited() == []
