Tests run side by side by file; a stopped ticker sends nothing more

Cause: the suite took 8 min beside load in one process. The ticker was told to stop but not waited for, so that it could send to an actor that had ended (ActorDeadError in a thread, seen as a warning in tests/test_promises.py).

--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 	$(BIN)/python -m tests.standins.demo
 
 test: $(VENV)/ready
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest --numprocesses 6 --dist loadfile
 
 lint: $(VENV)/ready
 	$(BIN)/ruff format --check src tests platform scripts
--- a/src/foxtaildrum/fleet/runtime.py
+++ b/src/foxtaildrum/fleet/runtime.py
@@ -12,7 +12,7 @@
 import pykka
 
 from ..admin.metrics import Meter
-from ..balancing.pools import read_clock
+from ..clock import read_clock
 from ..control.claimer import ClaimCompleted
 from ..control.desired import DesiredState
 from ..control.reads import ReadCompleted
@@ -276,8 +276,10 @@
         self._thread.start()
 
     def stop(self) -> None:
-        """Stop ticking."""
+        """Stop ticking; no message is sent after this returns."""
         self._stopped.set()
+        if self._thread.is_alive():
+            self._thread.join()
 
     def _run(self) -> None:
         while not self._stopped.wait(self._get_period()):
--- a/tests/standins/processes.py
+++ b/tests/standins/processes.py
@@ -20,20 +20,23 @@
 START_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 20.0
 FIRST_PORT = 12_000
-PORT_COUNT = 20_000
+PORTS_PER_WORKER = 1_250
+MAX_WORKERS = 16
 
+_WORKER = int(os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw")) % MAX_WORKERS
 _PORTS = itertools.count(os.getpid() * 211)
 
 
 def pick_port() -> int:
     """Return a free port of the loopback address.
 
-    The ports lie below the range that the system uses for outgoing connections, and each
-    test process starts at another offset, so that another process rarely takes a port
-    between this check and its use.
+    The ports lie below the range that the system uses for outgoing connections. Each worker
+    of a test run has a range of its own and starts at an offset in it, so that another
+    process rarely takes a port between this check and its use.
     """
     while True:
-        port = FIRST_PORT + next(_PORTS) % PORT_COUNT
+        offset = next(_PORTS) % PORTS_PER_WORKER
+        port = FIRST_PORT + _WORKER * PORTS_PER_WORKER + offset
         with socket.socket() as sock:
             try:
                 sock.bind(("127.0.0.1", port))
