Read responses within limits of time and size; a late copy reaches no other caller

Change: responses.py reads a socket until one deadline and limits heads (256 KiB) and trailers (64 KiB); the body's deadline and the caller's close are checked while bytes wait; the first chunk is read before the head is relayed; a truncated response closes the caller's connection without a traceback; a connection whose responses stated an identifier accepts none without.

The test stays, with the excess in one segment with the last bytes (the stand-in waits until all before it is acknowledged); the late case has a test of its own: the caller gets exactly the declared body, and no other request meets the excess.

--- a/src/foxtaildrum/admin/access.py
+++ b/src/foxtaildrum/admin/access.py
@@ -8,7 +8,7 @@
 
 import pykka
 
-from ..balancing.pools import read_clock
+from ..clock import read_clock
 from ..control.claims import ClaimOutcome, Verdict, compute_claim_key
 from ..control.desired import DesiredState, describe_desired
 from ..control.tables import Change
--- a/src/foxtaildrum/balancing/pools.py
+++ b/src/foxtaildrum/balancing/pools.py
@@ -12,15 +12,13 @@
 from ..requests.connections import ConnectionPool
 from ..requests.exchange import AttemptBudget
 from ..requests.steps import AttemptResult
-from ..requests.transport import Adapter, read_clock
+from ..requests.transport import Adapter
 from .balancer import Balancer
 from .candidates import UpstreamLoad
 from .latency import BucketCounts, RecentLatency
 from .loads import LoadReport
 from .tickets import Ticket
 
-__all__ = ["UpstreamPool", "read_clock"]
-
 HEDGE_PERCENTILE = 95.0
 HEDGE_MIN_SAMPLES = 50
 HEDGE_OBJECTIVE_RATIO = 0.75
--- a/src/foxtaildrum/balancing/probes.py
+++ b/src/foxtaildrum/balancing/probes.py
@@ -10,11 +10,12 @@
 from collections.abc import Callable, Iterable
 
 from ..admin.metrics import Meter
+from ..clock import read_clock
 from ..requests.dialects import Dialect
 from ..requests.transport import OutgoingRequest, TransportError
 from .candidates import UpstreamLoad
 from .loads import LoadReport
-from .pools import UpstreamPool, read_clock
+from .pools import UpstreamPool
 
 PROBE_PERIOD_S = 0.05
 IDLE_PERIOD_S = 2.0
--- a/src/foxtaildrum/balancing/samples.py
+++ b/src/foxtaildrum/balancing/samples.py
@@ -9,8 +9,9 @@
 
 import select
 
+from ..clock import read_clock
 from ..requests.dialects import Dialect
-from ..requests.transport import Connection, OutgoingRequest, TransportError, read_clock
+from ..requests.transport import Connection, OutgoingRequest, TransportError
 from .candidates import UpstreamLoad
 from .pools import UpstreamPool
 
--- a/src/foxtaildrum/instance.py
+++ b/src/foxtaildrum/instance.py
@@ -19,8 +19,8 @@
 from .admin.access import NodeAccess, NodeClaims
 from .admin.admin import Admin, MetricsPage
 from .admin.metrics import Meter, StatsdSender
-from .balancing.pools import read_clock
 from .balancing.probes import Prober
+from .clock import read_clock
 from .control.entries import SavedState
 from .control.journal import FolderDisk, Journal
 from .control.storage import JournalWriter, PerformWrites, StorageActor
--- a/src/foxtaildrum/requests/dispatch.py
+++ b/src/foxtaildrum/requests/dispatch.py
@@ -6,12 +6,14 @@
 import select
 from collections import deque
 from collections.abc import Callable, Iterator
+from itertools import chain
 from typing import IO
 
 from ..balancing.candidates import UpstreamLoad
-from ..balancing.pools import UpstreamPool, read_clock
+from ..balancing.pools import UpstreamPool
 from ..balancing.samples import Sampler
 from ..balancing.tickets import Ticket
+from ..clock import read_clock
 from ..kinds import ErrorKind, Outcome
 from ..logs import log_event
 from . import steps
@@ -126,6 +128,7 @@
 
     __slots__ = (
         "body",
+        "chunks",
         "connection",
         "granted_at",
         "head",
@@ -143,7 +146,9 @@
         self.released = False
         self.connection: Connection | None = None
         self.head: Head | None = None
+        # Complete body, or None if it is relayed as ``chunks`` while it arrives.
         self.body: IO[bytes] | bytes | None = None
+        self.chunks: Iterator[bytes] = iter(())
 
 
 class Dispatch:
@@ -339,8 +344,7 @@
         attempt = self._attempt_states[action.attempt]
         self.upstream_id = attempt.upstream.upstream_id
         if attempt.body is None:
-            chunks = attempt.connection.read_body(self._exchange.deadline, self._caller_left)
-            body = StreamedBody(self, action.attempt, chunks)
+            body = StreamedBody(self, action.attempt, attempt.chunks)
         else:
             body = _read_spooled(attempt.body)
             self._handle_event(steps.BodyEnded(action.attempt))
@@ -406,6 +410,8 @@
             self._check_response(number, head, not_run)
             attempt.head = head
             attempt.body = self._prefetch_body(attempt)
+            if attempt.body is None:
+                attempt.chunks = self._prefetch_chunk(attempt)
         except TransportError as error:
             self._log_failure(attempt, error)
             return steps.AttemptFailed(number, error.kind)
@@ -436,9 +442,12 @@
             if dialect.response_id_header == dialect.attempt_header
             else self._request.request_id
         )
-        # A response to another attempt means that requests and responses on the
-        # connection are out of sync.
-        if stated_id and stated_id != expected_id:
+        # A response to another attempt means that requests and responses on the connection
+        # are out of sync. So does one without an identifier, such as a late copy, on a
+        # connection whose earlier responses had one.
+        connection = self._attempt_states[number].connection
+        connection.states_response_id |= bool(stated_id)
+        if connection.states_response_id and stated_id != expected_id:
             raise TransportError(ErrorKind.ANSWER_INVALID)
         lacks_required_header = (
             dialect.required_response_header
@@ -466,11 +475,17 @@
         spool.seek(0)
         return spool
 
+    def _prefetch_chunk(self, attempt: _AttemptState) -> Iterator[bytes]:
+        """Read the first chunk of a body, so that the request can still be retried."""
+        chunks = attempt.connection.read_body(self._exchange.deadline, self._is_cancelled)
+        first = next(chunks, None)
+        return chunks if first is None else chain((first,), chunks)
+
     def _read_body(self, attempt: _AttemptState) -> Iterator[bytes]:
-        may_cancel = self._exchange.idempotent
-        return attempt.connection.read_body(
-            self._exchange.deadline, self._caller_left if may_cancel else None
-        )
+        return attempt.connection.read_body(self._exchange.deadline, self._is_cancelled)
+
+    def _is_cancelled(self) -> bool:
+        return self._exchange.caller_may_cancel and self._caller_left()
 
 
 _PERFORMERS = {
--- a/src/foxtaildrum/requests/proxy.py
+++ b/src/foxtaildrum/requests/proxy.py
@@ -9,8 +9,9 @@
 from urllib.parse import quote
 
 from ..admin.metrics import Meter
-from ..balancing.pools import UpstreamPool, read_clock
+from ..balancing.pools import UpstreamPool
 from ..balancing.splits import PoolChooser
+from ..clock import read_clock
 from ..control.claims import ClaimOutcome, Verdict
 from ..kinds import ERROR_RESPONSES, ErrorKind, Outcome
 from ..logs import log_event
--- a/src/foxtaildrum/requests/server.py
+++ b/src/foxtaildrum/requests/server.py
@@ -17,13 +17,15 @@
 from waitress.server import TcpWSGIServer
 from waitress.task import ErrorTask, ThreadedTaskDispatcher, WSGITask
 
+from ..clock import read_clock
 from ..kinds import ERROR_RESPONSES, ErrorKind
 from ..logs import log_event
 from ..records import Limits
 from ..settings import parse_address
+from .dispatch import TruncatedResponseError
 from .problem import build_problem
 from .proxy import ARRIVAL_TIME_KEY
-from .transport import has_input, read_clock
+from .transport import has_input
 
 OUTPUT_BUFFER_BYTES = 262_144
 LINGER_S = 2.0
@@ -50,6 +52,13 @@
             self.close_on_finish = True
         return super().build_response_header()
 
+    def execute(self) -> None:
+        try:
+            super().execute()
+        except TruncatedResponseError as error:
+            # The connection is closed without the end of the response.
+            raise ClientDisconnected from error
+
     def get_environment(self) -> dict[str, Any]:
         environ = super().get_environment()
         environ[ARRIVAL_TIME_KEY] = getattr(self.request, "arrived", None)
--- a/src/foxtaildrum/requests/transport.py
+++ b/src/foxtaildrum/requests/transport.py
@@ -5,16 +5,18 @@
 import http.client
 import select
 import socket
-import time
 from collections.abc import Callable, Iterator, Mapping
+from functools import partial
 from typing import IO, Protocol
 
 import urllib3
 from urllib3.connection import HTTPConnection
 from urllib3.util import SKIP_HEADER
 
+from ..clock import read_clock
 from ..kinds import ErrorKind
 from ..settings import parse_address
+from .responses import BoundedResponse
 
 CHUNK_BYTES = 65536
 BODYLESS_STATUSES = frozenset({204, 304})
@@ -117,9 +119,12 @@
     reusable : bool
         Whether the last response was read completely, no bytes followed it and the
         connection is still open.
+    states_response_id : bool
+        Whether a response on this connection stated the identifier of its attempt or request.
     """
 
     reusable: bool
+    states_response_id: bool
 
     def send(self, request: OutgoingRequest, timeout_s: float) -> None:
         """Send the whole request; raise :class:`TransportError` on failure."""
@@ -175,38 +180,17 @@
     return bool(poll.poll(0))
 
 
-class _LengthCheckedResponse(http.client.HTTPResponse):
-    """Response that detects bytes beyond its declared length."""
-
-    has_trailing_bytes = False
-
-    def _close_conn(self) -> None:
-        if self.fp is not None and self.length == 0 and not self.chunked:
-            self.has_trailing_bytes = self._detect_trailing_bytes()
-        super()._close_conn()
-
-    def _detect_trailing_bytes(self) -> bool:
-        raw = getattr(self.fp, "raw", None)
-        sock = getattr(raw, "_sock", None)
-        if sock is None:
-            return False
-        timeout = sock.gettimeout()
-        sock.settimeout(0)
-        try:
-            return bool(self.fp.peek(1))
-        except OSError:
-            return False
-        finally:
-            sock.settimeout(timeout)
+class _UpstreamHTTPConnection(HTTPConnection):
+    """Connection whose response is relayed unchanged.
 
+    Decoding, redirects and retries, which the response wrapper of urllib3 prepares for, would
+    cost a tenth of the CPU time.
+    """
 
-class _UpstreamHTTPConnection(HTTPConnection):
-    response_class = _LengthCheckedResponse
+    head_deadline = 0.0
 
-    def getresponse(self) -> _LengthCheckedResponse:
-        # The response is relayed unchanged. Decoding, redirects and retries, which the
-        # response wrapper of urllib3 prepares for, would cost a tenth of the CPU time.
-        self.sock.settimeout(self.timeout)
+    def getresponse(self) -> BoundedResponse:
+        self.response_class = partial(BoundedResponse, deadline=self.head_deadline)
         return http.client.HTTPConnection.getresponse(self)
 
 
@@ -227,14 +211,16 @@
         "accepts_close_delimited",
         "accepts_trailing_bytes",
         "reusable",
+        "states_response_id",
     )
 
     def __init__(self, address: str, timeout_s: float) -> None:
         host, port = parse_address(address)
         self._connection = _UpstreamHTTPConnection(host, port, timeout=timeout_s)
         self._method = ""
-        self._response: _LengthCheckedResponse | None = None
+        self._response: BoundedResponse | None = None
         self.reusable = False
+        self.states_response_id = False
         self.accepts_trailing_bytes = False
         self.accepts_close_delimited = False
         try:
@@ -275,7 +261,7 @@
 
     def read_head(self, timeout_s: float) -> Head:
         """Read the status and headers; raise :class:`TransportError` on failure."""
-        self._connection.timeout = max(timeout_s, 0.001)
+        self._connection.head_deadline = read_clock() + timeout_s
         try:
             self._response = self._connection.getresponse()
         except (http.client.RemoteDisconnected, OSError) as error:
@@ -289,6 +275,7 @@
     ) -> Iterator[bytes]:
         """Yield the body; raise :class:`TransportError` if it is incomplete."""
         response = self._response
+        response.set_deadline(deadline)
         try:
             if response.chunked:
                 yield from self._read_chunks(response, deadline, is_cancelled)
@@ -306,7 +293,7 @@
 
     def _read_chunks(
         self,
-        response: _LengthCheckedResponse,
+        response: BoundedResponse,
         deadline: float,
         is_cancelled: Callable[[], bool] | None,
     ) -> Iterator[bytes]:
@@ -319,7 +306,7 @@
 
     def _read_sized(
         self,
-        response: _LengthCheckedResponse,
+        response: BoundedResponse,
         deadline: float,
         is_cancelled: Callable[[], bool] | None,
     ) -> Iterator[bytes]:
@@ -342,26 +329,24 @@
 
     def _wait_for_input(
         self,
-        response: _LengthCheckedResponse,
+        response: BoundedResponse,
         deadline: float,
         is_cancelled: Callable[[], bool] | None,
     ) -> None:
         """Wait until more of the response can be read, or raise."""
         if response.fp is None or response.length == 0:
             return
-        self._sock.settimeout(0)
-        try:
-            if response.fp.peek(1):
-                return
-        finally:
-            self._sock.settimeout(max(0.001, deadline - read_clock()))
         poll = select.poll()
         poll.register(self._sock.fileno(), select.POLLIN)
-        while not poll.poll(CANCEL_POLL_S * 1000):
+        arrived = response.has_input()
+        while True:
+            # Checked also while bytes wait: an upstream may send without end.
             if is_cancelled is not None and is_cancelled():
                 raise CancelledError
             if read_clock() >= deadline:
                 raise TimeoutError("the response body did not arrive before the deadline")
+            if arrived or poll.poll(CANCEL_POLL_S * 1000):
+                return
 
     def _has_early_response(self) -> bool:
         sock = self._connection.sock
@@ -372,7 +357,7 @@
         except OSError:
             return False
 
-    def _build_head(self, response: _LengthCheckedResponse) -> Head:
+    def _build_head(self, response: BoundedResponse) -> Head:
         length = self._parse_body_length(response)
         head = Head(response.status, response.reason or "", length)
         connection_options = _parse_connection_options(response.headers.get("Connection", ""))
@@ -388,7 +373,7 @@
         head.all_headers = response.headers
         return head
 
-    def _parse_body_length(self, response: _LengthCheckedResponse) -> int | None:
+    def _parse_body_length(self, response: BoundedResponse) -> int | None:
         if response.status < 200 or response.msg.defects:
             raise TransportError(ErrorKind.ANSWER_INVALID)
         has_no_body = self._method == "HEAD" or response.status in BODYLESS_STATUSES
@@ -417,11 +402,6 @@
     return Urllib3Connection(address, timeout_s)
 
 
-def read_clock() -> float:
-    """Return the boot-time clock in seconds; it also counts time in suspension."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-
 def _configure_socket(sock: socket.socket) -> None:
     """Disable Nagle's algorithm and let the kernel close a connection to a silent peer."""
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -432,7 +412,7 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_MAX_PROBES)
 
 
-def _join_header_values(response: _LengthCheckedResponse, name: str) -> str:
+def _join_header_values(response: BoundedResponse, name: str) -> str:
     return ", ".join(response.headers.get_all(name, ())).strip()
 
 
--- a/tests/standins/upstream.py
+++ b/tests/standins/upstream.py
@@ -8,9 +8,12 @@
 
 import argparse
 import asyncio
+import fcntl
 import json
 import random
 import signal
+import sys
+import termios
 import time
 from collections import Counter
 
@@ -19,6 +22,8 @@
 
 STALL_POLL_S = 0.01
 HEAD_END = b"\r\n\r\n"
+OVERLONG_TAIL_BYTES = 1024
+LATE_EXCESS_S = 0.2
 
 
 class Behaviour:
@@ -181,6 +186,7 @@
         self.request_line: list[str] = []
         self.body_length = -1
         self.body_bytes_received = 0
+        self.late_copy = b""
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         self.transport = transport
@@ -192,6 +198,9 @@
 
     def data_received(self, data: bytes) -> None:
         self.buffer += data
+        if self.late_copy:
+            copy, self.late_copy = self.late_copy, b""
+            self.transport.write(copy)
         if self.task is None:
             self.process_buffer()
 
@@ -290,6 +299,9 @@
         extra = []
         if fault == "other-attempt":
             extra.append(("Foxtaildrum-Attempt", "not-yours"))
+        if fault.startswith("copy-at-next"):
+            self.send_with_late_copy(body, fault.removeprefix("copy-at-next"))
+            return
         self.send(200, body, extra, close=fault == "close")
         if fault == "close-quietly":
             self.upstream.closed_quietly += 1
@@ -311,6 +323,20 @@
         if close:
             self.transport.close()
 
+    def send_with_late_copy(self, body: bytes, variant: str) -> None:
+        """Respond, and send the response again once the next request begins to arrive."""
+        attempt = self.headers.get("foxtaildrum-attempt", "")
+        first = [("Foxtaildrum-Attempt", attempt)]
+        self.send(200, body, first)
+        copied = (
+            b"" if variant == "-without-id" else f"Foxtaildrum-Attempt: {attempt}\r\n".encode()
+        )
+        self.late_copy = (
+            b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n" % len(body) + copied + b"\r\n" + body
+        )
+        if variant == "-half":
+            self.late_copy = self.late_copy[: len(self.late_copy) // 2]
+
     def send_raw(self, data: bytes, then: str = "") -> None:
         self.transport.write(data)
         if then == "close":
@@ -322,7 +348,8 @@
         chunked = fault == "chunked" or fault == "truncate-chunked"
         framing = b"Transfer-Encoding: chunked" if chunked else b"Content-Length: %d" % size
         self.transport.write(b"HTTP/1.1 200 OK\r\n" + framing + HEAD_END)
-        left = size
+        tail_bytes = min(size, OVERLONG_TAIL_BYTES) if fault == "overlong" else 0
+        left = size - tail_bytes
         while left > 0:
             if fault.startswith("truncate") and left <= size // 2:
                 self.transport.close()
@@ -339,8 +366,24 @@
         if chunked:
             self.transport.write(b"0\r\n\r\n")
         if fault == "overlong":
+            # The last bytes and the excess are sent in one segment, so that the receiver
+            # has the excess when it has read the last byte.
+            while self.count_unacknowledged():
+                await asyncio.sleep(0.001)
+            self.transport.write(b"d" * tail_bytes + b"excess")
+        if fault == "overlong-late":
+            while self.count_unacknowledged():
+                await asyncio.sleep(0.001)
+            await asyncio.sleep(LATE_EXCESS_S)
             self.transport.write(b"excess")
 
+    def count_unacknowledged(self) -> int:
+        """Return the number of bytes that the receiver's kernel has not acknowledged."""
+        buffered = self.transport.get_write_buffer_size()
+        descriptor = self.transport.get_extra_info("socket").fileno()
+        outgoing = fcntl.ioctl(descriptor, termios.TIOCOUTQ, b"\0" * 4)
+        return buffered + int.from_bytes(outgoing, sys.byteorder)
+
     def pick_fault(self) -> str:
         """Return the fault of this request; the prefix ``first:`` limits it to attempt 0."""
         fault = self.headers.get("x-fault", "")
@@ -389,6 +432,9 @@
     "chunked": lambda c: c.send_raw(
         b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n"
     ),
+    "endless-extension": lambda c: c.send_raw(
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;" + b"x" * 100_000
+    ),
     "silent": lambda c: None,
 }
 
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -13,6 +13,7 @@
 import pytest
 
 from foxtaildrum.admin.metrics import StatsdSender
+from foxtaildrum.kinds import ErrorKind
 
 from .sites import open_site
 from .standins.processes import wait_until
@@ -89,6 +90,40 @@
     assert site.send("GET", f"/document/{DOCUMENT_BYTES}", {"X-Fault": fault}).status == 0
 
 
+def test_excess_that_arrives_late_belongs_to_no_response(site):
+    """The declared body is complete; the connection with the excess is not used again."""
+    for _ in range(3):
+        headers = {"Host": "docs.example", "X-Fault": "overlong-late"}
+        reply = site.send("GET", f"/document/{DOCUMENT_BYTES}", headers)
+        assert (reply.status, len(reply.body)) == (200, DOCUMENT_BYTES)
+        assert read_echo(site.send("GET", "/one/x"))["target"] == "/one/x"
+
+
+@pytest.mark.parametrize("variant", ["", "-without-id", "-half"])
+def test_a_late_copy_of_a_response_never_reaches_the_next_caller(site, variant):
+    for number in range(5):
+        fault = f"first:copy-at-next{variant}"
+        assert site.send("GET", f"/one/a-{number}", {"X-Fault": fault}).status == 200
+        echo = read_echo(site.send("GET", f"/one/b-{number}"))
+        assert echo["target"] == f"/one/b-{number}"
+        assert site.send("GET", f"/one/c-{number}", {"X-Fault": fault}).status == 200
+        reply = site.send("POST", f"/one/d-{number}", body=b"order")
+        assert reply.status == 502
+        assert reply.headers["foxtaildrum-outcome"] == "unknown"
+
+
+def test_a_body_that_fails_before_its_first_byte_is_tried_again_or_explained(site, caplog):
+    fault = "endless-extension"
+    reply = site.send("GET", "/x", {"X-Fault": f"first:{fault}"})
+    assert (reply.status, read_echo(reply)["target"]) == (200, "/x")
+    reply = site.send("POST", "/x", {"X-Fault": fault})
+    assert reply.status == 502
+    assert reply.headers["foxtaildrum-outcome"] == "unknown"
+    assert json.loads(reply.body)["kind"] == ErrorKind.ANSWER_LOST.value
+    site.send("GET", "/x", {"X-Fault": "truncate-chunked"})
+    assert not [r for r in caplog.records if r.exc_info]
+
+
 def exchange_raw(site, request: bytes) -> bytes:
     host, port = site.instance.caller_server.address.split(":")
     with socket.create_connection((host, int(port)), 10) as sock:
