Name the setting and the value of each address or folder that serve cannot have

Cause: `foxtaildrum serve` with a taken port printed the operating system's message alone, for the first address only, and two instances could write one data folder. Change: every address, the host of statsd and the data folder are checked before anything is built; all problems are printed with setting and value, exit status 1. The data folder is locked as long as an instance uses it. The folder is locked and not a file in it: an instance must start again while its disk is full.

--- a/src/foxtaildrum/control/journal.py
+++ b/src/foxtaildrum/control/journal.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import fcntl
 import os
 import struct
 import zlib
@@ -46,12 +47,20 @@
     ----------
     folder : str
         Path of the folder; created if it doesn't exist.
+
+    Raises
+    ------
+    OSError
+        If the folder cannot be written.
+    BlockingIOError
+        If another process uses the folder.
     """
 
     def __init__(self, folder: str) -> None:
         os.makedirs(folder, exist_ok=True)
         self._folder = folder
         self._files: dict[str, int] = {}
+        self._lock = _lock_folder(folder)
 
     def read(self, name: str) -> bytes:
         """Return the content of a file; empty when it does not exist."""
@@ -93,9 +102,12 @@
         self._sync_folder()
 
     def close(self) -> None:
-        """Close every file."""
+        """Close every file and release the folder."""
         for name in list(self._files):
             self._close(name)
+        if self._lock >= 0:
+            os.close(self._lock)
+            self._lock = -1
 
     def _path(self, name: str) -> str:
         return os.path.join(self._folder, name)
@@ -120,6 +132,23 @@
             os.close(descriptor)
 
 
+def _lock_folder(folder: str) -> int:
+    """Lock a folder and return its descriptor.
+
+    The folder itself is locked and not a file in it, as none can be created on a full disk.
+    """
+    descriptor = os.open(folder, os.O_RDONLY | os.O_DIRECTORY | os.O_CLOEXEC)
+    try:
+        fcntl.flock(descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
+    except BlockingIOError:
+        os.close(descriptor)
+        raise
+    except OSError:
+        # A file system without locks.
+        return descriptor
+    return descriptor
+
+
 class Journal:
     """Append-only file of records with checksums.
 
--- a/src/foxtaildrum/exceptions.py
+++ b/src/foxtaildrum/exceptions.py
@@ -42,6 +42,10 @@
     """The settings of an instance are invalid."""
 
 
+class UnavailableResourcesError(InvalidFieldsError):
+    """Addresses or folders of an instance's settings cannot be used."""
+
+
 class InvalidTableError(InvalidFieldsError):
     """A table is invalid."""
 
--- a/src/foxtaildrum/instance.py
+++ b/src/foxtaildrum/instance.py
@@ -36,6 +36,7 @@
 from .requests.dialects import get_dialect
 from .requests.proxy import Proxy
 from .requests.server import HttpServer
+from .resources import check_resources, open_data_folder
 from .settings import parse_instances, read_secret
 
 ADMIN_THREADS = 8
@@ -61,6 +62,7 @@
     """
 
     def __init__(self, settings: Settings, listener: socket.socket | None = None) -> None:
+        check_resources(settings, listener is not None)
         self.settings = settings
         self._listener = listener
         self.meter = Meter()
@@ -230,7 +232,7 @@
         claim_records: list[list[Any]] = []
         journals: dict[str, Journal] = {}
         if has_log:
-            self._disk = FolderDisk(settings.data_dir)
+            self._disk = open_data_folder(settings)
             journals = {
                 LOG_STREAM: Journal(self._disk, "log"),
                 CLAIM_STREAM: Journal(self._disk, "claims"),
