Tests: bytes after a complete document are sent once its caller has it

Cause: the late excess was sent when the kernel had acknowledged the document; beside load the instance may not have read its last byte by then, and ends the response as overlong, which is right. The stand-in now sends the excess on command, after the caller has the document.

--- a/tests/standins/processes.py
+++ b/tests/standins/processes.py
@@ -154,6 +154,10 @@
         query = "&".join(f"{n}={json.dumps(v)}" for n, v in behaviour.items())
         self._get(upstream_id, f"/_control?{query}")
 
+    def send_excess(self, upstream_id: str) -> None:
+        """Send bytes after the responses with the fault ``overlong-late``."""
+        self._get(upstream_id, "/_excess")
+
     def _get(self, upstream_id: str, target: str) -> bytes:
         with socket.create_connection(("127.0.0.1", self.ports[upstream_id]), 5) as sock:
             sock.sendall(f"GET {target} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
--- a/tests/standins/upstream.py
+++ b/tests/standins/upstream.py
@@ -23,7 +23,6 @@
 STALL_POLL_S = 0.01
 HEAD_END = b"\r\n\r\n"
 OVERLONG_TAIL_BYTES = 1024
-LATE_EXCESS_S = 0.2
 
 
 class Behaviour:
@@ -88,6 +87,7 @@
         self.cancelled = 0
         self.probes = 0
         self.closed_quietly = 0
+        self.late_connections: list[Connection] = []
         self.slow_until = 0.0
         self.next_slow_at = 0.0
         self.server: asyncio.Server | None = None
@@ -372,10 +372,7 @@
                 await asyncio.sleep(0.001)
             self.transport.write(b"d" * tail_bytes + b"excess")
         if fault == "overlong-late":
-            while self.count_unacknowledged():
-                await asyncio.sleep(0.001)
-            await asyncio.sleep(LATE_EXCESS_S)
-            self.transport.write(b"excess")
+            self.upstream.late_connections.append(self)
 
     def count_unacknowledged(self) -> int:
         """Return the number of bytes that the receiver's kernel has not acknowledged."""
@@ -397,6 +394,11 @@
             pairs = (item.split("=") for item in target.partition("?")[2].split("&"))
             self.upstream.set_behaviour({name: json.loads(value) for name, value in pairs})
             self.send(200, b"{}")
+        elif target == "/_excess":
+            for connection in self.upstream.late_connections:
+                connection.transport.write(b"excess")
+            self.upstream.late_connections.clear()
+            self.send(200, b"{}")
         elif target == "/_load":
             self.upstream.probes += 1
             extra = [("endpoint-load-metrics", self.upstream.report_load())]
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -96,6 +96,7 @@
         headers = {"Host": "docs.example", "X-Fault": "overlong-late"}
         reply = site.send("GET", f"/document/{DOCUMENT_BYTES}", headers)
         assert (reply.status, len(reply.body)) == (200, DOCUMENT_BYTES)
+        site.upstreams["one"].send_excess("one-1")
         assert read_echo(site.send("GET", "/one/x"))["target"] == "/one/x"
 
 
