Split the node into parts that receive their own messages (a move only)

Change: ClaimPart, UpstreamPart, TablePart and GossipPart in modules of their own, each registering its messages with a decorator; the types of actions in actions.py. The node keeps the order of calls. No statement of a decision changed; tests changed by imports.

--- a/src/foxtaildrum/control/storage.py
+++ b/src/foxtaildrum/control/storage.py
@@ -10,7 +10,7 @@
 import msgpack
 import pykka
 
-from ..fleet.node import Write
+from ..fleet.actions import Write
 from ..logs import log_event
 from .journal import Journal
 
--- /dev/null
+++ b/src/foxtaildrum/fleet/actions.py
@@ -0,0 +1,88 @@
+"""Actions that a node returns for its caller to perform."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import Any
+
+from ..control.claimer import ClaimCompleted
+from ..control.proposals import ChangeCompleted
+from ..control.reads import ReadCompleted
+from ..events import Send
+from .receipts import ReceiptsCompleted
+
+# Journals that an action can write to.
+LOG_STREAM = "log"
+CLAIM_STREAM = "claims"
+UPSTREAM_STREAM = "upstreams"
+
+
+@dataclass(slots=True)
+class Write:
+    """Append records to a journal, or replace the journal by them, and sync it."""
+
+    stream: str
+    token: int
+    records: list[list[Any]]
+    replace: bool
+
+
+@dataclass(slots=True)
+class UpstreamsLost:
+    """The leases of some upstreams expired."""
+
+    upstream_ids: list[str]
+
+
+@dataclass(slots=True)
+class UpstreamLeaving:
+    """An upstream is draining or has left."""
+
+    upstream_id: str
+    pool: str
+    state: str
+    incarnation: int
+
+
+@dataclass(slots=True)
+class MemberChanged:
+    """The membership state of another instance changed."""
+
+    instance_id: str
+    state: str
+
+
+Action = (
+    Send
+    | Write
+    | ChangeCompleted
+    | ClaimCompleted
+    | ReadCompleted
+    | ReceiptsCompleted
+    | UpstreamsLost
+    | UpstreamLeaving
+    | MemberChanged
+)
+
+
+class ActionQueue:
+    """Actions of one event, in the order in which the parts of the node added them."""
+
+    __slots__ = ("_actions",)
+
+    def __init__(self) -> None:
+        self._actions: list[Action] = []
+
+    def add(self, action: Action) -> None:
+        """Add one action."""
+        self._actions.append(action)
+
+    def extend(self, actions: Iterable[Action]) -> None:
+        """Add several actions."""
+        self._actions.extend(actions)
+
+    def pop_all(self) -> list[Action]:
+        """Return and remove all actions."""
+        actions, self._actions = self._actions, []
+        return actions
--- /dev/null
+++ b/src/foxtaildrum/fleet/gossip.py
@@ -0,0 +1,172 @@
+"""Pings between instances, and the comparison and repair of what each of them knows."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+from .. import records as r
+from ..events import Send
+from .actions import ActionQueue, MemberChanged
+from .announcing import UpstreamPart
+from .currency import Currency
+from .membership import LocalSummary, Member, Membership
+from .parts import Part, handles
+from .relaying import TablePart
+
+CONTROL_PING_PERIOD_S = 0.05
+CONTROL_PING_TARGETS = 2
+
+
+class GossipPart(Part):
+    """Pings other instances and repairs differences of members, upstreams and tables.
+
+    Parameters
+    ----------
+    members : Membership
+        Instances of the fleet.
+    upstreams : UpstreamPart
+        Upstreams of this instance.
+    tables : TablePart
+        Tables of this instance.
+    currency : Currency
+        Whether the tables are up to date.
+    list_control_instances : callable
+        Returns the known control instances.
+    get_leader : callable
+        Returns the leader of the control group; empty when unknown.
+    rng : random.Random
+        Source of random choices.
+    actions : ActionQueue
+        Receives the actions.
+    now : float
+        Current time in seconds.
+    """
+
+    def __init__(
+        self,
+        members: Membership,
+        upstreams: UpstreamPart,
+        tables: TablePart,
+        currency: Currency,
+        list_control_instances: Callable[[], list[str]],
+        get_leader: Callable[[], str],
+        rng: random.Random,
+        actions: ActionQueue,
+        now: float,
+    ) -> None:
+        self._members = members
+        self._upstreams = upstreams
+        self._tables = tables
+        self._currency = currency
+        self._list_control_instances = list_control_instances
+        self._get_leader = get_leader
+        self._rng = rng
+        self._actions = actions
+        self._control_ping_at = now
+
+    def tick(self, now: float) -> None:
+        """Send the pings that are due."""
+        summary = self._build_summary(now)
+        self._actions.extend(self._members.tick(now, summary))
+        self._ping_control_instances(now)
+
+    def push_updates(self) -> None:
+        """Send the members that changed to other instances, and report them."""
+        self._actions.extend(self._members.flush_updates())
+        for member in self._members.pop_changed():
+            if member is not self._members.me:
+                state = member.state.name.lower()
+                self._actions.add(MemberChanged(member.instance_id, state))
+
+    @handles(r.Ping)
+    def handle_ping(self, now: float, peer: str, message: r.Ping) -> None:
+        """Acknowledge a ping."""
+        summary = self._build_summary(now)
+        self._actions.extend(self._members.handle_ping(now, peer, message, summary))
+        self._reconcile(now, peer, message)
+
+    @handles(r.Ack)
+    def handle_ack(self, now: float, peer: str, message: r.Ack) -> None:
+        """Handle the reply to a ping, with the quorum confirmation that it carries."""
+        sent_at, actions = self._members.handle_ack(now, peer, message)
+        self._actions.extend(actions)
+        if sent_at is None:
+            return
+        self._currency.record_ack(sent_at)
+        if message.beacon_index >= 0:
+            # The age was measured after the ping was sent, so subtracting it from the send
+            # time gives a time no later than the confirmation, however late the ack arrives.
+            confirmed_at = sent_at - message.beacon_age_s
+            self._tables.record_beacon(message.group_id, message.beacon_index, confirmed_at)
+        self._reconcile(now, peer, message)
+        self._currency.update_started(now)
+
+    @handles(r.PingRequest)
+    def handle_ping_request(self, now: float, peer: str, message: r.PingRequest) -> None:
+        """Ping an instance on behalf of another one."""
+        summary = self._build_summary(now)
+        self._actions.extend(self._members.handle_ping_request(now, peer, message, summary))
+
+    @handles(r.PingReport)
+    def handle_ping_report(self, now: float, peer: str, message: r.PingReport) -> None:
+        """Handle the result of a ping that another instance sent for this one."""
+        self._members.handle_ping_report(message)
+
+    @handles(r.MemberNews)
+    def handle_member_news(self, now: float, peer: str, message: r.MemberNews) -> None:
+        """Merge members that another instance knows."""
+        self._members.merge([Member.from_wire(now, fields) for fields in message.members])
+
+    @handles(r.SyncBuckets)
+    def handle_sync_buckets(self, now: float, peer: str, message: r.SyncBuckets) -> None:
+        """Send the members or upstreams that another instance lacks."""
+        if message.subject == "members":
+            buckets = self._members.digest.find_differences(message.hashes)
+            found = [m.to_wire() for m in self._members.list_in_buckets(buckets)]
+            repair: r.MemberNews | r.UpstreamNews = r.MemberNews(members=found)
+        else:
+            upstreams = self._upstreams.upstreams
+            buckets = upstreams.digest.find_differences(message.hashes)
+            found = [e.to_wire(now) for e in upstreams.list_in_buckets(buckets)]
+            repair = r.UpstreamNews(entries=found, token="")
+        if found:
+            self._actions.add(Send(peer, repair))
+        if buckets and not message.reply:
+            self._actions.add(Send(peer, self._build_buckets(message.subject, reply=True)))
+
+    def _build_summary(self, now: float) -> LocalSummary:
+        summary = LocalSummary()
+        self._tables.fill_summary(now, summary)
+        summary.upstreams_root = self._upstreams.upstreams.digest.compute_root()
+        return summary
+
+    def _ping_control_instances(self, now: float) -> None:
+        """Ping control instances for a quorum confirmation while this instance starts.
+
+        The ring neighbours cannot supply one after a failure of the whole fleet, because
+        they are starting as well.
+        """
+        if self._currency.started or now < self._control_ping_at:
+            return
+        self._control_ping_at = now + CONTROL_PING_PERIOD_S
+        me = self._members.me.instance_id
+        others = [i for i in self._list_control_instances() if i != me]
+        leader = self._get_leader()
+        if leader in others:
+            others = [leader]
+        targets = self._rng.sample(others, min(CONTROL_PING_TARGETS, len(others)))
+        summary = self._build_summary(now)
+        self._actions.extend(self._members.request_acks(now, targets, summary))
+
+    def _reconcile(self, now: float, peer: str, message: r.Ping | r.Ack) -> None:
+        self._currency.record_index(message.applied_index)
+        self._tables.request_if_behind(now, peer, message.applied_index)
+        if message.members_root != self._members.digest.compute_root():
+            self._actions.add(Send(peer, self._build_buckets("members", reply=False)))
+        if message.upstreams_root != self._upstreams.upstreams.digest.compute_root():
+            self._actions.add(Send(peer, self._build_buckets("upstreams", reply=False)))
+
+    def _build_buckets(self, subject: str, reply: bool) -> r.SyncBuckets:
+        part = self._members if subject == "members" else self._upstreams.upstreams
+        return r.SyncBuckets(subject=subject, hashes=list(part.digest.hashes), reply=reply)
--- a/src/foxtaildrum/fleet/runtime.py
+++ b/src/foxtaildrum/fleet/runtime.py
@@ -23,14 +23,14 @@
 from ..exceptions import FrameError
 from ..logs import log_event
 from ..records import Announcement, ClaimFinish
-from .node import (
+from .actions import (
     ChangeCompleted,
     MemberChanged,
-    Node,
     UpstreamLeaving,
     UpstreamsLost,
     Write,
 )
+from .node import Node
 from .peers import PeerNetwork
 from .receipts import ReceiptsCompleted
 from .upstreams import DRAINING
--- a/src/foxtaildrum/instance.py
+++ b/src/foxtaildrum/instance.py
@@ -26,8 +26,9 @@
 from .control.storage import JournalWriter, PerformWrites, StorageActor
 from .events import Received
 from .exceptions import CorruptJournalError
+from .fleet.actions import CLAIM_STREAM, LOG_STREAM, UPSTREAM_STREAM, Write
 from .fleet.membership import Member, MemberState
-from .fleet.node import CLAIM_STREAM, LOG_STREAM, UPSTREAM_STREAM, JoinOptions, Node, Write
+from .fleet.node import JoinOptions, Node
 from .fleet.peers import PeerNetwork
 from .fleet.runtime import NodeActor, Ticker
 from .fleet.views import ViewPublisher
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -23,16 +23,10 @@
 from foxtaildrum.control.tables import Change
 from foxtaildrum.events import Send
 from foxtaildrum.exceptions import FrameError
+from foxtaildrum.fleet.actions import CLAIM_STREAM, LOG_STREAM, UPSTREAM_STREAM, Write
 from foxtaildrum.fleet.membership import Member, MemberState
 from foxtaildrum.fleet.messages import decode_message, encode_message
-from foxtaildrum.fleet.node import (
-    CLAIM_STREAM,
-    LOG_STREAM,
-    UPSTREAM_STREAM,
-    JoinOptions,
-    Node,
-    Write,
-)
+from foxtaildrum.fleet.node import JoinOptions, Node
 from foxtaildrum.fleet.node_api import ChangeAnswer
 from foxtaildrum.fleet.receipts import ReceiptsCompleted
 from foxtaildrum.instance import load_log_state
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -8,7 +8,7 @@
 
 from foxtaildrum.control.journal import Journal
 from foxtaildrum.control.storage import JournalWriter, WriteCompleted
-from foxtaildrum.fleet.node import Write
+from foxtaildrum.fleet.actions import Write
 
 from .fleet import FakeDisk
 
