Check more upstreams only while none is calm, from a stable subset; hedge on evidence

Cause: with 121 instances each pool of an instance sees one or two requests a second. Three status checks before a choice all hit slow upstreams in 7 of 100 choices where 42% of them are slow at a time, and every check met another upstream, so that most needed a new connection. Hedges waited for 50 own latencies and then left too late to be in time; the first service time was assumed to be 10 ms for dozens of requests. Change: a second and a third round of checks only while no checked upstream has a free slot and its normal pace. The first two rounds stay in a subset by rendezvous hashing, as large as the traffic of the instance can keep connected, mostly in its own zone. The upstream of an idempotent request that takes longer than such requests do is asked how it fares; a copy is sent if it is slow or full and another upstream is calm, by time alone only as the fallback. A copy that gets no slot returns its budget. Averages of service times start with equal weights.

--- a/src/foxtaildrum/balancing/balancer.py
+++ b/src/foxtaildrum/balancing/balancer.py
@@ -11,10 +11,11 @@
 from ..kinds import ErrorKind
 from ..records import Pool
 from ..requests.steps import AttemptResult
-from .budget import Budget, SampleBudget
+from .budget import Budget
 from .candidates import RAMP_S, PoolLoad, UpstreamLoad
 from .loads import LoadReport
 from .policies import get_policy
+from .sampling import SampleBudget, is_calm
 from .tickets import Ticket
 
 EJECT_AFTER_FAILURES = 5
@@ -57,6 +58,8 @@
         Most requests that may wait for a slot.
     rng : random.Random
         Source of random choices.
+    instance_id : str
+        Identifier of this instance, which determines its subset of the upstreams.
 
     Attributes
     ----------
@@ -66,7 +69,12 @@
     """
 
     def __init__(
-        self, pool: Pool, availability_zone: str, queue_limit: int, rng: random.Random
+        self,
+        pool: Pool,
+        availability_zone: str,
+        queue_limit: int,
+        rng: random.Random,
+        instance_id: str = "",
     ) -> None:
         self.availability_zone = availability_zone
         self.queue_limit = queue_limit
@@ -80,7 +88,7 @@
         self.upstreams: dict[str, UpstreamLoad] = {}
         self.queue: OrderedDict[int, Ticket] = OrderedDict()
         self.shares_retry_budget = False
-        self._samples = SampleBudget()
+        self._samples = SampleBudget(instance_id)
         self._displaced: list[Ticket] = []
         self.default_retry_ratio = DEFAULT_RETRY_RATIO
         self.retry_budget = Budget(
@@ -106,6 +114,7 @@
             self._update_member(now, entry, is_first_update)
         for upstream_id in set(self.upstreams) - seen:
             del self.upstreams[upstream_id]
+        self._samples.subset.update(self.upstreams.values())
         return self.serve_queue(now)
 
     def request_slot(self, now: float, ticket: Ticket, may_wait: bool) -> None:
@@ -193,16 +202,28 @@
         self._samples.configure(probes_per_s, sample_size)
 
     def choose_samples(
-        self, now: float, excluded: frozenset[str], response_bytes: float = 0.0
+        self,
+        now: float,
+        excluded: frozenset[str],
+        response_bytes: float = 0.0,
+        round_number: int = 0,
     ) -> list[UpstreamLoad]:
         """Return the upstreams that get a status check before one is chosen."""
         if not self._samples.size:
             return []
         candidates = self._list_candidates(now, excluded, for_status_check=True)
         return self._samples.choose(
-            now, candidates, len(self.upstreams), response_bytes, self.rng
+            now, candidates, len(self.upstreams), response_bytes, self.rng, round_number
         )
 
+    def spend_status_check(self, now: float) -> bool:
+        """Spend the budget for one status check; return whether it sufficed."""
+        return self._samples.spend_check(now, len(self.upstreams))
+
+    def has_calm_upstream(self, now: float, excluded: frozenset[str]) -> bool:
+        """Return whether a candidate has a free slot and its normal pace, by a fresh report."""
+        return any(is_calm(now, u) for u in self._list_candidates(now, excluded))
+
     def record_unanswered_check(self, now: float, upstream: UpstreamLoad) -> None:
         """Record that a status check got no response in time, and eject the upstream.
 
@@ -264,6 +285,13 @@
             return self.retry_budget.spend(1.0)
         return self.measuring_budget.spend(self.load.mean_service_s)
 
+    def return_hedge(self) -> None:
+        """Return the budget of a hedge that was not sent."""
+        if self.shares_retry_budget:
+            self.retry_budget.give_back(1.0)
+        else:
+            self.measuring_budget.give_back(self.load.mean_service_s)
+
     def set_default_retry_ratio(self, ratio: float) -> None:
         """Set the retries allowed per request for a pool whose row sets no ratio."""
         self.default_retry_ratio = ratio
@@ -374,8 +402,7 @@
             upstream.ejections = 0
             upstream.failure_level *= 0.5
             upstream.service_s += (held_s - upstream.service_s) * SERVICE_TIME_WEIGHT
-            load = self.load
-            load.mean_service_s += (held_s - load.mean_service_s) * POOL_MEAN_WEIGHT
+            self.load.record_service_time(held_s)
             return
         if result is AttemptResult.CANCELLED:
             return
--- a/src/foxtaildrum/balancing/candidates.py
+++ b/src/foxtaildrum/balancing/candidates.py
@@ -9,6 +9,7 @@
 RAMP_S = 5.0
 MIN_RAMP_SHARE = 0.1
 INITIAL_SERVICE_S = 0.01
+SERVICE_MEAN_WEIGHT = 0.05  # weight of a new value in the moving average
 MEAN_DECAY_SERVICE_TIMES = 3.0
 
 
@@ -125,6 +126,8 @@
         Moving average of ``reported_others`` over the reports of all upstreams.
     reported_at : float
         Time of the last load report from any upstream, in seconds.
+    service_count : int
+        Successful attempts recorded in ``mean_service_s``.
     """
 
     __slots__ = (
@@ -133,15 +136,27 @@
         "mean_service_s",
         "reported_at",
         "response_bytes",
+        "service_count",
     )
 
     def __init__(self) -> None:
         self.mean_service_s = INITIAL_SERVICE_S
+        self.service_count = 0
         self.response_bytes = 0.0
         self.mean_others = 0.0
         self.mean_pace = 1.0
         self.reported_at = float("-inf")
 
+    def record_service_time(self, held_s: float) -> None:
+        """Record the time that one successful attempt held its slot, in seconds.
+
+        The first ones have equal weights, so that an instance with little traffic does not
+        rely on the initial value for long.
+        """
+        self.service_count += 1
+        weight = max(SERVICE_MEAN_WEIGHT, 1.0 / self.service_count)
+        self.mean_service_s += (held_s - self.mean_service_s) * weight
+
     def estimate_mean_others(self, now: float) -> float:
         """Return ``mean_others``, decayed by the age of the last load report.
 
--- a/src/foxtaildrum/balancing/policies.py
+++ b/src/foxtaildrum/balancing/policies.py
@@ -126,7 +126,7 @@
             continue
         acceptable.append(candidate)
         score = (score + candidate.slots) * pace - candidate.slots
-        score += _estimate_failure_cost(now, candidate)
+        score += estimate_failure_cost(now, candidate)
         if candidate.ramp_until > now:
             score = (score + 1.0) / candidate.compute_ramp(now)
         if candidate.remote:
@@ -187,9 +187,12 @@
     return target + (value - target) * math.exp(-time_constants)
 
 
-def _estimate_failure_cost(now: float, candidate: UpstreamLoad) -> float:
-    # A failed request frees its slot at once. Without this cost, an upstream that fails
-    # fast would look idle and attract every request.
+def estimate_failure_cost(now: float, candidate: UpstreamLoad) -> float:
+    """Return the cost of recent failures, in slots.
+
+    A failed request frees its slot at once. Without this cost, an upstream that fails fast
+    would look idle and attract every request.
+    """
     if not candidate.failure_level:
         return 0.0
     return candidate.failure_level * math.exp((candidate.failed_at - now) / FAILURE_DECAY_S)
--- a/src/foxtaildrum/balancing/pools.py
+++ b/src/foxtaildrum/balancing/pools.py
@@ -42,6 +42,8 @@
         Called with the identifier of an upstream whose response states that it is draining.
     rng : random.Random
         Source of random choices.
+    instance_id : str
+        Identifier of this instance.
     """
 
     def __init__(
@@ -52,10 +54,11 @@
         open_connection: Adapter,
         notify_draining: Callable[[str], None],
         rng: random.Random,
+        instance_id: str = "",
     ) -> None:
         self.name = pool.name
         self._lock = threading.Lock()
-        self._balancer = Balancer(pool, availability_zone, queue_limit, rng)
+        self._balancer = Balancer(pool, availability_zone, queue_limit, rng, instance_id)
         self._open_connection = open_connection
         self._connections: dict[str, ConnectionPool] = {}
         self._notify_draining = notify_draining
@@ -182,13 +185,22 @@
             self._balancer.set_status_check_rate(probes_per_s, sample_size)
 
     def choose_samples(
-        self, now: float, excluded: frozenset[str], response_bytes: float
+        self,
+        now: float,
+        excluded: frozenset[str],
+        response_bytes: float,
+        round_number: int = 0,
     ) -> list[UpstreamLoad]:
         """Return the upstreams that get a status check, and spend the budget for them."""
         if not self.health_path:
             return []
         with self._lock:
-            return self._balancer.choose_samples(now, excluded, response_bytes)
+            return self._balancer.choose_samples(now, excluded, response_bytes, round_number)
+
+    def has_calm_upstream(self, now: float, excluded: frozenset[str]) -> bool:
+        """Return whether a fresh report shows an upstream with a free slot and normal pace."""
+        with self._lock:
+            return self._balancer.has_calm_upstream(now, excluded)
 
     def record_unanswered_check(self, now: float, upstream: UpstreamLoad) -> None:
         """Record that a status check was not answered in time."""
@@ -238,6 +250,20 @@
         with self._lock:
             return self._balancer.spend_hedge()
 
+    def return_hedge(self) -> None:
+        """Return the budget of a hedge that was not sent."""
+        with self._lock:
+            self._balancer.return_hedge()
+
+    def spend_status_check(self, now: float) -> bool:
+        """Spend the budget for one status check; return whether it sufficed."""
+        with self._lock:
+            return self._balancer.spend_status_check(now)
+
+    def has_room(self, now: float, excluded: frozenset[str]) -> bool:
+        """Return whether a hedge may be sent: a calm upstream is known, or none is checked."""
+        return not self.health_path or self.has_calm_upstream(now, excluded)
+
     def close(self) -> None:
         """Close every idle connection."""
         for connections in list(self._connections.values()):
--- a/src/foxtaildrum/balancing/samples.py
+++ b/src/foxtaildrum/balancing/samples.py
@@ -14,6 +14,7 @@
 from ..requests.transport import Connection, OutgoingRequest, TransportError
 from .candidates import UpstreamLoad
 from .pools import UpstreamPool
+from .sampling import MAX_ROUNDS, shows_progress
 
 SAMPLE_TIMEOUT_S = 0.012
 CONNECT_TIMEOUT_S = 0.05
@@ -47,11 +48,34 @@
         self._dialect = dialect
 
     def sample(self, excluded: frozenset[str], response_bytes: float) -> None:
-        """Refresh the load reports of the upstreams that the pool chooses to compare."""
-        upstreams = self._pool.choose_samples(read_clock(), excluded, response_bytes)
-        checks = [c for c in map(self._send_check, upstreams) if c is not None]
-        if checks:
-            self._collect_responses(checks)
+        """Refresh the load reports of the upstreams that the pool chooses to compare.
+
+        Further upstreams are checked, a few rounds at most, while none of them has a free
+        slot and its normal pace.
+        """
+        if not self._pool.health_path:
+            return
+        for round_number in range(MAX_ROUNDS):
+            upstreams = self._pool.choose_samples(
+                read_clock(), excluded, response_bytes, round_number
+            )
+            checks = [c for c in map(self._send_check, upstreams) if c is not None]
+            if checks:
+                self._collect_responses(checks)
+            if self._pool.has_calm_upstream(read_clock(), excluded):
+                return
+            if round_number and not upstreams:
+                return
+
+    def check_slow(self, upstream: UpstreamLoad) -> bool:
+        """Return whether an upstream is slow or full, or does not answer a status check."""
+        if not self._pool.spend_status_check(read_clock()):
+            return False
+        check = self._send_check(upstream)
+        if check is None:
+            return True
+        self._collect_responses([check])
+        return not shows_progress(read_clock(), upstream)
 
     def _send_check(self, upstream: UpstreamLoad) -> _PendingCheck | None:
         connections = self._pool.get_connections(upstream)
--- a/src/foxtaildrum/fleet/views.py
+++ b/src/foxtaildrum/fleet/views.py
@@ -107,6 +107,7 @@
                     get_adapter("http"),
                     self._notify_draining,
                     random.Random(),
+                    self._settings.instance_id,
                 )
             pool.configure(record, busy_limit)
             pool.set_default_retry_ratio(self._settings.retry_budget_ratio)
@@ -116,7 +117,9 @@
         self._proxy.view = View(Router(routes), pools, chooser, tables.desired_number)
         self.apply_limits(Limits(**tables.limits))
         self._meter.set_routes(routes)
-        self._proxy.sizes.retain({route.name for route in routes})
+        route_names = {route.name for route in routes}
+        self._proxy.sizes.retain(route_names)
+        self._proxy.durations.retain(route_names)
         for name in set(known) - set(pools):
             known[name].close()
         return changed
--- a/src/foxtaildrum/requests/sizes.py
+++ b/src/foxtaildrum/requests/averages.py
@@ -1,4 +1,4 @@
-"""Expected response size of each route."""
+"""Averages by route: the expected size and duration of a response."""
 
 from __future__ import annotations
 
@@ -7,8 +7,8 @@
 NEW_SAMPLE_WEIGHT = 0.1
 
 
-class ResponseSizes:
-    """Exponential moving average of response sizes by route; thread-safe."""
+class RouteAverages:
+    """Exponential moving average of one quantity by route; thread-safe."""
 
     __slots__ = ("_lock", "_means")
 
@@ -16,14 +16,14 @@
         self._lock = threading.Lock()
         self._means: dict[str, float] = {}
 
-    def record(self, route: str, size: int) -> None:
-        """Record the size of one response, in bytes."""
+    def record(self, route: str, value: float) -> None:
+        """Record the value of one response."""
         with self._lock:
-            mean = self._means.get(route, float(size))
-            self._means[route] = mean + (size - mean) * NEW_SAMPLE_WEIGHT
+            mean = self._means.get(route, float(value))
+            self._means[route] = mean + (value - mean) * NEW_SAMPLE_WEIGHT
 
     def get(self, route: str) -> float:
-        """Return the expected size of a response, in bytes; 0 if unknown."""
+        """Return the expected value; 0 if unknown."""
         return self._means.get(route, 0.0)
 
     def retain(self, routes: set[str]) -> None:
--- a/src/foxtaildrum/requests/dispatch.py
+++ b/src/foxtaildrum/requests/dispatch.py
@@ -174,6 +174,11 @@
         Longest wait for a slot, in seconds.
     expected_response_bytes : float
         Expected size of the response, in bytes.
+
+    Attributes
+    ----------
+    held_s : float
+        Time that the successful attempt held its slot, in seconds; 0 before its end.
     """
 
     def __init__(
@@ -190,6 +195,7 @@
     ) -> None:
         self._exchange = exchange
         self._pool = pool
+        self._sampler = Sampler(pool, dialect)
         self._request = request
         self._caller_left = caller_left
         self._dialect = dialect
@@ -201,6 +207,7 @@
         self._actions: deque[steps.Action] = deque()
         self._result: ErrorResponse | UpstreamResponse | None = None
         self.upstream_id = ""
+        self.held_s = 0.0
 
     @property
     def attempts(self) -> int:
@@ -240,9 +247,11 @@
             self._max_queue_wait_s,
             self._expected_response_bytes,
         )
-        Sampler(self._pool, self._dialect).sample(
-            action.excluded, self._expected_response_bytes
-        )
+        self._sampler.sample(action.excluded, self._expected_response_bytes)
+        if self._exchange.get_attempt(action.attempt).hedge and not self._pool.has_room(
+            read_clock(), action.excluded
+        ):
+            return steps.SlotRefused(action.attempt, ErrorKind.OVERLOADED)
         self._pool.request_slot(read_clock(), ticket, action.may_wait)
         if not ticket.completed:
             self._wait_for_slot(ticket)
@@ -307,6 +316,10 @@
     def _format_attempt_id(self, number: int) -> str:
         return f"{self._request.request_id}-{number}"
 
+    def _check_upstream(self, action: steps.CheckUpstream) -> steps.Event:
+        upstream = self._attempt_states[action.attempt].upstream
+        return steps.UpstreamChecked(action.attempt, self._sampler.check_slow(upstream))
+
     def _release(self, action: steps.ReleaseSlot) -> None:
         attempt = self._attempt_states.get(action.attempt)
         if attempt is None or attempt.released:
@@ -317,6 +330,8 @@
         if connection is not None:
             self._pool.get_connections(attempt.upstream).release(now, connection)
         held_s = now - attempt.granted_at
+        if action.result is steps.AttemptResult.OK:
+            self.held_s = held_s
         self._pool.release(now, attempt.upstream, action.result, held_s)
         if action.result is not steps.AttemptResult.OK or len(self._attempt_states) > 1:
             self._log_attempt(action, attempt, held_s)
@@ -492,6 +507,7 @@
     steps.AcquireSlot: Dispatch._acquire_slot,
     steps.Connect: Dispatch._connect,
     steps.SendRequest: Dispatch._send,
+    steps.CheckUpstream: Dispatch._check_upstream,
     steps.ReleaseSlot: Dispatch._release,
     steps.RelayResponse: Dispatch._relay,
     steps.SendProblem: Dispatch._set_error_response,
--- a/src/foxtaildrum/requests/exchange.py
+++ b/src/foxtaildrum/requests/exchange.py
@@ -8,7 +8,10 @@
 
 from __future__ import annotations
 
+import math
+
 from ..kinds import ERROR_RESPONSES, ErrorKind, Outcome, Retry
+from .hedging import CHECK_REPEAT_RATIO, NO_HEDGE, HedgeTimes
 from .steps import (
     AcquireSlot,
     Action,
@@ -18,6 +21,7 @@
     BodyEnded,
     BodyFailed,
     CallerLeft,
+    CheckUpstream,
     Connect,
     Connected,
     ConnectFailed,
@@ -34,6 +38,7 @@
     SlotRefused,
     TimerExpired,
     TruncateResponse,
+    UpstreamChecked,
 )
 
 MAX_ATTEMPTS = 4
@@ -55,6 +60,9 @@
         """Spend one hedge if the budget allows it; return whether it did."""
         raise NotImplementedError
 
+    def return_hedge(self) -> None:
+        """Return the budget of a hedge that was not sent."""
+
 
 class Attempt:
     """One attempt to serve the request from one upstream."""
@@ -92,8 +100,8 @@
     deadline : float
         Time by which the response must have arrived, in seconds. The state machine applies
         it until the relay starts; from then on, the transport applies it to the body.
-    hedge_delay_s : float or None
-        Delay before a hedge is sent, in seconds; None disables hedging.
+    hedge_times : HedgeTimes
+        When the request is hedged.
     budget : AttemptBudget
         Retry and hedge budgets of the pool.
     max_attempts : int
@@ -105,8 +113,9 @@
     __slots__ = (
         "_attempts",
         "_budget",
+        "_check_at",
         "_hedge_at",
-        "_hedge_delay_s",
+        "_hedge_times",
         "_max_attempts",
         "_not_run_statuses",
         "_relaying",
@@ -121,7 +130,7 @@
         self,
         idempotent: bool,
         deadline: float,
-        hedge_delay_s: float | None,
+        hedge_times: HedgeTimes,
         budget: AttemptBudget,
         max_attempts: int = MAX_ATTEMPTS,
         not_run_statuses: frozenset[int] = frozenset(),
@@ -130,8 +139,9 @@
         self._not_run_statuses = not_run_statuses
         self.idempotent = idempotent
         self.deadline = deadline
-        self._hedge_delay_s = hedge_delay_s if idempotent else None
-        self._hedge_at: float | None = None
+        self._hedge_times = hedge_times if idempotent else NO_HEDGE
+        self._hedge_at = math.inf
+        self._check_at = math.inf
         self._budget = budget
         self._attempts: list[Attempt] = []
         self._tried_upstream_ids: frozenset[str] = frozenset()
@@ -147,9 +157,7 @@
 
     def compute_wake_time(self) -> float:
         """Return the time at which :class:`TimerExpired` is next due, in seconds."""
-        if self._hedge_at is not None:
-            return min(self._hedge_at, self.deadline)
-        return self.deadline
+        return min(self._check_at, self._hedge_at, self.deadline)
 
     def get_attempt(self, number: int) -> Attempt:
         """Return an attempt by its number."""
@@ -185,6 +193,8 @@
     def _handle_slot_refused(self, now: float, event: SlotRefused) -> list[Action]:
         attempt = self._attempts[event.attempt]
         attempt.phase = AttemptPhase.ENDED
+        if attempt.hedge:
+            self._budget.return_hedge()
         return self._finish_unless_pending(event.kind)
 
     def _handle_connected(self, now: float, event: Connected) -> list[Action]:
@@ -209,8 +219,13 @@
         attempt = self._attempts[event.attempt]
         if attempt.phase is AttemptPhase.SENDING:
             attempt.phase = AttemptPhase.AWAITING_HEAD
-        if self._hedge_delay_s is not None and len(self._attempts) == 1:
-            self._hedge_at = now + self._hedge_delay_s
+        if len(self._attempts) > 1:
+            return []
+        times = self._hedge_times
+        if times.send_delay_s is not None:
+            self._hedge_at = now + times.send_delay_s
+        if times.check_delay_s is not None:
+            self._check_at = now + times.check_delay_s
         return []
 
     def _handle_attempt_failed(self, now: float, event: AttemptFailed) -> list[Action]:
@@ -272,13 +287,29 @@
             return []
         if now >= self.deadline:
             return self._handle_deadline()
-        if self._hedge_at is None or now < self._hedge_at:
+        if now >= self._hedge_at:
+            self._hedge_at = self._check_at = math.inf
+            return self._begin_hedge()
+        if now < self._check_at:
             return []
-        self._hedge_at = None
-        if len(self._attempts) > 1 or self._max_attempts < 2:
+        self._check_at = math.inf
+        return [CheckUpstream(0)] if self._may_hedge() else []
+
+    def _handle_upstream_checked(self, now: float, event: UpstreamChecked) -> list[Action]:
+        if self._relaying or not self._may_hedge():
             return []
-        if not self._budget.allow_hedge():
+        hedge = self._begin_hedge() if event.slow else []
+        if not hedge:
+            self._check_at = now + CHECK_REPEAT_RATIO * self._hedge_times.check_delay_s
+        return hedge
+
+    def _may_hedge(self) -> bool:
+        return len(self._attempts) == 1 and self._max_attempts > 1
+
+    def _begin_hedge(self) -> list[Action]:
+        if not self._may_hedge() or not self._budget.allow_hedge():
             return []
+        self._hedge_at = self._check_at = math.inf
         return self._begin_attempt(may_wait=False, hedge=True)
 
     def _handle_deadline(self) -> list[Action]:
@@ -390,4 +421,5 @@
     BodyFailed: Exchange._handle_body_failed,
     CallerLeft: Exchange._handle_caller_left,
     TimerExpired: Exchange._handle_timer_expired,
+    UpstreamChecked: Exchange._handle_upstream_checked,
 }
--- a/src/foxtaildrum/requests/proxy.py
+++ b/src/foxtaildrum/requests/proxy.py
@@ -16,13 +16,14 @@
 from ..kinds import ERROR_RESPONSES, ErrorKind, Outcome
 from ..logs import log_event
 from ..records import Route
+from .averages import RouteAverages
 from .dialects import Dialect
 from .dispatch import Dispatch, ErrorResponse, TruncatedResponseError, UpstreamResponse
 from .exchange import Exchange
+from .hedging import NO_HEDGE, HedgeTimes, plan_hedge
 from .idempotency import ClaimService, GrantedClaim, compute_request_digest
 from .problem import StartResponse, format_status, send_problem
 from .routing import Router, is_idempotent
-from .sizes import ResponseSizes
 from .transport import HOP_BY_HOP_HEADERS, OutgoingRequest
 
 ARRIVAL_TIME_KEY = "foxtaildrum.arrived"
@@ -113,7 +114,8 @@
 
     def __init__(self, meter: Meter, access_log: bool, dialect: Dialect | None = None) -> None:
         self.dialect = dialect or Dialect()
-        self.sizes = ResponseSizes()
+        self.sizes = RouteAverages()
+        self.durations = RouteAverages()
         self._timeout_environ_key = _get_environ_key(self.dialect.timeout_header)
         idempotency_key_header = self.dialect.idempotency_key_header
         self._idempotency_environ_key = (
@@ -213,11 +215,7 @@
         exchange = Exchange(
             idempotent,
             request.arrived_at + timeout_s,
-            pool.compute_hedge_delay(
-                request.arrived_at, request.route.objective_latency_ms / 1000
-            )
-            if idempotent
-            else None,
+            self._plan_hedge(request, pool) if idempotent else NO_HEDGE,
             pool,
             request.route.max_attempts,
             self.dialect.not_run_statuses,
@@ -248,6 +246,15 @@
             )
         return self._send_response(request, start_response, dispatch, result)
 
+    def _plan_hedge(self, request: _CallerRequest, pool: UpstreamPool) -> HedgeTimes:
+        objective_s = request.route.objective_latency_ms / 1000
+        return plan_hedge(
+            pool.compute_hedge_delay(request.arrived_at, objective_s),
+            self.durations.get(request.route.name),
+            objective_s,
+            bool(pool.health_path),
+        )
+
     def _send_response(
         self,
         request: _CallerRequest,
@@ -266,6 +273,8 @@
             self.sizes.record(request.route.name, head.length)
 
         def finish(kind: str) -> None:
+            if dispatch.held_s:
+                self.durations.record(request.route.name, dispatch.held_s)
             self._record(
                 request,
                 head.status,
--- a/src/foxtaildrum/requests/steps.py
+++ b/src/foxtaildrum/requests/steps.py
@@ -122,6 +122,20 @@
     """The wake-up time passed: the deadline or a hedge may be due."""
 
 
+@dataclass(slots=True)
+class UpstreamChecked:
+    """The upstream of an attempt answered a status check, or did not in time.
+
+    Parameters
+    ----------
+    slow : bool
+        Whether it is slower than normal, has no free slot or did not answer.
+    """
+
+    attempt: int
+    slow: bool
+
+
 Event = (
     RequestArrived
     | SlotGranted
@@ -135,6 +149,7 @@
     | BodyFailed
     | CallerLeft
     | TimerExpired
+    | UpstreamChecked
 )
 
 
@@ -161,6 +176,13 @@
     attempt: int
 
 
+@dataclass(slots=True)
+class CheckUpstream:
+    """Request the load of the upstream of an attempt that takes long."""
+
+    attempt: int
+
+
 @dataclass(slots=True)
 class ReleaseSlot:
     """Release the slot, and close the connection unless it can be reused."""
@@ -198,6 +220,7 @@
     AcquireSlot
     | Connect
     | SendRequest
+    | CheckUpstream
     | ReleaseSlot
     | RelayResponse
     | SendProblem
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -9,10 +9,11 @@
 from hypothesis import strategies as st
 
 from foxtaildrum.balancing.balancer import EJECT_AFTER_FAILURES, PROBE_COST_S, Balancer
-from foxtaildrum.balancing.budget import STATUS_CHECK_BURST_S, Budget
+from foxtaildrum.balancing.budget import Budget
 from foxtaildrum.balancing.candidates import RAMP_S
 from foxtaildrum.balancing.loads import LoadReport, parse_load_figures, parse_load_metrics
 from foxtaildrum.balancing.policies import list_policies
+from foxtaildrum.balancing.sampling import STATUS_CHECK_BURST_S
 from foxtaildrum.balancing.tickets import Ticket
 from foxtaildrum.fleet.upstreams import Entry
 from foxtaildrum.kinds import ErrorKind
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -9,6 +9,7 @@
 from foxtaildrum.kinds import ERROR_RESPONSES, ErrorKind, Outcome
 from foxtaildrum.requests import steps
 from foxtaildrum.requests.exchange import MAX_ATTEMPTS, AttemptBudget, Exchange
+from foxtaildrum.requests.hedging import NO_HEDGE, HedgeTimes
 
 DEADLINE_S = 10.0
 HEDGE_DELAY_S = 1.0
@@ -39,6 +40,9 @@
         self.hedges -= 1
         return self.hedges >= 0
 
+    def return_hedge(self) -> None:
+        self.hedges += 1
+
 
 class FakeHost:
     """Performs actions with results that Hypothesis draws, and counts the actual runs."""
@@ -47,8 +51,8 @@
         self.draw = draw
         self.now = 0.0
         self.budget = FakeBudget(retries, hedges)
-        hedge_delay_s = HEDGE_DELAY_S if idempotent else None
-        self.exchange = Exchange(idempotent, DEADLINE_S, hedge_delay_s, self.budget)
+        hedge_times = HedgeTimes(None, HEDGE_DELAY_S) if idempotent else NO_HEDGE
+        self.exchange = Exchange(idempotent, DEADLINE_S, hedge_times, self.budget)
         self.runs = 0
         self.sends = 0
         self.released: dict[int, steps.AttemptResult] = {}
@@ -180,7 +184,7 @@
 
 
 def test_a_non_idempotent_request_is_not_hedged():
-    exchange = Exchange(False, DEADLINE_S, HEDGE_DELAY_S, FakeBudget(9, 9))
+    exchange = Exchange(False, DEADLINE_S, HedgeTimes(None, HEDGE_DELAY_S), FakeBudget(9, 9))
     exchange.handle(0.0, steps.RequestArrived())
     exchange.handle(0.0, steps.SlotGranted(0, "a"))
     exchange.handle(0.0, steps.Connected(0))
@@ -189,7 +193,7 @@
 
 
 def test_the_first_attempt_is_cancelled_when_its_hedge_responds():
-    exchange = Exchange(True, DEADLINE_S, HEDGE_DELAY_S, FakeBudget(0, 1))
+    exchange = Exchange(True, DEADLINE_S, HedgeTimes(None, HEDGE_DELAY_S), FakeBudget(0, 1))
     exchange.handle(0.0, steps.RequestArrived())
     exchange.handle(0.0, steps.SlotGranted(0, "a"))
     exchange.handle(0.0, steps.Connected(0))
@@ -207,7 +211,7 @@
 
 
 def test_a_held_error_response_is_relayed_when_its_retry_gets_no_slot():
-    exchange = Exchange(True, DEADLINE_S, None, FakeBudget(1, 0))
+    exchange = Exchange(True, DEADLINE_S, NO_HEDGE, FakeBudget(1, 0))
     exchange.handle(0.0, steps.RequestArrived())
     exchange.handle(0.0, steps.SlotGranted(0, "a"))
     exchange.handle(0.0, steps.Connected(0))
@@ -219,7 +223,7 @@
 
 
 def test_a_non_idempotent_request_continues_after_its_caller_disconnects():
-    exchange = Exchange(False, DEADLINE_S, None, FakeBudget(0, 0))
+    exchange = Exchange(False, DEADLINE_S, NO_HEDGE, FakeBudget(0, 0))
     exchange.handle(0.0, steps.RequestArrived())
     exchange.handle(0.0, steps.SlotGranted(0, "a"))
     exchange.handle(0.0, steps.Connected(0))
@@ -246,14 +250,14 @@
 @pytest.mark.parametrize("status", [408, 421, 429, 503])
 def test_a_not_run_status_is_not_relayed_when_the_request_may_have_run(status):
     not_run_statuses = frozenset({408, 421, 429, 503})
-    exchange = Exchange(False, DEADLINE_S, None, FakeBudget(3, 0), 4, not_run_statuses)
+    exchange = Exchange(False, DEADLINE_S, NO_HEDGE, FakeBudget(3, 0), 4, not_run_statuses)
     reply = receive_first_head(exchange, status, not_run=False)[-2]
     assert reply.outcome is Outcome.UNKNOWN
     assert ERROR_RESPONSES[reply.kind].status == 502
 
 
 def test_a_421_response_excludes_its_upstream_from_the_retry():
-    exchange = Exchange(False, DEADLINE_S, None, FakeBudget(3, 0))
+    exchange = Exchange(False, DEADLINE_S, NO_HEDGE, FakeBudget(3, 0))
     release, again = receive_first_head(exchange, 421, not_run=True)
     assert release.result is steps.AttemptResult.UNREACHABLE
     assert again.excluded == {"u1"}
@@ -261,7 +265,9 @@
 
 @pytest.mark.parametrize("max_attempts", [1, 2, 3])
 def test_a_request_that_may_have_run_is_sent_at_most_max_attempts_times(max_attempts):
-    exchange = Exchange(True, DEADLINE_S, HEDGE_DELAY_S, FakeBudget(99, 99), max_attempts)
+    exchange = Exchange(
+        True, DEADLINE_S, HedgeTimes(None, HEDGE_DELAY_S), FakeBudget(99, 99), max_attempts
+    )
     actions = exchange.handle(0.0, steps.RequestArrived())
     sends = 0
     while isinstance(actions[-1], steps.AcquireSlot):
@@ -272,3 +278,58 @@
         sends += 1
         actions = exchange.handle(0.1, steps.AttemptFailed(number, ErrorKind.ANSWER_LOST))
     assert sends == max_attempts
+
+
+CHECK_DELAY_S = 0.4
+
+
+def send_first_attempt(budget: FakeBudget, max_attempts: int = 2) -> Exchange:
+    hedge_times = HedgeTimes(CHECK_DELAY_S, HEDGE_DELAY_S)
+    exchange = Exchange(True, DEADLINE_S, hedge_times, budget, max_attempts)
+    exchange.handle(0.0, steps.RequestArrived())
+    exchange.handle(0.0, steps.SlotGranted(0, "a"))
+    exchange.handle(0.0, steps.Connected(0))
+    exchange.handle(0.0, steps.RequestSent(0))
+    return exchange
+
+
+def test_a_copy_is_sent_early_only_if_the_upstream_is_slow():
+    exchange = send_first_attempt(FakeBudget(0, 1))
+    assert exchange.compute_wake_time() == CHECK_DELAY_S
+    now = CHECK_DELAY_S
+    assert exchange.handle(now, steps.TimerExpired()) == [steps.CheckUpstream(0)]
+    assert exchange.handle(now, steps.UpstreamChecked(0, slow=False)) == []
+    now = exchange.compute_wake_time()
+    assert CHECK_DELAY_S < now < HEDGE_DELAY_S
+    assert exchange.handle(now, steps.TimerExpired()) == [steps.CheckUpstream(0)]
+    [acquire] = exchange.handle(now, steps.UpstreamChecked(0, slow=True))
+    assert acquire == steps.AcquireSlot(1, frozenset({"a"}), may_wait=False)
+    assert exchange.compute_wake_time() == DEADLINE_S
+
+
+def test_a_copy_is_sent_without_evidence_at_the_end_of_its_delay():
+    exchange = send_first_attempt(FakeBudget(0, 1))
+    [acquire] = exchange.handle(HEDGE_DELAY_S, steps.TimerExpired())
+    assert acquire.attempt == 1
+
+
+def test_a_check_that_ends_after_the_response_sends_no_copy():
+    exchange = send_first_attempt(FakeBudget(0, 1))
+    exchange.handle(CHECK_DELAY_S, steps.TimerExpired())
+    exchange.handle(CHECK_DELAY_S, steps.HeadReceived(0, 200, False))
+    assert exchange.handle(CHECK_DELAY_S, steps.UpstreamChecked(0, slow=True)) == []
+
+
+def test_a_route_with_one_attempt_asks_and_hedges_nothing():
+    exchange = send_first_attempt(FakeBudget(0, 1), max_attempts=1)
+    assert exchange.handle(CHECK_DELAY_S, steps.TimerExpired()) == []
+    assert exchange.handle(HEDGE_DELAY_S, steps.TimerExpired()) == []
+
+
+def test_a_copy_that_gets_no_slot_returns_its_budget():
+    budget = FakeBudget(0, 1)
+    exchange = send_first_attempt(budget)
+    exchange.handle(HEDGE_DELAY_S, steps.TimerExpired())
+    assert budget.hedges == 0
+    exchange.handle(HEDGE_DELAY_S, steps.SlotRefused(1, ErrorKind.OVERLOADED))
+    assert budget.hedges == 1
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from foxtaildrum.balancing.budget import STATUS_CHECK_BURST_S
+from foxtaildrum.balancing.sampling import STATUS_CHECK_BURST_S
 from foxtaildrum.kinds import ERROR_RESPONSES, ErrorKind, Outcome
 from foxtaildrum.requests.dialects import Dialect
 from foxtaildrum.settings import load_settings
--- a/tests/test_samples.py
+++ b/tests/test_samples.py
@@ -12,8 +12,8 @@
 from foxtaildrum.fleet.upstreams import READY, Entry
 from foxtaildrum.kinds import ErrorKind
 from foxtaildrum.records import Announcement, Pool
+from foxtaildrum.requests.averages import RouteAverages
 from foxtaildrum.requests.dialects import Dialect
-from foxtaildrum.requests.sizes import ResponseSizes
 from foxtaildrum.requests.transport import TransportError, read_clock
 
 LOCAL_ZONE, REMOTE_ZONE = "here", "there"
@@ -159,7 +159,7 @@
 
 
 def test_the_expected_size_follows_recent_answers_and_removed_routes_are_dropped():
-    sizes = ResponseSizes()
+    sizes = RouteAverages()
     for _ in range(60):
         sizes.record("r", 1000)
     for _ in range(60):
