A reload takes withdrawn keys out of use

Change: a reload reads both files again. The admin interface requires the new token at once; connections between instances that were opened with the old fleet key are closed.

--- a/src/foxtaildrum/admin/admin.py
+++ b/src/foxtaildrum/admin/admin.py
@@ -116,6 +116,10 @@
             response = error.response
         return _send_response(start_response, response)
 
+    def replace_token(self, operator_token: bytes) -> None:
+        """Require another token from now on."""
+        self._token = operator_token
+
     def check_token(self, environ: dict[str, Any]) -> None:
         """Raise AdminError if the request does not carry the operator token."""
         if not self._token:
--- a/src/foxtaildrum/fleet/peers.py
+++ b/src/foxtaildrum/fleet/peers.py
@@ -112,6 +112,7 @@
     ) -> None:
         self._instance_id = instance_id
         self._fleet_key = fleet_key
+        self._key_replaced = False
         self._deliver = deliver
         self._meter = meter
         self._selector = selectors.DefaultSelector()
@@ -137,6 +138,15 @@
         with contextlib.suppress(BlockingIOError, OSError):
             self._wake_write.send(b"\0")
 
+    def replace_key(self, fleet_key: bytes) -> None:
+        """Use another key from now on; connections opened with the old one are closed."""
+        if fleet_key == self._fleet_key:
+            return
+        self._fleet_key = fleet_key
+        self._key_replaced = True
+        with contextlib.suppress(OSError):
+            self._wake_write.send(b"\0")
+
     def stop(self) -> None:
         """Stop the thread after one last attempt to send the queued messages."""
         self._stopping = True
@@ -148,15 +158,21 @@
         while not self._stopping:
             for key, mask in self._selector.select(SELECT_TIMEOUT_S):
                 self._handle_ready(key.fileobj, key.data, mask)
+            if self._key_replaced:
+                self._key_replaced = False
+                self._close_connections()
             now = time.monotonic()
             self._process_send_queue(now)
             self._close_idle_connections(now)
         self._process_send_queue(time.monotonic())
+        self._close_connections()
+        self._listener.close()
+
+    def _close_connections(self) -> None:
         for connection in list(self._outbound.values()):
             self._close_outbound(connection)
         for connection in list(self._inbound):
             self._close_inbound(connection)
-        self._listener.close()
 
     def _handle_ready(
         self, sock: socket.socket, connection: _Outbound | _Inbound | None, mask: int
--- a/src/foxtaildrum/instance.py
+++ b/src/foxtaildrum/instance.py
@@ -48,7 +48,7 @@
 STATSD_PERIOD_S = 1.0
 CONNECTION_TIMEOUT_S = 120
 LEAVE_GOSSIP_PAUSE_S = 0.2
-RELOADABLE_SETTINGS = frozenset({"seeds", "log_level"})
+RELOADABLE_SETTINGS = frozenset({"seeds", "log_level", "operator_token_file", "fleet_key_file"})
 
 
 class Instance:
@@ -154,6 +154,11 @@
         ]
         if "seeds" in changed:
             self._node_proxy.replace_seeds(parse_instances(settings.seeds))
+        # The files are read again although their paths may be the same: a key that was
+        # withdrawn must not stay in use.
+        self._admin.replace_token(read_secret(settings.operator_token_file))
+        if self._network is not None:
+            self._network.replace_key(read_secret(settings.fleet_key_file))
         if "log_level" in changed:
             logging.getLogger(LOGGER_NAME).setLevel(settings.log_level.upper())
         for name in RELOADABLE_SETTINGS.intersection(changed):
@@ -269,14 +274,14 @@
 
     def _build_admin_server(self) -> HttpServer:
         settings = self.settings
-        admin = Admin(
+        self._admin = Admin(
             self.node_access,
             read_secret(settings.operator_token_file),
             settings.announcement_lease_s,
             self._dialect.announcement_fields,
         )
         return HttpServer(
-            admin,
+            self._admin,
             settings.admin_listen,
             ADMIN_THREADS,
             settings.write_deadline_s,
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -124,6 +124,21 @@
         assert main(["status", *address]) == EXIT_OK
 
 
+def test_a_token_that_was_withdrawn_is_refused_after_a_reload(tmp_path, capsys):
+    token_file, old_file = tmp_path / "token", tmp_path / "old"
+    token_file.write_text(TOKEN)
+    old_file.write_text(TOKEN)
+    with open_site(tmp_path, operator_token_file=str(token_file)) as site:
+        address = ["--admin", site.instance.admin_server.address]
+        old = ["--operator-token-file", str(old_file)]
+        assert main(["pools", "get", *address, *old]) == EXIT_OK
+        token_file.write_text("another token")
+        assert site.instance.apply_settings(site.instance.settings) == []
+        assert main(["pools", "get", *address, *old]) == EXIT_FAILED
+        new = ["--operator-token-file", str(token_file)]
+        assert main(["pools", "get", *address, *new]) == EXIT_OK
+
+
 def test_the_command_line_checks_applies_and_prints_tables(site, tmp_path, capsys):
     address = ["--admin", site.instance.admin_server.address]
     pools = tmp_path / "pools.toml"
