Keep connections of late status checks; blame no upstream while none answers

The answers of silent rounds came later, half of them after 0.1 s, and reported the normal pace as often as the slow one: the link of the instance is busy with a document, and the upstreams are well. All of them were ejected, each connection was closed, and two more rounds did the same to six others. A slow request then got a copy for nothing. Change: a connection whose check is late is kept and used again once its response was read, for at most 2 s. Silent upstreams count as unresponsive only if another one is heard in the same choice; two silent rounds end the checks. Before a copy of a slow request its upstream is checked together with others. A connection that times out is silent, a refused one is an answer; such a connection may take 20 ms instead of 50.

--- a/src/foxtaildrum/balancing/samples.py
+++ b/src/foxtaildrum/balancing/samples.py
@@ -17,7 +17,8 @@
 from .sampling import MAX_ROUNDS, shows_progress
 
 SAMPLE_TIMEOUT_S = 0.012
-CONNECT_TIMEOUT_S = 0.05
+CONNECT_TIMEOUT_S = 0.02
+MAX_SILENT_ROUNDS = 2
 
 
 class _PendingCheck:
@@ -30,6 +31,24 @@
         self.connection = connection
 
 
+class _RoundResult:
+    """Result of checking some upstreams at the same time.
+
+    Attributes
+    ----------
+    answered : bool
+        Whether anything was heard from any of them.
+    silent : list of UpstreamLoad
+        Those of which nothing was heard in time.
+    """
+
+    __slots__ = ("answered", "silent")
+
+    def __init__(self) -> None:
+        self.answered = False
+        self.silent: list[UpstreamLoad] = []
+
+
 class Sampler:
     """Sends status checks to upstreams of one pool and records the load they report.
 
@@ -51,41 +70,75 @@
         """Refresh the load reports of the upstreams that the pool chooses to compare.
 
         Further upstreams are checked, a few rounds at most, while none of them has a free
-        slot and its normal pace.
+        slot and its normal pace. An upstream counts as unresponsive only if others answered:
+        if none does, the link of this instance is probably busy.
         """
         if not self._pool.health_path:
             return
+        silent: list[UpstreamLoad] = []
+        silent_rounds = 0
         for round_number in range(MAX_ROUNDS):
             upstreams = self._pool.choose_samples(
                 read_clock(), excluded, response_bytes, round_number
             )
-            checks = [c for c in map(self._send_check, upstreams) if c is not None]
-            if checks:
-                self._collect_responses(checks)
-            if self._pool.has_calm_upstream(read_clock(), excluded):
+            result = self._check(upstreams)
+            silent += result.silent
+            if result.answered:
+                self._record_silent(silent)
+                silent = []
+            else:
+                silent_rounds += bool(result.silent)
+            if silent_rounds >= MAX_SILENT_ROUNDS or (round_number and not upstreams):
                 return
-            if round_number and not upstreams:
+            if self._pool.has_calm_upstream(read_clock(), excluded):
                 return
 
     def check_slow(self, upstream: UpstreamLoad) -> bool:
-        """Return whether an upstream is slow or full, or does not answer a status check."""
-        if not self._pool.spend_status_check(read_clock()):
+        """Return whether an upstream is slow or full, or the only one that does not answer.
+
+        Others are checked with it: they show whether this instance hears from any, and what
+        they report helps to choose among them.
+        """
+        now = read_clock()
+        if not self._pool.spend_status_check(now):
             return False
-        check = self._send_check(upstream)
-        if check is None:
-            return True
-        self._collect_responses([check])
+        others = self._pool.choose_samples(now, frozenset({upstream.upstream_id}), 0.0)
+        result = self._check([upstream, *others])
+        if not result.answered:
+            return False
+        self._record_silent(result.silent)
         return not shows_progress(read_clock(), upstream)
 
-    def _send_check(self, upstream: UpstreamLoad) -> _PendingCheck | None:
+    def _check(self, upstreams: list[UpstreamLoad]) -> _RoundResult:
+        """Check upstreams at the same time."""
+        result = _RoundResult()
+        checks = []
+        for upstream in upstreams:
+            check = self._send_check(upstream, result)
+            if check is not None:
+                checks.append(check)
+        if checks:
+            self._collect_responses(checks, result)
+        return result
+
+    def _record_silent(self, upstreams: list[UpstreamLoad]) -> None:
+        now = read_clock()
+        for upstream in upstreams:
+            self._pool.record_unanswered_check(now, upstream)
+
+    def _send_check(self, upstream: UpstreamLoad, result: _RoundResult) -> _PendingCheck | None:
         connections = self._pool.get_connections(upstream)
         request = OutgoingRequest(
             "GET", self._pool.health_path, {"Host": upstream.address}, None, 0, ""
         )
         try:
             connection = connections.acquire(read_clock(), CONNECT_TIMEOUT_S, idempotent=True)
-        except TransportError:
-            self._pool.record_unanswered_check(read_clock(), upstream)
+        except TransportError as error:
+            if error.timed_out:
+                result.silent.append(upstream)
+            else:
+                result.answered = True
+                self._pool.record_unanswered_check(read_clock(), upstream)
             return None
         try:
             connection.send(request, SAMPLE_TIMEOUT_S)
@@ -94,7 +147,7 @@
             return None
         return _PendingCheck(upstream, connection)
 
-    def _collect_responses(self, checks: list[_PendingCheck]) -> None:
+    def _collect_responses(self, checks: list[_PendingCheck], result: _RoundResult) -> None:
         poll = select.poll()
         pending = {check.connection.fileno(): check for check in checks}
         for descriptor in pending:
@@ -107,12 +160,14 @@
             ready = poll.poll(left_s * 1000)
             if not ready:
                 break
+            result.answered = True
             for descriptor, _ in ready:
                 poll.unregister(descriptor)
                 self._handle_response(pending.pop(descriptor))
         for check in pending.values():
-            check.connection.close()
-            self._pool.record_unanswered_check(read_clock(), check.upstream)
+            connections = self._pool.get_connections(check.upstream)
+            connections.hold_late(read_clock(), check.connection)
+            result.silent.append(check.upstream)
 
     def _handle_response(self, check: _PendingCheck) -> None:
         connection = check.connection
--- a/src/foxtaildrum/requests/connections.py
+++ b/src/foxtaildrum/requests/connections.py
@@ -4,11 +4,14 @@
 
 import threading
 
-from .transport import Adapter, Connection, has_input
+from ..clock import read_clock
+from .transport import Adapter, Connection, TransportError, has_input
 
 MAX_IDLE_S = 30.0
 MAX_IDLE_NON_IDEMPOTENT_S = 1.0
 MAX_IDLE_CONNECTIONS = 64
+MAX_LATE_S = 2.0
+LATE_READ_TIMEOUT_S = 0.01
 
 
 class ConnectionPool:
@@ -22,12 +25,13 @@
         Opens a connection to the address.
     """
 
-    __slots__ = ("_address", "_idle", "_lock", "_open_connection")
+    __slots__ = ("_address", "_idle", "_late", "_lock", "_open_connection")
 
     def __init__(self, address: str, open_connection: Adapter) -> None:
         self._address = address
         self._open_connection = open_connection
         self._idle: list[tuple[float, Connection]] = []
+        self._late: list[tuple[float, Connection]] = []
         self._lock = threading.Lock()
 
     def acquire(self, now: float, timeout_s: float, idempotent: bool) -> Connection:
@@ -42,6 +46,7 @@
         TransportError
             If no connection can be opened.
         """
+        self._reclaim_late(now)
         max_idle_s = MAX_IDLE_S if idempotent else MAX_IDLE_NON_IDEMPOTENT_S
         while True:
             with self._lock:
@@ -64,6 +69,30 @@
         for item in closing:
             item.close()
 
+    def hold_late(self, now: float, connection: Connection) -> None:
+        """Keep a connection whose response to a status check is late.
+
+        It is used again once the response has arrived and was read, and closed if that takes
+        longer than ``MAX_LATE_S``.
+        """
+        with self._lock:
+            self._late.append((now, connection))
+
+    def _reclaim_late(self, now: float) -> None:
+        """Read the late responses that have arrived."""
+        if not self._late:
+            return
+        with self._lock:
+            late, self._late = self._late, []
+        for held_at, connection in late:
+            if has_input(connection.fileno()):
+                _read_late_response(connection)
+                self.release(now, connection)
+            elif now - held_at <= MAX_LATE_S:
+                self.hold_late(held_at, connection)
+            else:
+                connection.close()
+
     def _pop_expired(self, now: float) -> list[Connection]:
         expired = []
         while self._idle and now - self._idle[0][0] > MAX_IDLE_S:
@@ -73,6 +102,18 @@
     def close(self) -> None:
         """Close every idle connection."""
         with self._lock:
-            idle, self._idle = self._idle, []
-        for _, connection in idle:
+            closing = self._idle + self._late
+            self._idle, self._late = [], []
+        for _, connection in closing:
             connection.close()
+
+
+def _read_late_response(connection: Connection) -> None:
+    """Read the response to a status check; the connection stays unusable if that fails."""
+    deadline = read_clock() + LATE_READ_TIMEOUT_S
+    try:
+        connection.read_head(LATE_READ_TIMEOUT_S)
+        for _ in connection.read_body(deadline):
+            continue
+    except TransportError:
+        connection.reusable = False
--- a/src/foxtaildrum/requests/transport.py
+++ b/src/foxtaildrum/requests/transport.py
@@ -49,11 +49,14 @@
     ----------
     kind : ErrorKind
         Error kind that the failure causes for the request.
+    timed_out : bool
+        Whether nothing was heard from the upstream in time.
     """
 
-    def __init__(self, kind: ErrorKind) -> None:
+    def __init__(self, kind: ErrorKind, timed_out: bool = False) -> None:
         super().__init__(kind)
         self.kind = kind
+        self.timed_out = timed_out
 
 
 class CancelledError(Exception):
@@ -226,7 +229,8 @@
         try:
             self._connection.connect()
         except _HTTP_ERRORS as error:
-            raise TransportError(ErrorKind.CONNECT_FAILED) from error
+            timed_out = isinstance(error, urllib3.exceptions.ConnectTimeoutError)
+            raise TransportError(ErrorKind.CONNECT_FAILED, timed_out) from error
         self._sock = self._connection.sock
         _configure_socket(self._sock)
 
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -3,13 +3,17 @@
 from __future__ import annotations
 
 import socket
+from collections.abc import Iterator
 
+from foxtaildrum.kinds import ErrorKind
 from foxtaildrum.requests.connections import (
     MAX_IDLE_CONNECTIONS,
     MAX_IDLE_NON_IDEMPOTENT_S,
     MAX_IDLE_S,
+    MAX_LATE_S,
     ConnectionPool,
 )
+from foxtaildrum.requests.transport import TransportError
 
 
 class FakeConnection:
@@ -17,6 +21,15 @@
         self.local, self.peer = socket.socketpair()
         self.closed = False
         self.reusable = True
+        self.fails = False
+
+    def read_head(self, timeout_s: float) -> None:
+        if self.fails:
+            raise TransportError(ErrorKind.ANSWER_INVALID)
+        self.local.recv(1)
+
+    def read_body(self, deadline: float) -> Iterator[bytes]:
+        return iter(())
 
     def fileno(self) -> int:
         return self.local.fileno()
@@ -73,3 +86,39 @@
     last_released = pool.acquire(0.0, 1.0, True)
     pool.release(MAX_IDLE_S + 1, last_released)
     assert sum(not c.closed for c in opened) == 1
+
+
+def test_a_connection_with_a_late_response_is_reused_once_it_was_read():
+    pool, opened = build_pool()
+    connection = pool.acquire(0.0, 1.0, True)
+    pool.hold_late(0.0, connection)
+    assert pool.acquire(0.1, 1.0, True) is not connection
+    connection.peer.send(b"x")
+    assert pool.acquire(0.2, 1.0, False) is connection
+    assert len(opened) == 2
+
+
+def test_a_connection_whose_late_response_is_invalid_is_closed():
+    pool, _ = build_pool()
+    connection = pool.acquire(0.0, 1.0, True)
+    pool.hold_late(0.0, connection)
+    connection.fails = True
+    connection.peer.send(b"x")
+    assert pool.acquire(0.1, 1.0, True) is not connection
+    assert connection.closed
+
+
+def test_a_connection_whose_response_never_comes_is_closed():
+    pool, _ = build_pool()
+    connection = pool.acquire(0.0, 1.0, True)
+    pool.hold_late(0.0, connection)
+    pool.acquire(MAX_LATE_S + 0.1, 1.0, True)
+    assert connection.closed
+
+
+def test_closing_a_pool_closes_connections_with_late_responses():
+    pool, _ = build_pool()
+    connection = pool.acquire(0.0, 1.0, True)
+    pool.hold_late(0.0, connection)
+    pool.close()
+    assert connection.closed
