Background threads go on after an unexpected error

Change: each step of these threads runs isolated: the error is logged (`part_failed`) and counted (`internal_errors`), the connection that caused it is closed, the thread goes on. Actors already go on by their library; requests had their own handling. Before: the new tests failed (the thread of the peers ended; the others had no such handling). After: they pass.

--- a/src/foxtaildrum/balancing/probes.py
+++ b/src/foxtaildrum/balancing/probes.py
@@ -11,6 +11,7 @@
 
 from ..admin.metrics import Meter
 from ..clock import read_clock
+from ..isolation import run_isolated
 from ..requests.dialects import Dialect
 from ..requests.transport import OutgoingRequest, TransportError
 from .candidates import UpstreamLoad
@@ -56,14 +57,19 @@
         self._stopped.set()
 
     def _run(self) -> None:
-        while True:
-            pools = [pool for pool in self._list_pools() if pool.load_path]
-            if self._stopped.wait(PROBE_PERIOD_S if pools else IDLE_PERIOD_S):
-                return
-            for pool in pools:
-                target = pool.choose_probe(read_clock())
-                if target is not None:
-                    self._probe(pool, target)
+        period_s = IDLE_PERIOD_S
+        while not self._stopped.wait(period_s):
+            pools: list[UpstreamPool] = []
+            run_isolated("probes", self._meter, self._probe_pools, pools)
+            period_s = PROBE_PERIOD_S if pools else IDLE_PERIOD_S
+
+    def _probe_pools(self, pools: list[UpstreamPool]) -> None:
+        """Probe the pools that have a load path, and add them to ``pools``."""
+        pools += [pool for pool in self._list_pools() if pool.load_path]
+        for pool in pools:
+            target = pool.choose_probe(read_clock())
+            if target is not None:
+                self._probe(pool, target)
 
     def _probe(self, pool: UpstreamPool, upstream: UpstreamLoad) -> None:
         self._meter.count("probes")
--- a/src/foxtaildrum/fleet/peers.py
+++ b/src/foxtaildrum/fleet/peers.py
@@ -14,9 +14,11 @@
 import time
 from collections import deque
 from collections.abc import Callable
+from typing import Any
 
 from ..admin.metrics import Meter
 from ..exceptions import FrameError
+from ..isolation import run_isolated
 from ..logs import log_event
 from ..requests.listeners import open_listener
 from ..settings import parse_address
@@ -157,17 +159,27 @@
     def _run(self) -> None:
         while not self._stopping:
             for key, mask in self._selector.select(SELECT_TIMEOUT_S):
-                self._handle_ready(key.fileobj, key.data, mask)
+                if not self._run_step(self._handle_ready, key.fileobj, key.data, mask):
+                    self._close_connection(key.data)
             if self._key_replaced:
                 self._key_replaced = False
                 self._close_connections()
             now = time.monotonic()
-            self._process_send_queue(now)
-            self._close_idle_connections(now)
+            self._run_step(self._process_send_queue, now)
+            self._run_step(self._close_idle_connections, now)
         self._process_send_queue(time.monotonic())
         self._close_connections()
         self._listener.close()
 
+    def _run_step(self, step: Callable[..., None], *arguments: Any) -> bool:
+        return run_isolated("peers", self._meter, step, *arguments)
+
+    def _close_connection(self, connection: _Outbound | _Inbound | None) -> None:
+        if isinstance(connection, _Inbound):
+            self._close_inbound(connection)
+        elif connection is not None:
+            self._close_outbound(connection)
+
     def _close_connections(self) -> None:
         for connection in list(self._outbound.values()):
             self._close_outbound(connection)
--- a/src/foxtaildrum/fleet/runtime.py
+++ b/src/foxtaildrum/fleet/runtime.py
@@ -21,6 +21,7 @@
 from ..control.tables import Change
 from ..events import Received, Send
 from ..exceptions import FrameError
+from ..isolation import run_isolated
 from ..logs import log_event
 from ..records import Announcement, ClaimFinish
 from .actions import (
@@ -261,12 +262,18 @@
         Called with each message.
     get_period : callable
         Returns the time until the next message in seconds.
+    meter : Meter
+        Counts unexpected errors.
     """
 
     def __init__(
-        self, send_tick: Callable[[TimePassed], None], get_period: Callable[[], float]
+        self,
+        send_tick: Callable[[TimePassed], None],
+        get_period: Callable[[], float],
+        meter: Meter,
     ) -> None:
         self._send_tick = send_tick
+        self._meter = meter
         self._get_period = get_period
         self._stopped = threading.Event()
         self._thread = threading.Thread(target=self._run, name="ticker", daemon=True)
@@ -283,4 +290,4 @@
 
     def _run(self) -> None:
         while not self._stopped.wait(self._get_period()):
-            self._send_tick(TimePassed())
+            run_isolated("ticker", self._meter, self._send_tick, TimePassed())
--- a/src/foxtaildrum/instance.py
+++ b/src/foxtaildrum/instance.py
@@ -32,6 +32,7 @@
 from .fleet.peers import PeerNetwork
 from .fleet.runtime import NodeActor, Ticker
 from .fleet.views import ViewPublisher
+from .isolation import run_isolated
 from .logs import LOGGER_NAME, log_event
 from .records import Limits, Settings
 from .requests.dialects import get_dialect
@@ -89,7 +90,7 @@
         self._open = False
         self.proxy.is_open = self._is_open
         self.proxy.is_starting = node.is_starting
-        self._ticker = Ticker(self._actor.tell, node.get_tick_period)
+        self._ticker = Ticker(self._actor.tell, node.get_tick_period, self.meter)
         self._prober = Prober(lambda: self.proxy.view.pools.values(), self.meter, self._dialect)
         self._statsd = StatsdSender(settings.statsd) if settings.statsd else None
         self._stopped = threading.Event()
@@ -307,11 +308,13 @@
         while not self._stopped.wait(STATSD_PERIOD_S):
             if self._statsd is None:
                 continue
-            now = read_clock()
-            try:
-                self._statsd.send(now, self.meter, self._collect_gauges(now))
-            except OSError as error:
-                log_event("statsd_failed", reason=str(error))
+            run_isolated("metrics", self.meter, self._send_metrics_once, read_clock())
+
+    def _send_metrics_once(self, now: float) -> None:
+        try:
+            self._statsd.send(now, self.meter, self._collect_gauges(now))
+        except OSError as error:
+            log_event("statsd_failed", reason=str(error))
 
     def _collect_gauges(self, now: float) -> dict[str, float]:
         node = self._node
--- a/src/foxtaildrum/logevents.py
+++ b/src/foxtaildrum/logevents.py
@@ -31,6 +31,7 @@
     "member_changed": ("member", "state"),
     "message_refused": ("peer", "reason"),
     "message_too_large": ("peer", "reason"),
+    "part_failed": ("part", "reason"),
     "refused_request": ("kind",),
     "request": (
         "request_id",
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -21,11 +21,15 @@
     def __init__(self, name: str, key: bytes) -> None:
         self.address = f"127.0.0.1:{pick_port()}"
         self.received: list[str] = []
+        self.fails_on = ""
+        self.meter = Meter()
         self._lock = threading.Lock()
-        self.network = PeerNetwork(name, self.address, key, self._collect, Meter())
+        self.network = PeerNetwork(name, self.address, key, self._collect, self.meter)
         self.network.start()
 
     def _collect(self, sender: str, message: NewsReceipt) -> None:
+        if message.token == self.fails_on:
+            raise ZeroDivisionError("an unexpected error")
         with self._lock:
             self.received.append(f"{sender} {message.token}")
 
@@ -80,3 +84,14 @@
     target.network.replace_key(OLD_KEY)
     sender.send(target, "still")
     assert wait_until(lambda: any("still" in line for line in target.received))
+
+
+def test_an_unexpected_error_in_one_message_costs_only_its_connection(start_peer):
+    sender, target = start_peer("sender", OLD_KEY), start_peer("target", OLD_KEY)
+    assert sender.reaches(target, "before")
+    target.fails_on = "poison"
+    sender.send(target, "poison")
+    other = start_peer("other", OLD_KEY)
+    assert other.reaches(target, "other")
+    assert sender.reaches(target, "after")
+    assert target.meter.describe_counters()["internal_errors"] == 1
