Batch the news of members and space the repairs, so that a start does not grow with the fleet

Cause: when all instances start, each one pushed every member that it heard of in a message of its own, and every ping between two of them asked for a repair that carried the whole list. The messages of a start grew with the square of the fleet. Change: one update is pushed at once, those that follow within 50 ms together. A repair of members or upstreams is asked for every 250 ms at most. The new test compares messages for each instance at 16 and 64 entry instances and fails without the change.

--- a/src/foxtaildrum/fleet/gossip.py
+++ b/src/foxtaildrum/fleet/gossip.py
@@ -16,6 +16,7 @@
 
 CONTROL_PING_PERIOD_S = 0.05
 CONTROL_PING_TARGETS = 2
+REPAIR_INTERVAL_S = 0.25
 
 
 class GossipPart(Part):
@@ -64,6 +65,7 @@
         self._rng = rng
         self._actions = actions
         self._control_ping_at = now
+        self._repair_at: dict[str, float] = {}
 
     def tick(self, now: float) -> None:
         """Send the pings that are due."""
@@ -71,9 +73,9 @@
         self._actions.extend(self._members.tick(now, summary))
         self._ping_control_instances(now)
 
-    def push_updates(self) -> None:
+    def push_updates(self, now: float) -> None:
         """Send the members that changed to other instances, and report them."""
-        self._actions.extend(self._members.flush_updates())
+        self._actions.extend(self._members.flush_updates(now))
         for member in self._members.pop_changed():
             if member is not self._members.me:
                 state = member.state.name.lower()
@@ -163,9 +165,20 @@
         self._currency.record_index(message.applied_index)
         self._tables.request_if_behind(now, peer, message.applied_index)
         if message.members_root != self._members.digest.compute_root():
-            self._actions.add(Send(peer, self._build_buckets("members", reply=False)))
+            self._request_repair(now, peer, "members")
         if message.upstreams_root != self._upstreams.upstreams.digest.compute_root():
-            self._actions.add(Send(peer, self._build_buckets("upstreams", reply=False)))
+            self._request_repair(now, peer, "upstreams")
+
+    def _request_repair(self, now: float, peer: str, subject: str) -> None:
+        """Compare buckets with a peer, unless another peer was asked just before.
+
+        When a whole fleet starts, every ping shows a difference, and each repair may carry
+        the whole list.
+        """
+        if now < self._repair_at.get(subject, now):
+            return
+        self._repair_at[subject] = now + REPAIR_INTERVAL_S
+        self._actions.add(Send(peer, self._build_buckets(subject, reply=False)))
 
     def _build_buckets(self, subject: str, reply: bool) -> r.SyncBuckets:
         part = self._members if subject == "members" else self._upstreams.upstreams
--- a/src/foxtaildrum/fleet/membership.py
+++ b/src/foxtaildrum/fleet/membership.py
@@ -28,6 +28,7 @@
 FORGET_AFTER_S = 3600.0
 SUCCESSOR_COUNT = 2
 PUSH_FANOUT = 4
+PUSH_INTERVAL_S = 0.05
 INDIRECT_PING_HELPERS = 2
 MAX_MEMBERS = 20_000
 
@@ -185,6 +186,7 @@
         self._ping_at = now
         self._rejoin_at = now
         self._pending_updates: dict[str, Member] = {}
+        self._flush_at = now
         self._store(me)
 
     def replace_seeds(self, seeds: dict[str, str]) -> None:
@@ -203,7 +205,7 @@
             self._rejoin_at = now + REJOIN_PERIOD_S
             for target in self._pick_rejoin_targets():
                 actions.append(self._ping(now, target, summary))
-        return actions + self.flush_updates()
+        return actions + self.flush_updates(now)
 
     def request_acks(
         self, now: float, targets: Iterable[str], summary: LocalSummary
@@ -285,12 +287,18 @@
     def leave(self, now: float) -> list[Send]:
         """Mark this instance as left and return the messages that announce it."""
         self._change_state(now, self.me, MemberState.LEFT)
-        return self.flush_updates()
+        self._flush_at = now
+        return self.flush_updates(now)
 
-    def flush_updates(self) -> list[Send]:
-        """Return the messages that push the pending updates, and clear the updates."""
-        if not self._pending_updates:
+    def flush_updates(self, now: float) -> list[Send]:
+        """Return the messages that push the pending updates, and clear the updates.
+
+        A single update is pushed at once. Those that follow within ``PUSH_INTERVAL_S`` are
+        pushed together: when a whole fleet starts, each instance hears of every other one.
+        """
+        if not self._pending_updates or now < self._flush_at:
             return []
+        self._flush_at = now + PUSH_INTERVAL_S
         message = MemberNews(members=[m.to_wire() for m in self._pending_updates.values()])
         self._pending_updates.clear()
         return [Send(target, message) for target in self.pick_push_targets()]
--- a/src/foxtaildrum/fleet/node.py
+++ b/src/foxtaildrum/fleet/node.py
@@ -391,7 +391,7 @@
 
     def _pop_actions(self, now: float) -> list[Action]:
         self._upstreams.push_updates(now)
-        self._gossip.push_updates()
+        self._gossip.push_updates(now)
         self._actions.extend(self.proposer.pop_actions(now))
         self._actions.extend(self.reader.pop_actions())
         return self._actions.pop_all()
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from .fleet import form_fleet
+from .fleet import Fleet, form_fleet, is_full
 
 DETECTION_S = 20.0
 MAX_BYTES_PER_S = 2000
@@ -69,3 +69,28 @@
         (fleet.sent_bytes[n] - before[n]) / 60.0 for n in fleet.hosts if n.startswith("e")
     )
     assert max_entry_bytes_per_s + frames_per_s * FRAME_OVERHEAD_BYTES < MAX_BYTES_PER_S
+
+
+def count_restart_messages(entry: int) -> float:
+    """Return the messages for each instance until all serve after a restart of all."""
+    fleet = Fleet(5, entry, 1, seeds=3, tolerated_losses=2)
+    assert fleet.run_until(lambda: is_full(fleet), 30.0)
+    fleet.run(2.0)
+    for name in fleet.hosts:
+        fleet.crash(name)
+    fleet.run(1.0)
+    sent_before = fleet.messages
+    for number, name in enumerate(fleet.hosts):
+        fleet.schedule(0.3 * number / len(fleet.hosts), "restart", name)
+
+    def all_open() -> bool:
+        hosts = fleet.hosts.values()
+        return all(h.node is not None and h.node.is_open(h.read_clock()) for h in hosts)
+
+    assert fleet.run_until(all_open, 5.0)
+    return (fleet.messages - sent_before) / len(fleet.hosts)
+
+
+def test_the_messages_of_a_start_do_not_grow_with_the_fleet():
+    """When all instances start, each one hears of all others; the news must go in batches."""
+    assert count_restart_messages(64) <= 1.3 * count_restart_messages(16)
