Tests: the first changes of a new group are sent again while their result is not known

Cause: in one of the first 25 runs of tests/test_fleet_processes.py beside load the set-up of the upstreams failed with "not known whether the change was accepted; resend it with the same identifier". A new leader may be replaced before it has answered; operators are told to send the change again, and the set-up now does so. Which leader was replaced is not known: the logs of that run are gone, and the sources were exchanged while it ran. No check of the tests changed.

--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -5,6 +5,9 @@
 import pytest
 import urllib3
 
+from foxtaildrum.admin.client import AdminClient
+from foxtaildrum.exceptions import AdminRequestError
+
 from .standins.processes import InstanceProcess, UpstreamProcess, pick_port, wait_until
 
 HTTP = urllib3.PoolManager(retries=False, timeout=20)
@@ -63,11 +66,25 @@
     fleet.close()
 
 
+def put_table(client: AdminClient, table: str, rows: list[dict], change_id: str) -> bool:
+    """Put the first version of a table; return False if the result is not known yet.
+
+    A change whose leader was replaced is sent again with the same identifier.
+    """
+    try:
+        client.put_table(table, rows, 0, change_id)
+    except AdminRequestError as error:
+        assert error.status == 503
+        return False
+    return True
+
+
 @pytest.fixture(scope="module")
 def upstreams(fleet):
     client = fleet.instances["e1"].client
-    client.put_table("pools", [{"name": "p"}], 0, "pools-1")
-    client.put_table("routes", [{"name": "r", "pool": "p"}], 0, "routes-1")
+    assert wait_until(lambda: put_table(client, "pools", [{"name": "p"}], "pools-1"))
+    rows = [{"name": "r", "pool": "p"}]
+    assert wait_until(lambda: put_table(client, "routes", rows, "routes-1"))
     process = UpstreamProcess(
         fleet.folder,
         "p",
