Move what a request is answered with out of the dispatch (a move only)

Cause: dispatch.py had grown to 522 lines and held, beside the run of one request, the types of its result and the relay of a streamed body, which the server, the claims and the proxy import. They are relays.py now; dispatch.py has 430 lines. The streamed body is given the function that it calls at its end, in place of the whole dispatch.

--- a/src/foxtaildrum/admin/access.py
+++ b/src/foxtaildrum/admin/access.py
@@ -17,9 +17,9 @@
 from ..fleet.node_api import ChangeAnswer
 from ..logs import count_left_out_lines, log_event
 from ..records import Announcement, ClaimFinish
-from ..requests.dispatch import ErrorResponse, UpstreamResponse
 from ..requests.idempotency import StoredResponse
 from ..requests.proxy import Proxy
+from ..requests.relays import ErrorResponse, UpstreamResponse
 from .exposition import MetricsSnapshot
 from .gauges import list_node_gauges, list_pool_gauges
 from .metrics import Meter
--- a/src/foxtaildrum/requests/dispatch.py
+++ b/src/foxtaildrum/requests/dispatch.py
@@ -19,6 +19,7 @@
 from . import steps
 from .dialects import Dialect
 from .exchange import RETRYABLE_STATUSES, Exchange
+from .relays import ErrorResponse, StreamedBody, UpstreamResponse, read_spooled
 from .transport import (
     CHUNK_BYTES,
     CancelledError,
@@ -36,93 +37,6 @@
 MAX_KNOWN_REPORT_AGE_S = 3600.0
 
 
-class TruncatedResponseError(Exception):
-    """Raised to the HTTP server so that it truncates the response to the caller."""
-
-
-class ErrorResponse:
-    """An error response that this instance generates itself."""
-
-    __slots__ = ("kind", "outcome")
-
-    def __init__(self, kind: ErrorKind, outcome: Outcome) -> None:
-        self.kind = kind
-        self.outcome = outcome
-
-
-class UpstreamResponse:
-    """An upstream's response that is relayed to the caller.
-
-    Parameters
-    ----------
-    head : Head
-        Status and headers.
-    body : iterator of bytes
-        Raises :class:`TruncatedResponseError` if the response is truncated.
-    buffered_body : bytes or None
-        The complete body if it was read before the relay starts.
-    """
-
-    __slots__ = ("body", "buffered_body", "head")
-
-    def __init__(
-        self, head: Head, body: Iterator[bytes], buffered_body: bytes | None = None
-    ) -> None:
-        self.head = head
-        self.body = body
-        self.buffered_body = buffered_body
-
-
-class StreamedBody:
-    """Body that is relayed while it is being received.
-
-    Parameters
-    ----------
-    dispatch : Dispatch
-        Notified exactly once of how the relay ended.
-    number : int
-        Number of the attempt.
-    chunks : iterator of bytes
-        Chunks of the body as the transport yields them.
-    """
-
-    __slots__ = ("_chunks", "_dispatch", "_ended", "_number")
-
-    def __init__(self, dispatch: Dispatch, number: int, chunks: Iterator[bytes]) -> None:
-        self._dispatch = dispatch
-        self._number = number
-        self._chunks = chunks
-        self._ended = False
-
-    def __iter__(self) -> StreamedBody:
-        """Return the iterator itself."""
-        return self
-
-    def __next__(self) -> bytes:
-        """Return the next chunk; raise :class:`TruncatedResponseError` if it is lost."""
-        try:
-            return next(self._chunks)
-        except StopIteration:
-            self._end(steps.BodyEnded(self._number))
-            raise
-        except TransportError as error:
-            self._end(steps.BodyFailed(self._number))
-            raise TruncatedResponseError from error
-        except CancelledError as error:
-            self._end(steps.CallerLeft())
-            raise TruncatedResponseError from error
-
-    def close(self) -> None:
-        """Cancel the request to the upstream unless the body was read completely."""
-        self._end(steps.CallerLeft())
-
-    def _end(self, event: steps.Event) -> None:
-        if self._ended:
-            return
-        self._ended = True
-        self._dispatch.end_stream(event)
-
-
 class _AttemptState:
     """Slot, connection and response of one attempt."""
 
@@ -359,9 +273,9 @@
         attempt = self._attempt_states[action.attempt]
         self.upstream_id = attempt.upstream.upstream_id
         if attempt.body is None:
-            body = StreamedBody(self, action.attempt, attempt.chunks)
+            body = StreamedBody(self.end_stream, action.attempt, attempt.chunks)
         else:
-            body = _read_spooled(attempt.body)
+            body = read_spooled(attempt.body)
             self._handle_event(steps.BodyEnded(action.attempt))
             self._perform_remaining()
         buffered_body = attempt.body if isinstance(attempt.body, bytes) else None
@@ -514,9 +428,3 @@
     steps.TruncateResponse: Dispatch._finish,
     steps.Finish: Dispatch._finish,
 }
-
-
-def _read_spooled(body: IO[bytes] | bytes) -> Iterator[bytes]:
-    if isinstance(body, bytes):
-        return iter((body,)) if body else iter(())
-    return iter(lambda: body.read(CHUNK_BYTES), b"")
--- a/src/foxtaildrum/requests/idempotency.py
+++ b/src/foxtaildrum/requests/idempotency.py
@@ -7,7 +7,7 @@
 
 from ..control.claims import ClaimOutcome
 from ..kinds import Outcome
-from .dispatch import ErrorResponse, UpstreamResponse
+from .relays import ErrorResponse, UpstreamResponse
 from .transport import CHUNK_BYTES
 
 MAX_STORED_BODY_BYTES = 65_536
--- a/src/foxtaildrum/requests/proxy.py
+++ b/src/foxtaildrum/requests/proxy.py
@@ -18,11 +18,12 @@
 from ..records import Route
 from .averages import RouteAverages
 from .dialects import Dialect
-from .dispatch import Dispatch, ErrorResponse, TruncatedResponseError, UpstreamResponse
+from .dispatch import Dispatch
 from .exchange import Exchange
 from .hedging import NO_HEDGE, HedgeTimes, plan_hedge
 from .idempotency import ClaimService, GrantedClaim, compute_request_digest
 from .problem import StartResponse, format_status, send_problem
+from .relays import ErrorResponse, TruncatedResponseError, UpstreamResponse
 from .routing import Router, is_idempotent
 from .transport import HOP_BY_HOP_HEADERS, OutgoingRequest
 
