--- a/src/foxtaildrum/cli.py
+++ b/src/foxtaildrum/cli.py
@@ -17,11 +17,18 @@
 from pathlib import Path
 from typing import Any
 
-from . import __version__
 from .admin.client import AdminClient
 from .admin.explain import explain_request, format_history
 from .admin.objectives import merge_service_levels
-from .admin.report import format_report, list_formats
+from .admin.report import format_report
+from .commands import (
+    EXIT_CONFLICT,
+    EXIT_FAILED,
+    EXIT_OK,
+    EXIT_USAGE,
+    build_parser,
+    register_command,
+)
 from .control.desired import ACCEPTED, DesiredState
 from .control.tables import TABLE_NAMES, check_references, check_table
 from .exceptions import (
@@ -37,13 +44,7 @@
 from .instance import Instance
 from .logs import configure_logs, log_event
 from .records import Settings
-from .settings import add_flags, find_source, format_flag, load_settings, read_secret
-
-EXIT_OK = 0
-EXIT_FAILED = 1
-EXIT_USAGE = 2
-EXIT_CONFLICT = 3
-DEFAULT_ADMIN_ADDRESS = "127.0.0.1:8081"
+from .settings import find_source, format_flag, load_settings, read_secret
 
 
 def main(
@@ -83,46 +84,7 @@
         return EXIT_FAILED
 
 
-def build_parser() -> argparse.ArgumentParser:
-    """Return the parser of the command line."""
-    parser = argparse.ArgumentParser(
-        prog="foxtaildrum", description="Load balancer for servers whose load shifts quickly."
-    )
-    parser.add_argument("--version", action="version", version=__version__)
-    commands = parser.add_subparsers(metavar="COMMAND", required=True)
-    serve = commands.add_parser("serve", help="run an instance")
-    add_flags(serve)
-    serve.set_defaults(run=run_serve)
-    settings = commands.add_parser(
-        "settings", help="validate the settings of serve; show each value and its source"
-    )
-    add_flags(settings)
-    settings.set_defaults(run=run_settings)
-    for name in TABLE_NAMES:
-        _add_table_commands(commands, name)
-    _add_desired_commands(commands)
-    check = commands.add_parser("check", help="validate table files without an instance")
-    check.add_argument("files", nargs="+", metavar="FILE")
-    check.set_defaults(run=run_check)
-    explain = commands.add_parser(
-        "explain", help="show what happened to one request, from logs"
-    )
-    explain.add_argument("request_id", metavar="REQUEST-ID")
-    explain.add_argument("files", nargs="+", metavar="FILE", help="log file of an instance")
-    explain.set_defaults(run=run_explain)
-    status = commands.add_parser("status", help="show the state of an instance")
-    _add_admin_flags(status)
-    status.add_argument("--format", choices=("text", "json"), default="text")
-    status.set_defaults(run=run_status)
-    report = commands.add_parser(
-        "report", help="report the burn rates of the service-level objectives"
-    )
-    _add_admin_flags(report)
-    report.add_argument("--format", choices=list_formats(), default="text")
-    report.set_defaults(run=run_report)
-    return parser
-
-
+@register_command("serve")
 def run_serve(arguments: argparse.Namespace) -> int:
     """Run an instance until SIGTERM or SIGINT; a second signal exits at once."""
     settings = load_settings(vars(arguments), os.environ)
@@ -162,6 +124,7 @@
     return EXIT_OK if instance.stop() else EXIT_FAILED
 
 
+@register_command("settings")
 def run_settings(arguments: argparse.Namespace) -> int:
     """Print every setting with its value and its source."""
     flags = vars(arguments)
@@ -184,6 +147,7 @@
     log_event("settings_reloaded", need_restart=",".join(need_restart_names) or "-")
 
 
+@register_command("get")
 def run_get(arguments: argparse.Namespace) -> int:
     """Print a table as TOML."""
     rows, version = _build_client(arguments).get_table(arguments.table)
@@ -192,6 +156,7 @@
     return EXIT_OK
 
 
+@register_command("apply")
 def run_apply(arguments: argparse.Namespace) -> int:
     """Replace a table with the content of a file."""
     rows = read_table(arguments.file, arguments.table)
@@ -212,6 +177,7 @@
     return EXIT_OK
 
 
+@register_command("get_tables")
 def run_get_tables(arguments: argparse.Namespace) -> int:
     """Print both tables and the limits as TOML."""
     document = _build_client(arguments).get_tables()
@@ -219,6 +185,7 @@
     return EXIT_OK
 
 
+@register_command("apply_tables")
 def run_apply_tables(arguments: argparse.Namespace) -> int:
     """Replace both tables and the limits with the content of a file."""
     document = read_desired_state(arguments.file)
@@ -259,6 +226,7 @@
     return "\n".join(blocks)
 
 
+@register_command("check")
 def run_check(arguments: argparse.Namespace) -> int:
     """Validate table files; with both tables, also the references between them."""
     problems: list[Exception] = []
@@ -283,6 +251,7 @@
     return EXIT_OK
 
 
+@register_command("explain")
 def run_explain(arguments: argparse.Namespace) -> int:
     """Print what the logs of several instances say about one request."""
     logs = {path: Path(path).read_text("utf-8", "replace") for path in arguments.files}
@@ -291,6 +260,7 @@
     return EXIT_OK if history.lines else EXIT_FAILED
 
 
+@register_command("status")
 def run_status(arguments: argparse.Namespace) -> int:
     """Show the state of an instance."""
     status = _build_client(arguments).get_status()
@@ -301,6 +271,7 @@
     return EXIT_OK
 
 
+@register_command("report")
 def run_report(arguments: argparse.Namespace) -> int:
     """Print the burn rates of each route, summed over the given instances."""
     by_route: dict[str, list[dict[str, Any]]] = {}
@@ -407,54 +378,6 @@
     return json.dumps(value)
 
 
-def _add_desired_commands(commands: Any) -> None:
-    tables = commands.add_parser(
-        "tables", help="read or replace both tables and the limits in one change"
-    )
-    actions = tables.add_subparsers(metavar="ACTION", required=True)
-    get = actions.add_parser("get", help="print both tables and the limits as TOML")
-    _add_admin_flags(get)
-    get.set_defaults(run=run_get_tables)
-    apply = actions.add_parser("apply", help="replace both tables and the limits with a file")
-    apply.add_argument("file", metavar="FILE")
-    apply.add_argument(
-        "--version", type=int, help="version of the change; the highest version wins"
-    )
-    _add_admin_flags(apply)
-    apply.set_defaults(run=run_apply_tables)
-
-
-def _add_table_commands(commands: Any, name: str) -> None:
-    table = commands.add_parser(name, help=f"read or replace the {name} table")
-    actions = table.add_subparsers(metavar="ACTION", required=True)
-    get = actions.add_parser("get", help="print the table as TOML")
-    _add_admin_flags(get)
-    get.set_defaults(run=run_get, table=name)
-    apply = actions.add_parser("apply", help="replace the table with a file")
-    apply.add_argument("file", metavar="FILE")
-    apply.add_argument("--if-version", type=int, help="version that the change is based on")
-    apply.add_argument(
-        "--change-id", help="identifier that makes resending the change idempotent"
-    )
-    _add_admin_flags(apply)
-    apply.set_defaults(run=run_apply, table=name)
-
-
-def _add_admin_flags(parser: argparse.ArgumentParser) -> None:
-    parser.add_argument(
-        "--admin",
-        default=os.environ.get("FOXTAILDRUM_ADMIN", DEFAULT_ADMIN_ADDRESS),
-        metavar="HOST:PORT",
-        help="admin address; report takes several, comma-separated [FOXTAILDRUM_ADMIN]",
-    )
-    parser.add_argument(
-        "--operator-token-file",
-        default=os.environ.get("FOXTAILDRUM_OPERATOR_TOKEN_FILE", ""),
-        metavar="FILE",
-        help="file with the operator token [FOXTAILDRUM_OPERATOR_TOKEN_FILE]",
-    )
-
-
 def _build_client(arguments: argparse.Namespace, address: str = "") -> AdminClient:
     token = read_secret(arguments.operator_token_file).decode()
     return AdminClient(address or arguments.admin, token)
--- a/src/foxtaildrum/settings.py
+++ b/src/foxtaildrum/settings.py
@@ -13,6 +13,35 @@
 from .validation import find_problems, get_property_schemas
 
 ENVIRONMENT_PREFIX = "FOXTAILDRUM_"
+SETTING_GROUPS = {
+    "instance": ("role", "instance_id", "availability_zone", "shutdown_grace_s", "unready_s"),
+    "callers": ("listen", "dialect", "threads", "queue_limit"),
+    "limits of callers' requests": (
+        "max_connections",
+        "max_header_bytes",
+        "max_body_bytes",
+        "write_deadline_s",
+    ),
+    "upstreams": (
+        "announcement_lease_s",
+        "sample_size",
+        "probes_per_s",
+        "retry_budget_ratio",
+        "retry_slack",
+    ),
+    "administration": ("admin_listen",),
+    "fleet": ("peer_listen", "control", "seeds", "bootstrap", "tolerated_losses"),
+    "storage": ("data_dir",),
+    "keys": ("operator_token_file", "fleet_key_file"),
+    "logs and metrics": (
+        "metrics_listen",
+        "statsd",
+        "log_level",
+        "log_format",
+        "log_lines_per_s",
+        "access_log",
+    ),
+}
 MAX_PORT = 65535
 
 
@@ -22,16 +51,20 @@
 
 
 def add_flags(parser: argparse.ArgumentParser) -> None:
-    """Add a flag for each setting to ``parser``."""
-    for name, schema in get_property_schemas("Settings").items():
-        parser.add_argument(
-            format_flag(name),
-            dest=name,
-            default=None,
-            metavar=_describe_type(schema),
-            help=f"{schema['description']} [default: {schema['default']}; "
-            f"{ENVIRONMENT_PREFIX}{name.upper()}]",
-        )
+    """Add a flag for each setting to ``parser``, in groups."""
+    schemas = get_property_schemas("Settings")
+    for title, names in SETTING_GROUPS.items():
+        group = parser.add_argument_group(title)
+        for name in names:
+            schema = schemas[name]
+            group.add_argument(
+                format_flag(name),
+                dest=name,
+                default=None,
+                metavar=_describe_type(schema),
+                help=f"{schema['description']} [default: {schema['default']}; "
+                f"{ENVIRONMENT_PREFIX}{name.upper()}]",
+            )
 
 
 def load_settings(flags: Mapping[str, str | None], environ: Mapping[str, str]) -> Settings:
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -4,9 +4,9 @@
 
 import pytest
 
-from foxtaildrum.cli import EXIT_USAGE, main
+from foxtaildrum.cli import EXIT_CONFLICT, EXIT_USAGE, main
 from foxtaildrum.exceptions import InvalidSettingsError
-from foxtaildrum.settings import load_settings
+from foxtaildrum.settings import SETTING_GROUPS, load_settings
 from foxtaildrum.validation import get_property_schemas
 
 
@@ -81,3 +81,32 @@
     assert main(["settings", "--threads=many", "--role=king"]) == 2
     errors = capsys.readouterr().err
     assert "--threads" in errors and "--role" in errors
+
+
+def test_every_setting_is_in_one_group_of_the_help():
+    grouped = [name for names in SETTING_GROUPS.values() for name in names]
+    assert sorted(grouped) == sorted(get_property_schemas("Settings"))
+
+
+@pytest.mark.parametrize(
+    "command",
+    [
+        ["serve"],
+        ["settings"],
+        ["check"],
+        ["explain"],
+        ["status"],
+        ["report"],
+        ["routes", "get"],
+        ["pools", "apply"],
+        ["tables", "apply"],
+    ],
+)
+def test_the_help_of_a_command_shows_an_example_and_its_exit_statuses(command, capsys):
+    with pytest.raises(SystemExit) as caught:
+        main([*command, "--help"])
+    assert caught.value.code == 0
+    text = capsys.readouterr().out
+    assert f"example: foxtaildrum {' '.join(command)}" in text
+    assert "exit status: 0 done, 1 failed, 2 invalid flags or settings" in text
+    assert (f"{EXIT_CONFLICT} another change" in text) is (command == ["pools", "apply"])
