Rank the upstreams of a subset when it is used, not at each change of the pool

Cause, found while reading the diff: at a start the upstreams of a pool arrive one by one, and each arrival hashed and sorted all of them, with no request to use the result. Change: the ranks are kept, and the members are chosen at the next use. The members are the same.

--- a/src/foxtaildrum/balancing/sampling.py
+++ b/src/foxtaildrum/balancing/sampling.py
@@ -82,37 +82,49 @@
         Identifier of the instance.
     """
 
-    __slots__ = ("_instance_id", "_members", "_ranked", "_size")
+    __slots__ = ("_instance_id", "_is_stale", "_members", "_ranks", "_size", "_upstreams")
 
     def __init__(self, instance_id: str) -> None:
         self._instance_id = instance_id
-        self._ranked: list[UpstreamLoad] = []
+        self._upstreams: list[UpstreamLoad] = []
+        self._ranks: dict[str, bytes] = {}
         self._members: frozenset[str] = frozenset()
+        self._is_stale = False
         self._size = MIN_SUBSET_SIZE
 
     def update(self, upstreams: Iterable[UpstreamLoad]) -> None:
         """Apply the current upstreams of the pool."""
-        self._ranked = sorted(upstreams, key=self._rank)
-        self._choose_members()
+        self._upstreams = list(upstreams)
+        self._is_stale = True
 
     def resize(self, size: int) -> None:
         """Change the size, to at least ``MIN_SUBSET_SIZE``."""
         size = max(MIN_SUBSET_SIZE, size)
-        if size != self._size:
-            self._size = size
-            self._choose_members()
+        self._is_stale = self._is_stale or size != self._size
+        self._size = size
 
     def select(self, candidates: Sequence[UpstreamLoad]) -> list[UpstreamLoad]:
         """Return the candidates that are members."""
+        if self._is_stale:
+            self._is_stale = False
+            self._members = self._choose_members()
         return [c for c in candidates if c.upstream_id in self._members]
 
-    def _choose_members(self) -> None:
-        local = [u for u in self._ranked if not u.remote]
-        remote = [u for u in self._ranked if u.remote]
+    def _choose_members(self) -> frozenset[str]:
+        known = self._ranks
+        self._ranks = {
+            u.upstream_id: known.get(u.upstream_id) or self._rank(u) for u in self._upstreams
+        }
+        ranked = sorted(self._upstreams, key=self._get_rank)
+        local = [u for u in ranked if not u.remote]
+        remote = [u for u in ranked if u.remote]
         remote_count = max(int(self._size * SUBSET_REMOTE_SHARE), self._size - len(local))
         members = local[: max(0, self._size - min(remote_count, len(remote)))]
         members += remote[:remote_count]
-        self._members = frozenset(u.upstream_id for u in members)
+        return frozenset(u.upstream_id for u in members)
+
+    def _get_rank(self, upstream: UpstreamLoad) -> bytes:
+        return self._ranks[upstream.upstream_id]
 
     def _rank(self, upstream: UpstreamLoad) -> bytes:
         key = f"{self._instance_id} {upstream.upstream_id}".encode()
