--- a/src/foxtaildrum/balancing/candidates.py
+++ b/src/foxtaildrum/balancing/candidates.py
@@ -32,6 +32,9 @@
         Moving average of the reported paces.
     reported_at : float
         Time of the last load report or unanswered status check, in seconds.
+    rate_limit_per_s : float or None
+        Requests per second that the upstream takes from the whole fleet, as named in the last
+        response of a request; None if none was named.
     service_s : float
         Moving average of the time that requests of this instance held a slot, in seconds.
     sheds : int
@@ -63,6 +66,7 @@
         "last_grant",
         "pace",
         "ramp_until",
+        "rate_limit_per_s",
         "remote",
         "reported_at",
         "reported_others",
@@ -88,6 +92,7 @@
         self.pace = 1.0
         self.smoothed_pace = 1.0
         self.reported_at = float("-inf")
+        self.rate_limit_per_s: float | None = None
         self.service_s = 0.0
         self.sheds = 0
         self.unanswered_checks = 0
--- a/src/foxtaildrum/balancing/loads.py
+++ b/src/foxtaildrum/balancing/loads.py
@@ -6,6 +6,7 @@
 
 MAX_REPORTED_SLOTS = 1e6
 MAX_REPORTED_PACE = 1e3
+MAX_RATE_LIMIT_PER_S = 1e6
 
 
 class LoadReport:
@@ -55,6 +56,15 @@
     return LoadReport(figures[0] + figures[1], pace)
 
 
+def parse_rate_limit(value: str | None) -> float | None:
+    """Parse a limit in requests per second; return None if there is none or it is invalid."""
+    try:
+        limit_per_s = float(value or "")
+    except ValueError:
+        return None
+    return limit_per_s if 0 <= limit_per_s < MAX_RATE_LIMIT_PER_S else None
+
+
 def _parse_text_metrics(text: str) -> float:
     for item in text.split(","):
         name, _, number = item.strip().partition("=")
--- a/src/foxtaildrum/balancing/pools.py
+++ b/src/foxtaildrum/balancing/pools.py
@@ -8,6 +8,7 @@
 
 from ..fleet.upstreams import DRAINING, Entry
 from ..kinds import ErrorKind
+from ..logs import log_event
 from ..records import Pool
 from ..requests.connections import ConnectionPool
 from ..requests.exchange import AttemptBudget
@@ -157,6 +158,19 @@
             upstream.state = DRAINING
             self._notify_draining(upstream.upstream_id)
 
+    def record_rate_limit(
+        self, now: float, upstream: UpstreamLoad, limit_per_s: float | None
+    ) -> None:
+        """Record the rate limit that a response of an upstream names; None if it names none."""
+        if limit_per_s == upstream.rate_limit_per_s:
+            return
+        upstream.rate_limit_per_s = limit_per_s
+        log_event(
+            "upstream_limit",
+            upstream=upstream.upstream_id,
+            limit_per_s="-" if limit_per_s is None else limit_per_s,
+        )
+
     @property
     def load_path(self) -> str:
         """Path of the load endpoint; empty if the pool has none."""
--- a/src/foxtaildrum/logevents.py
+++ b/src/foxtaildrum/logevents.py
@@ -53,6 +53,7 @@
     "stopped": ("all_requests_ended",),
     "stopping": ("grace_s",),
     "tables_in_force": ("index", "version", "routes_version", "pools_version"),
+    "upstream_limit": ("upstream", "limit_per_s"),
     "upstream_lost": ("upstream",),
     "upstreams_not_restored": ("reason",),
     "voters_changed": ("voters", "index"),
--- a/src/foxtaildrum/requests/dialects.py
+++ b/src/foxtaildrum/requests/dialects.py
@@ -10,7 +10,7 @@
 import math
 from collections.abc import Callable, Mapping
 
-from ..balancing.loads import LoadReport, parse_load_metrics
+from ..balancing.loads import LoadReport, parse_load_metrics, parse_rate_limit
 from ..kinds import ERROR_RESPONSES, ErrorKind, Outcome
 
 Headers = Mapping[str, str]
@@ -73,6 +73,10 @@
         value = headers.get("endpoint-load-metrics")
         return parse_load_metrics(value) if value else None
 
+    def read_rate_limit(self, headers: Headers) -> float | None:
+        """Return the requests per second that the upstream takes from the fleet, or None."""
+        return parse_rate_limit(headers.get("X-Upstream-Rate-Limit"))
+
     def get_status(self, kind: ErrorKind, outcome: Outcome) -> int:
         """Return the status of a response that this instance generates itself."""
         return ERROR_RESPONSES[kind].status
--- a/src/foxtaildrum/requests/dispatch.py
+++ b/src/foxtaildrum/requests/dispatch.py
@@ -351,7 +351,12 @@
         failing = head.status in RETRYABLE_STATUSES
         report = None if failing else self._dialect.read_load(head.all_headers)
         draining = self._dialect.states_draining(head.all_headers)
-        self._pool.record_response(read_clock(), attempt.upstream, report, draining)
+        now = read_clock()
+        self._pool.record_response(now, attempt.upstream, report, draining)
+        limit_per_s = self._dialect.read_rate_limit(head.all_headers)
+        # An error response may come from something in front of the upstream.
+        if limit_per_s is not None or head.status < http.client.INTERNAL_SERVER_ERROR:
+            self._pool.record_rate_limit(now, attempt.upstream, limit_per_s)
         return steps.HeadReceived(number, head.status, not_run)
 
     def _log_failure(self, attempt: _AttemptState, error: TransportError) -> None:
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -11,7 +11,12 @@
 from foxtaildrum.balancing.balancer import EJECT_AFTER_FAILURES, PROBE_COST_S, Balancer
 from foxtaildrum.balancing.budget import Budget
 from foxtaildrum.balancing.candidates import RAMP_S
-from foxtaildrum.balancing.loads import LoadReport, parse_load_figures, parse_load_metrics
+from foxtaildrum.balancing.loads import (
+    LoadReport,
+    parse_load_figures,
+    parse_load_metrics,
+    parse_rate_limit,
+)
 from foxtaildrum.balancing.policies import list_policies
 from foxtaildrum.balancing.sampling import STATUS_CHECK_BURST_S
 from foxtaildrum.balancing.tickets import Ticket
@@ -466,3 +471,12 @@
         for upstream in balancer.upstreams.values():
             balancer.record_load(1.0 + number / 100, upstream, LoadReport(0.0, 8.0))
     assert add_request(balancer, 3.0).granted
+
+
+@pytest.mark.parametrize("value", [None, "", "many", "-1", "nan", "inf", "1e9", "2,5"])
+def test_an_invalid_rate_limit_is_ignored(value):
+    assert parse_rate_limit(value) is None
+
+
+def test_a_rate_limit_may_have_fractions():
+    assert parse_rate_limit("2.5") == 2.5
