Count the entry instances again only when members have changed

The budgets were shared anew after every event of a node, so that each event cost one pass over all members.

--- a/src/foxtaildrum/fleet/membership.py
+++ b/src/foxtaildrum/fleet/membership.py
@@ -166,6 +166,12 @@
         Source of random choices.
     now : float
         Current time in seconds.
+
+    Attributes
+    ----------
+    change_count : int
+        Number of changes of members so far; results computed from the members can be kept
+        until it increases.
     """
 
     def __init__(
@@ -176,6 +182,7 @@
         self.members: dict[str, Member] = {}
         self.digest = BucketDigest()
         self.changed: list[Member] = []
+        self.change_count = 0
         self._rng = rng
         self._ring: list[Member] = []
         self._ring_is_stale = True
@@ -446,6 +453,7 @@
         self.members[member.instance_id] = member
         self.digest.add(member.instance_id, _describe_rank(member))
         self._ring_is_stale = True
+        self.change_count += 1
         self.changed.append(member)
 
     def _remove_digest(self, member: Member) -> None:
@@ -455,6 +463,7 @@
         self._remove_digest(member)
         del self.members[member.instance_id]
         self._ring_is_stale = True
+        self.change_count += 1
 
     def _get_ring(self) -> list[Member]:
         if self._ring_is_stale:
--- a/src/foxtaildrum/fleet/node.py
+++ b/src/foxtaildrum/fleet/node.py
@@ -165,6 +165,8 @@
             now,
         )
         self._handlers = self._build_handlers()
+        self._entry_count = 1
+        self._entry_count_version = -1
 
     def _build_handlers(self) -> dict[type, Handler]:
         handlers: dict[type, Handler] = {
@@ -296,9 +298,12 @@
         Suspect and dead members are counted: otherwise an instance cut off from the rest
         would take over the others' shares of the fleet-wide budgets.
         """
-        members = self.members.members.values()
-        present = (m for m in members if m.state is not MemberState.LEFT)
-        return max(1, sum(m.role != "control" for m in present))
+        if self._entry_count_version != self.members.change_count:
+            self._entry_count_version = self.members.change_count
+            members = self.members.members.values()
+            present = (m for m in members if m.state is not MemberState.LEFT)
+            self._entry_count = max(1, sum(m.role != "control" for m in present))
+        return self._entry_count
 
     def restore_upstreams(self, now: float, records: list[list[Any]]) -> None:
         """Merge the upstream list that was read from disk."""
