--- a/src/foxtaildrum/fleet/views.py
+++ b/src/foxtaildrum/fleet/views.py
@@ -27,6 +27,8 @@
         Holds the published view.
     meter : Meter
         Keeps metrics for each route.
+    rng : random.Random or None
+        Source of random choices of the pools; None for one of its own in each pool.
 
     Attributes
     ----------
@@ -36,8 +38,15 @@
         Called with the limits in the tables.
     """
 
-    def __init__(self, settings: Settings, proxy: Proxy, meter: Meter) -> None:
+    def __init__(
+        self,
+        settings: Settings,
+        proxy: Proxy,
+        meter: Meter,
+        rng: random.Random | None = None,
+    ) -> None:
         self._settings = settings
+        self._rng = rng
         self._proxy = proxy
         self._meter = meter
         self._generation = -1
@@ -56,6 +65,10 @@
         for name in changed & pools.keys():
             pools[name].update_members(now, node.upstreams.list_members(name))
 
+    def get_pools(self) -> dict[str, UpstreamPool]:
+        """Return the published pools by name."""
+        return self._proxy.view.pools
+
     def _share_budgets(self, node: Node, pools: dict[str, UpstreamPool]) -> None:
         """Divide the fleet-wide probe and retry budgets by the number of entry instances."""
         entry_count = node.count_entry_instances()
@@ -106,7 +119,7 @@
                     self._settings.queue_limit,
                     get_adapter("http"),
                     self._notify_draining,
-                    random.Random(),
+                    self._rng or random.Random(),
                     self._settings.instance_id,
                 )
             pool.configure(record, busy_limit)
--- /dev/null
+++ b/tests/test_rate_limits.py
@@ -0,0 +1,115 @@
+"""Rate limits that upstreams name for the whole fleet."""
+
+from __future__ import annotations
+
+import pytest
+
+from .serving_fleet import ServingFleet, SimulatedUpstream
+
+WINDOW_S = 4.0
+ALLOWED_RATIO = 1.5
+ALLOWED_EXTRA = 5
+REACTION_S = 3.0
+MIN_USED_RATIO = 0.75
+AT_ONCE_S = 0.011
+AT_ONCE_RATIO = 0.9
+
+
+def count_excess(upstream: SimulatedUpstream, limit_per_s: float, since: float) -> int:
+    """Return by how many requests the fullest window exceeds what the limit allows."""
+    times = [t for t, _ in upstream.arrivals if t >= since + REACTION_S]
+    allowed = ALLOWED_RATIO * limit_per_s * WINDOW_S + ALLOWED_EXTRA
+    counts = [sum(start <= t < start + WINDOW_S for t in times) for start in times]
+    return max(0, int(max(counts, default=0) - allowed))
+
+
+def form(entry: int = 16, upstreams: int = 13, rate: float = 112.0, **options) -> ServingFleet:
+    fleet = ServingFleet(entry, upstreams, rate, seed=7, **options)
+    fleet.form()
+    return fleet
+
+
+def name_limit(fleet: ServingFleet, limit_per_s: float, count: int = 1) -> float:
+    """Let the first upstreams name a limit; return the time."""
+    for upstream in list(fleet.upstreams.values())[:count]:
+        upstream.limit_per_s = limit_per_s
+    return fleet.now
+
+
+def check_limits(fleet: ServingFleet, count: int, since: float, limit_per_s: float) -> None:
+    """Check that the first upstreams are used up to their limit, and not beyond it."""
+    limited = list(fleet.upstreams.values())[:count]
+    assert [count_excess(u, limit_per_s, since) for u in limited] == [0] * count
+    start = since + REACTION_S
+    used = sum(u.count_arrivals(start, fleet.now) for u in limited)
+    assert used >= MIN_USED_RATIO * count * limit_per_s * (fleet.now - start)
+
+
+@pytest.mark.parametrize(
+    ("entry", "upstreams", "rate", "count"),
+    [(16, 13, 112.0, 2), (313, 98, 263.0, 30)],
+    ids=["16", "313"],
+)
+def test_the_fleet_keeps_the_limits_that_upstreams_name(entry, upstreams, rate, count):
+    # No instance obeyed, and none had a way to know what the others send.
+    fleet = form(entry, upstreams, rate)
+    limit_per_s = 0.25 * rate / upstreams
+    since = name_limit(fleet, limit_per_s, count)
+    fleet.run(12.0)
+    check_limits(fleet, count, since, limit_per_s)
+
+
+def test_a_pool_whose_upstreams_all_name_limits_is_used_up_and_the_rest_refused_at_once():
+    fleet = form()
+    count = len(fleet.upstreams)
+    since = name_limit(fleet, 3.0, count)
+    fleet.run(12.0)
+    check_limits(fleet, count, since, 3.0)
+    waits = [wait_s for at, wait_s, _ in fleet.refused_at if at >= since + REACTION_S]
+    at_once = sum(wait_s <= AT_ONCE_S for wait_s in waits)
+    assert at_once >= AT_ONCE_RATIO * len(waits)
+
+
+@pytest.mark.parametrize("fault", ["restart", "freeze", "cut", "crash"])
+def test_a_limit_holds_while_the_instance_that_grants_permits_fails(fault):
+    fleet = form()
+    since = name_limit(fleet, 2.0, 4)
+    fleet.run(5.0)
+    for name in fleet.control[:2]:
+        if fault == "restart":
+            fleet.restart(name)
+        elif fault == "freeze":
+            fleet.pause(name)
+            fleet.schedule(3.0, "resume", name)
+        elif fault == "cut":
+            fleet.cut([name])
+            fleet.schedule(4.0, "heal")
+        else:
+            fleet.crash(name)
+    fleet.run(12.0)
+    limited = list(fleet.upstreams.values())[:4]
+    assert [count_excess(u, 2.0, since) for u in limited] == [0] * 4
+    # After the fault was noticed and the leases moved, the limits are used up again.
+    start = fleet.now - 4.0
+    used = sum(u.count_arrivals(start, fleet.now) for u in limited)
+    assert used >= MIN_USED_RATIO * 4 * 2.0 * 4.0
+
+
+def test_an_instance_that_joins_later_keeps_a_limit_that_it_was_never_told():
+    fleet = form(start_delays={"e1": 14.0, "e2": 14.0, "e3": 14.0})
+    since = name_limit(fleet, 1.0, 4)
+    fleet.run_until(lambda: fleet.get_pool("e1") is not None)
+    fleet.run(8.0)
+    assert any(sender == "e1" for u in fleet.upstreams.values() for _, sender in u.arrivals)
+    check_limits(fleet, 4, since, 1.0)
+
+
+def test_an_upstream_that_names_its_limit_no_longer_gets_its_usual_share():
+    fleet = form()
+    since = name_limit(fleet, 1.0)
+    fleet.run(8.0)
+    check_limits(fleet, 1, since, 1.0)
+    fleet.upstreams["u0"].limit_per_s = None
+    fleet.run(8.0)
+    usual = 112.0 / 13
+    assert fleet.upstreams["u0"].count_arrivals(fleet.now - 4.0, fleet.now) > 2.0 * usual
