Keep the rate limit that an upstream names for the whole fleet

What callers saw: nothing yet; an upstream in need got up to 41 requests in 4 s where 21 were allowed, and would have slowed down or failed for all.

Cause: a fact that one instance learns stayed there, and was not even read. Had each instance obeyed alone, 17 of them would still have sent 17 times the limit.

Ruled out: an own share of the limit for each instance (125 s between two requests of one of 313 instances, and callers are spread unevenly), a limit kept by each instance.

Change: the limit is a field of the upstream's entry, which the owner of its lease sets on reports of the instances, so that it spreads and is repaired as any other field. The owner issues permits, evenly spaced; a request is sent to a limited upstream only with one.

--- a/src/foxtaildrum/admin/access.py
+++ b/src/foxtaildrum/admin/access.py
@@ -96,6 +96,23 @@
             log_event("claim_not_stored", claim=self._claim_id)
 
 
+class NodePermits:
+    """Reports rate limits and requests permits through the node; no call waits.
+
+    Parameters
+    ----------
+    node : ActorProxy
+        Proxy of the node's actor.
+    """
+
+    __slots__ = ("report_rate_limit", "request_permits", "return_permits")
+
+    def __init__(self, node: pykka.ActorProxy) -> None:
+        self.report_rate_limit = node.report_rate_limit.defer
+        self.request_permits = node.request_permits.defer
+        self.return_permits = node.return_permits.defer
+
+
 class NodeAccess:
     """Gives the admin interface access to the node, the counters and the pools.
 
--- a/src/foxtaildrum/admin/status.py
+++ b/src/foxtaildrum/admin/status.py
@@ -45,6 +45,7 @@
                 "state": "lost" if e.lost else e.state,
                 "owner": e.owner,
                 "incarnation": e.announcement.incarnation,
+                "rate_limit_per_s": e.rate_limit_per_s,
             }
             for e in sorted(node.upstreams.entries.values(), key=lambda e: e.upstream_id)
         ],
--- a/src/foxtaildrum/balancing/balancer.py
+++ b/src/foxtaildrum/balancing/balancer.py
@@ -15,7 +15,8 @@
 from .candidates import RAMP_S, PoolLoad, UpstreamLoad
 from .loads import LoadReport
 from .policies import get_policy
-from .sampling import SampleBudget, is_calm
+from .ratelimits import ExpiredPermits, PlannedRequest, RateLimits
+from .sampling import SampleBudget, is_calm, is_slow
 from .tickets import Ticket
 
 EJECT_AFTER_FAILURES = 5
@@ -41,6 +42,7 @@
 UNANSWERED_EJECT_MAX_S = 4.0
 MOVED_EJECT_S = 2.0
 MEASURING_CAPACITY_SERVICE_TIMES = 10.0
+MIN_RETRY_AFTER_S = 0.1
 
 
 class Balancer:
@@ -89,6 +91,7 @@
         self.queue: OrderedDict[int, Ticket] = OrderedDict()
         self.shares_retry_budget = False
         self._samples = SampleBudget(instance_id)
+        self.rate_limits = RateLimits(rng)
         self._displaced: list[Ticket] = []
         self.default_retry_ratio = DEFAULT_RETRY_RATIO
         self.retry_budget = Budget(
@@ -113,12 +116,13 @@
             seen.add(entry.upstream_id)
             self._update_member(now, entry, is_first_update)
         for upstream_id in set(self.upstreams) - seen:
-            del self.upstreams[upstream_id]
+            self.rate_limits.forget(self.upstreams.pop(upstream_id))
         self._samples.subset.update(self.upstreams.values())
         return self.serve_queue(now)
 
     def request_slot(self, now: float, ticket: Ticket, may_wait: bool) -> None:
         """Grant, queue or refuse ``ticket``."""
+        ticket.queue_deadline = min(ticket.deadline, now + ticket.max_queue_wait_s)
         if self.in_flight + len(self.queue) >= self.busy_limit:
             ticket.refused = ErrorKind.OVERLOADED
             return
@@ -128,9 +132,12 @@
             return
         ticket.refused = self._find_refusal(now, ticket, may_wait)
         if ticket.refused is None:
-            ticket.queue_deadline = min(ticket.deadline, now + ticket.max_queue_wait_s)
             self._enqueue(ticket)
 
+    def plan_permits(self, now: float) -> list[PlannedRequest | ExpiredPermits]:
+        """Return what to send to issuers of permits for a request that has just arrived."""
+        return self.rate_limits.plan_requests(now, self._samples.select_subset(self.upstreams))
+
     def _enqueue(self, ticket: Ticket) -> None:
         """Queue a ticket behind those of the same or a more urgent priority."""
         self.queue[id(ticket)] = ticket
@@ -212,9 +219,14 @@
         if not self._samples.size:
             return []
         candidates = self._list_candidates(now, excluded, for_status_check=True)
-        return self._samples.choose(
+        chosen = self._samples.choose(
             now, candidates, len(self.upstreams), response_bytes, self.rng, round_number
         )
+        # A permit is valid for a short time, so its upstream is compared first.
+        permitted = [u for u in candidates if u.permits is not None]
+        if chosen and permitted and not any(u.permits is not None for u in chosen):
+            chosen[-1] = permitted[0]
+        return chosen
 
     def spend_status_check(self, now: float) -> bool:
         """Spend the budget for one status check; return whether it sufficed."""
@@ -246,7 +258,7 @@
 
         Returns None when every report is fresh or the measuring budget is exhausted.
         """
-        ready = [u for u in self.upstreams.values() if u.state == READY]
+        ready = [u for u in self.upstreams.values() if u.state == READY and u.permits is None]
         if not ready:
             return None
         oldest = min(ready, key=_get_reported_at)
@@ -265,6 +277,8 @@
                 ticket.refused = ErrorKind.NO_UPSTREAM
             else:
                 self._try_grant(now, ticket)
+            if not ticket.completed and self._exceeds_rate_limits(now, ticket, 0):
+                ticket.refused = ErrorKind.RATE_LIMITED
             if not ticket.completed:
                 break
             del self.queue[key]
@@ -326,27 +340,40 @@
             upstream.unanswered_checks = 0
             upstream.failure_level = 0.0
             upstream.ejected_until = float("-inf")
+            self.rate_limits.forget(upstream)
         upstream.incarnation = announcement.incarnation
         upstream.address = announcement.address
         upstream.state = entry.state
         upstream.slots = announcement.slots or self.pool.slots_per_upstream
         zone = announcement.availability_zone
         upstream.remote = bool(zone) and zone != self.availability_zone
+        self.rate_limits.set_fleet_limit(upstream, entry.rate_limit_per_s)
 
     def _try_grant(self, now: float, ticket: Ticket) -> None:
         candidates = self._list_candidates(now, ticket.excluded)
         if not candidates:
             return
         self.load.response_bytes = ticket.response_bytes
-        chosen = self.choose(now, candidates, self.load, self.rng)
+        chosen = self._choose(now, candidates)
         if chosen is None:
             return
+        if chosen.permits is not None:
+            chosen.permits.take()
+            ticket.took_permit = True
         chosen.in_flight += 1
         self.in_flight += 1
         self.grant_count += 1
         chosen.last_grant = self.grant_count
         ticket.granted = chosen
 
+    def _choose(self, now: float, candidates: list[UpstreamLoad]) -> UpstreamLoad | None:
+        """Choose an upstream; one that limits its rate goes first while a permit is held."""
+        permitted = [u for u in candidates if u.permits is not None and not is_slow(now, u)]
+        chosen = None
+        if permitted:
+            chosen = self.choose(now, permitted, self.load, self.rng)
+        return chosen or self.choose(now, candidates, self.load, self.rng)
+
     def _list_candidates(
         self, now: float, excluded: frozenset[str], for_status_check: bool = False
     ) -> list[UpstreamLoad]:
@@ -378,6 +405,8 @@
             return ErrorKind.NO_UPSTREAM
         if not may_wait:
             return ErrorKind.OVERLOADED
+        if self._exceeds_rate_limits(now, ticket, len(self.queue)):
+            return ErrorKind.RATE_LIMITED
         if len(self.queue) >= self.queue_limit and not self._displace(ticket):
             return ErrorKind.OVERLOADED
         wait_s = (len(self.queue) + 1) * self._release_interval_s
@@ -385,6 +414,17 @@
             return ErrorKind.DEADLINE_UNREACHABLE
         return None
 
+    def _exceeds_rate_limits(self, now: float, ticket: Ticket, ahead: int) -> bool:
+        """Return whether no upstream may get the request in time because of its rate limit."""
+        if not self.rate_limits.any_limited:
+            return False
+        ready = [u for u in self.upstreams.values() if u.state == READY]
+        wait_s = self.rate_limits.compute_refusal_wait(now, ticket.queue_deadline, ahead, ready)
+        if wait_s is None:
+            return False
+        ticket.retry_after_s = max(MIN_RETRY_AFTER_S, wait_s)
+        return True
+
     def _misses_deadline(self, start: float, ticket: Ticket) -> bool:
         # Refuse a request that would probably exceed its deadline before it is sent, while
         # the outcome is still known to be "not run".
--- a/src/foxtaildrum/balancing/candidates.py
+++ b/src/foxtaildrum/balancing/candidates.py
@@ -5,6 +5,7 @@
 import math
 
 from ..fleet.upstreams import READY
+from .permits import Permits
 
 RAMP_S = 5.0
 MIN_RAMP_SHARE = 0.1
@@ -32,9 +33,12 @@
         Moving average of the reported paces.
     reported_at : float
         Time of the last load report or unanswered status check, in seconds.
-    rate_limit_per_s : float or None
-        Requests per second that the upstream takes from the whole fleet, as named in the last
-        response of a request; None if none was named.
+    permits : Permits or None
+        Permits for requests while the upstream limits its rate; None without a limit.
+    fleet_limit_per_s : float or None
+        Rate limit that the fleet knows; None for no limit.
+    limit_reported_at : float
+        Time of the last report of a rate limit to the fleet, in seconds.
     service_s : float
         Moving average of the time that requests of this instance held a slot, in seconds.
     sheds : int
@@ -61,12 +65,14 @@
         "failed_at",
         "failure_level",
         "failures",
+        "fleet_limit_per_s",
         "in_flight",
         "incarnation",
         "last_grant",
+        "limit_reported_at",
         "pace",
+        "permits",
         "ramp_until",
-        "rate_limit_per_s",
         "remote",
         "reported_at",
         "reported_others",
@@ -92,7 +98,9 @@
         self.pace = 1.0
         self.smoothed_pace = 1.0
         self.reported_at = float("-inf")
-        self.rate_limit_per_s: float | None = None
+        self.permits: Permits | None = None
+        self.fleet_limit_per_s: float | None = None
+        self.limit_reported_at = float("-inf")
         self.service_s = 0.0
         self.sheds = 0
         self.unanswered_checks = 0
@@ -111,6 +119,8 @@
 
     def has_free_slot(self, now: float) -> bool:
         """Return whether the upstream may get one more request."""
+        if self.permits is not None and not self.permits.is_held(now):
+            return False
         if now >= self.ramp_until:
             return self.in_flight < self.slots
         return self.in_flight < max(1, int(self.slots * self.compute_ramp(now)))
--- a/src/foxtaildrum/balancing/pools.py
+++ b/src/foxtaildrum/balancing/pools.py
@@ -9,7 +9,7 @@
 from ..fleet.upstreams import DRAINING, Entry
 from ..kinds import ErrorKind
 from ..logs import log_event
-from ..records import Pool
+from ..records import PermitReply, Pool
 from ..requests.connections import ConnectionPool
 from ..requests.exchange import AttemptBudget
 from ..requests.steps import AttemptResult
@@ -18,6 +18,8 @@
 from .candidates import UpstreamLoad
 from .latency import BucketCounts, RecentLatency
 from .loads import LoadReport
+from .permits import NO_PERMIT_CLIENT, PermitClient
+from .ratelimits import ExpiredPermits
 from .tickets import Ticket
 
 HEDGE_PERCENTILE = 95.0
@@ -45,6 +47,8 @@
         Source of random choices.
     instance_id : str
         Identifier of this instance.
+    permit_client : PermitClient
+        Reports rate limits and requests permits.
     """
 
     def __init__(
@@ -56,7 +60,9 @@
         notify_draining: Callable[[str], None],
         rng: random.Random,
         instance_id: str = "",
+        permit_client: PermitClient = NO_PERMIT_CLIENT,
     ) -> None:
+        self._permit_client = permit_client
         self.name = pool.name
         self._lock = threading.Lock()
         self._balancer = Balancer(pool, availability_zone, queue_limit, rng, instance_id)
@@ -159,18 +165,63 @@
             self._notify_draining(upstream.upstream_id)
 
     def record_rate_limit(
-        self, now: float, upstream: UpstreamLoad, limit_per_s: float | None
+        self,
+        now: float,
+        upstream: UpstreamLoad,
+        limit_per_s: float | None,
+        took_permit: bool,
     ) -> None:
-        """Record the rate limit that a response of an upstream names; None if it names none."""
-        if limit_per_s == upstream.rate_limit_per_s:
+        """Record the rate limit that a response names, and report a change to the fleet.
+
+        Parameters
+        ----------
+        limit_per_s : float or None
+            Requests per second for the whole fleet; None if the response names no limit.
+        took_permit : bool
+            Whether the request was sent while the upstream limited its rate.
+        """
+        with self._lock:
+            changed = self._balancer.rate_limits.record_response(
+                now, upstream, limit_per_s, took_permit
+            )
+        if not changed:
             return
-        upstream.rate_limit_per_s = limit_per_s
+        self._permit_client.report_rate_limit(
+            upstream.upstream_id, upstream.incarnation, limit_per_s
+        )
         log_event(
             "upstream_limit",
             upstream=upstream.upstream_id,
             limit_per_s="-" if limit_per_s is None else limit_per_s,
         )
 
+    def handle_permits(self, now: float, reply: PermitReply) -> None:
+        """Apply the reply of an issuer, and serve the requests that wait for permits."""
+        with self._lock:
+            upstream = self._balancer.upstreams.get(reply.upstream_id)
+            if upstream is None or upstream.permits is None:
+                return
+            upstream.permits.handle_reply(now, reply.requested_at, reply.count, reply.wait_s)
+            completed = self._balancer.serve_queue(now)
+        _wake_waiters(completed)
+
+    def set_entry_count(self, entry_count: int) -> None:
+        """Set the number of instances that serve callers."""
+        with self._lock:
+            self._balancer.rate_limits.entry_count = entry_count
+
+    def request_permits(self, now: float) -> None:
+        """Request the permits that a request which has just arrived could use."""
+        with self._lock:
+            planned = self._balancer.plan_permits(now)
+        for item in planned:
+            if isinstance(item, ExpiredPermits):
+                self._permit_client.return_permits(item.upstream_id, item.count)
+            else:
+                self._permit_client.request_permits(
+                    item.upstream_id, item.limit_per_s, item.count, now
+                )
+
     @property
     def load_path(self) -> str:
         """Path of the load endpoint; empty if the pool has none."""
--- a/src/foxtaildrum/balancing/samples.py
+++ b/src/foxtaildrum/balancing/samples.py
@@ -185,6 +185,9 @@
         if answering_id and answering_id != check.upstream.upstream_id:
             self._pool.record_moved(now, check.upstream)
             return
+        limit_per_s = self._dialect.read_rate_limit(head.all_headers)
+        if limit_per_s is not None:
+            self._pool.record_rate_limit(now, check.upstream, limit_per_s, took_permit=False)
         report = self._dialect.read_load(head.all_headers)
         if report is not None:
             self._pool.record_probe(now, check.upstream, report)
--- a/src/foxtaildrum/balancing/sampling.py
+++ b/src/foxtaildrum/balancing/sampling.py
@@ -36,6 +36,12 @@
     )
 
 
+def is_slow(now: float, upstream: UpstreamLoad) -> bool:
+    """Return whether a fresh report shows less than the normal pace."""
+    is_fresh = now - upstream.reported_at <= FRESH_REPORT_S * MAX_ROUNDS
+    return is_fresh and upstream.pace > CALM_PACE
+
+
 def shows_progress(now: float, upstream: UpstreamLoad) -> bool:
     """Return whether a fresh report shows the normal pace and no waiting requests."""
     return (
@@ -103,7 +109,7 @@
         self._is_stale = self._is_stale or size != self._size
         self._size = size
 
-    def select(self, candidates: Sequence[UpstreamLoad]) -> list[UpstreamLoad]:
+    def select(self, candidates: Iterable[UpstreamLoad]) -> list[UpstreamLoad]:
         """Return the candidates that are members."""
         if self._is_stale:
             self._is_stale = False
@@ -206,6 +212,10 @@
         others = [u for u in stale if u not in chosen]
         return chosen + rng.sample(others, count - len(chosen))
 
+    def select_subset(self, upstreams: dict[str, UpstreamLoad]) -> list[UpstreamLoad]:
+        """Return the subset; every upstream where no status checks are sent."""
+        return self.subset.select(upstreams.values()) if self.size else list(upstreams.values())
+
     def spend_check(self, now: float, upstream_count: int) -> bool:
         """Spend the budget for one status check; return whether it sufficed."""
         return bool(self._spend(now, 1, upstream_count))
--- a/src/foxtaildrum/balancing/tickets.py
+++ b/src/foxtaildrum/balancing/tickets.py
@@ -28,6 +28,10 @@
         Upstream whose slot was granted.
     refused : ErrorKind or None
         Reason for the refusal.
+    took_permit : bool
+        Whether the upstream limited its rate when the slot was granted.
+    retry_after_s : float or None
+        Time after which a refused request may succeed, in seconds; None if unknown.
     queue_deadline : float
         Time by which the ticket must be granted a slot, in seconds.
     wake : threading.Event or None
@@ -43,6 +47,8 @@
         "queue_deadline",
         "refused",
         "response_bytes",
+        "retry_after_s",
+        "took_permit",
         "wake",
     )
 
@@ -62,6 +68,8 @@
         self.excluded = excluded
         self.granted: UpstreamLoad | None = None
         self.refused: ErrorKind | None = None
+        self.took_permit = False
+        self.retry_after_s: float | None = None
         self.wake = None
 
     @property
--- a/src/foxtaildrum/fleet/actions.py
+++ b/src/foxtaildrum/fleet/actions.py
@@ -10,6 +10,7 @@
 from ..control.proposals import ChangeCompleted
 from ..control.reads import ReadCompleted
 from ..events import Send
+from ..records import PermitReply
 from .receipts import ReceiptsCompleted
 
 # Journals that an action can write to.
@@ -45,6 +46,14 @@
     incarnation: int
 
 
+@dataclass(slots=True)
+class PermitsAnswered:
+    """The issuer of an upstream of ``pool`` replied to a request for permits."""
+
+    pool: str
+    reply: PermitReply
+
+
 @dataclass(slots=True)
 class MemberChanged:
     """The membership state of another instance changed."""
@@ -63,6 +72,7 @@
     | UpstreamsLost
     | UpstreamLeaving
     | MemberChanged
+    | PermitsAnswered
 )
 
 
--- a/src/foxtaildrum/fleet/announcing.py
+++ b/src/foxtaildrum/fleet/announcing.py
@@ -111,6 +111,7 @@
                 entry.sequence + 1,
                 False,
                 entry.expires_at,
+                entry.rate_limit_per_s,
             )
             self.upstreams.merge(now, transferred)
 
--- a/src/foxtaildrum/fleet/node.py
+++ b/src/foxtaildrum/fleet/node.py
@@ -42,6 +42,7 @@
 from .claiming import ClaimPart
 from .currency import Currency
 from .gossip import GossipPart
+from .limiting import LimitPart
 from .membership import Member, Membership, MemberState
 from .parts import Handler
 from .relaying import TablePart
@@ -152,6 +153,7 @@
         self._claims = ClaimPart(me.instance_id, self.control, holder, self._actions)
         list_voters = self._list_voters if saved is not None else None
         self._upstreams = UpstreamPart(self.members, list_voters, self._actions, now)
+        self._limits = LimitPart(self.upstreams, self._actions, now)
         self._tables = TablePart(self.follower, self.members, self._actions)
         self._gossip = GossipPart(
             self.members,
@@ -175,7 +177,13 @@
             r.ReadRequest: self.reader.handle_request,
             r.ReadReply: lambda now, peer, message: self.reader.handle_reply(message),
         }
-        for part in (self._claims, self._upstreams, self._tables, self._gossip):
+        for part in (
+            self._claims,
+            self._upstreams,
+            self._limits,
+            self._tables,
+            self._gossip,
+        ):
             handlers |= part.build_handlers()
         return handlers
 
@@ -201,6 +209,7 @@
             self._record_own_beacon(now)
         self._gossip.tick(now)
         self._upstreams.tick(now)
+        self._limits.tick(now)
         self._claims.tick(now)
         self.proposer.tick(now)
         self.reader.tick(now)
@@ -334,6 +343,25 @@
         self.upstreams.mark_draining(now, upstream_id)
         return self._pop_actions(now)
 
+    def report_rate_limit(
+        self, now: float, upstream_id: str, incarnation: int, limit_per_s: float | None
+    ) -> list[Action]:
+        """Report the rate limit that an upstream names in its responses."""
+        self._limits.report(now, upstream_id, incarnation, limit_per_s)
+        return self._pop_actions(now)
+
+    def request_permits(
+        self, now: float, upstream_id: str, limit_per_s: float, count: int, requested_at: float
+    ) -> list[Action]:
+        """Request permits for requests; :class:`PermitsAnswered` carries the reply."""
+        self._limits.request(now, upstream_id, limit_per_s, count, requested_at)
+        return self._pop_actions(now)
+
+    def return_permits(self, now: float, upstream_id: str, count: int) -> list[Action]:
+        """Return permits that were not used."""
+        self._limits.give_back(now, upstream_id, count)
+        return self._pop_actions(now)
+
     def claim(
         self, now: float, token: str, key: str, digest: str, remaining_s: float
     ) -> list[Action]:
--- a/src/foxtaildrum/fleet/runtime.py
+++ b/src/foxtaildrum/fleet/runtime.py
@@ -27,6 +27,7 @@
 from .actions import (
     ChangeCompleted,
     MemberChanged,
+    PermitsAnswered,
     UpstreamLeaving,
     UpstreamsLost,
     Write,
@@ -151,6 +152,28 @@
         now = read_clock()
         self._perform(now, self._node.mark_draining(now, upstream_id))
 
+    def report_rate_limit(
+        self, upstream_id: str, incarnation: int, limit_per_s: float | None
+    ) -> None:
+        """Report the rate limit that an upstream names in its responses."""
+        now = read_clock()
+        self._perform(
+            now, self._node.report_rate_limit(now, upstream_id, incarnation, limit_per_s)
+        )
+
+    def request_permits(
+        self, upstream_id: str, limit_per_s: float, count: int, requested_at: float
+    ) -> None:
+        """Request permits for requests to an upstream that limits its rate."""
+        now = read_clock()
+        actions = self._node.request_permits(now, upstream_id, limit_per_s, count, requested_at)
+        self._perform(now, actions)
+
+    def return_permits(self, upstream_id: str, count: int) -> None:
+        """Return permits that were not used."""
+        now = read_clock()
+        self._perform(now, self._node.return_permits(now, upstream_id, count))
+
     def claim(
         self, claim_id: str, key: str, digest: str, remaining_s: float, future: Any
     ) -> None:
@@ -209,6 +232,8 @@
                 self._send(action)
             elif isinstance(action, Write):
                 self._storage(action)
+            elif isinstance(action, PermitsAnswered):
+                self._publisher.deliver_permits(now, action)
             elif isinstance(action, UpstreamsLost | MemberChanged | UpstreamLeaving):
                 _log_change(action)
             else:
--- a/src/foxtaildrum/fleet/upstreams.py
+++ b/src/foxtaildrum/fleet/upstreams.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from typing import Any
 
@@ -20,6 +21,7 @@
 LEFT = "left"
 TOMBSTONE_S = 900.0
 MAX_ENTRIES = 100_000
+RATE_LIMIT_TOLERANCE_RATIO = 0.05
 UNKNOWN_POOL = "-"
 UNKNOWN_ADDRESS = "0.0.0.0:0"
 
@@ -43,6 +45,9 @@
     expires_at : float
         Local time of expiry in seconds. On the owner the lease expires then; a tombstone
         is removed then.
+    rate_limit_per_s : float or None
+        Requests per second that the upstream takes from the whole fleet, as its responses
+        name it; None for no limit. Only the owner changes it.
     """
 
     __slots__ = (
@@ -50,6 +55,7 @@
         "expires_at",
         "lost",
         "owner",
+        "rate_limit_per_s",
         "sequence",
         "state",
         "upstream_id",
@@ -64,6 +70,7 @@
         sequence: int,
         lost: bool,
         expires_at: float,
+        rate_limit_per_s: float | None = None,
     ) -> None:
         self.upstream_id = upstream_id
         self.announcement = announcement
@@ -72,6 +79,7 @@
         self.sequence = sequence
         self.lost = lost
         self.expires_at = expires_at
+        self.rate_limit_per_s = rate_limit_per_s
 
     @property
     def is_tombstone(self) -> bool:
@@ -94,6 +102,7 @@
             a.availability_zone,
             a.slots,
             a.incarnation,
+            self.rate_limit_per_s,
         )
 
     def to_wire(self, now: float) -> list[Any]:
@@ -112,13 +121,14 @@
             self.sequence,
             self.lost,
             round(remaining_s, 3),
+            self.rate_limit_per_s,
         ]
 
     @classmethod
     def from_wire(cls, now: float, fields: list[Any]) -> Entry:
         """Build an entry from the list made by :meth:`to_wire`."""
         upstream_id, pool, address, zone, slots, incarnation, state = fields[:7]
-        owner, sequence, lost, remaining_s = fields[7:]
+        owner, sequence, lost, remaining_s, *rest = fields[7:]
         if state not in _STATE_RANK:
             raise ValueError(f"unknown state {state!r}")
         announcement = Announcement(
@@ -129,7 +139,21 @@
             incarnation=incarnation,
             lease_s=remaining_s,
         )
-        return cls(upstream_id, announcement, state, owner, sequence, lost, now + remaining_s)
+        # A list that an earlier release saved has no rate limits.
+        rate_limit_per_s = rest[0] if rest else None
+        if rate_limit_per_s is not None and not 0 <= rate_limit_per_s < math.inf:
+            raise ValueError(f"invalid rate limit {rate_limit_per_s!r}")
+        expires_at = now + remaining_s
+        return cls(
+            upstream_id,
+            announcement,
+            state,
+            owner,
+            sequence,
+            lost,
+            expires_at,
+            rate_limit_per_s,
+        )
 
 
 class UpstreamList:
@@ -268,6 +292,33 @@
         self._store(entry, spread=True)
         return True
 
+    def set_rate_limit(
+        self, upstream_id: str, incarnation: int, limit_per_s: float | None
+    ) -> None:
+        """Set the rate limit of an upstream whose lease this instance owns; ignore others.
+
+        A small change of the limit is ignored, so that an upstream that names a slightly
+        different one in each response causes no flood of updates.
+        """
+        known = self.entries.get(upstream_id)
+        if known is None or known.owner != self.instance_id or known.is_tombstone:
+            return
+        if known.announcement.incarnation != incarnation:
+            return
+        if not differs_notably(known.rate_limit_per_s, limit_per_s):
+            return
+        changed = Entry(
+            upstream_id,
+            known.announcement,
+            known.state,
+            known.owner,
+            known.sequence + 1,
+            False,
+            known.expires_at,
+            limit_per_s,
+        )
+        self._store(changed, spread=True)
+
     def merge(self, now: float, entry: Entry) -> bool:
         """Merge an entry from another instance; return whether it was stored."""
         known = self.entries.get(entry.upstream_id)
@@ -404,11 +455,26 @@
     ) -> Entry:
         sequence = known.sequence + 1 if known else 1
         lease_s = TOMBSTONE_S if state == LEFT else announcement.lease_s
+        same_start = known and known.announcement.incarnation == announcement.incarnation
         return Entry(
-            upstream_id, announcement, state, self.instance_id, sequence, False, now + lease_s
+            upstream_id,
+            announcement,
+            state,
+            self.instance_id,
+            sequence,
+            False,
+            now + lease_s,
+            known.rate_limit_per_s if same_start else None,
         )
 
 
+def differs_notably(known: float | None, limit_per_s: float | None) -> bool:
+    """Return whether a rate limit differs from the known one by more than a small ratio."""
+    if known is None or limit_per_s is None:
+        return known is not limit_per_s
+    return abs(limit_per_s - known) > RATE_LIMIT_TOLERANCE_RATIO * known
+
+
 def _describe_rank(entry: Entry) -> str:
     incarnation, state, sequence, owner, lost = entry.rank()
     return f"{incarnation}.{state}.{sequence}.{owner}.{lost:d}"
--- a/src/foxtaildrum/fleet/views.py
+++ b/src/foxtaildrum/fleet/views.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 
 from ..admin.metrics import Meter
+from ..balancing.permits import NO_PERMIT_CLIENT, PermitClient
 from ..balancing.pools import UpstreamPool
 from ..balancing.splits import PoolChooser
 from ..logs import log_event
@@ -13,6 +14,7 @@
 from ..requests.proxy import Proxy, View
 from ..requests.routing import Router
 from ..requests.transport import get_adapter
+from .actions import PermitsAnswered
 from .node import Node
 
 
@@ -36,6 +38,8 @@
         Called with the identifier of an upstream that signalled a drain in a response.
     apply_limits : callable
         Called with the limits in the tables.
+    permit_client : PermitClient
+        Reports the rate limits of upstreams and requests permits for the pools.
     """
 
     def __init__(
@@ -52,6 +56,7 @@
         self._generation = -1
         self.notify_draining: Callable[[str], None] = _ignore
         self.apply_limits: Callable[[Limits], None] = _ignore
+        self.permit_client: PermitClient = NO_PERMIT_CLIENT
         self._entry_count = 0
 
     def publish(self, now: float, node: Node) -> None:
@@ -65,6 +70,12 @@
         for name in changed & pools.keys():
             pools[name].update_members(now, node.upstreams.list_members(name))
 
+    def deliver_permits(self, now: float, answer: PermitsAnswered) -> None:
+        """Pass the reply of an issuer on to the pool of the upstream."""
+        pool = self._proxy.view.pools.get(answer.pool)
+        if pool is not None:
+            pool.handle_permits(now, answer.reply)
+
     def get_pools(self) -> dict[str, UpstreamPool]:
         """Return the published pools by name."""
         return self._proxy.view.pools
@@ -82,6 +93,7 @@
         settings = self._settings
         if not self._entry_count:
             return
+        pool.set_entry_count(self._entry_count)
         if settings.retry_slack:
             pool.set_retry_slack(settings.retry_slack / self._entry_count)
         pool.set_status_check_rate(
@@ -121,6 +133,7 @@
                     self._notify_draining,
                     self._rng or random.Random(),
                     self._settings.instance_id,
+                    self.permit_client,
                 )
             pool.configure(record, busy_limit)
             pool.set_default_retry_ratio(self._settings.retry_budget_ratio)
--- a/src/foxtaildrum/kinds.py
+++ b/src/foxtaildrum/kinds.py
@@ -30,6 +30,7 @@
     NO_ROUTE = "no_route"
     NO_UPSTREAM = "no_upstream"
     OVERLOADED = "overloaded"
+    RATE_LIMITED = "rate_limited"
     DEADLINE_UNREACHABLE = "deadline_unreachable"
     DEADLINE_BEFORE_SEND = "deadline_before_send"
     CONNECT_FAILED = "connect_failed"
@@ -89,6 +90,9 @@
     ErrorKind.OVERLOADED: ErrorSpec(
         503, _NOT_RUN, Retry.NEVER, "The queue of the pool is full"
     ),
+    ErrorKind.RATE_LIMITED: ErrorSpec(
+        503, _NOT_RUN, Retry.NEVER, "The upstreams of the pool have reached their rate limits"
+    ),
     ErrorKind.DEADLINE_UNREACHABLE: ErrorSpec(
         503, _NOT_RUN, Retry.NEVER, "The queue is too long for the deadline"
     ),
--- a/src/foxtaildrum/records.py
+++ b/src/foxtaildrum/records.py
@@ -968,6 +968,90 @@
     """
 
 
+@dataclass(kw_only=True, slots=True)
+class RateLimitReport:
+    """
+    Reports the rate limit that an upstream names to the owner of its lease.
+    """
+
+    upstream_id: str
+    """
+    Upstream that names the limit.
+    """
+    incarnation: int
+    """
+    Incarnation of the upstream.
+    """
+    limit_per_s: float | None
+    """
+    Requests per second for the whole fleet; null when the upstream names no limit any more.
+    """
+
+
+@dataclass(kw_only=True, slots=True)
+class PermitRequest:
+    """
+    Requests permits for requests to an upstream that limits its rate.
+    """
+
+    upstream_id: str
+    """
+    Upstream to send requests to.
+    """
+    limit_per_s: float
+    """
+    Limit that the sender knows, in requests per second.
+    """
+    count: int
+    """
+    Permits wanted.
+    """
+    requested_at: float
+    """
+    Time of the request at its sender, in seconds, which the reply repeats.
+    """
+
+
+@dataclass(kw_only=True, slots=True)
+class PermitReply:
+    """
+    Grants permits, or says when to request them again.
+    """
+
+    upstream_id: str
+    """
+    Upstream that the permits are for.
+    """
+    count: int
+    """
+    Permits granted; 0 for none.
+    """
+    wait_s: float
+    """
+    Time before the first use, or before the next request, in seconds.
+    """
+    requested_at: float
+    """
+    Time in the request, in seconds.
+    """
+
+
+@dataclass(kw_only=True, slots=True)
+class PermitReturn:
+    """
+    Returns permits that were not used.
+    """
+
+    upstream_id: str
+    """
+    Upstream that the permits were for.
+    """
+    count: int
+    """
+    Permits returned.
+    """
+
+
 @dataclass(kw_only=True, slots=True)
 class Route:
     """
--- a/src/foxtaildrum/requests/dispatch.py
+++ b/src/foxtaildrum/requests/dispatch.py
@@ -48,11 +48,15 @@
         "head",
         "load_at_grant",
         "released",
+        "took_permit",
         "upstream",
     )
 
-    def __init__(self, upstream: UpstreamLoad, granted_at: float) -> None:
+    def __init__(
+        self, upstream: UpstreamLoad, granted_at: float, took_permit: bool = False
+    ) -> None:
         self.upstream = upstream
+        self.took_permit = took_permit
         self.granted_at = granted_at
         # Load report at the time of the grant, for the log; ``upstream`` is updated by later
         # reports.
@@ -161,6 +165,8 @@
             self._max_queue_wait_s,
             self._expected_response_bytes,
         )
+        # The replies arrive while the upstreams are checked.
+        self._pool.request_permits(read_clock())
         self._sampler.sample(action.excluded, self._expected_response_bytes)
         if self._exchange.get_attempt(action.attempt).hedge and not self._pool.has_room(
             read_clock(), action.excluded
@@ -172,9 +178,11 @@
         if ticket.granted is None:
             if ticket.refused is ErrorKind.CALLER_LEFT:
                 return steps.CallerLeft()
-            return steps.SlotRefused(action.attempt, ticket.refused)
+            return steps.SlotRefused(action.attempt, ticket.refused, ticket.retry_after_s)
         upstream = ticket.granted
-        self._attempt_states[action.attempt] = _AttemptState(upstream, read_clock())
+        self._attempt_states[action.attempt] = _AttemptState(
+            upstream, read_clock(), ticket.took_permit
+        )
         return steps.SlotGranted(action.attempt, upstream.upstream_id)
 
     def _wait_for_slot(self, ticket: Ticket) -> None:
@@ -282,7 +290,7 @@
         self._result = UpstreamResponse(attempt.head, body, buffered_body)
 
     def _set_error_response(self, action: steps.SendProblem) -> None:
-        self._result = ErrorResponse(action.kind, action.outcome)
+        self._result = ErrorResponse(action.kind, action.outcome, action.retry_after_s)
 
     def _finish(self, action: steps.TruncateResponse | steps.Finish) -> None:
         if self._result is None:
@@ -356,7 +364,9 @@
         limit_per_s = self._dialect.read_rate_limit(head.all_headers)
         # An error response may come from something in front of the upstream.
         if limit_per_s is not None or head.status < http.client.INTERNAL_SERVER_ERROR:
-            self._pool.record_rate_limit(now, attempt.upstream, limit_per_s)
+            self._pool.record_rate_limit(
+                now, attempt.upstream, limit_per_s, attempt.took_permit
+            )
         return steps.HeadReceived(number, head.status, not_run)
 
     def _log_failure(self, attempt: _AttemptState, error: TransportError) -> None:
--- a/src/foxtaildrum/requests/exchange.py
+++ b/src/foxtaildrum/requests/exchange.py
@@ -119,6 +119,7 @@
         "_max_attempts",
         "_not_run_statuses",
         "_relaying",
+        "_retry_after_s",
         "_tried_upstream_ids",
         "deadline",
         "error_kind",
@@ -146,6 +147,7 @@
         self._attempts: list[Attempt] = []
         self._tried_upstream_ids: frozenset[str] = frozenset()
         self._relaying = False
+        self._retry_after_s: float | None = None
         self.finished = False
         self.error_kind: ErrorKind | None = None
 
@@ -195,6 +197,7 @@
         attempt.phase = AttemptPhase.ENDED
         if attempt.hedge:
             self._budget.return_hedge()
+        self._retry_after_s = event.retry_after_s
         return self._finish_unless_pending(event.kind)
 
     def _handle_connected(self, now: float, event: Connected) -> list[Action]:
@@ -378,7 +381,7 @@
         outcome = ERROR_RESPONSES[kind].outcome
         if self.may_have_run:
             outcome = Outcome.UNKNOWN
-        return [SendProblem(kind, outcome), Finish()]
+        return [SendProblem(kind, outcome, self._retry_after_s), Finish()]
 
     def _relay(self, attempt: Attempt) -> list[Action]:
         self._relaying = True
--- a/src/foxtaildrum/requests/problem.py
+++ b/src/foxtaildrum/requests/problem.py
@@ -23,9 +23,20 @@
 
 
 def build_problem(
-    kind: ErrorKind, outcome: Outcome, request_id: str, dialect: Dialect | None = None
+    kind: ErrorKind,
+    outcome: Outcome,
+    request_id: str,
+    dialect: Dialect | None = None,
+    retry_after_s: float | None = None,
 ) -> tuple[str, list[tuple[str, str]], bytes]:
-    """Return the status line, headers and body for an error kind."""
+    """Return the status line, headers and body for an error kind.
+
+    Parameters
+    ----------
+    retry_after_s : float or None
+        Time after which the request may succeed, in seconds; None for the usual one of the
+        error kind.
+    """
     error_response = ERROR_RESPONSES[kind]
     dialect = dialect or Dialect()
     status = dialect.get_status(kind, outcome)
@@ -45,7 +56,9 @@
         ("X-Request-Id", request_id),
     ]
     if status == http.client.SERVICE_UNAVAILABLE:
-        wait_s = RETRY_AFTER_BY_KIND_S.get(kind, DEFAULT_RETRY_AFTER_S)
+        wait_s = retry_after_s
+        if wait_s is None:
+            wait_s = RETRY_AFTER_BY_KIND_S.get(kind, DEFAULT_RETRY_AFTER_S)
         headers.append(("Retry-After", dialect.format_retry_after(wait_s)))
     return format_status(status), headers, body
 
@@ -56,9 +69,10 @@
     outcome: Outcome,
     request_id: str,
     dialect: Dialect | None = None,
+    retry_after_s: float | None = None,
 ) -> Iterable[bytes]:
     """Start an error response and return its body."""
-    status, headers, body = build_problem(kind, outcome, request_id, dialect)
+    status, headers, body = build_problem(kind, outcome, request_id, dialect, retry_after_s)
     start_response(status, headers)
     return [body]
 
--- a/src/foxtaildrum/requests/proxy.py
+++ b/src/foxtaildrum/requests/proxy.py
@@ -243,7 +243,12 @@
             granted_claim.complete(result)
         if isinstance(result, ErrorResponse):
             return self._send_error(
-                request, start_response, result.kind, result.outcome, dispatch.attempts
+                request,
+                start_response,
+                result.kind,
+                result.outcome,
+                dispatch.attempts,
+                result.retry_after_s,
             )
         return self._send_response(request, start_response, dispatch, result)
 
@@ -295,6 +300,7 @@
         kind: ErrorKind,
         outcome: Outcome = Outcome.NOT_RUN,
         attempts: int = 0,
+        retry_after_s: float | None = None,
     ) -> Iterable[bytes]:
         status = self.dialect.get_status(kind, outcome)
         latency_s = read_clock() - request.arrived_at
@@ -308,7 +314,9 @@
             kind=kind.value,
             outcome=outcome.value,
         )
-        return send_problem(start_response, kind, outcome, request.request_id, self.dialect)
+        return send_problem(
+            start_response, kind, outcome, request.request_id, self.dialect, retry_after_s
+        )
 
     def _record(
         self,
--- a/src/foxtaildrum/requests/relays.py
+++ b/src/foxtaildrum/requests/relays.py
@@ -15,13 +15,23 @@
 
 
 class ErrorResponse:
-    """An error response that this instance generates itself."""
+    """An error response that this instance generates itself.
 
-    __slots__ = ("kind", "outcome")
+    Parameters
+    ----------
+    retry_after_s : float or None
+        Time after which the request may succeed, in seconds; None for the usual one of the
+        error kind.
+    """
 
-    def __init__(self, kind: ErrorKind, outcome: Outcome) -> None:
+    __slots__ = ("kind", "outcome", "retry_after_s")
+
+    def __init__(
+        self, kind: ErrorKind, outcome: Outcome, retry_after_s: float | None = None
+    ) -> None:
         self.kind = kind
         self.outcome = outcome
+        self.retry_after_s = retry_after_s
 
 
 class UpstreamResponse:
--- a/src/foxtaildrum/requests/steps.py
+++ b/src/foxtaildrum/requests/steps.py
@@ -46,10 +46,17 @@
 
 @dataclass(slots=True)
 class SlotRefused:
-    """The balancer refused the attempt a slot."""
+    """The balancer refused the attempt a slot.
+
+    Parameters
+    ----------
+    retry_after_s : float or None
+        Time after which the request may succeed, in seconds; None if unknown.
+    """
 
     attempt: int
     kind: ErrorKind
+    retry_after_s: float | None = None
 
 
 @dataclass(slots=True)
@@ -200,10 +207,17 @@
 
 @dataclass(slots=True)
 class SendProblem:
-    """Respond to the caller with a problem document."""
+    """Respond to the caller with a problem document.
+
+    Parameters
+    ----------
+    retry_after_s : float or None
+        Time after which the request may succeed, in seconds; None for the usual one.
+    """
 
     kind: ErrorKind
     outcome: Outcome
+    retry_after_s: float | None = None
 
 
 @dataclass(slots=True)
--- a/tests/serving_fleet.py
+++ b/tests/serving_fleet.py
@@ -12,6 +12,7 @@
 from foxtaildrum.balancing.pools import UpstreamPool
 from foxtaildrum.balancing.tickets import Ticket
 from foxtaildrum.control.desired import DesiredState
+from foxtaildrum.fleet.actions import PermitsAnswered
 from foxtaildrum.fleet.views import ViewPublisher
 from foxtaildrum.kinds import ErrorKind
 from foxtaildrum.records import Settings
@@ -30,6 +31,7 @@
 TIMEOUT_S = 1.2
 QUEUE_WAIT_S = 0.05
 POLL_S = 0.01
+CHECK_S = 0.002
 
 
 class SimulatedUpstream:
@@ -53,6 +55,21 @@
         return sum(start <= t < end for t, _ in self.arrivals)
 
 
+class _SimulatedPermitClient:
+    """Passes what a pool reports and requests on to its node, as the next event."""
+
+    def __init__(self, fleet: ServingFleet, host: Host) -> None:
+        self._fleet = fleet
+        self._host = host
+
+    def __getattr__(self, method: str) -> Any:
+        def call(*arguments: Any) -> None:
+            name, generation = self._host.instance_id, self._host.generation
+            self._fleet.schedule(0.0, "call", name, generation, method, arguments)
+
+        return call
+
+
 class ServingFleet(Fleet):
     """Fleet of control and entry instances with callers and upstreams.
 
@@ -116,6 +133,12 @@
 
     # Events.
 
+    def _do_call(self, name: str, generation: int, method: str, arguments: tuple) -> None:
+        host = self.hosts[name]
+        if host.node is not None and host.generation == generation:
+            node_method = getattr(host.node, method)
+            self.perform(host, node_method(host.read_clock(), *arguments))
+
     def _do_resume(self, name: str) -> None:
         self.resume(name)
 
@@ -145,10 +168,19 @@
         pool = self.get_pool(name)
         if pool is None or host.paused or not host.node.is_open(host.read_clock()):
             return
+        pool.request_permits(host.read_clock())
+        self.schedule(CHECK_S, "check", name, host.generation)
+
+    def _do_check(self, name: str, generation: int) -> None:
+        """Request a slot, after the time that status checks take."""
+        host = self.hosts[name]
+        pool = self.get_pool(name)
+        if pool is None or host.generation != generation or host.paused:
+            return
         now = host.read_clock()
         ticket = Ticket(now + TIMEOUT_S, frozenset(), max_queue_wait_s=QUEUE_WAIT_S)
         pool.request_slot(now, ticket, True)
-        self._settle(name, host.generation, ticket, self.now)
+        self._settle(name, generation, ticket, self.now)
 
     def _settle(self, name: str, generation: int, ticket: Ticket, arrived: float) -> None:
         if ticket.granted is not None:
@@ -183,7 +215,7 @@
             return
         upstream = self.upstreams[ticket.granted.upstream_id]
         now = host.read_clock()
-        pool.record_rate_limit(now, ticket.granted, upstream.limit_per_s)
+        pool.record_rate_limit(now, ticket.granted, upstream.limit_per_s, ticket.took_permit)
         pool.release(now, ticket.granted, AttemptResult.OK, held_s)
         self.served_at.append(self.now)
 
@@ -196,10 +228,15 @@
         if known is None or known[0] != host.generation:
             known = (host.generation, self._build_publisher(host))
             self.publishers[host.instance_id] = known
+        for action in actions:
+            if isinstance(action, PermitsAnswered):
+                known[1].deliver_permits(host.read_clock(), action)
         known[1].publish(host.read_clock(), host.node)
 
     def _build_publisher(self, host: Host) -> ViewPublisher:
         settings = Settings(role="entry", instance_id=host.instance_id, access_log=False)
         meter = Meter()
         rng = random.Random(f"{self.seed}-{host.instance_id}-{host.generation}-pools")
-        return ViewPublisher(settings, Proxy(meter, False), meter, rng)
+        publisher = ViewPublisher(settings, Proxy(meter, False), meter, rng)
+        publisher.permit_client = _SimulatedPermitClient(self, host)
+        return publisher
--- a/tests/standins/upstream.py
+++ b/tests/standins/upstream.py
@@ -51,6 +51,8 @@
         Number of requests that may wait for a slot; further ones are refused.
     stalled : bool
         Whether running requests wait until this is false again.
+    rate_limit : float
+        Requests per second that the responses name as the limit; negative for none.
     """
 
     def __init__(self) -> None:
@@ -69,6 +71,7 @@
         self.max_queue = 1000
         self.fixed = False
         self.stalled = False
+        self.rate_limit = -1.0
 
 
 class Upstream:
@@ -315,6 +318,8 @@
             lines.append(f"endpoint-load-metrics: {self.upstream.report_load()}")
         if self.upstream.behaviour.draining:
             lines.append("X-Upstream-State: draining")
+        if self.upstream.behaviour.rate_limit >= 0:
+            lines.append(f"X-Upstream-Rate-Limit: {self.upstream.behaviour.rate_limit}")
         if close:
             lines.append("Connection: close")
         lines += [f"{name}: {value}" for name, value in extra or []]
--- a/tests/test_frames.py
+++ b/tests/test_frames.py
@@ -24,6 +24,7 @@
     "str": st.text(max_size=20),
     "bool": st.booleans(),
     "float": st.floats(allow_nan=False),
+    "float | None": st.none() | st.floats(allow_nan=False),
     "bytes": st.binary(max_size=40),
     "list[Any]": st.lists(st.integers(0, 9), max_size=4),
 }
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -358,3 +358,17 @@
         site.apply("routes", [{"name": "r", "pool": "p", "timeout_ms": 2000}])
         site.add_upstreams("p", 1, service_ms=1, fixed=True)
         assert site.send("GET", "/x").status == 200
+
+
+def test_requests_beyond_the_rate_limit_of_every_upstream_are_refused_as_not_run(tmp_path):
+    with open_site(tmp_path) as site:
+        site.apply("pools", [{"name": "p"}])
+        site.apply("routes", [{"name": "p", "path_prefix": "/", "pool": "p"}])
+        process = site.add_upstreams("p", 1, service_ms=1, fixed=True, rate_limit=0.1)
+        assert site.send("GET", "/one").status == 200
+        refused = [r for r in (site.send("GET", "/one") for _ in range(3)) if r.status == 503]
+        assert len(refused) >= 2
+        assert {json.loads(r.body)["kind"] for r in refused} == {"rate_limited"}
+        assert {r.outcome for r in refused} == {"not-run"}
+        assert all(int(r.headers["retry-after"]) >= 1 for r in refused)
+        assert sum(process.count_runs().values()) <= 2
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -2,8 +2,19 @@
 
 from __future__ import annotations
 
+import random
+
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from foxtaildrum.balancing.permits import PERMIT_VALID_S, REPLY_TIMEOUT_S, Permits
+from foxtaildrum.exceptions import FrameError
+from foxtaildrum.fleet.limiting import BURST_PERMITS, MAX_RESERVATION_S, PermitIssuer
+from foxtaildrum.fleet.upstreams import Entry, UpstreamList
+from foxtaildrum.records import Announcement, PermitReply, PermitRequest, RateLimitReport
 
+from .fleet import form_fleet
 from .serving_fleet import ServingFleet, SimulatedUpstream
 
 WINDOW_S = 4.0
@@ -113,3 +124,89 @@
     fleet.run(8.0)
     usual = 112.0 / 13
     assert fleet.upstreams["u0"].count_arrivals(fleet.now - 4.0, fleet.now) > 2.0 * usual
+
+
+def test_permits_are_not_used_after_their_time():
+    permits = Permits(2.0, random.Random(1))
+    assert permits.plan_request(10.0, entry_count=16) == 1
+    permits.handle_reply(10.1, requested_at=10.0, count=1, wait_s=0.2)
+    assert not permits.is_held(10.2)
+    assert permits.is_held(10.31)
+    assert not permits.is_held(10.2 + PERMIT_VALID_S)
+    assert permits.pop_expired(12.0) == 1
+    assert permits.pop_expired(12.0) == 0
+
+
+def test_a_reply_to_an_earlier_request_grants_nothing():
+    permits = Permits(2.0, random.Random(1))
+    permits.plan_request(10.0, entry_count=16)
+    assert permits.plan_request(10.0 + REPLY_TIMEOUT_S, entry_count=16) == 1
+    permits.handle_reply(11.0, requested_at=10.0, count=1, wait_s=0.0)
+    assert not permits.is_held(11.0)
+
+
+def test_without_a_reply_all_instances_together_stay_below_the_limit():
+    limit_per_s, entry_count, duration_s = 5.0, 20, 100
+    sent = 0
+    for number in range(entry_count):
+        permits = Permits(limit_per_s, random.Random(number))
+        for step in range(duration_s * 10):
+            permits.plan_request(step / 10, entry_count)
+            if permits.is_held(step / 10):
+                permits.take()
+                sent += 1
+    assert 0 < sent <= limit_per_s * duration_s
+
+
+@given(st.lists(st.tuples(st.floats(0.0, 2.0), st.integers(1, 50)), min_size=1, max_size=60))
+def test_an_issuer_never_exceeds_its_rate(requests):
+    limit_per_s = 4.0
+    issuer = PermitIssuer(0.0, limit_per_s)
+    now, issued = 0.0, 0
+    for pause_s, wanted in requests:
+        now += pause_s
+        count, wait_s = issuer.issue(now, limit_per_s, wanted)
+        issued += count
+        assert count <= wanted
+        assert issued <= limit_per_s * (now + MAX_RESERVATION_S) + BURST_PERMITS + 1
+
+
+@pytest.mark.parametrize(
+    "message",
+    [
+        RateLimitReport(upstream_id="u0", incarnation=1, limit_per_s=float("inf")),
+        RateLimitReport(upstream_id="u0", incarnation=1, limit_per_s=-1.0),
+        PermitRequest(upstream_id="u0", limit_per_s=float("nan"), count=1, requested_at=0.0),
+        PermitReply(upstream_id="u0", count=-1, wait_s=0.0, requested_at=0.0),
+        PermitReply(upstream_id="u0", count=1, wait_s=float("inf"), requested_at=0.0),
+    ],
+)
+def test_a_message_with_values_out_of_range_is_refused(message):
+    fleet = form_fleet()
+    node = fleet.hosts["e1"].node
+    with pytest.raises(FrameError):
+        node.receive(fleet.now, "c1", message)
+
+
+def test_an_upstream_list_saved_before_there_were_rate_limits_is_read():
+    entry = build_limited_entry()
+    fields = entry.to_wire(0.0)
+    assert Entry.from_wire(0.0, fields).rate_limit_per_s == 2.5
+    assert Entry.from_wire(0.0, fields[:-1]).rate_limit_per_s is None
+
+
+def test_a_rate_limit_ends_with_the_start_that_named_it():
+    upstreams = UpstreamList("c1")
+    for incarnation, expected in ((1, None), (2, None)):
+        announcement = Announcement(pool="p", address="127.0.0.1:1", incarnation=incarnation)
+        upstreams.announce(0.0, "u", announcement, lambda owner: True)
+        assert upstreams.entries["u"].rate_limit_per_s is expected
+        upstreams.set_rate_limit("u", incarnation, 2.5)
+        assert upstreams.entries["u"].rate_limit_per_s == 2.5
+    upstreams.set_rate_limit("u", 1, None)
+    assert upstreams.entries["u"].rate_limit_per_s == 2.5
+
+
+def build_limited_entry() -> Entry:
+    announcement = Announcement(pool="p", address="127.0.0.1:1", incarnation=1)
+    return Entry("u", announcement, "ready", "c1", 1, False, 6.0, 2.5)
