Log the fingerprint of a request under which an upstream ended

It now has a fingerprint of method, host, target, caller and body, and whether the upstream refuses connections after it broke off. Nothing is decided by it yet.

--- a/src/foxtaildrum/logevents.py
+++ b/src/foxtaildrum/logevents.py
@@ -14,7 +14,7 @@
         "pace",
         "report_age_ms",
     ),
-    "attempt_failed": ("request_id", "upstream", "kind", "reason"),
+    "attempt_failed": ("request_id", "fingerprint", "upstream", "kind", "crashed", "reason"),
     "claim_not_stored": ("claim",),
     "claims_recovered": ("claims",),
     "claims_recovering": ("awaited",),
--- a/src/foxtaildrum/requests/dispatch.py
+++ b/src/foxtaildrum/requests/dispatch.py
@@ -19,6 +19,7 @@
 from . import steps
 from .dialects import Dialect
 from .exchange import RETRYABLE_STATUSES, Exchange
+from .fingerprints import compute_fingerprint, compute_head_digest
 from .relays import ErrorResponse, StreamedBody, UpstreamResponse, read_spooled
 from .transport import (
     CHUNK_BYTES,
@@ -27,10 +28,12 @@
     Head,
     OutgoingRequest,
     TransportError,
+    refuses_connections,
 )
 
 CONNECT_TIMEOUT_S = 0.4
 CALLER_POLL_S = 0.05
+CRASH_CHECK_TIMEOUT_S = 0.1
 # Responses with a declared length up to this are read completely before they are relayed.
 PREFETCH_BYTES = 262_144
 # An older report, or an upstream without any report, is logged with an age of -1.
@@ -124,6 +127,7 @@
         self._attempt_states: dict[int, _AttemptState] = {}
         self._actions: deque[steps.Action] = deque()
         self._result: ErrorResponse | UpstreamResponse | None = None
+        self._fingerprint = ""
         self.upstream_id = ""
         self.held_s = 0.0
 
@@ -350,7 +354,7 @@
             if attempt.body is None:
                 attempt.chunks = self._prefetch_chunk(attempt)
         except TransportError as error:
-            self._log_failure(attempt, error)
+            self._record_failure(attempt, error)
             return steps.AttemptFailed(number, error.kind)
         except CancelledError:
             return steps.CallerLeft()
@@ -369,15 +373,32 @@
             )
         return steps.HeadReceived(number, head.status, not_run)
 
-    def _log_failure(self, attempt: _AttemptState, error: TransportError) -> None:
+    def _record_failure(self, attempt: _AttemptState, error: TransportError) -> None:
         log_event(
             "attempt_failed",
             request_id=self._request.request_id,
+            fingerprint=self._get_fingerprint(),
             upstream=attempt.upstream.upstream_id,
             kind=error.kind.value,
+            crashed=self._has_crashed(attempt, error),
             reason=repr(error.__cause__),
         )
 
+    def _has_crashed(self, attempt: _AttemptState, error: TransportError) -> bool:
+        """Return whether an upstream ended while it ran the request.
+
+        A connection also ends for other reasons; but then the upstream still accepts others.
+        """
+        if error.kind is not ErrorKind.ANSWER_LOST or error.timed_out:
+            return False
+        return refuses_connections(attempt.upstream.address, CRASH_CHECK_TIMEOUT_S)
+
+    def _get_fingerprint(self) -> str:
+        if not self._fingerprint:
+            head_digest = compute_head_digest(self._request)
+            self._fingerprint = compute_fingerprint(self._request, head_digest)
+        return self._fingerprint
+
     def _check_response(self, number: int, head: Head, not_run: bool) -> None:
         dialect = self._dialect
         stated_id = head.all_headers.get(dialect.response_id_header, "")
--- a/src/foxtaildrum/requests/transport.py
+++ b/src/foxtaildrum/requests/transport.py
@@ -183,6 +183,17 @@
     return bool(poll.poll(0))
 
 
+def refuses_connections(address: str, timeout_s: float) -> bool:
+    """Return whether nothing listens at an address; False if that is not known in time."""
+    try:
+        socket.create_connection(parse_address(address), timeout_s).close()
+    except ConnectionRefusedError:
+        return True
+    except OSError:
+        return False
+    return False
+
+
 class _UpstreamHTTPConnection(HTTPConnection):
     """Connection whose response is relayed unchanged.
 
