--- a/tests/serving_fleet.py
+++ b/tests/serving_fleet.py
@@ -43,6 +43,12 @@
         Limit that the responses name.
     arrivals : list of tuple
         Time and sending instance of each request.
+    running : dict
+        Requests that run, by the identity of their tickets.
+    up : bool
+        Whether the upstream accepts connections.
+    incarnation : int
+        Number that increases with each start.
     """
 
     def __init__(self, name: str, zone: str) -> None:
@@ -50,11 +56,38 @@
         self.zone = zone
         self.limit_per_s: float | None = None
         self.arrivals: list[tuple[float, str]] = []
+        self.running: dict[int, SimulatedRequest] = {}
+        self.up = True
+        self.incarnation = 1
 
     def count_arrivals(self, start: float, end: float) -> int:
         return sum(start <= t < end for t, _ in self.arrivals)
 
 
+class SimulatedRequest:
+    """One request of a caller at one instance.
+
+    Attributes
+    ----------
+    fingerprint : str
+        Equal for the same request of the same caller.
+    crashes : bool
+        Whether an upstream that runs it crashes.
+    attempts : int
+        Upstreams that it may be sent to beyond the present one.
+    """
+
+    def __init__(self, name: str, generation: int, fingerprint: str, crashes: bool) -> None:
+        self.name = name
+        self.generation = generation
+        self.fingerprint = fingerprint
+        self.crashes = crashes
+        self.attempts = 1
+        self.ticket: Ticket | None = None
+        self.arrived = 0.0
+        self.tried: frozenset[str] = frozenset()
+
+
 class _SimulatedPermitClient:
     """Passes what a pool reports and requests on to its node, as the next event."""
 
@@ -98,6 +131,10 @@
     ) -> None:
         self.publishers: dict[str, tuple[int, ViewPublisher]] = {}
         self.served_at: list[float] = []
+        self.request_count = 0
+        self.sent: list[tuple[float, str, str]] = []
+        self.crashes: list[tuple[float, str, str]] = []
+        self.refused_fingerprints: list[tuple[float, str]] = []
         self.refused_at: list[tuple[float, float, ErrorKind]] = []
         self.upstreams = {
             f"u{n}": SimulatedUpstream(f"u{n}", f"zone-{n % 3}") for n in range(upstreams)
@@ -145,12 +182,15 @@
     def _do_announce(self, name: str) -> None:
         self.schedule(ANNOUNCE_PERIOD_S, "announce", name)
         upstream = self.upstreams[name]
+        if not upstream.up:
+            return
         running = [c for c in self.control if self.hosts[c].node and not self.hosts[c].paused]
         if running:
             number = list(self.upstreams).index(name)
             self.announce(
                 running[number % len(running)],
                 name,
+                upstream.incarnation,
                 pool=POOL,
                 address=f"10.0.0.1:{1000 + number}",
                 availability_zone=upstream.zone,
@@ -164,61 +204,150 @@
 
     def _do_arrive(self, name: str) -> None:
         self._schedule_arrival(name)
+        self.request_count += 1
+        self.send_request(name, f"ordinary-{self.request_count}")
+
+    def _do_repeat(self, fingerprint: str, crashes: bool, period_s: float) -> None:
+        """Send the same request through any instance, again and again."""
+        self.schedule(
+            period_s * self.rng.uniform(0.5, 1.5), "repeat", fingerprint, crashes, period_s
+        )
+        self.send_request(self.rng.choice(self.entries), fingerprint, crashes)
+
+    def send_request(self, name: str, fingerprint: str, crashes: bool = False) -> None:
+        """Send a request through an instance, unless it is down or serves no callers."""
         host = self.hosts[name]
         pool = self.get_pool(name)
         if pool is None or host.paused or not host.node.is_open(host.read_clock()):
             return
+        request = SimulatedRequest(name, host.generation, fingerprint, crashes)
         pool.request_permits(host.read_clock())
-        self.schedule(CHECK_S, "check", name, host.generation)
+        self.schedule(CHECK_S, "check", request)
 
-    def _do_check(self, name: str, generation: int) -> None:
+    def _do_check(self, request: SimulatedRequest) -> None:
         """Request a slot, after the time that status checks take."""
-        host = self.hosts[name]
-        pool = self.get_pool(name)
-        if pool is None or host.generation != generation or host.paused:
+        pool = self._get_request_pool(request)
+        host = self.hosts[request.name]
+        if pool is None or host.paused:
             return
         now = host.read_clock()
-        ticket = Ticket(now + TIMEOUT_S, frozenset(), max_queue_wait_s=QUEUE_WAIT_S)
-        pool.request_slot(now, ticket, True)
-        self._settle(name, generation, ticket, self.now)
+        if not self._may_send(request):
+            self.refused_fingerprints.append((self.now, request.fingerprint))
+            return
+        request.arrived = self.now
+        request.ticket = Ticket(now + TIMEOUT_S, request.tried, max_queue_wait_s=QUEUE_WAIT_S)
+        pool.request_slot(now, request.ticket, True)
+        self._settle(request)
+
+    def _may_send(self, request: SimulatedRequest) -> bool:
+        return True
+
+    def _get_request_pool(self, request: SimulatedRequest) -> UpstreamPool | None:
+        pool = self.get_pool(request.name)
+        return pool if self.hosts[request.name].generation == request.generation else None
 
-    def _settle(self, name: str, generation: int, ticket: Ticket, arrived: float) -> None:
+    def _settle(self, request: SimulatedRequest) -> None:
+        ticket = request.ticket
         if ticket.granted is not None:
-            upstream = self.upstreams[ticket.granted.upstream_id]
-            upstream.arrivals.append((self.now, name))
-            held_s = self.service_s * self.rng.uniform(0.7, 1.3)
-            self.schedule(held_s, "finish", name, generation, ticket, held_s)
+            self._run(request)
         elif ticket.refused is not None:
-            self.refused_at.append((self.now, self.now - arrived, ticket.refused))
+            self.refused_at.append((self.now, self.now - request.arrived, ticket.refused))
         else:
-            self.schedule(POLL_S, "poll", name, generation, ticket, arrived)
+            self.schedule(POLL_S, "poll", request)
 
-    def _do_poll(self, name: str, generation: int, ticket: Ticket, arrived: float) -> None:
-        host = self.hosts[name]
-        pool = self.get_pool(name)
-        if pool is None or host.generation != generation:
+    def _do_poll(self, request: SimulatedRequest) -> None:
+        pool = self._get_request_pool(request)
+        if pool is None:
             return
+        host, ticket = self.hosts[request.name], request.ticket
         now = host.read_clock()
         if not ticket.completed and now >= ticket.queue_deadline:
             pool.cancel_ticket(ticket, ErrorKind.OVERLOADED)
         elif not ticket.completed and not host.paused:
             pool.serve_queue(now)
-        self._settle(name, generation, ticket, arrived)
+        self._settle(request)
 
-    def _do_finish(self, name: str, generation: int, ticket: Ticket, held_s: float) -> None:
-        host = self.hosts[name]
-        pool = self.get_pool(name)
-        if pool is None or host.generation != generation:
+    def _run(self, request: SimulatedRequest) -> None:
+        """Run a request at the upstream that granted it a slot."""
+        ticket = request.ticket
+        upstream = self.upstreams[ticket.granted.upstream_id]
+        if not upstream.up:
+            pool = self._get_request_pool(request)
+            now = self.hosts[request.name].read_clock()
+            pool.release(now, ticket.granted, AttemptResult.UNREACHABLE, 0.0)
+            self._retry(request, upstream)
+            return
+        upstream.arrivals.append((self.now, request.name))
+        self.sent.append((self.now, request.name, request.fingerprint))
+        upstream.running[id(ticket)] = request
+        held_s = self.service_s * self.rng.uniform(0.7, 1.3)
+        if request.crashes:
+            self.schedule(
+                held_s, "crash_upstream", upstream.name, upstream.incarnation, request
+            )
+        else:
+            self.schedule(held_s, "finish", request, held_s)
+
+    def _retry(self, request: SimulatedRequest, upstream: SimulatedUpstream) -> None:
+        if request.attempts:
+            request.attempts -= 1
+            request.tried |= {upstream.name}
+            self.schedule(0.0, "check", request)
+
+    def _do_finish(self, request: SimulatedRequest, held_s: float) -> None:
+        pool = self._get_request_pool(request)
+        host, ticket = self.hosts[request.name], request.ticket
+        upstream = self.upstreams[ticket.granted.upstream_id]
+        if pool is None:
+            upstream.running.pop(id(ticket), None)
             return
         if host.paused:
-            self.schedule(POLL_S, "finish", name, generation, ticket, held_s)
+            self.schedule(POLL_S, "finish", request, held_s)
+            return
+        if upstream.running.pop(id(ticket), None) is None:
             return
-        upstream = self.upstreams[ticket.granted.upstream_id]
         now = host.read_clock()
         pool.record_rate_limit(now, ticket.granted, upstream.limit_per_s, ticket.took_permit)
         pool.release(now, ticket.granted, AttemptResult.OK, held_s)
+        self._report_success(request)
         self.served_at.append(self.now)
 
+    def _do_crash_upstream(
+        self, name: str, incarnation: int, culprit: SimulatedRequest
+    ) -> None:
+        """End an upstream under all requests that it runs; it is back after some seconds."""
+        upstream = self.upstreams[name]
+        if not upstream.up or upstream.incarnation != incarnation:
+            return
+        self.crashes.append((self.now, name, culprit.fingerprint))
+        upstream.up = False
+        for request in upstream.running.values():
+            self.schedule(0.001, "lose_answer", request, name, incarnation)
+        upstream.running.clear()
+        self.schedule(self.rng.uniform(2.0, 5.0), "restart_upstream", name)
+
+    def _do_restart_upstream(self, name: str) -> None:
+        self.upstreams[name].up = True
+        self.upstreams[name].incarnation += 1
+
+    def _do_lose_answer(self, request: SimulatedRequest, name: str, incarnation: int) -> None:
+        pool = self._get_request_pool(request)
+        if pool is None:
+            return
+        host = self.hosts[request.name]
+        if host.paused:
+            self.schedule(POLL_S, "lose_answer", request, name, incarnation)
+            return
+        pool.release(host.read_clock(), request.ticket.granted, AttemptResult.FAILED, 0.0)
+        self._report_crash(request, name, incarnation)
+        self._retry(request, self.upstreams[name])
+
+    def _report_crash(self, request: SimulatedRequest, name: str, incarnation: int) -> None:
+        """Tell the node that an upstream ended while it ran a request."""
+
+    def _report_success(self, request: SimulatedRequest) -> None:
+        """Tell the node that an upstream ran a request to its end."""
+
     def perform(self, host: Host, actions: list[Any]) -> None:
         """Perform the actions of a node and publish its state to its pools."""
         super().perform(host, actions)
