Test of a busy pool: decide by the service time and not by a limit of 5 ms

The test now lets the instance learn a service time of 300 ms and sends with a limit of 500 ms: refused when it arrives, as before, and checked as strictly.

--- a/tests/test_request_matrix.py
+++ b/tests/test_request_matrix.py
@@ -14,6 +14,10 @@
 # Faults that every upstream shows; the value is sent as the stand-in's X-Fault header.
 FAULTS_OF_EVERY_UPSTREAM = {"shed-everywhere": "shed"}
 
+BUSY_SERVICE_MS = 300
+# Shorter than twice the service time, so that the request is refused when it arrives.
+BUSY_TIMEOUT_MS = 500
+
 
 @pytest.fixture(scope="module")
 def site(tmp_path_factory):
@@ -45,6 +49,11 @@
         site.announce(
             "busy-1", "busy", site.upstreams["busy"].ports["busy-1"], slots=1, incarnation=2
         )
+        # Teaches the instance how long the pool takes.
+        busy = site.upstreams["busy"]
+        busy.set_behaviour("busy-1", service_ms=BUSY_SERVICE_MS)
+        site.send("POST", "/busy/first")
+        busy.set_behaviour("busy-1", service_ms=2000)
         yield site
 
 
@@ -105,7 +114,7 @@
     case_run.site.send_and_disconnect(
         "POST", "/busy/blocker", blocker, lambda: busy.describe("busy-1")["busy"] > 0
     )
-    return case_run.run("busy", **{"X-Request-Timeout-Ms": "5"})
+    return case_run.run("busy", **{"X-Request-Timeout-Ms": str(BUSY_TIMEOUT_MS)})
 
 
 def run_after_quiet_close(case_run: CaseRun):
