Refuse a request at every instance once three upstreams have crashed under it

What callers saw: all requests of a pool failed for seconds, because one request came again and again and crashed 31 to 38 upstreams; it was sent 18 to 21 times after the third crash.

Cause: each instance knew only the crashes under its own attempts and forgot them with the request.

Ruled out: repeats within one request (none had more attempts than its route allows), and an instance that sent it after it had seen three crashes (none had seen three).

Every instance refuses a request with three.

--- a/src/foxtaildrum/admin/access.py
+++ b/src/foxtaildrum/admin/access.py
@@ -113,6 +113,22 @@
         self.return_permits = node.return_permits.defer
 
 
+class NodeCrashes:
+    """Reports crashes of upstreams through the node; no call waits.
+
+    Parameters
+    ----------
+    node : ActorProxy
+        Proxy of the node's actor.
+    """
+
+    __slots__ = ("clear_crashes", "report_crash")
+
+    def __init__(self, node: pykka.ActorProxy) -> None:
+        self.report_crash = node.report_crash.defer
+        self.clear_crashes = node.clear_crashes.defer
+
+
 class NodeAccess:
     """Gives the admin interface access to the node, the counters and the pools.
 
--- a/src/foxtaildrum/fleet/gossip.py
+++ b/src/foxtaildrum/fleet/gossip.py
@@ -9,7 +9,9 @@
 from ..events import Send
 from .actions import ActionQueue, MemberChanged
 from .announcing import UpstreamPart
+from .crashing import CrashPart
 from .currency import Currency
+from .digest import BucketDigest
 from .membership import LocalSummary, Member, Membership
 from .parts import Part, handles
 from .relaying import TablePart
@@ -28,6 +30,8 @@
         Instances of the fleet.
     upstreams : UpstreamPart
         Upstreams of this instance.
+    crashes : CrashPart
+        Crashes that this instance knows.
     tables : TablePart
         Tables of this instance.
     currency : Currency
@@ -48,6 +52,7 @@
         self,
         members: Membership,
         upstreams: UpstreamPart,
+        crashes: CrashPart,
         tables: TablePart,
         currency: Currency,
         list_control_instances: Callable[[], list[str]],
@@ -58,6 +63,7 @@
     ) -> None:
         self._members = members
         self._upstreams = upstreams
+        self._crashes = crashes
         self._tables = tables
         self._currency = currency
         self._list_control_instances = list_control_instances
@@ -122,15 +128,19 @@
 
     @handles(r.SyncBuckets)
     def handle_sync_buckets(self, now: float, peer: str, message: r.SyncBuckets) -> None:
-        """Send the members or upstreams that another instance lacks."""
+        """Send the members, upstreams or crashes that another instance lacks."""
+        buckets = self._get_digest(message.subject).find_differences(message.hashes)
+        repair: r.MemberNews | r.UpstreamNews | r.CrashNews
         if message.subject == "members":
-            buckets = self._members.digest.find_differences(message.hashes)
             found = [m.to_wire() for m in self._members.list_in_buckets(buckets)]
-            repair: r.MemberNews | r.UpstreamNews = r.MemberNews(members=found)
+            repair = r.MemberNews(members=found)
+        elif message.subject == "crashes":
+            crashes = self._crashes.crashes.list_in_buckets(buckets)
+            found = [c.to_wire(now) for c in crashes]
+            repair = r.CrashNews(records=found)
         else:
-            upstreams = self._upstreams.upstreams
-            buckets = upstreams.digest.find_differences(message.hashes)
-            found = [e.to_wire(now) for e in upstreams.list_in_buckets(buckets)]
+            entries = self._upstreams.upstreams.list_in_buckets(buckets)
+            found = [e.to_wire(now) for e in entries]
             repair = r.UpstreamNews(entries=found, token="")
         if found:
             self._actions.add(Send(peer, repair))
@@ -141,6 +151,7 @@
         summary = LocalSummary()
         self._tables.fill_summary(now, summary)
         summary.upstreams_root = self._upstreams.upstreams.digest.compute_root()
+        summary.crashes_root = self._crashes.crashes.digest.compute_root()
         return summary
 
     def _ping_control_instances(self, now: float) -> None:
@@ -168,6 +179,8 @@
             self._request_repair(now, peer, "members")
         if message.upstreams_root != self._upstreams.upstreams.digest.compute_root():
             self._request_repair(now, peer, "upstreams")
+        if message.crashes_root != self._crashes.crashes.digest.compute_root():
+            self._request_repair(now, peer, "crashes")
 
     def _request_repair(self, now: float, peer: str, subject: str) -> None:
         """Compare buckets with a peer, unless another peer was asked just before.
@@ -181,5 +194,12 @@
         self._actions.add(Send(peer, self._build_buckets(subject, reply=False)))
 
     def _build_buckets(self, subject: str, reply: bool) -> r.SyncBuckets:
-        part = self._members if subject == "members" else self._upstreams.upstreams
-        return r.SyncBuckets(subject=subject, hashes=list(part.digest.hashes), reply=reply)
+        hashes = list(self._get_digest(subject).hashes)
+        return r.SyncBuckets(subject=subject, hashes=hashes, reply=reply)
+
+    def _get_digest(self, subject: str) -> BucketDigest:
+        if subject == "members":
+            return self._members.digest
+        if subject == "crashes":
+            return self._crashes.crashes.digest
+        return self._upstreams.upstreams.digest
--- a/src/foxtaildrum/fleet/membership.py
+++ b/src/foxtaildrum/fleet/membership.py
@@ -113,7 +113,14 @@
 class LocalSummary:
     """State of this instance's tables and upstream list, sent in its pings and acks."""
 
-    __slots__ = ("applied_index", "beacon_age_s", "beacon_index", "group_id", "upstreams_root")
+    __slots__ = (
+        "applied_index",
+        "beacon_age_s",
+        "beacon_index",
+        "crashes_root",
+        "group_id",
+        "upstreams_root",
+    )
 
     def __init__(self) -> None:
         self.applied_index = 0
@@ -121,6 +128,7 @@
         self.beacon_index = -1
         self.beacon_age_s = 0.0
         self.upstreams_root = 0
+        self.crashes_root = 0
 
 
 class _PendingPing:
@@ -234,6 +242,7 @@
             nonce=message.nonce,
             members_root=self.digest.compute_root(),
             upstreams_root=summary.upstreams_root,
+            crashes_root=summary.crashes_root,
             applied_index=summary.applied_index,
             group_id=summary.group_id,
             beacon_index=summary.beacon_index,
@@ -389,6 +398,7 @@
             member=self.me.to_wire(),
             members_root=self.digest.compute_root(),
             upstreams_root=summary.upstreams_root,
+            crashes_root=summary.crashes_root,
             applied_index=summary.applied_index,
         )
         return Send(target, message)
--- a/src/foxtaildrum/fleet/node.py
+++ b/src/foxtaildrum/fleet/node.py
@@ -40,6 +40,8 @@
 from .actions import CLAIM_STREAM, LOG_STREAM, UPSTREAM_STREAM, Action, ActionQueue, Write
 from .announcing import UpstreamPart
 from .claiming import ClaimPart
+from .crashes import CrashList
+from .crashing import CrashPart
 from .currency import Currency
 from .gossip import GossipPart
 from .limiting import LimitPart
@@ -153,11 +155,13 @@
         self._claims = ClaimPart(me.instance_id, self.control, holder, self._actions)
         list_voters = self._list_voters if saved is not None else None
         self._upstreams = UpstreamPart(self.members, list_voters, self._actions, now)
+        self._crashes = CrashPart(self.members, self._actions, now)
         self._limits = LimitPart(self.upstreams, self._actions, now)
         self._tables = TablePart(self.follower, self.members, self._actions)
         self._gossip = GossipPart(
             self.members,
             self._upstreams,
+            self._crashes,
             self._tables,
             self.currency,
             self.list_control_instances,
@@ -181,6 +185,7 @@
             self._claims,
             self._upstreams,
             self._limits,
+            self._crashes,
             self._tables,
             self._gossip,
         ):
@@ -192,6 +197,11 @@
         """Upstreams that this instance knows."""
         return self._upstreams.upstreams
 
+    @property
+    def crashes(self) -> CrashList:
+        """Crashes of upstreams under requests that this instance knows."""
+        return self._crashes.crashes
+
     @property
     def claimer(self) -> Claimer:
         """Claims that this instance requests."""
@@ -210,6 +220,7 @@
         self._gossip.tick(now)
         self._upstreams.tick(now)
         self._limits.tick(now)
+        self._crashes.tick(now)
         self._claims.tick(now)
         self.proposer.tick(now)
         self.reader.tick(now)
@@ -362,6 +373,18 @@
         self._limits.give_back(now, upstream_id, count)
         return self._pop_actions(now)
 
+    def report_crash(
+        self, now: float, fingerprint: str, upstream_id: str, incarnation: int
+    ) -> list[Action]:
+        """Record that an upstream ended while it ran a request."""
+        self._crashes.report(now, fingerprint, upstream_id, incarnation)
+        return self._pop_actions(now)
+
+    def clear_crashes(self, now: float, fingerprint: str) -> list[Action]:
+        """Record that an upstream answered a request that had been reported."""
+        self._crashes.clear(now, fingerprint)
+        return self._pop_actions(now)
+
     def claim(
         self, now: float, token: str, key: str, digest: str, remaining_s: float
     ) -> list[Action]:
@@ -424,6 +447,7 @@
 
     def _pop_actions(self, now: float) -> list[Action]:
         self._upstreams.push_updates(now)
+        self._crashes.push_updates(now)
         self._gossip.push_updates(now)
         self._actions.extend(self.proposer.pop_actions(now))
         self._actions.extend(self.reader.pop_actions())
--- a/src/foxtaildrum/fleet/runtime.py
+++ b/src/foxtaildrum/fleet/runtime.py
@@ -174,6 +174,16 @@
         now = read_clock()
         self._perform(now, self._node.return_permits(now, upstream_id, count))
 
+    def report_crash(self, fingerprint: str, upstream_id: str, incarnation: int) -> None:
+        """Record that an upstream ended while it ran a request."""
+        now = read_clock()
+        self._perform(now, self._node.report_crash(now, fingerprint, upstream_id, incarnation))
+
+    def clear_crashes(self, fingerprint: str) -> None:
+        """Record that an upstream answered a request that had been reported."""
+        now = read_clock()
+        self._perform(now, self._node.clear_crashes(now, fingerprint))
+
     def claim(
         self, claim_id: str, key: str, digest: str, remaining_s: float, future: Any
     ) -> None:
--- a/src/foxtaildrum/fleet/views.py
+++ b/src/foxtaildrum/fleet/views.py
@@ -15,6 +15,7 @@
 from ..requests.routing import Router
 from ..requests.transport import get_adapter
 from .actions import PermitsAnswered
+from .crashes import CrashView
 from .node import Node
 
 
@@ -58,6 +59,7 @@
         self.apply_limits: Callable[[Limits], None] = _ignore
         self.permit_client: PermitClient = NO_PERMIT_CLIENT
         self._entry_count = 0
+        self._crashes_version = 0
 
     def publish(self, now: float, node: Node) -> None:
         """Update the view if the node's state has changed."""
@@ -65,17 +67,32 @@
         if node.follower.generation != self._generation:
             self._generation = node.follower.generation
             changed |= self._publish_tables(node)
+        self._publish_crashes(node)
         pools = self._proxy.view.pools
         self._share_budgets(node, pools)
         for name in changed & pools.keys():
             pools[name].update_members(now, node.upstreams.list_members(name))
 
+    def _publish_crashes(self, node: Node) -> None:
+        if node.crashes.version == self._crashes_version:
+            return
+        self._crashes_version = node.crashes.version
+        known = set(self._proxy.crash_view.list_refused())
+        self._proxy.crash_view = node.crashes.build_view()
+        for fingerprint in self._proxy.crash_view.list_refused():
+            if fingerprint not in known:
+                log_event("crashing_request", fingerprint=fingerprint)
+
     def deliver_permits(self, now: float, answer: PermitsAnswered) -> None:
         """Pass the reply of an issuer on to the pool of the upstream."""
         pool = self._proxy.view.pools.get(answer.pool)
         if pool is not None:
             pool.handle_permits(now, answer.reply)
 
+    def get_crash_view(self) -> CrashView:
+        """Return the published crashes."""
+        return self._proxy.crash_view
+
     def get_pools(self) -> dict[str, UpstreamPool]:
         """Return the published pools by name."""
         return self._proxy.view.pools
--- a/src/foxtaildrum/instance.py
+++ b/src/foxtaildrum/instance.py
@@ -16,7 +16,7 @@
 import msgpack
 import pykka
 
-from .admin.access import NodeAccess, NodeClaims, NodePermits
+from .admin.access import NodeAccess, NodeClaims, NodeCrashes, NodePermits
 from .admin.admin import Admin, MetricsPage
 from .admin.metrics import Meter, StatsdSender
 from .balancing.probes import Prober
@@ -88,6 +88,7 @@
         self._publisher.apply_limits = self._apply_limits
         self.node_access = NodeAccess(self._node_proxy, self.meter, self.proxy)
         self.proxy.claims = NodeClaims(self._node_proxy)
+        self.proxy.crash_reporter = NodeCrashes(self._node_proxy)
         self._open = False
         self.proxy.is_open = self._is_open
         self.proxy.is_starting = node.is_starting
--- a/src/foxtaildrum/kinds.py
+++ b/src/foxtaildrum/kinds.py
@@ -31,6 +31,7 @@
     NO_UPSTREAM = "no_upstream"
     OVERLOADED = "overloaded"
     RATE_LIMITED = "rate_limited"
+    CRASHES_UPSTREAMS = "crashes_upstreams"
     DEADLINE_UNREACHABLE = "deadline_unreachable"
     DEADLINE_BEFORE_SEND = "deadline_before_send"
     CONNECT_FAILED = "connect_failed"
@@ -93,6 +94,9 @@
     ErrorKind.RATE_LIMITED: ErrorSpec(
         503, _NOT_RUN, Retry.NEVER, "The upstreams of the pool have reached their rate limits"
     ),
+    ErrorKind.CRASHES_UPSTREAMS: ErrorSpec(
+        503, _NOT_RUN, Retry.NEVER, "Several upstreams have crashed while they ran this request"
+    ),
     ErrorKind.DEADLINE_UNREACHABLE: ErrorSpec(
         503, _NOT_RUN, Retry.NEVER, "The queue is too long for the deadline"
     ),
--- a/src/foxtaildrum/logevents.py
+++ b/src/foxtaildrum/logevents.py
@@ -18,6 +18,7 @@
     "claim_not_stored": ("claim",),
     "claims_recovered": ("claims",),
     "claims_recovering": ("awaited",),
+    "crashing_request": ("fingerprint",),
     "currency_lost": ("age_s",),
     "currency_regained": ("index", "version"),
     "disk_failed": ("stream", "reason"),
--- a/src/foxtaildrum/records.py
+++ b/src/foxtaildrum/records.py
@@ -554,6 +554,10 @@
     """
     Root hash of the sender's upstreams.
     """
+    crashes_root: int
+    """
+    Root hash of the sender's crash records.
+    """
     applied_index: int
     """
     Log index of the last table change applied by the sender.
@@ -578,6 +582,10 @@
     """
     Root hash of the sender's upstreams.
     """
+    crashes_root: int
+    """
+    Root hash of the sender's crash records.
+    """
     applied_index: int
     """
     Log index of the last table change applied by the sender.
@@ -664,7 +672,7 @@
 
     subject: str
     """
-    Compared state: members or upstreams.
+    Compared state: members, upstreams or crashes.
     """
     hashes: list[Any]
     """
@@ -1036,6 +1044,18 @@
     """
 
 
+@dataclass(kw_only=True, slots=True)
+class CrashNews:
+    """
+    Gossips requests under which upstreams ended.
+    """
+
+    records: list[Any]
+    """
+    Crash records, each as a list.
+    """
+
+
 @dataclass(kw_only=True, slots=True)
 class PermitReturn:
     """
--- a/src/foxtaildrum/requests/dispatch.py
+++ b/src/foxtaildrum/requests/dispatch.py
@@ -19,7 +19,7 @@
 from . import steps
 from .dialects import Dialect
 from .exchange import RETRYABLE_STATUSES, Exchange
-from .fingerprints import compute_fingerprint, compute_head_digest
+from .guard import RETRY_AFTER_CRASHES_S, CrashGuard
 from .relays import ErrorResponse, StreamedBody, UpstreamResponse, read_spooled
 from .transport import (
     CHUNK_BYTES,
@@ -87,6 +87,8 @@
         Returns whether the caller has closed its connection.
     dialect : Dialect
         Names and formats on the wire.
+    guard : CrashGuard
+        Refuses the request if upstreams have crashed under it.
     spool_chunked : bool
         Whether a chunked response must be read completely before it is relayed.
     priority : int
@@ -109,6 +111,7 @@
         request: OutgoingRequest,
         caller_left: Callable[[], bool],
         dialect: Dialect,
+        guard: CrashGuard,
         spool_chunked: bool,
         priority: int = 0,
         max_queue_wait_s: float = float("inf"),
@@ -120,6 +123,7 @@
         self._request = request
         self._caller_left = caller_left
         self._dialect = dialect
+        self._guard = guard
         self._priority = priority
         self._max_queue_wait_s = max_queue_wait_s
         self._expected_response_bytes = expected_response_bytes
@@ -127,7 +131,6 @@
         self._attempt_states: dict[int, _AttemptState] = {}
         self._actions: deque[steps.Action] = deque()
         self._result: ErrorResponse | UpstreamResponse | None = None
-        self._fingerprint = ""
         self.upstream_id = ""
         self.held_s = 0.0
 
@@ -169,6 +172,10 @@
             self._max_queue_wait_s,
             self._expected_response_bytes,
         )
+        if self._guard.is_refused():
+            return steps.SlotRefused(
+                action.attempt, ErrorKind.CRASHES_UPSTREAMS, RETRY_AFTER_CRASHES_S
+            )
         # The replies arrive while the upstreams are checked.
         self._pool.request_permits(read_clock())
         self._sampler.sample(action.excluded, self._expected_response_bytes)
@@ -258,6 +265,7 @@
         held_s = now - attempt.granted_at
         if action.result is steps.AttemptResult.OK:
             self.held_s = held_s
+            self._guard.record_answer()
         self._pool.release(now, attempt.upstream, action.result, held_s)
         if action.result is not steps.AttemptResult.OK or len(self._attempt_states) > 1:
             self._log_attempt(action, attempt, held_s)
@@ -374,13 +382,17 @@
         return steps.HeadReceived(number, head.status, not_run)
 
     def _record_failure(self, attempt: _AttemptState, error: TransportError) -> None:
+        upstream = attempt.upstream
+        crashed = self._has_crashed(attempt, error)
+        if crashed:
+            self._guard.record_crash(upstream.upstream_id, upstream.incarnation)
         log_event(
             "attempt_failed",
             request_id=self._request.request_id,
-            fingerprint=self._get_fingerprint(),
-            upstream=attempt.upstream.upstream_id,
+            fingerprint=self._guard.get_fingerprint(),
+            upstream=upstream.upstream_id,
             kind=error.kind.value,
-            crashed=self._has_crashed(attempt, error),
+            crashed=crashed,
             reason=repr(error.__cause__),
         )
 
@@ -389,16 +401,10 @@
 
         A connection also ends for other reasons; but then the upstream still accepts others.
         """
-        if error.kind is not ErrorKind.ANSWER_LOST or error.timed_out:
+        if error.timed_out:
             return False
         return refuses_connections(attempt.upstream.address, CRASH_CHECK_TIMEOUT_S)
 
-    def _get_fingerprint(self) -> str:
-        if not self._fingerprint:
-            head_digest = compute_head_digest(self._request)
-            self._fingerprint = compute_fingerprint(self._request, head_digest)
-        return self._fingerprint
-
     def _check_response(self, number: int, head: Head, not_run: bool) -> None:
         dialect = self._dialect
         stated_id = head.all_headers.get(dialect.response_id_header, "")
--- a/src/foxtaildrum/requests/fingerprints.py
+++ b/src/foxtaildrum/requests/fingerprints.py
@@ -7,8 +7,9 @@
 from .transport import CHUNK_BYTES, OutgoingRequest
 
 DIGEST_BYTES = 8
-# Headers that identify the caller: the same target may mean other work for another caller.
-_CALLER_HEADERS = ("X-Forwarded-For", "Authorization", "Cookie")
+# Headers that identify the caller: the same target may mean other work for another caller. The
+# address is none of them, since one caller may use many.
+_CALLER_HEADERS = ("Authorization", "Cookie")
 
 
 def compute_head_digest(request: OutgoingRequest) -> str:
--- a/src/foxtaildrum/requests/proxy.py
+++ b/src/foxtaildrum/requests/proxy.py
@@ -13,6 +13,7 @@
 from ..balancing.splits import PoolChooser
 from ..clock import read_clock
 from ..control.claims import ClaimOutcome, Verdict
+from ..fleet.crashes import CrashView
 from ..kinds import ERROR_RESPONSES, ErrorKind, Outcome
 from ..logs import log_event
 from ..records import Route
@@ -20,6 +21,7 @@
 from .dialects import Dialect
 from .dispatch import Dispatch
 from .exchange import Exchange
+from .guard import CrashGuard, CrashReporter
 from .hedging import NO_HEDGE, HedgeTimes, plan_hedge
 from .idempotency import ClaimService, GrantedClaim, compute_request_digest
 from .problem import StartResponse, format_status, send_problem
@@ -127,6 +129,8 @@
         self.is_open: Callable[[], bool] = _always
         self.is_starting: Callable[[], bool] = _never
         self.claims: ClaimService | None = None
+        self.crash_view = CrashView()
+        self.crash_reporter: CrashReporter | None = None
         self._meter = meter
         self._access_log = access_log
 
@@ -221,12 +225,14 @@
             request.route.max_attempts,
             self.dialect.not_run_statuses,
         )
+        outgoing = _build_outgoing_request(request, self._replaced_headers)
         dispatch = Dispatch(
             exchange,
             pool,
-            _build_outgoing_request(request, self._replaced_headers),
+            outgoing,
             environ.get("waitress.client_disconnected", _never),
             self.dialect,
+            CrashGuard(outgoing, self._get_crash_view, self.crash_reporter),
             environ.get("SERVER_PROTOCOL") == "HTTP/1.0",
             request.route.priority,
             MAX_QUEUE_WAIT_RATIO * request.route.objective_latency_ms / 1000,
@@ -252,6 +258,9 @@
             )
         return self._send_response(request, start_response, dispatch, result)
 
+    def _get_crash_view(self) -> CrashView:
+        return self.crash_view
+
     def _plan_hedge(self, request: _CallerRequest, pool: UpstreamPool) -> HedgeTimes:
         objective_s = request.route.objective_latency_ms / 1000
         return plan_hedge(
--- a/tests/serving_fleet.py
+++ b/tests/serving_fleet.py
@@ -16,8 +16,10 @@
 from foxtaildrum.fleet.views import ViewPublisher
 from foxtaildrum.kinds import ErrorKind
 from foxtaildrum.records import Settings
+from foxtaildrum.requests.guard import CrashGuard
 from foxtaildrum.requests.proxy import Proxy
 from foxtaildrum.requests.steps import AttemptResult
+from foxtaildrum.requests.transport import OutgoingRequest
 
 from .fleet import Fleet, Host, is_full
 
@@ -86,10 +88,11 @@
         self.ticket: Ticket | None = None
         self.arrived = 0.0
         self.tried: frozenset[str] = frozenset()
+        self.guard: CrashGuard | None = None
 
 
-class _SimulatedPermitClient:
-    """Passes what a pool reports and requests on to its node, as the next event."""
+class _SimulatedNodeClient:
+    """Passes what request threads report and request on to the node, as the next event."""
 
     def __init__(self, fleet: ServingFleet, host: Host) -> None:
         self._fleet = fleet
@@ -240,7 +243,16 @@
         self._settle(request)
 
     def _may_send(self, request: SimulatedRequest) -> bool:
-        return True
+        return not self._get_guard(request).is_refused()
+
+    def _get_guard(self, request: SimulatedRequest) -> CrashGuard:
+        if request.guard is None:
+            host = self.hosts[request.name]
+            publisher = self.publishers[request.name][1]
+            outgoing = OutgoingRequest("GET", f"/{request.fingerprint}", {}, None, 0, "id")
+            client = _SimulatedNodeClient(self, host)
+            request.guard = CrashGuard(outgoing, publisher.get_crash_view, client)
+        return request.guard
 
     def _get_request_pool(self, request: SimulatedRequest) -> UpstreamPool | None:
         pool = self.get_pool(request.name)
@@ -344,9 +356,11 @@
 
     def _report_crash(self, request: SimulatedRequest, name: str, incarnation: int) -> None:
         """Tell the node that an upstream ended while it ran a request."""
+        self._get_guard(request).record_crash(name, incarnation)
 
     def _report_success(self, request: SimulatedRequest) -> None:
         """Tell the node that an upstream ran a request to its end."""
+        self._get_guard(request).record_answer()
 
     def perform(self, host: Host, actions: list[Any]) -> None:
         """Perform the actions of a node and publish its state to its pools."""
@@ -367,5 +381,5 @@
         meter = Meter()
         rng = random.Random(f"{self.seed}-{host.instance_id}-{host.generation}-pools")
         publisher = ViewPublisher(settings, Proxy(meter, False), meter, rng)
-        publisher.permit_client = _SimulatedPermitClient(self, host)
+        publisher.permit_client = _SimulatedNodeClient(self, host)
         return publisher
--- a/tests/standins/slopes.py
+++ b/tests/standins/slopes.py
@@ -219,12 +219,14 @@
         member=member,
         members_root=1 << 31,
         upstreams_root=1 << 31,
+        crashes_root=1 << 31,
         applied_index=1 << 20,
     )
     ack = r.Ack(
         nonce=1 << 31,
         members_root=1 << 31,
         upstreams_root=1 << 31,
+        crashes_root=1 << 31,
         applied_index=1 << 20,
         group_id="g" * 16,
         beacon_index=1 << 20,
--- a/tests/standins/upstream.py
+++ b/tests/standins/upstream.py
@@ -10,6 +10,7 @@
 import asyncio
 import fcntl
 import json
+import os
 import random
 import signal
 import sys
@@ -23,6 +24,7 @@
 STALL_POLL_S = 0.01
 HEAD_END = b"\r\n\r\n"
 OVERLONG_TAIL_BYTES = 1024
+CRASH_STATUS = 3
 
 
 class Behaviour:
@@ -413,6 +415,7 @@
 
 
 _BROKEN_RESPONSES = {
+    "crash": lambda c: os._exit(CRASH_STATUS),
     "reset-after-run": lambda c: c.transport.abort(),
     "close-after-run": lambda c: c.transport.close(),
     "garbage": lambda c: c.send_raw(b"\x00\x01 nonsense\r\n\r\n", "close"),
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -2,9 +2,30 @@
 
 from __future__ import annotations
 
+import io
+import json
+
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from foxtaildrum.exceptions import FrameError
+from foxtaildrum.fleet.crashes import (
+    MAX_RECORDS,
+    RECORD_TTL_S,
+    CrashList,
+    CrashRecord,
+    describe_start,
+)
+from foxtaildrum.records import CrashNews
+from foxtaildrum.requests.fingerprints import compute_fingerprint, compute_head_digest
+from foxtaildrum.requests.guard import CrashGuard
+from foxtaildrum.requests.transport import OutgoingRequest
 
+from .fleet import form_fleet
 from .serving_fleet import ServingFleet
+from .sites import open_site
+from .standins.processes import UpstreamProcess
 
 MAX_CRASHES = 3
 REACTION_S = 3.0
@@ -95,3 +116,149 @@
     fleet.run(8.0)
     assert count_late_sends(fleet) <= ALLOWED_SENDS
     assert any(name == "e1" for _, name, _ in fleet.sent)
+
+
+def test_a_crashing_request_is_refused_as_not_run_and_others_are_served(tmp_path):
+    with open_site(tmp_path) as site:
+        site.apply("pools", [{"name": "p", "retry_budget_ratio": 1.0}])
+        site.apply("routes", [{"name": "p", "path_prefix": "/", "pool": "p"}])
+        for name in ("a", "b", "c", "d", "e"):
+            process = UpstreamProcess(tmp_path, name, 1, [])
+            site.upstreams[name] = process
+            for upstream_id, port in process.ports.items():
+                site.announce(upstream_id, "p", port)
+        crash = {"X-Fault": "crash"}
+        replies = [site.send("GET", "/crash", crash) for _ in range(4)]
+        assert replies[0].outcome == "unknown"
+        assert {r.status for r in replies[-2:]} == {503}
+        assert {json.loads(r.body)["kind"] for r in replies[-2:]} == {"crashes_upstreams"}
+        assert {r.outcome for r in replies[-2:]} == {"not-run"}
+        assert site.send("GET", "/other").status == 200
+        assert site.send("GET", "/crash?other=1").status == 200
+
+
+def build_request(target: str, body: bytes | None = None, **headers: str) -> OutgoingRequest:
+    file = io.BytesIO(body) if body is not None else None
+    return OutgoingRequest("POST", target, headers, file, len(body or b""), "id")
+
+
+def compute(request: OutgoingRequest) -> str:
+    return compute_fingerprint(request, compute_head_digest(request))
+
+
+def test_a_fingerprint_is_that_of_the_target_the_body_and_the_caller():
+    one = compute(build_request("/a", b"x", Host="h", Authorization="alice"))
+    again = build_request("/a", b"x", Host="h", Authorization="alice")
+    again.headers["X-Request-Id"] = "other"
+    again.headers["X-Forwarded-For"] = "10.0.0.9"
+    assert compute(again) == one
+    assert again.body.tell() == 0
+    others = [
+        build_request("/b", b"x", Host="h", Authorization="alice"),
+        build_request("/a", b"y", Host="h", Authorization="alice"),
+        build_request("/a", b"x", Host="i", Authorization="alice"),
+        build_request("/a", b"x", Host="h", Authorization="bob"),
+        build_request("/a", None, Host="h", Authorization="alice"),
+    ]
+    assert one not in {compute(request) for request in others}
+
+
+def test_a_request_that_ran_beside_the_crashing_one_is_not_blamed():
+    crashes = CrashList()
+    for number in range(4):
+        crashes.report(0.0, "culprit", f"u{number}.1")
+    for number in range(3):
+        crashes.report(0.0, "beside", f"u{number}.1")
+    view = crashes.build_view()
+    assert view.list_refused() == ["culprit"]
+    assert view.get_starts("beside") == frozenset()
+
+
+def test_an_answer_voids_the_earlier_reports_at_every_instance():
+    one, two = CrashList(), CrashList()
+    for number in range(3):
+        one.report(0.0, "f", f"u{number}.1")
+    late = [r.to_wire(0.0) for r in one.pop_updates()]
+    one.clear(1.0, "f")
+    for fields in [r.to_wire(1.0) for r in one.pop_updates()] + late:
+        two.merge(1.0, CrashRecord.from_wire(1.0, fields))
+    assert not one.build_view().list_refused()
+    assert not two.build_view().list_refused()
+    assert one.digest.hashes == two.digest.hashes
+
+
+def test_reports_end_and_cannot_be_kept_alive_by_passing_them_on():
+    one, two = CrashList(), CrashList()
+    one.report(0.0, "f", "u.1")
+    now = 0.0
+    for _ in range(10):
+        now += RECORD_TTL_S / 8
+        for source, target in ((one, two), (two, one)):
+            records = [r.to_wire(now) for r in source.list_in_buckets(set(range(64)))]
+            for fields in records:
+                target.merge(now, CrashRecord.from_wire(now, fields))
+            source.expire(now)
+    assert len(one) == len(two) == 0
+
+
+REPORTS = st.lists(
+    st.tuples(st.sampled_from("abc"), st.sampled_from(["u1.1", "u2.1", "u3.1", ""])),
+    max_size=12,
+)
+
+
+@given(REPORTS, REPORTS)
+def test_lists_that_exchange_their_records_become_equal(first, second):
+    lists = CrashList(), CrashList()
+    for crashes, reports in zip(lists, (first, second), strict=True):
+        for fingerprint, start in reports:
+            if start:
+                crashes.report(0.0, fingerprint, start)
+            else:
+                crashes.clear(0.0, fingerprint)
+    for source, target in (lists, lists[::-1]):
+        for record in source.list_in_buckets(set(range(64))):
+            target.merge(0.0, CrashRecord.from_wire(0.0, record.to_wire(0.0)))
+    assert lists[0].digest.hashes == lists[1].digest.hashes
+
+
+def test_the_list_is_bounded_and_keeps_the_requests_with_the_most_crashes():
+    crashes = CrashList()
+    for number in range(3):
+        crashes.report(0.0, "culprit", f"u{number}.1")
+    for number in range(MAX_RECORDS + 100):
+        crashes.report(0.0, f"beside-{number}", "u0.1")
+    assert len(crashes) == MAX_RECORDS
+    assert crashes.build_view().list_refused() == ["culprit"]
+
+
+def test_a_request_is_not_sent_a_fourth_time_by_the_instance_that_saw_three_crashes():
+    guard = CrashGuard(build_request("/a"), lambda: CrashList().build_view(), None)
+    for number in range(3):
+        assert not guard.is_refused()
+        guard.record_crash(f"u{number}", 1)
+    assert guard.is_refused()
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        ["", 0, [], 1.0],
+        ["f" * 65, 0, [], 1.0],
+        ["f", -1, [], 1.0],
+        ["f", 0, ["u"] * 65, 1.0],
+        ["f", 0, ["u" * 301], 1.0],
+        ["f", 0, [], -1.0],
+        ["f", 0, [], float("nan")],
+        ["f", 0, [1], 1.0],
+        ["f", 0, []],
+    ],
+)
+def test_a_record_with_values_out_of_range_is_refused(fields):
+    fleet = form_fleet()
+    with pytest.raises(FrameError):
+        fleet.hosts["e1"].node.receive(fleet.now, "c1", CrashNews(records=[fields]))
+
+
+def test_each_start_of_an_upstream_counts():
+    assert describe_start("u", 1) != describe_start("u", 2)
