--- a/src/foxtaildrum/balancing/permits.py
+++ b/src/foxtaildrum/balancing/permits.py
@@ -88,20 +88,25 @@
         count, self._count = self._count, 0
         return count
 
-    def plan_request(self, now: float, entry_count: int) -> int:
-        """Note that a request could use a permit; return how many to request now.
+    def note_demand(self) -> None:
+        """Count a request that could use a permit."""
+        self._wanted = min(MAX_PERMITS, self._wanted + 1)
+
+    def is_due(self, now: float) -> bool:
+        """Return whether permits may be requested now."""
+        return not self._count and now >= self._retry_at and not self._is_waiting(now)
+
+    def begin_request(self, now: float, entry_count: int) -> int:
+        """Return how many permits to request now.
 
         Parameters
         ----------
         entry_count : int
             Number of instances that serve callers.
         """
-        self._wanted = min(MAX_PERMITS, self._wanted + 1)
-        if self._count or now < self._retry_at or self._is_waiting(now):
-            return 0
         if self._requested_at is not None:
             self._use_unconfirmed_share(now, entry_count)
-        count, self._wanted = self._wanted, 0
+        count, self._wanted = max(1, self._wanted), 0
         self._requested_at = now
         return count
 
--- a/src/foxtaildrum/balancing/ratelimits.py
+++ b/src/foxtaildrum/balancing/ratelimits.py
@@ -11,6 +11,8 @@
 from .permits import Permits
 
 REPORT_INTERVAL_S = 0.25
+# Issuers that are asked for one request, which needs one permit.
+MAX_REQUESTS = 3
 
 
 @dataclass(slots=True)
@@ -102,19 +104,20 @@
         self, now: float, usable: Iterable[UpstreamLoad]
     ) -> list[PlannedRequest | ExpiredPermits]:
         """Return what to send to issuers for a request that could use any of their permits."""
-        planned: list[PlannedRequest | ExpiredPermits] = []
         if not self._limited:
-            return planned
-        for upstream in usable:
-            permits = upstream.permits
-            if permits is None:
-                continue
-            expired = permits.pop_expired(now)
+            return []
+        limited = [u for u in usable if u.permits is not None]
+        planned: list[PlannedRequest | ExpiredPermits] = []
+        for upstream in limited:
+            upstream.permits.note_demand()
+            expired = upstream.permits.pop_expired(now)
             if expired:
                 planned.append(ExpiredPermits(upstream.upstream_id, expired))
-            count = permits.plan_request(now, self.entry_count)
-            if count:
-                planned.append(PlannedRequest(upstream.upstream_id, permits.limit_per_s, count))
+        due = [u for u in limited if u.permits.is_due(now)]
+        for upstream in self._rng.sample(due, min(len(due), MAX_REQUESTS)):
+            count = upstream.permits.begin_request(now, self.entry_count)
+            limit_per_s = upstream.permits.limit_per_s
+            planned.append(PlannedRequest(upstream.upstream_id, limit_per_s, count))
         return planned
 
     def compute_refusal_wait(
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -128,7 +128,7 @@
 
 def test_permits_are_not_used_after_their_time():
     permits = Permits(2.0, random.Random(1))
-    assert permits.plan_request(10.0, entry_count=16) == 1
+    assert permits.begin_request(10.0, entry_count=16) == 1
     permits.handle_reply(10.1, requested_at=10.0, count=1, wait_s=0.2)
     assert not permits.is_held(10.2)
     assert permits.is_held(10.31)
@@ -139,8 +139,8 @@
 
 def test_a_reply_to_an_earlier_request_grants_nothing():
     permits = Permits(2.0, random.Random(1))
-    permits.plan_request(10.0, entry_count=16)
-    assert permits.plan_request(10.0 + REPLY_TIMEOUT_S, entry_count=16) == 1
+    permits.begin_request(10.0, entry_count=16)
+    assert permits.begin_request(10.0 + REPLY_TIMEOUT_S, entry_count=16) == 1
     permits.handle_reply(11.0, requested_at=10.0, count=1, wait_s=0.0)
     assert not permits.is_held(11.0)
 
@@ -151,7 +151,8 @@
     for number in range(entry_count):
         permits = Permits(limit_per_s, random.Random(number))
         for step in range(duration_s * 10):
-            permits.plan_request(step / 10, entry_count)
+            if permits.is_due(step / 10):
+                permits.begin_request(step / 10, entry_count)
             if permits.is_held(step / 10):
                 permits.take()
                 sent += 1
