Pass reports of request threads on to the node through one method of its actor

The actor had one method for each report, all of the same shape. Crashes are looked for only after a lost response: an upstream that sent something invalid is alive. No change of behaviour otherwise.

--- a/src/foxtaildrum/admin/access.py
+++ b/src/foxtaildrum/admin/access.py
@@ -96,8 +96,10 @@
             log_event("claim_not_stored", claim=self._claim_id)
 
 
-class NodePermits:
-    """Reports rate limits and requests permits through the node; no call waits.
+class NodeReports:
+    """Passes what request threads learn and request on to the node; no call waits.
+
+    Implements ``PermitClient`` and ``CrashReporter``.
 
     Parameters
     ----------
@@ -105,28 +107,42 @@
         Proxy of the node's actor.
     """
 
-    __slots__ = ("report_rate_limit", "request_permits", "return_permits")
+    __slots__ = ("_apply",)
 
     def __init__(self, node: pykka.ActorProxy) -> None:
-        self.report_rate_limit = node.report_rate_limit.defer
-        self.request_permits = node.request_permits.defer
-        self.return_permits = node.return_permits.defer
+        self._apply = node.apply.defer
+
+    def report_rate_limit(
+        self, upstream_id: str, incarnation: int, limit_per_s: float | None
+    ) -> None:
+        """Report the limit that an upstream names in its responses."""
+        self._apply(
+            lambda node, now: node.report_rate_limit(now, upstream_id, incarnation, limit_per_s)
+        )
 
+    def request_permits(
+        self, upstream_id: str, limit_per_s: float, count: int, requested_at: float
+    ) -> None:
+        """Request permits for requests to an upstream that limits its rate."""
+        self._apply(
+            lambda node, now: node.request_permits(
+                now, upstream_id, limit_per_s, count, requested_at
+            )
+        )
 
-class NodeCrashes:
-    """Reports crashes of upstreams through the node; no call waits.
+    def return_permits(self, upstream_id: str, count: int) -> None:
+        """Return permits that were not used."""
+        self._apply(lambda node, now: node.return_permits(now, upstream_id, count))
 
-    Parameters
-    ----------
-    node : ActorProxy
-        Proxy of the node's actor.
-    """
-
-    __slots__ = ("clear_crashes", "report_crash")
+    def report_crash(self, fingerprint: str, upstream_id: str, incarnation: int) -> None:
+        """Report that an upstream ended while it ran a request."""
+        self._apply(
+            lambda node, now: node.report_crash(now, fingerprint, upstream_id, incarnation)
+        )
 
-    def __init__(self, node: pykka.ActorProxy) -> None:
-        self.report_crash = node.report_crash.defer
-        self.clear_crashes = node.clear_crashes.defer
+    def clear_crashes(self, fingerprint: str) -> None:
+        """Report that an upstream answered a request that had been reported."""
+        self._apply(lambda node, now: node.clear_crashes(now, fingerprint))
 
 
 class NodeAccess:
--- a/src/foxtaildrum/fleet/runtime.py
+++ b/src/foxtaildrum/fleet/runtime.py
@@ -25,6 +25,7 @@
 from ..logs import log_event
 from ..records import Announcement, ClaimFinish
 from .actions import (
+    Action,
     ChangeCompleted,
     MemberChanged,
     PermitsAnswered,
@@ -152,37 +153,10 @@
         now = read_clock()
         self._perform(now, self._node.mark_draining(now, upstream_id))
 
-    def report_rate_limit(
-        self, upstream_id: str, incarnation: int, limit_per_s: float | None
-    ) -> None:
-        """Report the rate limit that an upstream names in its responses."""
-        now = read_clock()
-        self._perform(
-            now, self._node.report_rate_limit(now, upstream_id, incarnation, limit_per_s)
-        )
-
-    def request_permits(
-        self, upstream_id: str, limit_per_s: float, count: int, requested_at: float
-    ) -> None:
-        """Request permits for requests to an upstream that limits its rate."""
-        now = read_clock()
-        actions = self._node.request_permits(now, upstream_id, limit_per_s, count, requested_at)
-        self._perform(now, actions)
-
-    def return_permits(self, upstream_id: str, count: int) -> None:
-        """Return permits that were not used."""
-        now = read_clock()
-        self._perform(now, self._node.return_permits(now, upstream_id, count))
-
-    def report_crash(self, fingerprint: str, upstream_id: str, incarnation: int) -> None:
-        """Record that an upstream ended while it ran a request."""
-        now = read_clock()
-        self._perform(now, self._node.report_crash(now, fingerprint, upstream_id, incarnation))
-
-    def clear_crashes(self, fingerprint: str) -> None:
-        """Record that an upstream answered a request that had been reported."""
+    def apply(self, function: Callable[[Node, float], list[Action]]) -> None:
+        """Call ``function`` with the node and the time, and perform the actions it returns."""
         now = read_clock()
-        self._perform(now, self._node.clear_crashes(now, fingerprint))
+        self._perform(now, function(self._node, now))
 
     def claim(
         self, claim_id: str, key: str, digest: str, remaining_s: float, future: Any
--- a/src/foxtaildrum/fleet/views.py
+++ b/src/foxtaildrum/fleet/views.py
@@ -15,7 +15,6 @@
 from ..requests.routing import Router
 from ..requests.transport import get_adapter
 from .actions import PermitsAnswered
-from .crashes import CrashView
 from .node import Node
 
 
@@ -89,14 +88,6 @@
         if pool is not None:
             pool.handle_permits(now, answer.reply)
 
-    def get_crash_view(self) -> CrashView:
-        """Return the published crashes."""
-        return self._proxy.crash_view
-
-    def get_pools(self) -> dict[str, UpstreamPool]:
-        """Return the published pools by name."""
-        return self._proxy.view.pools
-
     def _share_budgets(self, node: Node, pools: dict[str, UpstreamPool]) -> None:
         """Divide the fleet-wide probe and retry budgets by the number of entry instances."""
         entry_count = node.count_entry_instances()
--- a/src/foxtaildrum/instance.py
+++ b/src/foxtaildrum/instance.py
@@ -16,7 +16,7 @@
 import msgpack
 import pykka
 
-from .admin.access import NodeAccess, NodeClaims, NodeCrashes, NodePermits
+from .admin.access import NodeAccess, NodeClaims, NodeReports
 from .admin.admin import Admin, MetricsPage
 from .admin.metrics import Meter, StatsdSender
 from .balancing.probes import Prober
@@ -84,11 +84,12 @@
             self._storage = StorageActor.start(self._pending_writes, writer)
         self._node_proxy = self._actor.proxy()
         self._publisher.notify_draining = self._node_proxy.mark_draining.defer
-        self._publisher.permit_client = NodePermits(self._node_proxy)
+        reports = NodeReports(self._node_proxy)
+        self._publisher.permit_client = reports
         self._publisher.apply_limits = self._apply_limits
         self.node_access = NodeAccess(self._node_proxy, self.meter, self.proxy)
         self.proxy.claims = NodeClaims(self._node_proxy)
-        self.proxy.crash_reporter = NodeCrashes(self._node_proxy)
+        self.proxy.crash_reporter = reports
         self._open = False
         self.proxy.is_open = self._is_open
         self.proxy.is_starting = node.is_starting
--- a/src/foxtaildrum/requests/dispatch.py
+++ b/src/foxtaildrum/requests/dispatch.py
@@ -401,7 +401,7 @@
 
         A connection also ends for other reasons; but then the upstream still accepts others.
         """
-        if error.timed_out:
+        if error.kind is not ErrorKind.ANSWER_LOST:
             return False
         return refuses_connections(attempt.upstream.address, CRASH_CHECK_TIMEOUT_S)
 
--- a/tests/serving_fleet.py
+++ b/tests/serving_fleet.py
@@ -106,6 +106,19 @@
         return call
 
 
+class ServingInstance:
+    """What one start of an entry instance serves callers with."""
+
+    def __init__(self, fleet: ServingFleet, host: Host) -> None:
+        self.generation = host.generation
+        settings = Settings(role="entry", instance_id=host.instance_id, access_log=False)
+        meter = Meter()
+        self.proxy = Proxy(meter, False)
+        rng = random.Random(f"{fleet.seed}-{host.instance_id}-{host.generation}-pools")
+        self.publisher = ViewPublisher(settings, self.proxy, meter, rng)
+        self.publisher.permit_client = _SimulatedNodeClient(fleet, host)
+
+
 class ServingFleet(Fleet):
     """Fleet of control and entry instances with callers and upstreams.
 
@@ -132,7 +145,7 @@
         service_s: float = 0.15,
         start_delays: dict[str, float] | None = None,
     ) -> None:
-        self.publishers: dict[str, tuple[int, ViewPublisher]] = {}
+        self.serving: dict[str, ServingInstance] = {}
         self.served_at: list[float] = []
         self.request_count = 0
         self.sent: list[tuple[float, str, str]] = []
@@ -162,11 +175,11 @@
 
     def get_pool(self, name: str) -> UpstreamPool | None:
         """Return the pool at a running instance."""
-        known = self.publishers.get(name)
+        known = self.serving.get(name)
         host = self.hosts[name]
-        if host.node is None or known is None or known[0] != host.generation:
+        if host.node is None or known is None or known.generation != host.generation:
             return None
-        return known[1].get_pools().get(POOL)
+        return known.proxy.view.pools.get(POOL)
 
     def count_served(self, start: float, end: float) -> int:
         return sum(start <= t < end for t in self.served_at)
@@ -248,10 +261,10 @@
     def _get_guard(self, request: SimulatedRequest) -> CrashGuard:
         if request.guard is None:
             host = self.hosts[request.name]
-            publisher = self.publishers[request.name][1]
+            proxy = self.serving[request.name].proxy
             outgoing = OutgoingRequest("GET", f"/{request.fingerprint}", {}, None, 0, "id")
             client = _SimulatedNodeClient(self, host)
-            request.guard = CrashGuard(outgoing, publisher.get_crash_view, client)
+            request.guard = CrashGuard(outgoing, lambda: proxy.crash_view, client)
         return request.guard
 
     def _get_request_pool(self, request: SimulatedRequest) -> UpstreamPool | None:
@@ -367,19 +380,11 @@
         super().perform(host, actions)
         if not host.instance_id.startswith("e"):
             return
-        known = self.publishers.get(host.instance_id)
-        if known is None or known[0] != host.generation:
-            known = (host.generation, self._build_publisher(host))
-            self.publishers[host.instance_id] = known
+        known = self.serving.get(host.instance_id)
+        if known is None or known.generation != host.generation:
+            known = self.serving[host.instance_id] = ServingInstance(self, host)
+        now = host.read_clock()
         for action in actions:
             if isinstance(action, PermitsAnswered):
-                known[1].deliver_permits(host.read_clock(), action)
-        known[1].publish(host.read_clock(), host.node)
-
-    def _build_publisher(self, host: Host) -> ViewPublisher:
-        settings = Settings(role="entry", instance_id=host.instance_id, access_log=False)
-        meter = Meter()
-        rng = random.Random(f"{self.seed}-{host.instance_id}-{host.generation}-pools")
-        publisher = ViewPublisher(settings, Proxy(meter, False), meter, rng)
-        publisher.permit_client = _SimulatedNodeClient(self, host)
-        return publisher
+                known.publisher.deliver_permits(now, action)
+        known.publisher.publish(now, host.node)
