Count a crash in the middle of a streamed response

A request that crashes its upstream after the first bytes of a large response was sent again and again: its end was only looked at before the relay.

--- a/src/foxtaildrum/requests/dispatch.py
+++ b/src/foxtaildrum/requests/dispatch.py
@@ -332,6 +332,8 @@
         """Notify the exchange of how the relay of a streamed body ended."""
         self._handle_event(event)
         self._perform_remaining()
+        if isinstance(event, steps.BodyFailed):
+            self._report_crash(self._attempt_states[event.attempt])
 
     def _wait_for_event(self) -> steps.Event:
         poll = select.poll()
@@ -382,28 +384,27 @@
         return steps.HeadReceived(number, head.status, not_run)
 
     def _record_failure(self, attempt: _AttemptState, error: TransportError) -> None:
-        upstream = attempt.upstream
-        crashed = self._has_crashed(attempt, error)
-        if crashed:
-            self._guard.record_crash(upstream.upstream_id, upstream.incarnation)
+        crashed = error.kind is ErrorKind.ANSWER_LOST and self._report_crash(attempt)
         log_event(
             "attempt_failed",
             request_id=self._request.request_id,
             fingerprint=self._guard.get_fingerprint(),
-            upstream=upstream.upstream_id,
+            upstream=attempt.upstream.upstream_id,
             kind=error.kind.value,
             crashed=crashed,
             reason=repr(error.__cause__),
         )
 
-    def _has_crashed(self, attempt: _AttemptState, error: TransportError) -> bool:
-        """Return whether an upstream ended while it ran the request.
+    def _report_crash(self, attempt: _AttemptState) -> bool:
+        """Report the upstream if it has ended while it ran the request; return whether it has.
 
         A connection also ends for other reasons; but then the upstream still accepts others.
         """
-        if error.kind is not ErrorKind.ANSWER_LOST:
+        upstream = attempt.upstream
+        if not refuses_connections(upstream.address, CRASH_CHECK_TIMEOUT_S):
             return False
-        return refuses_connections(attempt.upstream.address, CRASH_CHECK_TIMEOUT_S)
+        self._guard.record_crash(upstream.upstream_id, upstream.incarnation)
+        return True
 
     def _check_response(self, number: int, head: Head, not_run: bool) -> None:
         dialect = self._dialect
--- a/tests/standins/upstream.py
+++ b/tests/standins/upstream.py
@@ -358,6 +358,8 @@
         tail_bytes = min(size, OVERLONG_TAIL_BYTES) if fault == "overlong" else 0
         left = size - tail_bytes
         while left > 0:
+            if fault == "crash" and left <= size // 2:
+                os._exit(CRASH_STATUS)
             if fault.startswith("truncate") and left <= size // 2:
                 self.transport.close()
                 return
