--- a/src/foxtaildrum/admin/access.py
+++ b/src/foxtaildrum/admin/access.py
@@ -8,6 +8,7 @@
 
 import pykka
 
+from ..balancing.permits import PermitClient
 from ..clock import read_clock
 from ..control.claims import ClaimOutcome, Verdict, compute_claim_key
 from ..control.desired import DesiredState, describe_desired
@@ -96,10 +97,10 @@
             log_event("claim_not_stored", claim=self._claim_id)
 
 
-class NodeReports:
+class NodeReports(PermitClient):
     """Passes what request threads learn and request on to the node; no call waits.
 
-    Implements ``PermitClient`` and ``CrashReporter``.
+    Implements ``CrashReporter`` as well.
 
     Parameters
     ----------
--- a/src/foxtaildrum/balancing/permits.py
+++ b/src/foxtaildrum/balancing/permits.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import random
-from typing import Protocol
 
 PERMIT_VALID_S = 1.0
 REPLY_TIMEOUT_S = 0.5
@@ -20,8 +19,11 @@
 MIN_RATE_LIMIT_PER_S = 0.1
 
 
-class PermitClient(Protocol):
-    """Sends what this instance reports and requests to the issuer of an upstream."""
+class PermitClient:
+    """Sends what this instance reports and requests to the issuer of an upstream.
+
+    This class sends nothing; ``NodeReports`` implements the methods.
+    """
 
     def report_rate_limit(
         self, upstream_id: str, incarnation: int, limit_per_s: float | None
@@ -169,23 +171,3 @@
             limit_per_s = max(MIN_RATE_LIMIT_PER_S, self.limit_per_s)
             share_per_s = UNCONFIRMED_RATIO * limit_per_s / entry_count
             self._unconfirmed_at = now + self._rng.expovariate(share_per_s)
-
-
-class _NoPermitClient:
-    """Client of an instance without a node: nothing is reported or requested."""
-
-    def report_rate_limit(
-        self, upstream_id: str, incarnation: int, limit_per_s: float | None
-    ) -> None:
-        """Do nothing."""
-
-    def request_permits(
-        self, upstream_id: str, limit_per_s: float, count: int, requested_at: float
-    ) -> None:
-        """Do nothing."""
-
-    def return_permits(self, upstream_id: str, count: int) -> None:
-        """Do nothing."""
-
-
-NO_PERMIT_CLIENT: PermitClient = _NoPermitClient()
--- a/src/foxtaildrum/balancing/pools.py
+++ b/src/foxtaildrum/balancing/pools.py
@@ -18,7 +18,7 @@
 from .candidates import UpstreamLoad
 from .latency import BucketCounts, RecentLatency
 from .loads import LoadReport
-from .permits import NO_PERMIT_CLIENT, PermitClient
+from .permits import PermitClient
 from .ratelimits import ExpiredPermits
 from .tickets import Ticket
 
@@ -60,9 +60,9 @@
         notify_draining: Callable[[str], None],
         rng: random.Random,
         instance_id: str = "",
-        permit_client: PermitClient = NO_PERMIT_CLIENT,
+        permit_client: PermitClient | None = None,
     ) -> None:
-        self._permit_client = permit_client
+        self._permit_client = permit_client or PermitClient()
         self.name = pool.name
         self._lock = threading.Lock()
         self._balancer = Balancer(pool, availability_zone, queue_limit, rng, instance_id)
--- a/src/foxtaildrum/fleet/views.py
+++ b/src/foxtaildrum/fleet/views.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 
 from ..admin.metrics import Meter
-from ..balancing.permits import NO_PERMIT_CLIENT, PermitClient
+from ..balancing.permits import PermitClient
 from ..balancing.pools import UpstreamPool
 from ..balancing.splits import PoolChooser
 from ..logs import log_event
@@ -56,7 +56,7 @@
         self._generation = -1
         self.notify_draining: Callable[[str], None] = _ignore
         self.apply_limits: Callable[[Limits], None] = _ignore
-        self.permit_client: PermitClient = NO_PERMIT_CLIENT
+        self.permit_client = PermitClient()
         self._entry_count = 0
         self._crashes_version = 0
 
