Keep 1,000 crash records at most; slopes of crash records and permits

The measurement of message sizes failed, since UpstreamNews has had a token for long; it runs again.

--- a/src/foxtaildrum/fleet/crashes.py
+++ b/src/foxtaildrum/fleet/crashes.py
@@ -17,7 +17,7 @@
 
 MAX_CRASHES = 3
 RECORD_TTL_S = 600.0
-MAX_RECORDS = 4_000
+MAX_RECORDS = 1_000
 MAX_STARTS = 64
 # Characters of the digest of a request's head, with which its fingerprint begins.
 HEAD_DIGEST_CHARS = 16
--- a/tests/standins/slopes.py
+++ b/tests/standins/slopes.py
@@ -19,6 +19,8 @@
 from foxtaildrum.balancing.tickets import Ticket
 from foxtaildrum.control.table_follower import TableFollower, TableState
 from foxtaildrum.control.tables import Change
+from foxtaildrum.fleet.crashes import MAX_RECORDS, CrashList
+from foxtaildrum.fleet.digest import BUCKETS
 from foxtaildrum.fleet.frames import FrameWriter, derive_key
 from foxtaildrum.fleet.membership import LocalSummary, Member, Membership, MemberState
 from foxtaildrum.fleet.upstreams import Entry, UpstreamList
@@ -26,6 +28,8 @@
 from foxtaildrum.requests.steps import AttemptResult
 
 REPEATS = 5
+CRASHES_PER_RECORD = 3
+ALL_BUCKETS = set(range(BUCKETS))
 
 
 def time_call(function: Callable[[], Any], calls: int) -> float:
@@ -211,6 +215,22 @@
     return FrameWriter(derive_key(b"k", b"a" * 16, b"b" * 16)).pack(message)
 
 
+def build_crashes(count: int) -> CrashList:
+    crashes = CrashList()
+    for number in range(count):
+        for start in range(CRASHES_PER_RECORD):
+            crashes.report(0.0, f"{number:032x}", f"service-1-{number + start}.1700000000")
+    return crashes
+
+
+def print_crashes() -> None:
+    print("\ncrash records: count, KiB, view in ms")
+    for count in (100, MAX_RECORDS):
+        size = measure_memory(lambda c=count: build_crashes(c))
+        cost = time_call(build_crashes(count).build_view, 3)
+        print(f"{count:>7}{size / 1024:>9.0f}{cost * 1e3:>9.2f}")
+
+
 def print_messages() -> None:
     print("\nmessages: bytes per frame")
     member = build_members(17).me.to_wire()
@@ -232,7 +252,7 @@
         beacon_index=1 << 20,
         beacon_age_s=1.5,
     )
-    news = r.UpstreamNews(entries=[build_entry(1, "service-1").to_wire(0.0)])
+    news = r.UpstreamNews(entries=[build_entry(1, "service-1").to_wire(0.0)], token="")
     renew = r.RenewRequest(upstream_id="service-1-17", incarnation=1_700_000_000, lease_s=15.0)
     claim = r.ClaimRequest(key="k" * 32, claim_id="c" * 32, digest="d" * 32, left_s=2.0)
     append = r.AppendRequest(
@@ -253,6 +273,11 @@
         append,
         buckets,
         r.MemberNews(members=[member]),
+        r.PermitRequest(
+            upstream_id="service-1-17", limit_per_s=2.5, count=1, requested_at=1000.0
+        ),
+        r.PermitReply(upstream_id="service-1-17", count=1, wait_s=0.25, requested_at=1000.0),
+        r.CrashNews(records=[build_crashes(1).list_in_buckets(ALL_BUCKETS)[0].to_wire(0.0)]),
     ):
         cost = time_call(lambda m=message: pack(m), 500)
         print(
@@ -271,6 +296,7 @@
     print_upstreams()
     print_members()
     print_tables()
+    print_crashes()
     print_messages()
     print_follower_memory()
 
