One malformed record stops no instance and stays in no list

A record of a member, an upstream or a crash with a field of another type raised AttributeError, and parts of it could stay in a list, after which every later message failed.

Change: fields of records are converted to their types before they are used, counters leave room to count on, and calls to the actor that nobody waits for are isolated as the background threads are.

--- a/src/foxtaildrum/fleet/crashes.py
+++ b/src/foxtaildrum/fleet/crashes.py
@@ -13,6 +13,8 @@
 from collections.abc import Iterable
 from typing import Any
 
+import msgspec
+
 from .digest import BucketDigest, find_bucket
 
 MAX_CRASHES = 3
@@ -30,6 +32,10 @@
     return f"{upstream_id}.{incarnation}"
 
 
+# Fingerprint, epoch, starts and remaining time in seconds.
+_WireRecord = tuple[str, int, list[str], float]
+
+
 class CrashRecord:
     """Upstreams that ended while they ran one request.
 
@@ -68,7 +74,7 @@
     @classmethod
     def from_wire(cls, now: float, fields: list[Any]) -> CrashRecord:
         """Build a record from the list made by :meth:`to_wire`."""
-        fingerprint, epoch, starts, remaining_s = fields
+        fingerprint, epoch, starts, remaining_s = msgspec.convert(fields, _WireRecord)
         if not 0 < len(fingerprint) <= MAX_FINGERPRINT_CHARS or not 0 <= epoch < 2**31:
             raise ValueError("a crash record is out of range")
         if len(starts) > MAX_STARTS or any(len(s) > MAX_START_CHARS for s in starts):
--- a/src/foxtaildrum/fleet/membership.py
+++ b/src/foxtaildrum/fleet/membership.py
@@ -15,6 +15,8 @@
 from collections.abc import Iterable
 from typing import Any
 
+import msgspec
+
 from ..events import Send
 from ..records import Ack, MemberNews, Ping, PingReport, PingRequest
 from .digest import BucketDigest, find_bucket
@@ -31,6 +33,8 @@
 PUSH_INTERVAL_S = 0.05
 INDIRECT_PING_HELPERS = 2
 MAX_MEMBERS = 20_000
+# Leaves room to count further in a 64-bit number.
+MAX_INCARNATION = 2**62
 
 
 class MemberState(enum.IntEnum):
@@ -42,6 +46,10 @@
     LEFT = 3
 
 
+# Identifier, address, availability zone, role, incarnation and state.
+_WireMember = tuple[str, str, str, str, int, int]
+
+
 class Member:
     """Latest known record of one instance.
 
@@ -106,7 +114,11 @@
     @classmethod
     def from_wire(cls, now: float, fields: list[Any]) -> Member:
         """Build a member from the list made by :meth:`to_wire`."""
-        instance_id, address, zone, role, incarnation, state = fields
+        instance_id, address, zone, role, incarnation, state = msgspec.convert(
+            fields, _WireMember
+        )
+        if not 0 <= incarnation <= MAX_INCARNATION:
+            raise ValueError(f"invalid incarnation {incarnation}")
         return cls(instance_id, address, zone, role, incarnation, MemberState(state), now)
 
 
--- a/src/foxtaildrum/fleet/node.py
+++ b/src/foxtaildrum/fleet/node.py
@@ -9,6 +9,8 @@
 import random
 from typing import Any
 
+import msgspec
+
 from .. import records as r
 from ..control.claimer import Claimer
 from ..control.consensus import Consensus
@@ -248,7 +250,13 @@
                 handler(now, peer, message)
             elif self.consensus is not None:
                 self._run_consensus(now, Received(peer, message))
-        except (ValueError, TypeError, KeyError, IndexError) as error:
+        except (
+            ValueError,
+            TypeError,
+            KeyError,
+            IndexError,
+            msgspec.ValidationError,
+        ) as error:
             raise FrameError(f"invalid {type(message).__name__}: {error}") from error
         return self._pop_actions(now)
 
--- a/src/foxtaildrum/fleet/runtime.py
+++ b/src/foxtaildrum/fleet/runtime.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import threading
 import uuid
 from collections.abc import Callable
@@ -40,6 +41,19 @@
 from .views import ViewPublisher
 
 
+def isolated(method: Callable[..., None]) -> Callable[..., None]:
+    """Let an actor go on after an unexpected error in a method whose caller does not wait.
+
+    The library stops an actor that fails while it handles such a call.
+    """
+
+    @functools.wraps(method)
+    def call(self: NodeActor, *arguments: Any) -> None:
+        run_isolated("node", self.meter, method, self, *arguments)
+
+    return call
+
+
 @dataclass(slots=True)
 class TimePassed:
     """Message of the ticker: the node's next tick is due."""
@@ -62,7 +76,7 @@
     publisher : ViewPublisher
         Publishes the state to the request threads.
     meter : Meter
-        Counts refused messages.
+        Counts refused messages and unexpected errors.
     """
 
     def __init__(
@@ -78,10 +92,11 @@
         self._storage = storage
         self._network = network
         self._publisher = publisher
-        self._meter = meter
+        self.meter = meter
         self._futures: dict[str, pykka.Future] = {}
         self._changes = StateChangeLogger()
 
+    @isolated
     def on_receive(self, message: Any) -> None:
         """Handle a message from the ticker, the network or the storage."""
         now = read_clock()
@@ -93,11 +108,13 @@
         elif isinstance(message, WriteCompleted):
             self._handle_written(now, message)
 
+    @isolated
     def propose(self, change: Change | DesiredState, future: pykka.Future) -> None:
         """Propose a change; ``future`` is set to its :class:`ChangeAnswer`."""
         now = read_clock()
         self._perform(now, self._node.propose(now, self._register_future(future), change))
 
+    @isolated
     def read_tables(self, future: pykka.Future) -> None:
         """Set ``future`` to whether the tables here include every accepted change."""
         now = read_clock()
@@ -148,16 +165,19 @@
         self._futures[token] = future
         return token
 
+    @isolated
     def mark_draining(self, upstream_id: str) -> None:
         """Record a drain that an upstream signalled in a response."""
         now = read_clock()
         self._perform(now, self._node.mark_draining(now, upstream_id))
 
+    @isolated
     def apply(self, function: Callable[[Node, float], list[Action]]) -> None:
         """Call ``function`` with the node and the time, and perform the actions it returns."""
         now = read_clock()
         self._perform(now, function(self._node, now))
 
+    @isolated
     def claim(
         self, claim_id: str, key: str, digest: str, remaining_s: float, future: Any
     ) -> None:
@@ -166,6 +186,7 @@
         now = read_clock()
         self._perform(now, self._node.claim(now, claim_id, key, digest, remaining_s))
 
+    @isolated
     def finish_claim(self, message: ClaimFinish, future: pykka.Future) -> None:
         """Store the answer of a claimed request; ``future`` is set once a quorum has it."""
         token = uuid.uuid4().hex
@@ -173,11 +194,13 @@
         now = read_clock()
         self._perform(now, self._node.finish_claim(now, token, message))
 
+    @isolated
     def release_claim(self, key: str, claim_id: str) -> None:
         """Release the claim of a request that was not executed."""
         now = read_clock()
         self._perform(now, self._node.release_claim(now, key, claim_id))
 
+    @isolated
     def replace_seeds(self, seeds: dict[str, str]) -> None:
         """Replace the instances to join."""
         self._node.members.replace_seeds(seeds)
@@ -200,7 +223,7 @@
         try:
             self._perform(now, self._node.receive(now, message.peer_id, message.message))
         except FrameError as error:
-            self._meter.count("frames.refused")
+            self.meter.count("frames.refused")
             log_event("message_refused", peer=message.peer_id, reason=str(error))
 
     def _handle_written(self, now: float, message: WriteCompleted) -> None:
--- a/src/foxtaildrum/fleet/upstreams.py
+++ b/src/foxtaildrum/fleet/upstreams.py
@@ -12,6 +12,8 @@
 from collections.abc import Callable
 from typing import Any
 
+import msgspec
+
 from ..exceptions import StaleAnnouncementError
 from ..records import Announcement
 from .digest import BucketDigest, find_bucket
@@ -21,6 +23,8 @@
 LEFT = "left"
 TOMBSTONE_S = 900.0
 MAX_ENTRIES = 100_000
+# Leaves room to count further in a 64-bit number.
+MAX_COUNTER = 2**62
 RATE_LIMIT_TOLERANCE_RATIO = 0.05
 UNKNOWN_POOL = "-"
 UNKNOWN_ADDRESS = "0.0.0.0:0"
@@ -28,6 +32,12 @@
 _STATE_RANK = {READY: 0, DRAINING: 1, LEFT: 2}
 
 
+# Identifier, pool, address, availability zone, slots, incarnation, state, owner, sequence,
+# whether the lease expired, and remaining time in seconds; a rate limit may follow.
+_WireEntry = tuple[str, str, str, str, int | None, int, str, str, int, bool, float]
+WIRE_FIELD_COUNT = 11
+
+
 class Entry:
     """Latest known announcement of one upstream.
 
@@ -127,8 +137,13 @@
     @classmethod
     def from_wire(cls, now: float, fields: list[Any]) -> Entry:
         """Build an entry from the list made by :meth:`to_wire`."""
-        upstream_id, pool, address, zone, slots, incarnation, state = fields[:7]
-        owner, sequence, lost, remaining_s, *rest = fields[7:]
+        known = msgspec.convert(fields[:WIRE_FIELD_COUNT], _WireEntry)
+        upstream_id, pool, address, zone, slots, incarnation, state = known[:7]
+        owner, sequence, lost, remaining_s = known[7:]
+        if not 0 <= remaining_s < math.inf:
+            raise ValueError(f"invalid time {remaining_s!r}")
+        if not (abs(incarnation) <= MAX_COUNTER and 0 <= sequence <= MAX_COUNTER):
+            raise ValueError(f"invalid incarnation {incarnation} or sequence {sequence}")
         if state not in _STATE_RANK:
             raise ValueError(f"unknown state {state!r}")
         announcement = Announcement(
@@ -140,7 +155,9 @@
             lease_s=remaining_s,
         )
         # A list that an earlier release saved has no rate limits.
-        rate_limit_per_s = rest[0] if rest else None
+        rate_limit_per_s = msgspec.convert(
+            fields[WIRE_FIELD_COUNT] if len(fields) > WIRE_FIELD_COUNT else None, float | None
+        )
         if rate_limit_per_s is not None and not 0 <= rate_limit_per_s < math.inf:
             raise ValueError(f"invalid rate limit {rate_limit_per_s!r}")
         expires_at = now + remaining_s
--- a/src/foxtaildrum/isolation.py
+++ b/src/foxtaildrum/isolation.py
@@ -1,4 +1,4 @@
-"""Keeps a background thread running after an unexpected error in one of its steps."""
+"""Keeps a thread or an actor running after an unexpected error in one of its steps."""
 
 from __future__ import annotations
 
@@ -16,7 +16,7 @@
     Parameters
     ----------
     part : str
-        Name of the thread, for the log.
+        Name of the thread or actor, for the log.
     """
     try:
         step(*arguments)
