Derive the size of a fingerprint's halves from one constant

The list of crashes cuts the digest of the head off a fingerprint by a length of its own, which had to equal twice the bytes of the digest in another module: had one been changed, no request would have been recognised.

--- a/src/foxtaildrum/requests/fingerprints.py
+++ b/src/foxtaildrum/requests/fingerprints.py
@@ -4,9 +4,10 @@
 
 import hashlib
 
+from ..fleet.crashes import HEAD_DIGEST_CHARS
 from .transport import CHUNK_BYTES, OutgoingRequest
 
-DIGEST_BYTES = 8
+DIGEST_BYTES = HEAD_DIGEST_CHARS // 2
 # Headers that identify the caller: the same target may mean other work for another caller. The
 # address is none of them, since one caller may use many.
 _CALLER_HEADERS = ("Authorization", "Cookie")
