One way to build the next version of an upstream's entry

The rate limit had to be added by hand to the copy that a lease transfer makes, beside the copy in set_rate_limit; a field that is forgotten there is lost with each stop of an owner. Both call Entry.build_successor now.

--- a/src/foxtaildrum/fleet/announcing.py
+++ b/src/foxtaildrum/fleet/announcing.py
@@ -103,16 +103,8 @@
     def transfer_leases(self, now: float, successor: str) -> None:
         """Make another instance the owner of all leases that this one owns."""
         for entry in self.upstreams.list_owned():
-            transferred = Entry(
-                entry.upstream_id,
-                entry.announcement,
-                entry.state,
-                successor,
-                entry.sequence + 1,
-                False,
-                entry.expires_at,
-                entry.rate_limit_per_s,
-            )
+            transferred = entry.build_successor()
+            transferred.owner = successor
             self.upstreams.merge(now, transferred)
 
     def push_updates(self, now: float) -> None:
--- a/src/foxtaildrum/fleet/upstreams.py
+++ b/src/foxtaildrum/fleet/upstreams.py
@@ -96,6 +96,19 @@
         """Whether the entry is kept only so that older entries do not replace it."""
         return self.lost or self.state == LEFT
 
+    def build_successor(self) -> Entry:
+        """Return a copy that replaces this entry, for the caller to change."""
+        return Entry(
+            self.upstream_id,
+            self.announcement,
+            self.state,
+            self.owner,
+            self.sequence + 1,
+            False,
+            self.expires_at,
+            self.rate_limit_per_s,
+        )
+
     def rank(self) -> tuple[int, int, int, str, bool]:
         """Return the sort key by which a newer entry replaces an older one."""
         incarnation = self.announcement.incarnation
@@ -324,16 +337,8 @@
             return
         if not differs_notably(known.rate_limit_per_s, limit_per_s):
             return
-        changed = Entry(
-            upstream_id,
-            known.announcement,
-            known.state,
-            known.owner,
-            known.sequence + 1,
-            False,
-            known.expires_at,
-            limit_per_s,
-        )
+        changed = known.build_successor()
+        changed.rate_limit_per_s = limit_per_s
         self._store(changed, spread=True)
 
     def merge(self, now: float, entry: Entry) -> bool:
