--- a/review/1/case.py
+++ b/review/1/case.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+import socket
 import sys
 import threading
 import time
@@ -60,7 +61,7 @@
         self.taken = 0
         self.copies = 0
         self.refusals = 0
-        self.late_copies: dict[int, bytes] = {}
+        self.late_copies: dict[socket.socket, bytes] = {}
 
     @property
     def is_full(self) -> bool:
@@ -72,7 +73,7 @@
 
     def read_request(self, sock, file) -> Request | None:
         request = super().read_request(sock, file)
-        copy = self.late_copies.pop(sock.fileno(), None)
+        copy = self.late_copies.pop(sock, None)
         if request is not None and copy is not None:
             sock.sendall(copy)
         return request
@@ -100,7 +101,7 @@
     def answer(self, sock, data: bytes) -> None:
         if self.faulty and self.rng.random() < EXTRA_SHARE:
             self.copies += 1
-            self.late_copies[sock.fileno()] = data
+            self.late_copies[sock] = data
         sock.sendall(data)
 
 
