--- a/review/common/desired.py
+++ b/review/common/desired.py
@@ -24,22 +24,26 @@
     }
 
 
-def build_order_state(version: int, timeout_ms: int = 1000) -> dict:
-    """Return a desired state with one ``unsafe`` route."""
-    route = {
-        "name": "r-xd9dnn2",
+def build_route(service: str, path: str, timeout_ms: int) -> dict:
+    """Return an ``unsafe`` route."""
+    return {
+        "name": f"r-{service}",
         "host": HOST,
-        "path_prefix": PATH,
+        "path_prefix": path,
         "type": "unsafe",
         "timeout_ms": timeout_ms,
         "objective_latency_ms": 400,
         "priority": 1,
-        "pool": SERVICE,
+        "pool": service,
         "max_attempts": 2,
     }
+
+
+def build_order_state(version: int, timeout_ms: int = 1000) -> dict:
+    """Return a desired state with one ``unsafe`` route."""
     return {
         "version": version,
-        "routes": [route],
+        "routes": [build_route(SERVICE, PATH, timeout_ms)],
         "pools": [build_pool(SERVICE)],
         "limits": LIMITS,
     }
--- a/review/common/endpoints.py
+++ b/review/common/endpoints.py
@@ -34,6 +34,7 @@
     slots = 4
     reads_bytes = 65536
     receive_buffer = 0
+    tells_load = True
 
     def __init__(self, site: Site, service: str, ip: str, work_s: float = 0.02) -> None:
         self.site = site
@@ -153,11 +154,7 @@
         return Request(method, target, headers, body)
 
     def answer_health(self, sock: socket.socket) -> None:
-        head = (
-            "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n"
-            f"X-Instance-Id: {self.upstream_id}\r\nX-Server-Load: {self.load()}\r\n\r\n"
-        )
-        sock.sendall(head.encode())
+        sock.sendall(self.build_health())
 
     def load(self) -> str:
         return f"{self.running},0,{self.slots},100"
@@ -181,20 +178,24 @@
         with self.lock:
             self.running -= 1
 
-    def build_answer(self, request: Request, status: str = "200 OK") -> bytes:
+    def build_answer(self, request: Request) -> bytes:
         body = f"done by {self.upstream_id} for {request.request_id}\n".encode()
-        return (
-            f"HTTP/1.1 {status}\r\nX-Request-Id: {request.request_id}\r\n"
-            f"X-Response-Signature: proof-{request.request_id}\r\n"
-            f"X-Server-Load: {self.load()}\r\nContent-Length: {len(body)}\r\n\r\n"
-        ).encode() + body
-
-    def build_shed(self, request: Request) -> bytes:
-        return (
-            "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n"
-            f"X-Request-Id: {request.request_id}\r\n"
-            f"X-Server-Load: {self.load()}\r\nContent-Length: 0\r\n\r\n"
-        ).encode()
+        proof = f"X-Response-Signature: proof-{request.request_id}"
+        return self._build("200 OK", [f"X-Request-Id: {request.request_id}", proof], body)
+
+    def build_health(self) -> bytes:
+        return self._build("200 OK", [f"X-Instance-Id: {self.upstream_id}"])
+
+    def build_shed(self, request: Request | None) -> bytes:
+        """Return a refusal; a status check has no identifier that could be echoed."""
+        echo = [f"X-Request-Id: {request.request_id}"] if request else []
+        return self._build("503 Service Unavailable", ["X-Not-Executed: 1", *echo])
+
+    def _build(self, status: str, headers: list[str], body: bytes = b"") -> bytes:
+        if self.tells_load:
+            headers = [*headers, f"X-Server-Load: {self.load()}"]
+        lines = [f"HTTP/1.1 {status}", *headers, f"Content-Length: {len(body)}", "", ""]
+        return "\r\n".join(lines).encode() + body
 
 
 def read_head(file) -> tuple[str, str, dict[str, str]] | None:
--- a/review/common/site.py
+++ b/review/common/site.py
@@ -26,6 +26,10 @@
 ENTRY_COUNT = 3
 HEARTBEAT_MS = 1500
 READY_TIMEOUT_S = 20.0
+# Exit statuses of a case; Python itself exits with 1 after an error.
+HELD = 0
+NOT_RUN = 2
+BROKEN = 10
 
 # As ``fleetbench wire`` prints them for the small site.
 BOUNDS = {
@@ -302,21 +306,21 @@
 
 
 def run_case(main, folder: Path, base: int) -> None:
-    """Run ``main(site, record, trouble)`` and exit as the review asks.
+    """Run ``main(site, record, trouble)``, which returns whether the rule was broken, and exit.
 
-    Exit status 1: the rule was broken; 0: it held; 2: the case could not run.
+    ``run.sh`` translates the exit status, so that an error of the script is no broken rule.
     """
-    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(folder)
     record.write(f"trouble={int(trouble)}")
     site = Site(record, base)
-    status = 2
+    status = NOT_RUN
     try:
-        status = 1 if main(site, record, trouble) else 0
+        status = BROKEN if main(site, record, trouble) else HELD
     except (CaseError, OSError) as error:
         record.write(f"the case could not run: {error!r}")
     finally:
         site.close()
-    record.write({0: "HELD", 1: "BROKEN", 2: "NOT RUN"}[status])
+    record.write({HELD: "HELD", BROKEN: "BROKEN", NOT_RUN: "NOT RUN"}[status])
     sys.exit(status)
