--- a/tests/links.py
+++ b/tests/links.py
@@ -106,7 +106,13 @@
         host, _, port = address.rpartition(":")
 
         async def relay(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-            upstream_reader, upstream_writer = await asyncio.open_connection(host, int(port))
+            try:
+                upstream_reader, upstream_writer = await asyncio.open_connection(
+                    host, int(port)
+                )
+            except OSError:
+                writer.close()
+                return
             self._writers |= {writer, upstream_writer}
             await asyncio.gather(
                 self._copy(reader, upstream_writer), self._copy(upstream_reader, writer)
