Tests: incidents of real processes in the platform's dialect

Five control and six entry instances on loopback addresses, started as the deploy file says; stand-in upstreams that answer twice, break off, answer early, leave, crash and hand their addresses on; callers on kept connections; an operator; kills, stops and freezes. Judged are MIXED, DENIED, DRAIN, TWICE, REFUSED, UNASKED, ROUTE and CONFIG, as callers, upstreams and the operator saw them.

--- /dev/null
+++ b/tests/incident/faults.py
@@ -0,0 +1,133 @@
+"""Faults of the site; each registers itself by decorator and undoes itself when it ends."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+
+from .site import GRACE_S, Instance, Site
+
+Fault = Callable[[Site, random.Random], Awaitable[None]]
+
+FAULTS: dict[str, Fault] = {}
+
+
+def register_fault(name: str) -> Callable[[Fault], Fault]:
+    """Register the decorated coroutine, which returns once the fault has ended."""
+
+    def register(function: Fault) -> Fault:
+        FAULTS[name] = function
+        return function
+
+    return register
+
+
+def _pick(rng: random.Random, instances: list[Instance], count: int) -> list[Instance]:
+    running = [i for i in instances if i.is_running]
+    return rng.sample(running, min(count, len(running)))
+
+
+async def kill_for(site: Site, instances: list[Instance], down_s: float) -> None:
+    site.kill(instances)
+    await asyncio.sleep(down_s)
+    for instance in instances:
+        site.start(instance)
+
+
+@register_fault("kill some entry instances")
+async def kill_entries(site: Site, rng: random.Random) -> None:
+    await kill_for(site, _pick(rng, site.entries, rng.randint(1, 3)), rng.uniform(0.3, 2.0))
+
+
+@register_fault("kill a control instance")
+async def kill_control(site: Site, rng: random.Random) -> None:
+    await kill_for(site, _pick(rng, site.control, 1), rng.uniform(0.3, 2.0))
+
+
+@register_fault("kill two control instances, long")
+async def kill_two_long(site: Site, rng: random.Random) -> None:
+    await kill_for(site, _pick(rng, site.control, 2), rng.uniform(6.0, 9.0))
+
+
+@register_fault("kill the control group")
+async def kill_group(site: Site, rng: random.Random) -> None:
+    await kill_for(site, _pick(rng, site.control, len(site.control)), rng.uniform(0.2, 0.9))
+
+
+@register_fault("kill every instance")
+async def kill_all(site: Site, rng: random.Random) -> None:
+    instances = _pick(rng, list(site.instances.values()), len(site.instances))
+    await kill_for(site, instances, rng.uniform(0.2, 0.9))
+
+
+@register_fault("kill every instance, the control group back first")
+async def kill_all_control_first(site: Site, rng: random.Random) -> None:
+    control = _pick(rng, site.control, len(site.control))
+    entries = _pick(rng, site.entries, len(site.entries))
+    site.kill([*control, *entries])
+    await asyncio.sleep(rng.uniform(0.2, 0.9))
+    for instance in control:
+        site.start(instance)
+    await asyncio.sleep(rng.uniform(0.2, 2.0))
+    for instance in entries:
+        site.start(instance)
+
+
+@register_fault("stop an entry instance")
+async def stop_entry(site: Site, rng: random.Random) -> None:
+    await _stop(site, _pick(rng, site.entries, 1))
+
+
+@register_fault("stop a control instance")
+async def stop_control(site: Site, rng: random.Random) -> None:
+    await _stop(site, _pick(rng, site.control, 1))
+
+
+async def _stop(site: Site, instances: list[Instance]) -> None:
+    for instance in instances:
+        site.terminate(instance)
+        for _ in range(int(GRACE_S / 0.05)):
+            if instance.process.poll() is not None:
+                break
+            await asyncio.sleep(0.05)
+        site.kill([instance])
+        await asyncio.sleep(0.3)
+        site.start(instance)
+
+
+@register_fault("freeze an entry instance")
+async def freeze_entry(site: Site, rng: random.Random) -> None:
+    await _freeze(site, _pick(rng, site.entries, 1), rng.uniform(0.5, 5.0))
+
+
+@register_fault("freeze control instances")
+async def freeze_control(site: Site, rng: random.Random) -> None:
+    await _freeze(site, _pick(rng, site.control, rng.randint(1, 2)), rng.uniform(0.5, 5.0))
+
+
+@register_fault("freeze control instances, long")
+async def freeze_control_long(site: Site, rng: random.Random) -> None:
+    await _freeze(site, _pick(rng, site.control, rng.randint(1, 2)), rng.uniform(6.0, 9.0))
+
+
+async def _freeze(site: Site, instances: list[Instance], frozen_s: float) -> None:
+    for instance in instances:
+        site.freeze(instance)
+    await asyncio.sleep(frozen_s)
+    for instance in instances:
+        site.thaw(instance)
+
+
+@register_fault("restart entry instances one by one")
+async def restart_entries(site: Site, rng: random.Random) -> None:
+    for instance in _pick(rng, site.entries, 3):
+        await kill_for(site, [instance], 0.3)
+        await asyncio.sleep(rng.uniform(0.1, 0.5))
+
+
+@register_fault("restart control instances one by one")
+async def restart_control(site: Site, rng: random.Random) -> None:
+    for instance in _pick(rng, site.control, 3):
+        await kill_for(site, [instance], 0.3)
+        await asyncio.sleep(rng.uniform(0.5, 1.5))
--- /dev/null
+++ b/tests/incident/variants.py
@@ -0,0 +1,56 @@
+"""Variants of a run: which faults it has, in the order in which they were added."""
+
+from __future__ import annotations
+
+from .faults import FAULTS
+from .play import Options
+
+KILLS_OF_ALL = [name for name in FAULTS if name.startswith("kill every")]
+RESTARTS = [name for name in FAULTS if name.startswith(("stop", "restart"))]
+
+VARIANTS: dict[str, dict[str, object]] = {
+    "plain": {},
+    "copies": {"copies": 0.01},
+    "leaves": {"releases": 0.8},
+    "leaves-kills": {
+        "releases": 0.8,
+        "faults": [*KILLS_OF_ALL, "kill the control group"],
+        "after_acknowledgement": True,
+    },
+    "power": {
+        "releases": 4.0,
+        "faults": ["kill every instance"],
+        "after_acknowledgement": True,
+    },
+    "restarts": {"releases": 1.2, "faults": [*RESTARTS, "kill some entry instances"]},
+    "tables": {
+        "states": 0.6,
+        "faults": [*RESTARTS, "kill some entry instances", *KILLS_OF_ALL],
+        "after_acknowledgement": True,
+    },
+    "freezes": {
+        "releases": 0.8,
+        "states": 1.5,
+        "faults": [name for name in FAULTS if name.startswith(("freeze", "kill two"))],
+    },
+    "cuts": {"cuts": 0.01},
+    "early": {"early": 0.6, "copies": 0.003},
+    "fractions": {"fractional": True, "cuts": 0.01},
+    # Beyond the pages, which say that upstreams echo the identifier.
+    "refusals-without-echo": {"copies": 0.02, "per_entry": 9, "echoes": "answers"},
+    "without-echo": {"copies": 0.02, "echoes": "never"},
+    "all": {
+        "copies": 0.004,
+        "cuts": 0.002,
+        "early": 0.3,
+        "releases": 0.8,
+        "states": 1.0,
+        "faults": list(FAULTS),
+        "after_acknowledgement": True,
+        "fractional": True,
+    },
+}
+
+
+def build_options(variant: str, **options: object) -> Options:
+    return Options(**(VARIANTS[variant] | options))
