--- a/tests/incident/__main__.py
+++ b/tests/incident/__main__.py
@@ -43,6 +43,8 @@
                 target = arguments.keep / f"{arguments.variant}-{seed}"
                 target.mkdir(parents=True, exist_ok=True)
                 (target / "report.txt").write_text(report)
+                lines = [f"{v.rule} {v.moment:.3f} {v.text}" for v in result.violations]
+                (target / "violations.txt").write_text("\n".join(lines))
                 play.site.keep(target)
         total += result.count() + Counter({"requests": result.requests})
     print(f"all seeds: {dict(total)}")
--- a/tests/incident/faults.py
+++ b/tests/incident/faults.py
@@ -131,3 +131,41 @@
     for instance in _pick(rng, site.control, 3):
         await kill_for(site, [instance], 0.3)
         await asyncio.sleep(rng.uniform(0.5, 1.5))
+
+
+@register_fault("kill a control instance, and then the one that takes a leave")
+async def kill_acknowledger(site: Site, rng: random.Random) -> None:
+    first = _pick(rng, site.control, 1)
+    site.kill(first)
+    await _kill_next_acknowledger(site, rng)
+    for instance in first:
+        site.start(instance)
+
+
+@register_fault("freeze a control instance, and then kill the one that takes a leave")
+async def freeze_and_kill_acknowledger(site: Site, rng: random.Random) -> None:
+    first = _pick(rng, site.control, 1)
+    for instance in first:
+        site.freeze(instance)
+    await _kill_next_acknowledger(site, rng)
+    for instance in first:
+        site.thaw(instance)
+
+
+async def _kill_next_acknowledger(site: Site, rng: random.Random) -> None:
+    """Kill it until it is taken for dead (8 s) and its leases have ended (6 s), and longer."""
+    site.acknowledger = ""
+    for _ in range(60):
+        if site.acknowledger:
+            break
+        await asyncio.sleep(0.1)
+    second = [i for i in site.control if i.name == site.acknowledger and i.is_running]
+    site.kill(second)
+    await asyncio.sleep(rng.uniform(16.0, 18.0))
+
+    async def start_later() -> None:
+        await asyncio.sleep(rng.uniform(0.0, 3.0))
+        for instance in second:
+            site.start(instance)
+
+    site.tasks.append(asyncio.create_task(start_later()))
--- a/tests/incident/play.py
+++ b/tests/incident/play.py
@@ -11,7 +11,7 @@
 
 from .answers import ANSWER_FAULTS
 from .callers import Callers
-from .faults import FAULTS, kill_for
+from .faults import FAULTS
 from .releases import Releases
 from .rules import Evidence, Violation, judge
 from .site import READY_TIMEOUT_S, Site
@@ -31,11 +31,15 @@
         self.per_entry = 5
         self.copies = 0.0
         self.cuts = 0.0
+        self.cut_names = [n for n in ANSWER_FAULTS if not n.startswith("copy")]
         self.early = 0.0
         self.releases = 0.0
+        self.linger = False
         self.states = 0.0
         self.faults: list[str] = []
+        self.overlaps = True
         self.after_acknowledgement = False
+        self.kill_delays_s = [0.0, 0.0, 0.1, 0.4]
         self.fractional = False
         self.echoes = "always"
         self.is_built = False
@@ -92,7 +96,7 @@
         services = build_services(options)
         self.states = States({s.name: s.kind for s in services}, seed)
         self.operator = Operator(self.site, self.states, seed)
-        self.releases = Releases(self.site, services, seed)
+        self.releases = Releases(self.site, services, seed, options.linger)
         self.callers = Callers(
             self.site, self.states, seed, options.per_entry, options.fractional
         )
@@ -130,7 +134,8 @@
         ends_at = time.time() + options.duration_s
         while options.faults and time.time() < ends_at - CALM_S:
             await self._inject()
-            await asyncio.sleep(self._rng.uniform(1.0, 2.0) * CALM_S)
+            pause_s = self._rng.uniform(1.0, 2.0) * CALM_S
+            await asyncio.sleep(max(0.0, min(pause_s, ends_at - time.time())))
         await asyncio.sleep(max(0.0, ends_at - time.time()))
         self.releases.stop()
         if options.states:
@@ -147,6 +152,7 @@
     async def _inject(self) -> None:
         """Inject one to three faults that overlap; some right after an acknowledgement."""
         names = self._rng.choices(self.options.faults, k=self._rng.choice([1, 1, 2, 3]))
+        names = names if self.options.overlaps else names[:1]
         if self.options.after_acknowledgement:
             await self._wait_for_acknowledgement()
         tasks = []
@@ -156,15 +162,15 @@
             tasks.append(asyncio.create_task(FAULTS[name](self.site, self._rng)))
             await asyncio.sleep(self._rng.choice([0.0, 0.3, 1.0]))
         await asyncio.gather(*tasks)
-        ended = [i for i in self.site.instances.values() if not i.is_running]
-        await kill_for(self.site, ended, 0.0) if ended else None
+        await asyncio.gather(*self.site.tasks)
+        self.site.tasks.clear()
 
     async def _wait_for_acknowledgement(self) -> None:
         waits = [self.releases.leave_together] if self.options.releases else []
         waits += [self.operator.acknowledged.wait] if self.options.states else []
         with contextlib.suppress(TimeoutError):
             await asyncio.wait_for(self._rng.choice(waits)(), 4.0)
-        await asyncio.sleep(self._rng.choice([0.0, 0.0, 0.1, 0.4]))
+        await asyncio.sleep(self._rng.choice(self.options.kill_delays_s))
 
     async def _wait_ready(self) -> bool:
         deadline = time.time() + READY_TIMEOUT_S
@@ -203,7 +209,7 @@
 def build_services(options: Options) -> list[Service]:
     """Return five services that differ in what their upstreams say and do."""
     copies = {n: options.copies for n in ANSWER_FAULTS if n.startswith("copy")}
-    cuts = {n: options.cuts for n in ANSWER_FAULTS if not n.startswith("copy")}
+    cuts = dict.fromkeys(options.cut_names, options.cuts)
     common = {
         "faults": {n: share for n, share in (copies | cuts).items() if share},
         "echoes": options.echoes,
--- a/tests/incident/releases.py
+++ b/tests/incident/releases.py
@@ -15,20 +15,29 @@
 CRASH_SHARE = 0.15
 SAME_ID_SHARE = 0.15
 PORT = 18_080
+LEAVE_GAP_S = 0.1
 # How long an upstream serves on at most after its leave; the pages say many seconds.
-LONGEST_S = 14.0
+LONGEST_S = 24.0
 
 
 class Releases:
     """The upstreams of all services.
 
+    Parameters
+    ----------
+    linger : bool
+        Whether upstreams that leave serve on as long as any.
+
     Attributes
     ----------
     all : list of Upstream
         Every boot, also those that have ended.
     """
 
-    def __init__(self, site: Site, services: list[Service], seed: int) -> None:
+    def __init__(
+        self, site: Site, services: list[Service], seed: int, linger: bool = False
+    ) -> None:
+        self._linger = linger
         self._site = site
         self._services = services
         self._rng = random.Random(f"{seed}-releases")
@@ -59,11 +68,12 @@
             await self._end(upstream)
 
     async def leave_together(self, count: int = 3) -> None:
-        """Let upstreams of different services leave; return at the first acknowledgement."""
+        """Let upstreams of different services leave; return at the last acknowledgement."""
         chosen = {u.service.name: u for u in self._rng.sample(self.live, len(self.live))}
-        for upstream in list(chosen.values())[:count]:
+        for number, upstream in enumerate(list(chosen.values())[:count]):
+            await asyncio.sleep(LEAVE_GAP_S if number else 0.0)
             self._spawn(self.release(upstream, must_linger=True))
-        await self.left.wait()
+            await self.left.wait()
 
     async def release(self, upstream: Upstream, must_linger: bool = False) -> None:
         """Replace an upstream: it leaves, serves on for a while, and exits."""
@@ -124,7 +134,7 @@
         await asyncio.sleep(HEARTBEAT_S)
         while not self._is_stopped:
             if self.live:
-                self._spawn(self.release(self._rng.choice(self.live)))
+                self._spawn(self.release(self._rng.choice(self.live), self._linger))
             await asyncio.sleep(self._rng.uniform(0.2, 1.8) * period_s)
 
     def _spawn(self, coroutine) -> None:
--- a/tests/incident/rules.py
+++ b/tests/incident/rules.py
@@ -104,7 +104,7 @@
         return ""
     echoed = answer.headers.get("x-request-id", record.request_id)
     if echoed != record.request_id:
-        return f"answer of {echoed}"
+        return f"answer of {echoed}" if echoed in evidence.by_id else f"unknown id {echoed}"
     is_success = 200 <= answer.status < 300
     proof = Proof.parse(answer.headers.get(SIGNATURE, ""))
     if proof is None:
--- a/tests/incident/site.py
+++ b/tests/incident/site.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
 import json
 import os
@@ -91,6 +92,9 @@
         ips = [i.ip for i in self.instances.values()]
         self.front_port, self.ready_port, self.control_port, self.peer_port = find_ports(ips)
         self.events: list[tuple[float, str]] = []
+        # The control instance that acknowledged the latest leave.
+        self.acknowledger = ""
+        self.tasks: list[asyncio.Task] = []
 
     def ip(self, third: int, fourth: int) -> str:
         return f"127.{self.base}.{third}.{fourth}"
--- a/tests/incident/upstreams.py
+++ b/tests/incident/upstreams.py
@@ -162,6 +162,7 @@
             if name:
                 self.left_at = min(self.left_at, time.time())
                 self.acknowledged_by = self.acknowledged_by or name
+                self.site.acknowledger = name
                 self.site.note(f"{self.upstream_id} {method} leave acknowledged by {name}")
                 return name
         self.site.note(f"{self.upstream_id} {method} leave not acknowledged")
--- a/tests/incident/variants.py
+++ b/tests/incident/variants.py
@@ -20,8 +20,15 @@
     "power": {
         "releases": 4.0,
         "faults": ["kill every instance"],
+        "overlaps": False,
         "after_acknowledgement": True,
     },
+    "owners": {
+        "releases": 0.6,
+        "linger": True,
+        "faults": [name for name in FAULTS if name.endswith("takes a leave")],
+        "overlaps": False,
+    },
     "restarts": {"releases": 1.2, "faults": [*RESTARTS, "kill some entry instances"]},
     "tables": {
         "states": 0.6,
@@ -34,11 +41,27 @@
         "faults": [name for name in FAULTS if name.startswith(("freeze", "kill two"))],
     },
     "cuts": {"cuts": 0.01},
+    "heads": {
+        "cuts": 0.1,
+        "cut_names": [
+            "cut in the status line",
+            "cut in the head",
+            "cut after a line of the head",
+        ],
+    },
     "early": {"early": 0.6, "copies": 0.003},
-    "fractions": {"fractional": True, "cuts": 0.01},
+    "fractions": {"fractional": True, "cuts": 0.1, "cut_names": ["lost"]},
     # Beyond the pages, which say that upstreams echo the identifier.
     "refusals-without-echo": {"copies": 0.02, "per_entry": 9, "echoes": "answers"},
     "without-echo": {"copies": 0.02, "echoes": "never"},
+    "holds": {
+        "copies": 0.02,
+        "early": 0.5,
+        "releases": 0.5,
+        "states": 1.0,
+        "faults": ["restart entry instances one by one"],
+        "overlaps": False,
+    },
     "all": {
         "copies": 0.004,
         "cuts": 0.002,
