Move what a caller's request states to a module of its own

No change of behaviour: the target, the identifier and the headers that are forwarded are read in requests/callers.py, so that proxy.py keeps only the routing and the responses.

--- /dev/null
+++ b/src/foxtaildrum/requests/callers.py
@@ -0,0 +1,108 @@
+"""What a caller's request states: its target, host, identifier and time limit."""
+
+from __future__ import annotations
+
+import uuid
+from typing import Any
+from urllib.parse import quote
+
+from ..clock import read_clock
+from ..records import Route
+from .forwards import Forward
+from .transport import OutgoingRequest
+
+ARRIVAL_TIME_KEY = "foxtaildrum.arrived"
+MAX_REQUEST_ID_CHARS = 128
+
+
+class CallerRequest:
+    """One request from a caller.
+
+    Parameters
+    ----------
+    environ : dict
+        WSGI environment of the request.
+
+    Attributes
+    ----------
+    forward : Forward or None
+        Statement of the instance that forwarded the request; None if a caller sent it.
+    route : Route or None
+        Route of the request, once it is known.
+    """
+
+    __slots__ = (
+        "arrived_at",
+        "environ",
+        "forward",
+        "method",
+        "path",
+        "request_id",
+        "route",
+        "target",
+    )
+
+    def __init__(self, environ: dict[str, Any]) -> None:
+        self.environ = environ
+        self.forward: Forward | None = None
+        self.arrived_at = environ.get(ARRIVAL_TIME_KEY) or read_clock()
+        self.method = environ["REQUEST_METHOD"]
+        self.path = environ.get("PATH_INFO") or "/"
+        self.target = _read_target(environ, self.path)
+        self.request_id = read_request_id(environ.get("HTTP_X_REQUEST_ID", ""))
+        self.route: Route | None = None
+
+    def build_outgoing(self, replaced_headers: frozenset[str]) -> OutgoingRequest:
+        """Return the request to send to upstreams, without the headers that are replaced."""
+        environ = self.environ
+        headers = _copy_headers(environ, replaced_headers)
+        headers["X-Request-Id"] = self.request_id
+        forwarded = environ.get("HTTP_X_FORWARDED_FOR")
+        caller = environ.get("REMOTE_ADDR", "")
+        if self.forward is None:
+            forwarded = f"{forwarded}, {caller}" if forwarded else caller
+        headers["X-Forwarded-For"] = forwarded or caller
+        length_text = environ.get("CONTENT_LENGTH") or ""
+        has_body = bool(length_text)
+        return OutgoingRequest(
+            self.method,
+            self.target,
+            headers,
+            environ["wsgi.input"] if has_body else None,
+            int(length_text) if has_body else 0,
+            self.request_id,
+        )
+
+
+def read_request_id(given: str) -> str:
+    """Return the identifier that the caller gave, or a new one if it can't be used."""
+    if 0 < len(given) <= MAX_REQUEST_ID_CHARS and given.isascii() and given.isprintable():
+        return given
+    return uuid.uuid4().hex
+
+
+def _read_target(environ: dict[str, Any], path: str) -> str:
+    target = environ.get("REQUEST_URI") or ""
+    if target.startswith("/"):
+        return target
+    # A target in absolute form also contains the host, which is forwarded as a header.
+    query = environ.get("QUERY_STRING") or ""
+    quoted = quote(path.encode("latin-1"))
+    return f"{quoted}?{query}" if query else quoted
+
+
+def _copy_headers(environ: dict[str, Any], replaced_headers: frozenset[str]) -> dict[str, str]:
+    connection_options = {
+        t.strip().lower() for t in environ.get("HTTP_CONNECTION", "").split(",")
+    }
+    headers = {}
+    for key, value in environ.items():
+        if not key.startswith("HTTP_"):
+            continue
+        name = key[5:].replace("_", "-")
+        lowered = name.lower()
+        if lowered not in replaced_headers and lowered not in connection_options:
+            headers[name.title()] = value
+    if environ.get("CONTENT_TYPE"):
+        headers["Content-Type"] = environ["CONTENT_TYPE"]
+    return headers
--- a/src/foxtaildrum/requests/proxy.py
+++ b/src/foxtaildrum/requests/proxy.py
@@ -3,10 +3,8 @@
 from __future__ import annotations
 
 import time
-import uuid
 from collections.abc import Callable, Iterable, Iterator
 from typing import Any
-from urllib.parse import quote
 
 from ..admin.metrics import Meter
 from ..balancing.pools import UpstreamPool
@@ -18,13 +16,13 @@
 from ..logs import log_event
 from ..records import Route
 from .averages import RouteAverages
+from .callers import CallerRequest
 from .dialects import Dialect
 from .dispatch import Dispatch
 from .exchange import Exchange
 from .forwards import (
     FORWARD_ENVIRON_KEY,
     RESULT_HEADER,
-    Forward,
     Forwarder,
     ForwardResult,
 )
@@ -34,11 +32,9 @@
 from .problem import StartResponse, format_status, send_problem
 from .relays import ErrorResponse, TruncatedResponseError, UpstreamResponse
 from .routing import Router, is_idempotent
-from .transport import HOP_BY_HOP_HEADERS, OutgoingRequest
+from .transport import HOP_BY_HOP_HEADERS
 
-ARRIVAL_TIME_KEY = "foxtaildrum.arrived"
 MAX_TIMEOUT_MS = 3_600_000
-MAX_REQUEST_ID_CHARS = 128
 MAX_IDEMPOTENCY_KEY_CHARS = 255
 # A request that waited longer than this for a thread is refused as overloaded.
 MAX_THREAD_WAIT_S = 0.25
@@ -99,32 +95,6 @@
         self.pools = pools
 
 
-class _CallerRequest:
-    """One request from a caller."""
-
-    __slots__ = (
-        "arrived_at",
-        "environ",
-        "forward",
-        "method",
-        "path",
-        "request_id",
-        "route",
-        "target",
-    )
-
-    def __init__(self, environ: dict[str, Any]) -> None:
-        self.environ = environ
-        # Statement of the instance that forwarded the request; None if a caller sent it.
-        self.forward: Forward | None = None
-        self.arrived_at = environ.get(ARRIVAL_TIME_KEY) or read_clock()
-        self.method = environ["REQUEST_METHOD"]
-        self.path = environ.get("PATH_INFO") or "/"
-        self.target = _read_target(environ, self.path)
-        self.request_id = _read_request_id(environ)
-        self.route: Route | None = None
-
-
 class Proxy:
     """WSGI application that serves callers.
 
@@ -162,13 +132,13 @@
         self, environ: dict[str, Any], start_response: StartResponse
     ) -> Iterable[bytes]:
         """Serve one request of a caller."""
-        return self._serve(_CallerRequest(environ), start_response)
+        return self._serve(CallerRequest(environ), start_response)
 
     def serve_forwarded(
         self, environ: dict[str, Any], start_response: StartResponse
     ) -> Iterable[bytes]:
         """Serve one request that another instance forwards."""
-        request = _CallerRequest(environ)
+        request = CallerRequest(environ)
         request.forward = self.forwarder.parse_header(
             environ.get(FORWARD_ENVIRON_KEY, ""),
             request.method,
@@ -183,7 +153,7 @@
         return self._serve(request, start_response)
 
     def _decline_unsigned(
-        self, request: _CallerRequest, start_response: StartResponse
+        self, request: CallerRequest, start_response: StartResponse
     ) -> Iterable[bytes]:
         """Decline a request that is not signed with the fleet key, which may be changing."""
         log_event(
@@ -196,7 +166,7 @@
             request, _add_result(start_response, result), ErrorKind.NOT_READY
         )
 
-    def _serve(self, request: _CallerRequest, start_response: StartResponse) -> Iterable[bytes]:
+    def _serve(self, request: CallerRequest, start_response: StartResponse) -> Iterable[bytes]:
         environ = request.environ
         if read_clock() - request.arrived_at > MAX_THREAD_WAIT_S:
             return self._send_error(request, start_response, ErrorKind.OVERLOADED)
@@ -234,7 +204,7 @@
 
     def _claim(
         self,
-        request: _CallerRequest,
+        request: CallerRequest,
         start_response: StartResponse,
         pool: UpstreamPool,
         timeout_s: float,
@@ -257,7 +227,7 @@
         return self._send_error(request, start_response, kind, ERROR_RESPONSES[kind].outcome)
 
     def _replay(
-        self, request: _CallerRequest, start_response: StartResponse, outcome: ClaimOutcome
+        self, request: CallerRequest, start_response: StartResponse, outcome: ClaimOutcome
     ) -> Iterable[bytes]:
         headers = [(name, value) for name, value in outcome.headers]
         headers.append(("Idempotent-Replayed", "true"))
@@ -268,7 +238,7 @@
 
     def _dispatch(
         self,
-        request: _CallerRequest,
+        request: CallerRequest,
         start_response: StartResponse,
         pool: UpstreamPool,
         timeout_s: float,
@@ -288,7 +258,7 @@
             max_attempts,
             self.dialect.not_run_statuses,
         )
-        outgoing = _build_outgoing_request(request, self._replaced_headers)
+        outgoing = request.build_outgoing(self._replaced_headers)
         dispatch = Dispatch(
             exchange,
             pool,
@@ -328,7 +298,7 @@
     def _get_crash_view(self) -> CrashView:
         return self.crash_view
 
-    def _plan_hedge(self, request: _CallerRequest, pool: UpstreamPool) -> HedgeTimes:
+    def _plan_hedge(self, request: CallerRequest, pool: UpstreamPool) -> HedgeTimes:
         objective_s = request.route.objective_latency_ms / 1000
         return plan_hedge(
             pool.compute_hedge_delay(request.arrived_at, objective_s),
@@ -339,7 +309,7 @@
 
     def _send_response(
         self,
-        request: _CallerRequest,
+        request: CallerRequest,
         start_response: StartResponse,
         dispatch: Dispatch,
         response: UpstreamResponse,
@@ -375,7 +345,7 @@
 
     def _send_error(
         self,
-        request: _CallerRequest,
+        request: CallerRequest,
         start_response: StartResponse,
         kind: ErrorKind,
         outcome: Outcome = Outcome.NOT_RUN,
@@ -404,7 +374,7 @@
 
     def _record(
         self,
-        request: _CallerRequest,
+        request: CallerRequest,
         status: int,
         failed: bool,
         latency_s: float,
@@ -488,7 +458,7 @@
     return start
 
 
-def _choose_pool(view: View, request: _CallerRequest) -> str:
+def _choose_pool(view: View, request: CallerRequest) -> str:
     """Choose the pool of a request; keep the choice of the instance that forwards it."""
     route, forward = request.route, request.forward
     if forward is not None and forward.pool in (route.pool, *(s.pool for s in route.split)):
@@ -496,23 +466,6 @@
     return view.chooser.choose(route)
 
 
-def _read_target(environ: dict[str, Any], path: str) -> str:
-    target = environ.get("REQUEST_URI") or ""
-    if target.startswith("/"):
-        return target
-    # A target in absolute form also contains the host, which is forwarded as a header.
-    query = environ.get("QUERY_STRING") or ""
-    quoted = quote(path.encode("latin-1"))
-    return f"{quoted}?{query}" if query else quoted
-
-
-def _read_request_id(environ: dict[str, Any]) -> str:
-    given = environ.get("HTTP_X_REQUEST_ID", "")
-    if 0 < len(given) <= MAX_REQUEST_ID_CHARS and given.isascii() and given.isprintable():
-        return given
-    return uuid.uuid4().hex
-
-
 def _get_environ_key(header: str) -> str:
     return "HTTP_" + header.upper().replace("-", "_")
 
@@ -523,43 +476,3 @@
     if not (text.isascii() and text.isdigit() and 0 < int(text) <= MAX_TIMEOUT_MS):
         return None
     return min(int(text), route.timeout_ms) / 1000
-
-
-def _build_outgoing_request(
-    request: _CallerRequest, replaced_headers: frozenset[str]
-) -> OutgoingRequest:
-    environ = request.environ
-    headers = _copy_headers(environ, replaced_headers)
-    headers["X-Request-Id"] = request.request_id
-    forwarded = environ.get("HTTP_X_FORWARDED_FOR")
-    caller = environ.get("REMOTE_ADDR", "")
-    if request.forward is None:
-        forwarded = f"{forwarded}, {caller}" if forwarded else caller
-    headers["X-Forwarded-For"] = forwarded or caller
-    length_text = environ.get("CONTENT_LENGTH") or ""
-    has_body = bool(length_text)
-    return OutgoingRequest(
-        request.method,
-        request.target,
-        headers,
-        environ["wsgi.input"] if has_body else None,
-        int(length_text) if has_body else 0,
-        request.request_id,
-    )
-
-
-def _copy_headers(environ: dict[str, Any], replaced_headers: frozenset[str]) -> dict[str, str]:
-    connection_options = {
-        t.strip().lower() for t in environ.get("HTTP_CONNECTION", "").split(",")
-    }
-    headers = {}
-    for key, value in environ.items():
-        if not key.startswith("HTTP_"):
-            continue
-        name = key[5:].replace("_", "-")
-        lowered = name.lower()
-        if lowered not in replaced_headers and lowered not in connection_options:
-            headers[name.title()] = value
-    if environ.get("CONTENT_TYPE"):
-        headers["Content-Type"] = environ["CONTENT_TYPE"]
-    return headers
--- a/src/foxtaildrum/requests/server.py
+++ b/src/foxtaildrum/requests/server.py
@@ -22,8 +22,8 @@
 from ..logs import log_event
 from ..records import Limits
 from ..settings import parse_address
+from .callers import ARRIVAL_TIME_KEY
 from .problem import build_problem
-from .proxy import ARRIVAL_TIME_KEY
 from .relays import TruncatedResponseError
 from .transport import has_input
 
