Log every 4xx of an instance's own with its identifier, reason, tables and state

Callers saw 4xx answers that no line of the logs named: a request that the parser refuses was logged as refused_request with its kind alone, and its answer carried a new identifier; the line of a refused request said neither why nor what the instance knew.

A refused request keeps the caller's identifier, as far as it can be read, in the answer and in the log. Both lines tell the reason, the version and index of the tables in force, and why the instance is not ready. Refusals of the parser are counted by kind like the others.

--- a/src/foxtaildrum/instance.py
+++ b/src/foxtaildrum/instance.py
@@ -108,6 +108,7 @@
         self._open = False
         self.proxy.is_open = self._is_open
         self.proxy.is_starting = node.is_starting
+        self.proxy.list_unready_reasons = self._list_unready_reasons
         self._ticker = Ticker(self._actor.tell, node.get_tick_period, self.meter)
         self._prober = Prober(lambda: self.proxy.view.pools.values(), self.meter, self._dialect)
         self._statsd = StatsdSender(settings.statsd) if settings.statsd else None
@@ -224,6 +225,9 @@
     def _is_open(self) -> bool:
         return self._node.is_open(read_clock())
 
+    def _list_unready_reasons(self) -> list[str]:
+        return self._node.list_unready_reasons(read_clock())
+
     def _queue_write(self, action: Write) -> None:
         self._pending_writes.append(action)
         self._storage.tell(PerformWrites())
@@ -302,6 +306,7 @@
             settings.threads,
             settings.write_deadline_s,
             self._listener,
+            self.proxy.refuse,
             max_request_header_size=settings.max_header_bytes,
             max_request_body_size=settings.max_body_bytes,
             connection_limit=settings.max_connections,
@@ -317,6 +322,7 @@
             settings.forward_listen,
             settings.threads,
             settings.write_deadline_s,
+            refuse=self.proxy.refuse,
             max_request_header_size=settings.max_header_bytes + FORWARD_HEADER_BYTES,
             max_request_body_size=settings.max_body_bytes,
             connection_limit=settings.max_connections,
--- a/src/foxtaildrum/requests/problem.py
+++ b/src/foxtaildrum/requests/problem.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable, Iterable
 
 from ..kinds import ERROR_RESPONSES, ErrorKind, Outcome
+from ..logs import log_event
 from .dialects import Dialect
 
 CONTENT_TYPE = "application/problem+json"
@@ -21,6 +22,31 @@
 OUTCOME_HEADER = "Foxtaildrum-Outcome"
 
 StartResponse = Callable[[str, list[tuple[str, str]]], object]
+Problem = tuple[str, list[tuple[str, str]], bytes]
+
+
+class Refusal:
+    """A request that can't be read or is too large, and so reaches no application.
+
+    Parameters
+    ----------
+    kind : ErrorKind
+        What is wrong with it.
+    reason : str
+        What is wrong with it, in words.
+    request_id : str
+        Identifier that the caller gave; empty if it could not be read.
+    caller : str
+        Address of the caller.
+    """
+
+    __slots__ = ("caller", "kind", "reason", "request_id")
+
+    def __init__(self, kind: ErrorKind, reason: str, request_id: str, caller: str) -> None:
+        self.kind = kind
+        self.reason = reason
+        self.request_id = request_id
+        self.caller = caller
 
 
 def build_problem(
@@ -29,7 +55,7 @@
     request_id: str,
     dialect: Dialect | None = None,
     retry_after_s: float | None = None,
-) -> tuple[str, list[tuple[str, str]], bytes]:
+) -> Problem:
     """Return the status line, headers and body for an error kind.
 
     Parameters
@@ -78,6 +104,23 @@
     return [body]
 
 
+def refuse_request(refusal: Refusal) -> Problem:
+    """Log a request that can't be read; return the status line, headers and body."""
+    problem = build_problem(
+        refusal.kind, ERROR_RESPONSES[refusal.kind].outcome, refusal.request_id
+    )
+    log_event(
+        "refused_request",
+        failed=True,
+        request_id=refusal.request_id,
+        kind=refusal.kind.value,
+        status=ERROR_RESPONSES[refusal.kind].status,
+        reason=refusal.reason,
+        origin=refusal.caller,
+    )
+    return problem
+
+
 def format_status(status: int, reason: str = "") -> str:
     """Return the status line of a WSGI response."""
     reason = reason or http.client.responses.get(status, "Unknown")
--- a/src/foxtaildrum/requests/proxy.py
+++ b/src/foxtaildrum/requests/proxy.py
@@ -29,7 +29,14 @@
 from .guard import CrashGuard, CrashReporter
 from .hedging import NO_HEDGE, HedgeTimes, plan_hedge
 from .idempotency import ClaimService, GrantedClaim, compute_request_digest
-from .problem import StartResponse, format_status, send_problem
+from .problem import (
+    Problem,
+    Refusal,
+    StartResponse,
+    build_problem,
+    format_status,
+    send_problem,
+)
 from .relays import ErrorResponse, TruncatedResponseError, UpstreamResponse
 from .routing import Router, is_idempotent
 from .transport import HOP_BY_HOP_HEADERS
@@ -121,6 +128,7 @@
         self.view = View(Router([]), {})
         self.is_open: Callable[[], bool] = _always
         self.is_starting: Callable[[], bool] = _never
+        self.list_unready_reasons: Callable[[], list[str]] = list
         self.claims: ClaimService | None = None
         self.forwarder: Forwarder | None = None
         self.crash_view = CrashView()
@@ -152,6 +160,33 @@
             return self._send_error(request, start_response, ErrorKind.NOT_READY)
         return self._serve(request, start_response)
 
+    def refuse(self, refusal: Refusal) -> Problem:
+        """Return the response to a request of a caller that can't be read."""
+        kind = refusal.kind
+        outcome = ERROR_RESPONSES[kind].outcome
+        self._meter.count(f"kinds.{kind}")
+        log_event(
+            "refused_request",
+            failed=True,
+            request_id=refusal.request_id,
+            kind=kind.value,
+            status=self.dialect.get_status(kind, outcome),
+            reason=refusal.reason,
+            origin=refusal.caller,
+            **self._describe_state(),
+        )
+        return build_problem(kind, outcome, refusal.request_id, self.dialect)
+
+    def _describe_state(self) -> dict[str, object]:
+        """Return the state of this instance, for the log."""
+        view = self.view
+        reasons = self.list_unready_reasons()
+        return {
+            "version": view.version,
+            "index": view.index,
+            "state": "; ".join(reasons) or "ready",
+        }
+
     def _decline_unsigned(
         self, request: CallerRequest, start_response: StartResponse
     ) -> Iterable[bytes]:
@@ -177,11 +212,16 @@
             environ.get("HTTP_HOST", ""), request.path, request.method
         )
         if isinstance(found, ErrorKind):
-            return self._send_error(request, start_response, found)
+            reason = f"host {environ.get('HTTP_HOST', '')}"
+            return self._send_error(request, start_response, found, reason=reason)
         request.route = found
-        timeout_s = _read_timeout(environ.get(self._timeout_environ_key), found)
+        timeout_text = environ.get(self._timeout_environ_key)
+        timeout_s = _read_timeout(timeout_text, found)
         if timeout_s is None:
-            return self._send_error(request, start_response, ErrorKind.BAD_REQUEST)
+            reason = f"{self.dialect.timeout_header}: {timeout_text}"
+            return self._send_error(
+                request, start_response, ErrorKind.BAD_REQUEST, reason=reason
+            )
         pool = view.pools.get(_choose_pool(view, request))
         if pool is None:
             return self._send_error(request, start_response, ErrorKind.NO_UPSTREAM)
@@ -190,7 +230,10 @@
         if idempotent or not key or self.claims is None or request.forward is not None:
             return self._dispatch(request, start_response, pool, timeout_s, idempotent, None)
         if len(key) > MAX_IDEMPOTENCY_KEY_CHARS:
-            return self._send_error(request, start_response, ErrorKind.BAD_REQUEST)
+            reason = f"{self.dialect.idempotency_key_header} is too long"
+            return self._send_error(
+                request, start_response, ErrorKind.BAD_REQUEST, reason=reason
+            )
         return self._claim(request, start_response, pool, timeout_s, key)
 
     def _wait_until_open(self) -> bool:
@@ -352,12 +395,15 @@
         attempts: int = 0,
         retry_after_s: float | None = None,
         no_retry_reason: str = "",
+        reason: str = "",
     ) -> Iterable[bytes]:
         status = self.dialect.get_status(kind, outcome)
         if request.forward is not None:
             start_response = _add_result(start_response, ForwardResult("", kind, outcome))
         latency_s = read_clock() - request.arrived_at
         failed = status >= MIN_SERVER_ERROR_STATUS
+        # Tells a wrong request from one that this instance doesn't know enough to serve.
+        state = {} if failed else {"reason": reason or "-", **self._describe_state()}
         self._record(
             request,
             status,
@@ -367,6 +413,7 @@
             kind=kind.value,
             outcome=outcome.value,
             no_retry=no_retry_reason or "-",
+            **state,
         )
         return send_problem(
             start_response, kind, outcome, request.request_id, self.dialect, retry_after_s
@@ -400,9 +447,8 @@
                 route=route,
                 status=status,
                 latency_ms=round(latency_s * 1000, 3),
-                version=self.view.version,
                 origin=request.forward.origin if request.forward else "-",
-                **fields,
+                **{"version": self.view.version, **fields},
             )
 
 
--- a/src/foxtaildrum/requests/server.py
+++ b/src/foxtaildrum/requests/server.py
@@ -7,7 +7,6 @@
 import socket
 import threading
 import time
-import uuid
 from collections.abc import Callable, Iterable
 from typing import Any
 
@@ -18,12 +17,12 @@
 from waitress.task import ErrorTask, ThreadedTaskDispatcher, WSGITask
 
 from ..clock import read_clock
-from ..kinds import ERROR_RESPONSES, ErrorKind
-from ..logs import log_event
+from ..kinds import ErrorKind
 from ..records import Limits
 from ..settings import parse_address
-from .callers import ARRIVAL_TIME_KEY
-from .problem import build_problem
+from .callers import ARRIVAL_TIME_KEY, read_request_id
+from .parsing import RequestParser
+from .problem import Problem, Refusal, refuse_request
 from .relays import TruncatedResponseError
 from .transport import has_input
 
@@ -69,11 +68,11 @@
     """Responds with a problem document to a request that the parser rejected."""
 
     def execute(self) -> None:
-        kind = _ERROR_KIND_BY_STATUS.get(self.request.error.code, ErrorKind.INTERNAL)
-        status, headers, body = build_problem(
-            kind, ERROR_RESPONSES[kind].outcome, uuid.uuid4().hex
-        )
-        log_event("refused_request", kind=kind.value)
+        error = self.request.error
+        kind = _ERROR_KIND_BY_STATUS.get(error.code, ErrorKind.INTERNAL)
+        request_id = read_request_id(self.request.request_id)
+        refusal = Refusal(kind, error.body, request_id, self.channel.addr[0])
+        status, headers, body = self.channel.server.refuse(refusal)
         self.channel.lingers_on_close = True
         self.status = status
         self.response_headers.extend(headers)
@@ -87,6 +86,7 @@
 
     task_class = _Task
     error_task_class = _ErrorTask
+    parser_class = RequestParser
     lingers_on_close = False
     discard_until = 0.0
 
@@ -154,6 +154,7 @@
     channel_class = _Channel
     stopping = False
     write_deadline_s = 30.0
+    refuse: Callable[[Refusal], Problem] = staticmethod(refuse_request)
 
 
 class _Dispatcher(ThreadedTaskDispatcher):
@@ -206,6 +207,8 @@
         Time after which a caller that reads no byte is disconnected, in seconds.
     listener : socket or None
         Socket that already listens on the address; None opens one.
+    refuse : callable
+        Returns the status line, headers and body for a request that can't be read.
     adjustments : dict
         Further settings of waitress.
     """
@@ -217,6 +220,7 @@
         threads: int,
         write_deadline_s: float,
         listener: socket.socket | None = None,
+        refuse: Callable[[Refusal], Problem] = refuse_request,
         **adjustments: Any,
     ) -> None:
         host, port = parse_address(address)
@@ -242,6 +246,7 @@
             sockinfo=settings.listen[0],
         )
         self._server.write_deadline_s = write_deadline_s
+        self._server.refuse = refuse
         self._thread = threading.Thread(target=self._run, name=f"http-{port}", daemon=True)
 
     @property
