Answer 503 until the routes have been set and are known here

Callers of an entry instance that had started before the first tables were set, or that hadn't heard of them yet, got 404 for routes that every tables ever set allow.

Cause: an instance is open once a quorum confirms that its index is the latest. The index of a group that has just formed is confirmed as well, and its empty tables were taken as settled: an unknown route and the absence of any tables looked the same to the router.

The tables tell whether an operator has set the routes: a desired state is in force, or the routes table has a version. The view has that as a flag, so that it changes together with the routes; before, a request waits as during a start and then gets 503 (not_ready, not run) with Retry-After. Routes set to none are 404 as before. No message or stored field changes.

An instance without tables stays ready: operators wait for readiness before they set the first tables, and the platform's operator doesn't ask the entry instances.

--- a/src/foxtaildrum/control/tables.py
+++ b/src/foxtaildrum/control/tables.py
@@ -188,6 +188,11 @@
         self.tables = {name: Table({}, 0, "") for name in TABLE_NAMES}
         self.remembered_answers: OrderedDict[str, tuple[str, ChangeResult]] = OrderedDict()
 
+    @property
+    def is_set(self) -> bool:
+        """Whether an operator has set the routes, be it to none."""
+        return self.desired_number > 0 or self.tables["routes"].version > 0
+
     def build_patch(self, change: Change) -> Patch:
         """Return the patch of a validated change against the tables in force.
 
--- a/src/foxtaildrum/fleet/views.py
+++ b/src/foxtaildrum/fleet/views.py
@@ -161,7 +161,12 @@
             pools[record.name] = pool
         chooser = PoolChooser(routes, self._proxy.view.chooser)
         self._proxy.view = View(
-            Router(routes), pools, chooser, tables.desired_number, node.follower.index
+            Router(routes),
+            pools,
+            chooser,
+            tables.desired_number,
+            node.follower.index,
+            tables.is_set,
         )
         self.apply_limits(Limits(**tables.limits))
         self._meter.set_routes(routes)
--- a/src/foxtaildrum/requests/proxy.py
+++ b/src/foxtaildrum/requests/proxy.py
@@ -83,9 +83,11 @@
         Version of the desired state that is in use.
     index : int
         Index of the change that the tables include last.
+    is_set : bool
+        Whether the tables have been set. Before that, nothing is known of any route.
     """
 
-    __slots__ = ("chooser", "index", "pools", "router", "version")
+    __slots__ = ("chooser", "index", "is_set", "pools", "router", "version")
 
     def __init__(
         self,
@@ -94,7 +96,9 @@
         chooser: PoolChooser | None = None,
         version: int = 0,
         index: int = 0,
+        is_set: bool = True,
     ) -> None:
+        self.is_set = is_set
         self.router = router
         self.index = index
         self.version = version
@@ -125,7 +129,7 @@
             _get_environ_key(idempotency_key_header) if idempotency_key_header else ""
         )
         self._replaced_headers = _REPLACED_HEADERS | {self.dialect.timeout_header.lower()}
-        self.view = View(Router([]), {})
+        self.view = View(Router([]), {}, is_set=False)
         self.is_open: Callable[[], bool] = _always
         self.is_starting: Callable[[], bool] = _never
         self.list_unready_reasons: Callable[[], list[str]] = list
@@ -181,6 +185,8 @@
         """Return the state of this instance, for the log."""
         view = self.view
         reasons = self.list_unready_reasons()
+        if not view.is_set:
+            reasons = [*reasons, "no tables have been set"]
         return {
             "version": view.version,
             "index": view.index,
@@ -239,12 +245,17 @@
     def _wait_until_open(self) -> bool:
         """Return whether requests are accepted; wait briefly while the instance starts."""
         deadline = read_clock() + STARTUP_WAIT_S
-        while not self.is_open():
-            if not self.is_starting() or read_clock() >= deadline:
+        while not self._is_serving():
+            starting = self.is_starting() or not self.view.is_set
+            if not starting or read_clock() >= deadline:
                 return False
             time.sleep(STARTUP_POLL_S)
         return True
 
+    def _is_serving(self) -> bool:
+        """Return whether this instance knows the routes and may serve from them."""
+        return self.is_open() and self.view.is_set
+
     def _claim(
         self,
         request: CallerRequest,
--- a/tests/test_denied.py
+++ b/tests/test_denied.py
@@ -76,3 +76,14 @@
     assert (record.status, record.state) == (list_statuses(answer)[0], "ready")
     assert record.reason
     assert b"X-Request-Id: " + name.encode() in answer
+
+
+def test_an_instance_without_tables_refuses_every_route_as_unknown(tmp_path):
+    with open_site(tmp_path) as site:
+        statuses = {"before": site.send("GET", "/r/x").status}
+        site.apply("pools", [{"name": "p"}])
+        statuses["pools"] = site.send("GET", "/r/x").status
+        site.apply("routes", [])
+        # The operator has set that there are no routes.
+        statuses["no routes"] = site.send("GET", "/r/x").status
+    assert statuses == {"before": 503, "pools": 503, "no routes": 404}
