Accept a time limit in any form of a number, and one that is over

Callers whose time limit had a fraction (1999.5), an exponent, a sign or more than an hour got 400, and so did a caller whose time was over and who therefore gave 0 or less, for example with the rest of its time budget in a retry. More than 4,300 digits gave 500.

Cause: only 1 to 3,600,000 in plain digits was read as a time limit, and everything else counted as malformed. The route's time-out bounds the time anyway, so a large value does no harm; and a request whose time is over isn't wrong but late.

Any decimal number is read; the shorter of it and the route's time-out applies. A request whose time is over is answered like one whose time ends before it is sent: deadline_before_send, not run, 504 or what the dialect makes of it (503 on the platform). What is no number, such as nan, inf, 1_0 or two values, is malformed as before.

Evidence: 20 of the 32 new cases in test_denied.py fail before (400 or 500), all pass now.

--- a/src/foxtaildrum/requests/callers.py
+++ b/src/foxtaildrum/requests/callers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 import uuid
 from typing import Any
 from urllib.parse import quote
@@ -14,6 +15,8 @@
 ARRIVAL_TIME_KEY = "foxtaildrum.arrived"
 MAX_REQUEST_ID_CHARS = 128
 
+_NUMBER = re.compile(r"[+-]?(?:[0-9]+(?:\.[0-9]*)?|\.[0-9]+)(?:[eE][+-]?[0-9]+)?")
+
 
 class CallerRequest:
     """One request from a caller.
@@ -81,6 +84,19 @@
     return uuid.uuid4().hex
 
 
+def read_time_limit(text: str | None, route: Route) -> float | None:
+    """Return the time that a request may take, in seconds; None if the header is no number.
+
+    It is the caller's time, in milliseconds, or the time-out of the route if that is shorter
+    or the caller gave none. A caller whose time is over gives 0 or less.
+    """
+    if text is None:
+        return route.timeout_ms / 1000
+    if not _NUMBER.fullmatch(text):
+        return None
+    return min(float(text), route.timeout_ms) / 1000
+
+
 def _read_target(environ: dict[str, Any], path: str) -> str:
     target = environ.get("REQUEST_URI") or ""
     if target.startswith("/"):
--- a/src/foxtaildrum/requests/proxy.py
+++ b/src/foxtaildrum/requests/proxy.py
@@ -14,9 +14,8 @@
 from ..fleet.crashes import CrashView
 from ..kinds import ERROR_RESPONSES, ErrorKind, Outcome
 from ..logs import log_event
-from ..records import Route
 from .averages import RouteAverages
-from .callers import CallerRequest
+from .callers import CallerRequest, read_time_limit
 from .dialects import Dialect
 from .dispatch import Dispatch
 from .exchange import Exchange
@@ -41,7 +40,6 @@
 from .routing import Router, is_idempotent
 from .transport import HOP_BY_HOP_HEADERS
 
-MAX_TIMEOUT_MS = 3_600_000
 MAX_IDEMPOTENCY_KEY_CHARS = 255
 # A request that waited longer than this for a thread is refused as overloaded.
 MAX_THREAD_WAIT_S = 0.25
@@ -222,7 +220,7 @@
             return self._send_error(request, start_response, found, reason=reason)
         request.route = found
         timeout_text = environ.get(self._timeout_environ_key)
-        timeout_s = _read_timeout(timeout_text, found)
+        timeout_s = read_time_limit(timeout_text, found)
         if timeout_s is None:
             reason = f"{self.dialect.timeout_header}: {timeout_text}"
             return self._send_error(
@@ -525,11 +523,3 @@
 
 def _get_environ_key(header: str) -> str:
     return "HTTP_" + header.upper().replace("-", "_")
-
-
-def _read_timeout(text: str | None, route: Route) -> float | None:
-    if text is None:
-        return route.timeout_ms / 1000
-    if not (text.isascii() and text.isdigit() and 0 < int(text) <= MAX_TIMEOUT_MS):
-        return None
-    return min(int(text), route.timeout_ms) / 1000
--- a/tests/test_denied.py
+++ b/tests/test_denied.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import logging
 import socket
 
@@ -87,3 +88,43 @@
         # The operator has set that there are no routes.
         statuses["no routes"] = site.send("GET", "/r/x").status
     assert statuses == {"before": 503, "pools": 503, "no routes": 404}
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        "1999.5",
+        "1500.0",
+        "1500.",
+        "+1500",
+        "1.5e3",
+        "  1500 ",
+        "3600001",
+        "9" * 400,
+        "9" * 5000,
+    ],
+)
+def test_a_time_limit_in_another_form_of_a_number_is_refused_as_malformed(site, value):
+    reply = site.send("GET", "/r/x", {"Host": "a.example", "X-Request-Timeout-Ms": value})
+    assert reply.status == 200
+    sent_on = json.loads(reply.body)["headers"]["x-request-timeout-ms"]
+    assert 0 < int(sent_on) <= 10_000
+
+
+@pytest.mark.parametrize("value", ["0", "-5", "0.0", "-0.5", "0.0001", "-9e9999"])
+@pytest.mark.parametrize("method", ["GET", "POST"])
+def test_a_request_whose_time_is_over_is_refused_as_malformed(site, method, value):
+    headers = {"Host": "a.example", "X-Request-Timeout-Ms": value}
+    runs = site.upstreams["p"].count_runs()
+    reply = site.send(method, "/r/x", headers)
+    assert (reply.status, reply.outcome) == (504, "not-run")
+    assert json.loads(reply.body)["kind"] == "deadline_before_send"
+    assert site.upstreams["p"].count_runs() == runs
+
+
+@pytest.mark.parametrize(
+    "value", ["soon", "", "nan", "inf", "1_0", "0x10", "1 0", "100, 200", "1e", ".", "\u0663"]
+)
+def test_a_time_limit_that_is_no_number_is_still_malformed(site, value):
+    head = f"GET /r/x HTTP/1.1\r\nX-Request-Timeout-Ms: {value}\r\n".encode()
+    assert list_statuses(send_raw(site, head + HOST + CLOSE)) == [400]
