Limits on requests are inclusive and leave out the framing

Callers that stayed within the limits got 431 or 413: for a header section and a body of exactly the limit, for a header section that reached it together with the request line, and for a body in chunks whose framing took it over the limit.

Cause: waitress refuses what reaches its limits, counts the request line, the end of the section and the framing of the chunks as well, and was given the limits of the tables as they are.

The parser checks the header lines (the header section of RFC 9112) and the content of a body against the limits. The request line has 8 KiB of its own; the framing of chunks may be 16 times the content and one header section long, so that endless extensions or empty lines end with 400.

Evidence: with limits of 16,384 and 65,536 bytes, eight of the eleven new cases fail before: 431 at a section of 16,383 and 16,384 bytes, 413 at bodies of 65,535 bytes (chunks) and 65,536 bytes, and endless framing was read up to the limit of the body. All pass now; one byte more is refused as before.

--- a/src/foxtaildrum/instance.py
+++ b/src/foxtaildrum/instance.py
@@ -307,8 +307,8 @@
             settings.write_deadline_s,
             self._listener,
             self.proxy.refuse,
-            max_request_header_size=settings.max_header_bytes,
-            max_request_body_size=settings.max_body_bytes,
+            max_header_bytes=settings.max_header_bytes,
+            max_body_bytes=settings.max_body_bytes,
             connection_limit=settings.max_connections,
             channel_timeout=CONNECTION_TIMEOUT_S,
         )
@@ -323,8 +323,8 @@
             settings.threads,
             settings.write_deadline_s,
             refuse=self.proxy.refuse,
-            max_request_header_size=settings.max_header_bytes + FORWARD_HEADER_BYTES,
-            max_request_body_size=settings.max_body_bytes,
+            max_header_bytes=settings.max_header_bytes + FORWARD_HEADER_BYTES,
+            max_body_bytes=settings.max_body_bytes,
             connection_limit=settings.max_connections,
             channel_timeout=CONNECTION_TIMEOUT_S,
         )
@@ -360,7 +360,7 @@
             settings.admin_listen,
             ADMIN_THREADS,
             settings.write_deadline_s,
-            max_request_body_size=ADMIN_MAX_BODY_BYTES,
+            max_body_bytes=ADMIN_MAX_BODY_BYTES,
             connection_limit=ADMIN_MAX_CONNECTIONS,
             channel_timeout=CONNECTION_TIMEOUT_S,
         )
--- a/src/foxtaildrum/requests/server.py
+++ b/src/foxtaildrum/requests/server.py
@@ -11,7 +11,6 @@
 from typing import Any
 
 from waitress import wasyncore
-from waitress.adjustments import Adjustments
 from waitress.channel import ClientDisconnected, HTTPChannel
 from waitress.server import TcpWSGIServer
 from waitress.task import ErrorTask, ThreadedTaskDispatcher, WSGITask
@@ -21,11 +20,13 @@
 from ..records import Limits
 from ..settings import parse_address
 from .callers import ARRIVAL_TIME_KEY, read_request_id
-from .parsing import RequestParser
+from .parsing import ParserSettings, RequestParser
 from .problem import Problem, Refusal, refuse_request
 from .relays import TruncatedResponseError
 from .transport import has_input
 
+MAX_HEADER_BYTES = 262_144
+MAX_BODY_BYTES = 1_073_741_824
 OUTPUT_BUFFER_BYTES = 262_144
 LINGER_S = 2.0
 INITIAL_THREADS = 4
@@ -209,6 +210,8 @@
         Socket that already listens on the address; None opens one.
     refuse : callable
         Returns the status line, headers and body for a request that can't be read.
+    max_header_bytes, max_body_bytes : int
+        Maximum sizes of the header section and of the body of a request, in bytes.
     adjustments : dict
         Further settings of waitress.
     """
@@ -221,10 +224,12 @@
         write_deadline_s: float,
         listener: socket.socket | None = None,
         refuse: Callable[[Refusal], Problem] = refuse_request,
+        max_header_bytes: int = MAX_HEADER_BYTES,
+        max_body_bytes: int = MAX_BODY_BYTES,
         **adjustments: Any,
     ) -> None:
         host, port = parse_address(address)
-        settings = Adjustments(
+        settings = ParserSettings(
             host=host,
             port=port,
             threads=threads,
@@ -235,6 +240,7 @@
             asyncore_use_poll=True,
             **adjustments,
         )
+        settings.limit_sizes(max_header_bytes, max_body_bytes)
         self._socket_map: dict[int, Any] = {}
         self._server = _Server(
             application,
@@ -258,8 +264,7 @@
     def apply_limits(self, limits: Limits) -> None:
         """Apply limits on the size of requests and on idle connections."""
         settings = self._server.adj
-        settings.max_request_header_size = limits.max_header_bytes
-        settings.max_request_body_size = limits.max_body_bytes
+        settings.limit_sizes(limits.max_header_bytes, limits.max_body_bytes)
         settings.channel_timeout = math.ceil(limits.idle_timeout_ms / 1000)
 
     def start(self) -> None:
--- a/tests/test_denied.py
+++ b/tests/test_denied.py
@@ -4,10 +4,13 @@
 
 import json
 import logging
+import re
 import socket
 
 import pytest
 
+from foxtaildrum.records import Limits
+
 from .sites import MAX_BODY_BYTES, open_site
 
 HOST = b"Host: a.example\r\n"
@@ -40,7 +43,7 @@
 
 
 def list_statuses(data: bytes) -> list[int]:
-    return [int(line.split()[1]) for line in data.split(b"\r\n") if line.startswith(b"HTTP/1.")]
+    return [int(status) for status in re.findall(rb"HTTP/1\.[01] ([0-9]{3}) ", data)]
 
 
 def find_log_record(caplog, request_id: str):
@@ -128,3 +131,68 @@
 def test_a_time_limit_that_is_no_number_is_still_malformed(site, value):
     head = f"GET /r/x HTTP/1.1\r\nX-Request-Timeout-Ms: {value}\r\n".encode()
     assert list_statuses(send_raw(site, head + HOST + CLOSE)) == [400]
+
+
+LIMITS = Limits(max_header_bytes=16_384, max_body_bytes=65_536)
+
+
+@pytest.fixture
+def limited_site(site):
+    server = site.instance.caller_server
+    server.apply_limits(LIMITS)
+    yield site
+    server.apply_limits(Limits(max_body_bytes=MAX_BODY_BYTES))
+
+
+def build_head(section_bytes: int, end: bytes = CLOSE) -> bytes:
+    """Return the head of a request whose header section has this size."""
+    lines = HOST + b"X-Padding: %s\r\n" + end.removesuffix(b"\r\n")
+    padding = b"p" * (section_bytes - len(lines) + 2)
+    return b"GET /r/" + b"x" * 200 + b" HTTP/1.1\r\n" + lines % padding + b"\r\n"
+
+
+def split_at(data: bytes, part_bytes: int) -> list[bytes]:
+    return [data[n : n + part_bytes] for n in range(0, len(data), part_bytes)]
+
+
+def build_chunks(content_bytes: int, chunk_bytes: int, extension: bytes = b"") -> bytes:
+    parts = split_at(b"b" * content_bytes, chunk_bytes)
+    chunks = [b"%x%s\r\n%s\r\n" % (len(part), extension, part) for part in parts]
+    return b"".join(chunks) + b"0\r\n\r\n"
+
+
+@pytest.mark.parametrize("part_bytes", [100_000, 1000])
+@pytest.mark.parametrize(("over", "expected"), [(-1, 200), (0, 200), (1, 431)])
+def test_a_header_section_as_large_as_the_limit_is_refused(
+    limited_site, over, expected, part_bytes
+):
+    head = build_head(LIMITS.max_header_bytes + over)
+    assert list_statuses(send_raw(limited_site, *split_at(head, part_bytes))) == [expected]
+
+
+def test_a_header_section_as_large_as_the_limit_is_refused_on_a_kept_connection(limited_site):
+    first = build_head(LIMITS.max_header_bytes, b"\r\n")
+    last = build_head(LIMITS.max_header_bytes)
+    assert list_statuses(send_raw(limited_site, first + first + last)) == [200] * 3
+
+
+@pytest.mark.parametrize(("over", "expected"), [(-1, 200), (0, 200), (1, 413)])
+def test_a_body_as_large_as_the_limit_is_refused(limited_site, over, expected):
+    size = LIMITS.max_body_bytes + over
+    head = b"POST /r/x HTTP/1.1\r\n" + HOST
+    with_length = head + b"Content-Length: %d\r\n" % size + CLOSE + b"b" * size
+    assert list_statuses(send_raw(limited_site, with_length)) == [expected]
+    chunked = head + b"Transfer-Encoding: chunked\r\n" + CLOSE
+    for chunk_bytes in (1, 1000, 100_000):
+        answer = send_raw(limited_site, chunked, build_chunks(size, chunk_bytes))
+        assert list_statuses(answer) == [expected]
+        if expected == 200:
+            assert b'"body_bytes": %d' % size in answer
+
+
+def test_endless_framing_of_chunks_is_read_on(limited_site):
+    head = b"POST /r/x HTTP/1.1\r\n" + HOST + b"Transfer-Encoding: chunked\r\n" + CLOSE
+    endless = b"1;" + b"e" * 100_000
+    many = build_chunks(1000, 1, b";e=" + b"x" * 100)
+    for chunks in (endless, many, b"\r\n" * 50_000):
+        assert list_statuses(send_raw(limited_site, head, chunks)) == [400]
