Refuse no request by its size before the limits are known

Callers of an instance that doesn't know the tables yet got 413 or 431 for a request that the limits in the tables allow: until then the limits of the settings, or their defaults, are in force, which differ (a header section of 32 KiB by default).

The parser refuses such a request before the application sees it, so that the answer of an instance that isn't open didn't apply to it. The refusal is now decided by the proxy: while the instance isn't open or no tables have been set, a size is no reason, and the caller gets 503 (not_ready, not run) with Retry-After in the form of the dialect. What is malformed stays 400.

Evidence: both new cases of test_denied.py fail before (413 and 431 in place of 503).

--- a/src/foxtaildrum/requests/proxy.py
+++ b/src/foxtaildrum/requests/proxy.py
@@ -56,6 +56,8 @@
     Verdict.UNAVAILABLE: ErrorKind.CLAIM_UNAVAILABLE,
 }
 
+_SIZE_KINDS = frozenset({ErrorKind.HEADER_TOO_LARGE, ErrorKind.BODY_TOO_LARGE})
+
 _REPLACED_HEADERS = HOP_BY_HOP_HEADERS | {
     "content-length",
     "expect",
@@ -163,8 +165,14 @@
         return self._serve(request, start_response)
 
     def refuse(self, refusal: Refusal) -> Problem:
-        """Return the response to a request of a caller that can't be read."""
+        """Return the response to a request of a caller that can't be read or is too large."""
         kind = refusal.kind
+        if kind in _SIZE_KINDS and not self._is_serving():
+            # The limits that apply to the request are in tables that are not known yet.
+            kind = ErrorKind.NOT_READY
+        return self._build_refusal(refusal, kind)
+
+    def _build_refusal(self, refusal: Refusal, kind: ErrorKind) -> Problem:
         outcome = ERROR_RESPONSES[kind].outcome
         self._meter.count(f"kinds.{kind}")
         log_event(
--- a/tests/test_denied.py
+++ b/tests/test_denied.py
@@ -196,3 +196,24 @@
     many = build_chunks(1000, 1, b";e=" + b"x" * 100)
     for chunks in (endless, many, b"\r\n" * 50_000):
         assert list_statuses(send_raw(limited_site, head, chunks)) == [400]
+
+
+OVERSIZE = {
+    "body": b"Content-Length: %d\r\n" % (MAX_BODY_BYTES + 1),
+    "head": b"X-Large: " + b"h" * 60_000 + b"\r\n",
+}
+
+
+@pytest.mark.parametrize("part", ["body", "head"])
+def test_a_request_is_refused_by_size_before_the_limits_are_known(tmp_path, part):
+    head = b"POST /r/x HTTP/1.1\r\n" + HOST + b"X-Request-Id: early\r\n"
+    with open_site(tmp_path) as site:
+        early = send_raw(site, head + OVERSIZE[part] + CLOSE)
+        malformed = send_raw(site, head + b"Content-Length: x\r\n" + CLOSE)
+        site.apply("routes", [])
+        late = send_raw(site, head + OVERSIZE[part] + CLOSE)
+    assert list_statuses(early) == [503]
+    assert b"Retry-After: " in early
+    assert b"Foxtaildrum-Outcome: not-run" in early
+    assert list_statuses(malformed) == [400]
+    assert list_statuses(late) == [413 if part == "body" else 431]
