Decline a forwarded request that is over the limits here, as not run

A caller whose request was forwarded to an instance with other limits got 502 with an unknown outcome, although nothing had run and a third instance could have served it. Limits differ while a change of the tables is on its way, or at an instance without tables.

Cause: the parser's refusal doesn't say that the instance itself made it, so that it counted as an invalid answer. The instance that received the request has read it by its own limits; the other one therefore declines it (not_ready, not run), and it is offered to the next one.

Evidence: both cases of a request over the limits fail before (413 and 431 without a statement). A third one holds before and after: an error of the application is no decline.

--- a/src/foxtaildrum/instance.py
+++ b/src/foxtaildrum/instance.py
@@ -322,7 +322,7 @@
             settings.forward_listen,
             settings.threads,
             settings.write_deadline_s,
-            refuse=self.proxy.refuse,
+            refuse=self.proxy.refuse_forwarded,
             max_header_bytes=settings.max_header_bytes + FORWARD_HEADER_BYTES,
             max_body_bytes=settings.max_body_bytes,
             connection_limit=settings.max_connections,
--- a/src/foxtaildrum/requests/proxy.py
+++ b/src/foxtaildrum/requests/proxy.py
@@ -172,6 +172,18 @@
             kind = ErrorKind.NOT_READY
         return self._build_refusal(refusal, kind)
 
+    def refuse_forwarded(self, refusal: Refusal) -> Problem:
+        """Return the response to a request of another instance that can't be read here.
+
+        The other instance has read it, by limits of other tables: it may go elsewhere.
+        """
+        if refusal.kind is ErrorKind.INTERNAL:
+            # The application failed, and may have sent the request to an upstream.
+            return self._build_refusal(refusal, refusal.kind)
+        status, headers, body = self._build_refusal(refusal, ErrorKind.NOT_READY)
+        result = ForwardResult("", ErrorKind.NOT_READY, Outcome.NOT_RUN)
+        return status, [*headers, (RESULT_HEADER, result.format())], body
+
     def _build_refusal(self, refusal: Refusal, kind: ErrorKind) -> Problem:
         outcome = ERROR_RESPONSES[kind].outcome
         self._meter.count(f"kinds.{kind}")
--- a/tests/test_denied.py
+++ b/tests/test_denied.py
@@ -12,6 +12,7 @@
 from foxtaildrum.records import Limits
 
 from .sites import MAX_BODY_BYTES, open_site
+from .standins.processes import pick_port
 
 HOST = b"Host: a.example\r\n"
 CLOSE = b"Connection: close\r\n\r\n"
@@ -29,9 +30,9 @@
         yield site
 
 
-def send_raw(site, *parts: bytes) -> bytes:
+def send_raw(site, *parts: bytes, address: str = "") -> bytes:
     """Send the parts one after the other; return all bytes up to the end of the connection."""
-    host, port = site.instance.caller_server.address.split(":")
+    host, port = (address or site.instance.caller_server.address).split(":")
     with socket.create_connection((host, int(port)), 10) as sock:
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         for part in parts:
@@ -217,3 +218,28 @@
     assert b"Foxtaildrum-Outcome: not-run" in early
     assert list_statuses(malformed) == [400]
     assert list_statuses(late) == [413 if part == "body" else 431]
+
+
+@pytest.mark.parametrize("part", ["body", "head"])
+def test_a_forwarded_request_over_the_limits_here_is_answered_as_run(tmp_path, part):
+    with open_site(tmp_path, forward_listen=f"127.0.0.1:{pick_port()}") as site:
+        site.apply("routes", [])
+        address = site.instance.forward_server.address
+        head = b"POST /r/x HTTP/1.1\r\n" + HOST
+        answer = send_raw(site, head + OVERSIZE[part] + CLOSE, address=address)
+    assert list_statuses(answer) == [503]
+    assert b"Foxtaildrum-Forward-Result: not_ready" in answer
+    assert b"Foxtaildrum-Outcome: not-run" in answer
+
+
+def test_a_forwarded_request_whose_application_failed_is_declined_as_not_run(
+    tmp_path, monkeypatch
+):
+    with open_site(tmp_path, forward_listen=f"127.0.0.1:{pick_port()}") as site:
+        site.apply("routes", [])
+        monkeypatch.setattr(site.instance.proxy.forwarder, "parse_header", None)
+        address = site.instance.forward_server.address
+        answer = send_raw(site, b"POST /r/x HTTP/1.1\r\n" + HOST + CLOSE, address=address)
+    assert list_statuses(answer) == [500]
+    assert b"Foxtaildrum-Forward-Result" not in answer
+    assert b"Foxtaildrum-Outcome: unknown" in answer
