Ignore an expectation to continue where no body follows

A caller that sent Expect: 100-continue with a request without a body was told to continue and then got no answer; its next request on the connection got 404. With a body over the limit it was told to send the body before the 413.

Cause: waitress takes a request that is told to continue as incomplete, also if it has no body. The head of the next request was then read into the same request: its Host was joined to the first one's, which is no host of any route.

The parser drops the expectation if no body follows or the request is refused.

--- a/src/foxtaildrum/requests/parsing.py
+++ b/src/foxtaildrum/requests/parsing.py
@@ -64,6 +64,9 @@
         consumed = super().received(data)
         if head and self.headers_finished and not self.empty and not self.error:
             self._check_section(head)
+        if self.error or self.body_rcv is None:
+            # Nothing follows that the caller could be told to send.
+            self.expect_continue = False
         if self.error:
             self.request_id = self._find_request_id(head)
         return consumed
--- a/tests/test_denied.py
+++ b/tests/test_denied.py
@@ -243,3 +243,28 @@
     assert list_statuses(answer) == [500]
     assert b"Foxtaildrum-Forward-Result" not in answer
     assert b"Foxtaildrum-Outcome: unknown" in answer
+EXPECT = b"Expect: 100-continue\r\n"
+
+
+@pytest.mark.parametrize("length", [b"", b"Content-Length: 0\r\n"])
+def test_a_request_that_expects_to_continue_without_a_body_is_mixed_with_the_next(site, length):
+    head = b" /r/x HTTP/1.1\r\n" + HOST
+    first = b"GET" + head + length + EXPECT + b"\r\n"
+    answer = send_raw(site, first + b"GET" + head + CLOSE)
+    assert list_statuses(answer) == [200, 200]
+    assert list_statuses(send_raw(site, b"POST" + head + length + EXPECT + CLOSE)) == [200]
+
+
+def test_a_body_that_is_too_large_is_asked_for(limited_site):
+    size = b"Content-Length: %d\r\n" % (LIMITS.max_body_bytes + 1)
+    head = b"POST /r/x HTTP/1.1\r\n" + HOST + size + EXPECT + CLOSE
+    assert list_statuses(send_raw(limited_site, head)) == [413]
+
+
+@pytest.mark.parametrize(
+    "framing", [b"Content-Length: 3\r\n", b"Transfer-Encoding: chunked\r\n"]
+)
+def test_a_request_that_expects_to_continue_is_never_told_to(site, framing):
+    head = b"POST /r/x HTTP/1.1\r\n" + HOST + framing + EXPECT + CLOSE
+    body = b"abc" if b"Length" in framing else b"3\r\nabc\r\n0\r\n\r\n"
+    assert list_statuses(send_raw(site, head, body)) == [100, 200]
