--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -61,3 +62,28 @@
 def test_methods_that_open_tunnels_are_refused():
     router = Router([Route(name="r", pool="p")])
     assert router.find_route("h", "/", "CONNECT") is ErrorKind.METHOD_NOT_ALLOWED
+
+
+@pytest.mark.parametrize(
+    "host", ["a.example", "A.Example", "a.example:8080", "a.example.", "A.EXAMPLE.:80"]
+)
+@pytest.mark.parametrize("route_host", ["a.example", "A.example."])
+def test_a_host_in_another_form_has_no_route(route_host, host):
+    router = Router([Route(name="r", pool="p", host=route_host)])
+    assert router.find_route(host, "/", "GET").name == "r"
+    assert router.find_route(f"b.{host}", "/", "GET") is ErrorKind.NO_ROUTE
+
+
+@pytest.mark.parametrize(
+    ("prefix", "path"),
+    [
+        ("/a%20b/", "/a b/x"),
+        ("/%61/", "/a/x"),
+        ("/\u00e9/", "/\u00c3\u00a9/x"),
+        ("/%C3%A9", "/\u00c3\u00a9/x"),
+    ],
+)
+def test_a_prefix_with_encoded_bytes_matches_no_path(prefix, path):
+    router = Router([Route(name="r", pool="p", path_prefix=prefix)])
+    assert router.find_route("h", path, "GET").name == "r"
+    assert router.find_route("h", "/b/x", "GET") is ErrorKind.NO_ROUTE
