Route a target in absolute form by the host that it names

A request whose target is in absolute form got 404 if it had no Host (HTTP/1.0) or another one, and was sent on with its path decoded and encoded anew: /r/a%2Fb became /r/a/b.

Cause: only the Host header selected the route, and the target was built again from the decoded path. RFC 9112 lets the host of the target take precedence.

The host of the target selects the route and is sent on as Host, so that an instance to which the request is forwarded finds the same route; path and query are sent on as they arrived.

--- a/src/foxtaildrum/requests/callers.py
+++ b/src/foxtaildrum/requests/callers.py
@@ -5,7 +5,6 @@
 import re
 import uuid
 from typing import Any
-from urllib.parse import quote
 
 from ..clock import read_clock
 from ..records import Route
@@ -15,6 +14,7 @@
 ARRIVAL_TIME_KEY = "foxtaildrum.arrived"
 MAX_REQUEST_ID_CHARS = 128
 
+_AUTHORITY = re.compile(r"([^/?#]*)([^?#]*)((?:\?[^#]*)?)(?:#.*)?", re.DOTALL)
 _NUMBER = re.compile(r"[+-]?(?:[0-9]+(?:\.[0-9]*)?|\.[0-9]+)(?:[eE][+-]?[0-9]+)?")
 
 
@@ -28,6 +28,10 @@
 
     Attributes
     ----------
+    host : str
+        Host that the request is for; that of a target in absolute form takes precedence.
+    target : str
+        Path and query, as the caller sent them.
     forward : Forward or None
         Statement of the instance that forwarded the request; None if a caller sent it.
     route : Route or None
@@ -38,6 +42,7 @@
         "arrived_at",
         "environ",
         "forward",
+        "host",
         "method",
         "path",
         "request_id",
@@ -51,7 +56,8 @@
         self.arrived_at = environ.get(ARRIVAL_TIME_KEY) or read_clock()
         self.method = environ["REQUEST_METHOD"]
         self.path = environ.get("PATH_INFO") or "/"
-        self.target = _read_target(environ, self.path)
+        authority, self.target = _split_target(environ)
+        self.host = authority or environ.get("HTTP_HOST", "")
         self.request_id = read_request_id(environ.get("HTTP_X_REQUEST_ID", ""))
         self.route: Route | None = None
 
@@ -60,6 +66,8 @@
         environ = self.environ
         headers = _copy_headers(environ, replaced_headers)
         headers["X-Request-Id"] = self.request_id
+        if self.host:
+            headers["Host"] = self.host
         forwarded = environ.get("HTTP_X_FORWARDED_FOR")
         caller = environ.get("REMOTE_ADDR", "")
         if self.forward is None:
@@ -97,14 +105,14 @@
     return min(float(text), route.timeout_ms) / 1000
 
 
-def _read_target(environ: dict[str, Any], path: str) -> str:
-    target = environ.get("REQUEST_URI") or ""
-    if target.startswith("/"):
-        return target
-    # A target in absolute form also contains the host, which is forwarded as a header.
-    query = environ.get("QUERY_STRING") or ""
-    quoted = quote(path.encode("latin-1"))
-    return f"{quoted}?{query}" if query else quoted
+def _split_target(environ: dict[str, Any]) -> tuple[str, str]:
+    """Return the host that the target names, if it is in absolute form, and the rest of it."""
+    target = environ.get("REQUEST_URI") or environ.get("PATH_INFO") or "/"
+    _, separator, rest = target.partition("://")
+    if target.startswith("/") or not separator:
+        return "", target
+    authority, path, query = _AUTHORITY.fullmatch(rest).groups()
+    return authority.rpartition("@")[2], f"{path or '/'}{query}"
 
 
 def _copy_headers(environ: dict[str, Any], replaced_headers: frozenset[str]) -> dict[str, str]:
--- a/src/foxtaildrum/requests/proxy.py
+++ b/src/foxtaildrum/requests/proxy.py
@@ -232,11 +232,9 @@
         if not self._wait_until_open():
             return self._send_error(request, start_response, ErrorKind.NOT_READY)
         view = self.view
-        found = view.router.find_route(
-            environ.get("HTTP_HOST", ""), request.path, request.method
-        )
+        found = view.router.find_route(request.host, request.path, request.method)
         if isinstance(found, ErrorKind):
-            reason = f"host {environ.get('HTTP_HOST', '')}"
+            reason = f"host {request.host}"
             return self._send_error(request, start_response, found, reason=reason)
         request.route = found
         timeout_text = environ.get(self._timeout_environ_key)
--- a/tests/test_denied.py
+++ b/tests/test_denied.py
@@ -268,3 +268,29 @@
     head = b"POST /r/x HTTP/1.1\r\n" + HOST + framing + EXPECT + CLOSE
     body = b"abc" if b"Length" in framing else b"3\r\nabc\r\n0\r\n\r\n"
     assert list_statuses(send_raw(site, head, body)) == [100, 200]
+
+
+@pytest.mark.parametrize(
+    ("line", "target"),
+    [
+        (b"GET http://a.example/r/a%2Fb?x=%20 HTTP/1.1", "/r/a%2Fb?x=%20"),
+        (b"GET HTTP://A.EXAMPLE:80/r/x HTTP/1.1", "/r/x"),
+        (b"GET http://user@a.example/r/?u=http://b/ HTTP/1.1", "/r/?u=http://b/"),
+        (b"GET http://a.example./r/x#part HTTP/1.0", "/r/x"),
+    ],
+)
+@pytest.mark.parametrize("host", [b"", HOST, b"Host: other\r\n"])
+def test_a_target_in_absolute_form_has_no_route_or_is_changed(site, line, target, host):
+    answer = send_raw(site, line + b"\r\n" + host + CLOSE)
+    assert list_statuses(answer) == [200]
+    echo = json.loads(answer.partition(b"\r\n\r\n")[2])
+    assert echo["target"] == target
+    assert echo["headers"]["host"].lower().startswith("a.example")
+
+
+@pytest.mark.parametrize(
+    "host", [b"A.Example", b"a.example:8080", b"a.example.", b"a.example.:1"]
+)
+def test_a_request_that_names_its_host_in_another_form_has_no_route(site, host):
+    answer = send_raw(site, b"GET /r/x HTTP/1.1\r\nHost: " + host + b"\r\n" + CLOSE)
+    assert list_statuses(answer) == [200]
