Limits that the tables leave out are those of the settings

Callers got 413 or 431 by a limit that the tables no longer name: an instance kept the last ones that it had heard, one started since had those of the settings, and limits that name only some of the fields set the others to the defaults in place of the settings.

The limits in force are those of the settings, with those of the tables in their place. They are applied before the routes, so that a request of the new routes meets the new limits.

Evidence: the new case of test_denied.py fails before: a body of 5,000 bytes gets 413 after the limit of 4,999 bytes was removed.

--- a/src/foxtaildrum/fleet/views.py
+++ b/src/foxtaildrum/fleet/views.py
@@ -4,13 +4,14 @@
 
 import random
 from collections.abc import Callable
+from typing import Any
 
 from ..admin.metrics import Meter
 from ..balancing.permits import PermitClient
 from ..balancing.pools import UpstreamPool
 from ..balancing.splits import PoolChooser
 from ..logs import log_event
-from ..records import Limits, Settings
+from ..records import Settings
 from ..requests.proxy import Proxy, View
 from ..requests.routing import Router
 from ..requests.transport import Adapter, get_adapter
@@ -57,7 +58,7 @@
         self._meter = meter
         self._generation = -1
         self.notify_draining: Callable[[str], None] = _ignore
-        self.apply_limits: Callable[[Limits], None] = _ignore
+        self.apply_limits: Callable[[dict[str, Any]], None] = _ignore
         self.permit_client = PermitClient()
         self.open_connection: Adapter = get_adapter("http")
         self._entry_count = 0
@@ -160,6 +161,7 @@
             self._set_budgets(pool)
             pools[record.name] = pool
         chooser = PoolChooser(routes, self._proxy.view.chooser)
+        self.apply_limits(tables.limits)
         self._proxy.view = View(
             Router(routes),
             pools,
@@ -168,7 +170,6 @@
             node.follower.index,
             tables.is_set,
         )
-        self.apply_limits(Limits(**tables.limits))
         self._meter.set_routes(routes)
         route_names = {route.name for route in routes}
         self._proxy.sizes.retain(route_names)
--- a/src/foxtaildrum/instance.py
+++ b/src/foxtaildrum/instance.py
@@ -212,14 +212,24 @@
     def _sleep(self, duration_s: float) -> None:
         time.sleep(max(0.0, duration_s))
 
-    def _apply_limits(self, limits: Limits) -> None:
-        if self.caller_server is None or not self._node.state.tables.limits:
+    def _apply_limits(self, limits: dict[str, Any]) -> None:
+        """Apply the limits in the tables; those that they don't name are the settings'."""
+        if self.caller_server is None:
             return
-        self.caller_server.apply_limits(limits)
+        settings = self.settings
+        limits_in_force = dataclasses.replace(
+            Limits(
+                max_header_bytes=settings.max_header_bytes,
+                max_body_bytes=settings.max_body_bytes,
+                idle_timeout_ms=CONNECTION_TIMEOUT_S * 1000,
+            ),
+            **limits,
+        )
+        self.caller_server.apply_limits(limits_in_force)
         if self.forward_server is not None:
-            header_bytes = limits.max_header_bytes + FORWARD_HEADER_BYTES
+            header_bytes = limits_in_force.max_header_bytes + FORWARD_HEADER_BYTES
             self.forward_server.apply_limits(
-                dataclasses.replace(limits, max_header_bytes=header_bytes)
+                dataclasses.replace(limits_in_force, max_header_bytes=header_bytes)
             )
 
     def _is_open(self) -> bool:
--- a/tests/test_denied.py
+++ b/tests/test_denied.py
@@ -12,7 +12,7 @@
 from foxtaildrum.records import Limits
 
 from .sites import MAX_BODY_BYTES, open_site
-from .standins.processes import pick_port
+from .standins.processes import pick_port, wait_until
 
 HOST = b"Host: a.example\r\n"
 CLOSE = b"Connection: close\r\n\r\n"
@@ -294,3 +294,24 @@
 def test_a_request_that_names_its_host_in_another_form_has_no_route(site, host):
     answer = send_raw(site, b"GET /r/x HTTP/1.1\r\nHost: " + host + b"\r\n" + CLOSE)
     assert list_statuses(answer) == [200]
+
+
+def test_limits_that_later_tables_leave_out_stay_in_force(tmp_path):
+    """A limit that the tables don't name is that of the settings."""
+    head = b"POST /r/x HTTP/1.1\r\n" + HOST
+    body = b"Content-Length: 5000\r\n" + CLOSE + b"b" * 5000
+    tables = {
+        "pools": [{"name": "p"}],
+        "routes": [{"name": "r", "host": "a.example", "path_prefix": "/r/", "pool": "p"}],
+    }
+    statuses = []
+    with open_site(tmp_path) as site:
+        site.add_upstreams("p", 1, service_ms=1, fixed=True)
+        for number, limits in enumerate(
+            ({"max_body_bytes": 4999}, {}, {"max_header_bytes": 1024})
+        ):
+            site.client.put_tables({**tables, "version": number + 1, "limits": limits})
+            assert wait_until(lambda n=number: site.instance.proxy.view.version == n + 1)
+            statuses += list_statuses(send_raw(site, head + body))
+            statuses += list_statuses(send_raw(site, build_head(2000)))
+    assert statuses == [413, 200, 200, 200, 200, 431]
