--- a/tests/test_denied.py
+++ b/tests/test_denied.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import itertools
 import json
 import logging
+import random
 import re
 import socket
 
@@ -315,3 +317,47 @@
             statuses += list_statuses(send_raw(site, head + body))
             statuses += list_statuses(send_raw(site, build_head(2000)))
     assert statuses == [413, 200, 200, 200, 200, 431]
+
+
+def build_proper_request(rng: random.Random, number: int, last: bool) -> bytes:
+    """Return one request as the protocol allows it, in a random form."""
+    method = rng.choice([b"GET", b"HEAD", b"POST", b"PUT", b"PATCH", b"DELETE", b"OPTIONS"])
+    path = rng.choice([b"x", b"%41%2F", b"a//b", b";p=1", b"?", b"?q=%20&r", b"p" * 3000, b""])
+    host = rng.choice([b"a.example", b"A.EXAMPLE", b"a.example:80", b"a.example."])
+    lines = [
+        rng.choice([b"Host: ", b"host:", b"HOST: \t"]) + host + rng.choice([b"", b" ", b"\t"]),
+        rng.choice([b"X-Request-Id: ", b"x-request-id:"]) + b"proper-%d" % number,
+    ]
+    if rng.random() < 0.5:
+        time_limit = rng.choice([b"5000", b"4999.5", b"5e3", b"99999999"])
+        lines.append(b"X-Request-Timeout-Ms: " + time_limit)
+    lines += [b"X-%d: %s" % (n, b"v" * rng.randrange(90)) for n in range(rng.randrange(90))]
+    content = b"b" * rng.choice([0, 0, 1, 5000]) if method not in (b"GET", b"HEAD") else b""
+    body = b""
+    form = rng.choice(["length", "chunked", "none"]) if not content else rng.choice("lc")
+    if form[0] == "l":
+        lines.append(b"Content-Length: %d" % len(content))
+        body = content
+    elif form[0] == "c":
+        lines.append(rng.choice([b"Transfer-Encoding: chunked", b"transfer-encoding:Chunked"]))
+        extension = rng.choice([b"", b";e", b';e="q;r"', b";e=1;f"])
+        body = build_chunks(len(content), rng.choice([1000, 9000]), extension)
+        if rng.random() < 0.3:
+            body = body.removesuffix(b"\r\n") + b"X-Trailer: t\r\n\r\n"
+    if last:
+        lines.append(rng.choice([b"Connection: close", b"connection:Close"]))
+    rng.shuffle(lines)
+    start = rng.choice([b"", b"http://" + host]) + b"/r/" + path
+    head = b"\r\n".join([method + b" " + start + b" HTTP/1.1", *lines])
+    return rng.choice([b"", b"", b"\r\n"]) + head + b"\r\n\r\n" + body
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_a_proper_request_in_some_form_is_refused(site, seed):
+    """Several requests at once on one connection, split anywhere."""
+    rng = random.Random(seed)
+    count = rng.randrange(1, 6)
+    data = b"".join(build_proper_request(rng, n, n == count - 1) for n in range(count))
+    cuts = sorted(rng.sample(range(1, len(data)), rng.choice([0, 1, 5, 40])))
+    parts = [data[a:b] for a, b in itertools.pairwise([0, *cuts, len(data)])]
+    assert list_statuses(send_raw(site, *parts)) == [200] * count
