Log the identifier of a request whose body in chunks is refused

The answer and the log line of a refused body in chunks had a new identifier, as the parser of chunks didn't look for the caller's. The new case of test_denied.py fails before.

--- a/src/foxtaildrum/requests/parsing.py
+++ b/src/foxtaildrum/requests/parsing.py
@@ -58,10 +58,11 @@
 
     def received(self, data: bytes) -> int:
         """Read bytes that have arrived; return how many of them belong to this request."""
-        if self.chunked and self.headers_finished and not self.completed:
-            return self._receive_chunks(data)
         head = b"" if self.headers_finished else self.header_plus + data
-        consumed = super().received(data)
+        if self.chunked and not head and not self.completed:
+            consumed = self._receive_chunks(data)
+        else:
+            consumed = super().received(data)
         if head and self.headers_finished and not self.empty and not self.error:
             self._check_section(head)
         if self.error or self.body_rcv is None:
--- a/tests/test_denied.py
+++ b/tests/test_denied.py
@@ -70,6 +70,7 @@
         ("malformed", b"Content-Length: x\r\n", "bad_request"),
         ("large-body", b"Content-Length: %d\r\n" % (MAX_BODY_BYTES + 1), "body_too_large"),
         ("large-head", b"X-Large: " + b"h" * 60_000 + b"\r\n", "header_too_large"),
+        ("bad-chunks", b"Transfer-Encoding: chunked\r\n", "bad_request"),
     ],
 )
 def test_a_request_refused_by_the_parser_is_logged_without_its_identifier(
@@ -77,7 +78,7 @@
 ):
     head = b"GET /r/x HTTP/1.1\r\n" + HOST + b"X-Request-Id: " + name.encode() + b"\r\n"
     with caplog.at_level(logging.INFO, "foxtaildrum"):
-        answer = send_raw(site, head + lines + CLOSE)
+        answer = send_raw(site, head + lines + CLOSE + b"not a size\r\n")
     record = find_log_record(caplog, name)
     assert (record.msg, record.kind) == ("refused_request", kind)
     assert (record.status, record.state) == (list_statuses(answer)[0], "ready")
@@ -245,6 +246,8 @@
     assert list_statuses(answer) == [500]
     assert b"Foxtaildrum-Forward-Result" not in answer
     assert b"Foxtaildrum-Outcome: unknown" in answer
+
+
 EXPECT = b"Expect: 100-continue\r\n"
 
 
