--- a/tests/test_desired.py
+++ b/tests/test_desired.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import random
+
+import msgpack
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -13,6 +16,7 @@
     build_patch,
     describe_desired,
 )
+from foxtaildrum.control.table_follower import DESIRED, TableState
 from foxtaildrum.control.tables import Tables
 from foxtaildrum.exceptions import InvalidTableError
 
@@ -158,3 +162,29 @@
     assert fleet.read_desired(leader) in (None, 2)
     fleet.run(2.0)
     assert fleet.read_desired(leader) == 2
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_pieces_of_one_index_from_two_instances_are_not_alike(seed):
+    """One that restored the tables captures the same bytes as one that applied each change."""
+    rng = random.Random(seed)
+    applied, restored = TableState(), TableState()
+    for number in range(1, 20):
+        names = [f"p{n}" for n in rng.sample(range(6), rng.randrange(1, 6))]
+        rows = [
+            {"name": f"r{n}", "pool": rng.choice(names), "path_prefix": f"/{n}/"}
+            for n in rng.sample(range(12), rng.randrange(12))
+        ]
+        tables = {"routes": rows, "pools": [{"name": name} for name in names]}
+        limits = rng.choice([{}, {"max_body_bytes": number}])
+        patch = build_patch(applied.tables, DesiredState(number, tables, limits))
+        for state in (applied, restored):
+            state.apply(DESIRED, repack(patch.to_wire()))
+        captured = applied.capture(with_answers=False)
+        assert msgpack.packb(captured) == msgpack.packb(restored.capture(with_answers=False))
+        if rng.random() < 0.3:
+            restored.restore(repack(captured))
+
+
+def repack(value):
+    return msgpack.unpackb(msgpack.packb(value), strict_map_key=False)
