Logs: why a response of an upstream was refused, also to a status check

A response whose head was complete but refused was logged with reason=None, so that another's identifier, a missing one and a missing proof looked the same, and a status check that read a wrong response left no line at all.

`attempt_failed` now names the reason, and `status_check_failed` is new.

--- a/src/foxtaildrum/balancing/samples.py
+++ b/src/foxtaildrum/balancing/samples.py
@@ -10,6 +10,7 @@
 import select
 
 from ..clock import read_clock
+from ..logs import log_event
 from ..requests.dialects import Dialect
 from ..requests.transport import Connection, OutgoingRequest, TransportError
 from .candidates import UpstreamLoad
@@ -187,8 +188,15 @@
             head = connection.read_head(SAMPLE_TIMEOUT_S)
             for _ in connection.read_body(deadline):
                 continue
-        except TransportError:
+        except TransportError as error:
             connection.close()
+            log_event(
+                "status_check_failed",
+                failed=True,
+                upstream=check.upstream.upstream_id,
+                kind=error.kind.value,
+                reason=error.reason,
+            )
             return
         now = read_clock()
         self._pool.get_connections(check.upstream).release(now, connection)
--- a/src/foxtaildrum/logevents.py
+++ b/src/foxtaildrum/logevents.py
@@ -67,6 +67,7 @@
     "settings_reloaded": ("need_restart",),
     "started": ("instance", "role", "callers", "admin"),
     "statsd_failed": ("reason",),
+    "status_check_failed": ("upstream", "kind", "reason"),
     "stopped": ("all_requests_ended",),
     "stopping": ("grace_s",),
     "tables_in_force": ("index", "version", "routes_version", "pools_version"),
--- a/src/foxtaildrum/requests/dispatch.py
+++ b/src/foxtaildrum/requests/dispatch.py
@@ -34,6 +34,9 @@
 CONNECT_TIMEOUT_S = 0.4
 CALLER_POLL_S = 0.05
 CRASH_CHECK_TIMEOUT_S = 0.1
+NO_IDENTIFIER = "no_identifier"
+OTHER_IDENTIFIER = "other_identifier"
+NO_PROOF = "no_proof"
 # Responses with a declared length up to this are read completely before they are relayed.
 PREFETCH_BYTES = 262_144
 
@@ -402,7 +405,7 @@
             upstream=attempt.upstream_id,
             kind=error.kind.value,
             crashed=crashed,
-            reason=repr(error.__cause__),
+            reason=error.reason,
         )
 
     def _report_crash(self, attempt: AttemptState) -> bool:
@@ -432,13 +435,14 @@
         connection = self._attempt_states[number].connection
         connection.states_response_id |= bool(stated_id)
         if connection.states_response_id and stated_id != expected_id:
-            raise TransportError(ErrorKind.ANSWER_INVALID)
+            reason = OTHER_IDENTIFIER if stated_id else NO_IDENTIFIER
+            raise TransportError(ErrorKind.ANSWER_INVALID, reason=reason)
         lacks_required_header = (
             dialect.required_response_header
             and dialect.required_response_header not in head.all_headers
         )
         if lacks_required_header and not not_run and head.status < http.client.BAD_REQUEST:
-            raise TransportError(ErrorKind.ANSWER_INVALID)
+            raise TransportError(ErrorKind.ANSWER_INVALID, reason=NO_PROOF)
 
     def _prefetch_body(self, attempt: AttemptState) -> IO[bytes] | bytes | None:
         length = attempt.head.length
--- a/src/foxtaildrum/requests/transport.py
+++ b/src/foxtaildrum/requests/transport.py
@@ -55,12 +55,20 @@
         Error kind that the failure causes for the request.
     timed_out : bool
         Whether nothing was heard from the upstream in time.
+    reason : str
+        Why a response was refused, for the log; empty if the cause says it.
     """
 
-    def __init__(self, kind: ErrorKind, timed_out: bool = False) -> None:
+    def __init__(self, kind: ErrorKind, timed_out: bool = False, reason: str = "") -> None:
         super().__init__(kind)
         self.kind = kind
         self.timed_out = timed_out
+        self._reason = reason
+
+    @property
+    def reason(self) -> str:
+        """Why the connection failed, for the log."""
+        return self._reason or repr(self.__cause__)
 
 
 class CancelledError(Exception):
