Responses: a head, a trailer or a chunk that breaks off is no answer

An upstream stopped in the middle of a head and closed. Callers got a 200, 404 or 503 with an empty or short body, framed as whole.

Cause: http.client takes the end of the connection for the end of the head, and of the trailer. If the line with the length was not sent yet, the body counts as one that ends with its connection, which the platform allows. http.client also accepts sizes of chunks that are none (+5, 0x5, 0_5) and doesn't look at the bytes after a chunk.

An empty Content-Length gave callers a 500.

Sizes of chunks and the bytes after a chunk are checked. An empty Content-Length is refused like any malformed one. It covers status checks, probes and requests forwarded between instances, which share the reader.

--- a/src/foxtaildrum/requests/responses.py
+++ b/src/foxtaildrum/requests/responses.py
@@ -4,6 +4,7 @@
 
 import http.client
 import io
+import re
 import socket
 from collections.abc import Iterator
 from contextlib import contextmanager
@@ -14,12 +15,24 @@
 MAX_HEAD_BYTES = 262_144
 MAX_TRAILER_BYTES = 65_536
 MIN_TIMEOUT_S = 0.001
+MAX_LINE_BYTES = 65_536
+
+_CHUNK_SIZE = re.compile(rb"([0-9A-Fa-f]{1,16})[ \t]*(;[^\n]*)?\r?\n")
+_CHUNK_END = b"\r\n"
 
 
 class ResponseTooLargeError(http.client.HTTPException):
     """The head or the trailer of a response exceeds its limit."""
 
 
+class CutOffError(ConnectionResetError):
+    """The connection ended inside the head, the trailer or the size of a chunk."""
+
+
+class MalformedChunkError(http.client.HTTPException):
+    """A chunk of a body has no valid size, or does not end where its size says."""
+
+
 class _BoundedReader(io.RawIOBase):
     """Reads a socket until a deadline.
 
@@ -70,6 +83,26 @@
         super().close()
 
 
+class _LineReader(io.BufferedReader):
+    """Reads lines that are complete.
+
+    http.client takes the end of the connection for the end of the head or the trailer.
+    """
+
+    _has_line = False
+
+    def readline(self, size: int = -1) -> bytes:
+        """Return one line with its end, or the first ``size`` bytes of a longer one."""
+        line = super().readline(size)
+        if not line and not self._has_line:
+            # The connection ended before the response began, which http.client reports.
+            return line
+        self._has_line = True
+        if not line.endswith(b"\n") and (size < 0 or len(line) < size):
+            raise CutOffError(f"the connection ended after {line[-40:]!r}")
+        return line
+
+
 class BoundedResponse(http.client.HTTPResponse):
     """Response that is read within limits, and detects bytes beyond its declared length.
 
@@ -90,7 +123,7 @@
         super().__init__(sock, **options)
         self.fp.close()
         self._reader = _BoundedReader(sock, deadline)
-        self.fp = io.BufferedReader(self._reader)
+        self.fp = _LineReader(self._reader)
         self.has_trailing_bytes = False
 
     def begin(self) -> None:
@@ -118,6 +151,26 @@
         finally:
             self._reader.bytes_left = None
 
+    def _get_chunk_left(self) -> int | None:
+        """Return the bytes left of the current or the next chunk; None after the last one."""
+        if self.chunk_left:
+            return self.chunk_left
+        if self.chunk_left is not None and self._safe_read(len(_CHUNK_END)) != _CHUNK_END:
+            raise MalformedChunkError("a chunk is longer than its size")
+        self.chunk_left = self._read_chunk_size()
+        if self.chunk_left == 0:
+            self._read_and_discard_trailer()
+            self._close_conn()
+            self.chunk_left = None
+        return self.chunk_left
+
+    def _read_chunk_size(self) -> int:
+        line = self.fp.readline(MAX_LINE_BYTES + 1)
+        found = _CHUNK_SIZE.fullmatch(line)
+        if found is None:
+            raise MalformedChunkError(f"invalid size of a chunk: {line[:40]!r}")
+        return int(found[1], 16)
+
     def _read_and_discard_trailer(self) -> None:
         with self._limit_bytes(MAX_TRAILER_BYTES):
             super()._read_and_discard_trailer()
--- a/src/foxtaildrum/requests/transport.py
+++ b/src/foxtaildrum/requests/transport.py
@@ -306,7 +306,7 @@
         self._connection.head_deadline = read_clock() + timeout_s
         try:
             self._response = self._connection.getresponse()
-        except (http.client.RemoteDisconnected, OSError) as error:
+        except OSError as error:
             raise TransportError(ErrorKind.ANSWER_LOST) from error
         except _HTTP_ERRORS as error:
             raise TransportError(ErrorKind.ANSWER_INVALID) from error
@@ -423,7 +423,9 @@
         content_length = _join_header_values(response, "Content-Length")
         if transfer_encoding and (transfer_encoding != "chunked" or content_length):
             raise TransportError(ErrorKind.ANSWER_INVALID)
-        if content_length and not (content_length.isascii() and content_length.isdigit()):
+        if "Content-Length" in response.headers and not (
+            content_length.isascii() and content_length.isdigit()
+        ):
             raise TransportError(ErrorKind.ANSWER_INVALID)
         if has_no_body:
             return 0
--- /dev/null
+++ b/tests/test_cut_responses.py
@@ -0,0 +1,163 @@
+"""Responses of upstreams that break off, at any byte, and requests that do."""
+
+from __future__ import annotations
+
+import contextlib
+import io
+
+import pytest
+
+from foxtaildrum.clock import read_clock
+from foxtaildrum.requests.transport import OutgoingRequest, TransportError, open_http
+
+from .sites import open_site
+from .standins.scripted import (
+    Arrival,
+    Script,
+    ScriptedUpstream,
+    build_response,
+)
+from .test_platform import load_module
+
+TIMEOUT_S = 2.0
+HEADERS = {"X-Request-Id": "id", "X-Response-Signature": "proof", "Server": "s"}
+BODY = b"0123456789abcdef" * 40
+
+
+@pytest.fixture
+def start_upstream():
+    upstreams = []
+
+    def start(write_script) -> ScriptedUpstream:
+        upstreams.append(ScriptedUpstream(write_script))
+        return upstreams[-1]
+
+    yield start
+    for upstream in upstreams:
+        upstream.close()
+
+
+def exchange(upstream: ScriptedUpstream, method: str, body: bytes | None = None):
+    """Return the connection, status and body of a response that was read completely."""
+    connection = open_http(upstream.address, TIMEOUT_S)
+    connection.accepts_close_delimited = connection.accepts_trailing_bytes = True
+    file = None if body is None else io.BytesIO(body)
+    headers = {"Host": "x"}
+    try:
+        request = OutgoingRequest(method, "/", headers, file, len(body or b""), "id")
+        connection.send(request, TIMEOUT_S)
+        head = connection.read_head(TIMEOUT_S)
+        data = b"".join(connection.read_body(read_clock() + TIMEOUT_S))
+    except TransportError:
+        connection.close()
+        raise
+    return connection, head.status, data
+
+
+def count_whole(upstream: ScriptedUpstream, method: str, cuts: int) -> list[int]:
+    """Return the cuts whose responses were read as complete."""
+    whole = []
+    for cut in range(cuts):
+        with contextlib.suppress(TransportError):
+            connection, _, _ = exchange(upstream, method)
+            connection.close()
+            whole.append(cut)
+    return whole
+
+
+@pytest.mark.parametrize("end", ["fin", "rst"])
+@pytest.mark.parametrize("method", ["GET", "HEAD"])
+@pytest.mark.parametrize("framing", ["length", "chunked", "close"])
+@pytest.mark.parametrize("status", [200, 404, 503])
+def test_a_head_that_breaks_off_is_no_answer(start_upstream, end, method, framing, status):
+    head = build_response(status, HEADERS, BODY, framing).partition(b"\r\n\r\n")[0] + b"\r\n"
+    cuts = iter(range(len(head) + 1))
+    upstream = start_upstream(lambda arrival: Script(head[: next(cuts)], end=end))
+    assert count_whole(upstream, method, len(head) + 1) == []
+
+
+@pytest.mark.parametrize("end", ["fin", "rst"])
+@pytest.mark.parametrize("framing", ["length", "chunked"])
+def test_a_body_that_breaks_off_is_not_complete(start_upstream, end, framing):
+    response = build_response(200, HEADERS, BODY, framing)
+    first = response.index(b"\r\n\r\n")
+    cuts = iter(range(first, len(response)))
+    upstream = start_upstream(lambda arrival: Script(response[: next(cuts)], end=end))
+    assert count_whole(upstream, "GET", len(response) - first) == []
+
+
+def test_a_trailer_that_breaks_off_is_not_complete(start_upstream):
+    response = build_response(200, HEADERS, BODY, "chunked")[:-2] + b"X-Sum: 12\r\n\r\n"
+    start = response.index(b"X-Sum")
+    cuts = iter(range(start, len(response)))
+    upstream = start_upstream(lambda arrival: Script(response[: next(cuts)], end="fin"))
+    assert count_whole(upstream, "GET", len(response) - start) == []
+
+
+@pytest.mark.parametrize("cut", [0, 1, 300])
+def test_an_unframed_body_that_is_reset_is_not_complete(start_upstream, cut):
+    response = build_response(200, HEADERS, BODY[:cut], "close")
+    upstream = start_upstream(lambda arrival: Script(response, end="rst"))
+    with pytest.raises(TransportError):
+        exchange(upstream, "GET")
+
+
+@pytest.mark.parametrize(
+    "chunks",
+    [
+        b"+5\r\nwhole\r\n0\r\n\r\n",
+        b"0x5\r\nwhole\r\n0\r\n\r\n",
+        b"0_5\r\nwhole\r\n0\r\n\r\n",
+        b"-5\r\nwhole\r\n0\r\n\r\n",
+        b"5\r\nwhole..0\r\n\r\n",
+        b"5\r\nwhole\n\n0\r\n\r\n",
+        b"\r\n5\r\nwhole\r\n0\r\n\r\n",
+        b"5 5\r\nwhole\r\n0\r\n\r\n",
+    ],
+)
+def test_malformed_chunks_are_no_body(start_upstream, chunks):
+    head = build_response(200, HEADERS, b"", "chunked").partition(b"\r\n\r\n")[0]
+    upstream = start_upstream(lambda a: Script(head + b"\r\n\r\n" + chunks, end="fin"))
+    with pytest.raises(TransportError):
+        exchange(upstream, "GET")
+
+
+@pytest.mark.parametrize("length", ["", "+5", "5x", "5, 5"])
+def test_a_head_with_a_malformed_length_is_no_answer(start_upstream, length):
+    head = build_response(200, {**HEADERS, "Content-Length": length}, b"", "close")
+    upstream = start_upstream(lambda arrival: Script(head + b"whole", end="fin"))
+    with pytest.raises(TransportError):
+        exchange(upstream, "GET")
+
+
+def test_chunk_extensions_and_trailers_are_skipped(start_upstream):
+    chunks = b"5;a=b\r\nwhole\r\n00 ;c\r\nX-Sum: 1\r\n\r\n"
+    head = build_response(200, HEADERS, b"", "chunked").partition(b"\r\n\r\n")[0]
+    upstream = start_upstream(lambda arrival: Script(head + b"\r\n\r\n" + chunks))
+    connection, status, data = exchange(upstream, "GET")
+    assert (status, data, connection.reusable) == (200, b"whole", True)
+
+
+@pytest.mark.parametrize("end", ["fin", "rst"])
+@pytest.mark.parametrize("framing", ["length", "chunked", "close"])
+@pytest.mark.parametrize("method", ["GET", "HEAD", "POST"])
+def test_callers_get_no_answer_whose_head_broke_off(tmp_path, end, framing, method):
+    load_module("dialect")
+    cuts: dict[str, int] = {}
+
+    def write_script(arrival: Arrival) -> Script:
+        headers = {**HEADERS, "X-Request-Id": arrival.request_id}
+        head = build_response(200, headers, BODY, framing).partition(b"\r\n\r\n")[0] + b"\r\n"
+        return Script(head[: len(head) - cuts[arrival.target]], end=end)
+
+    upstream = ScriptedUpstream(write_script)
+    with open_site(tmp_path, dialect="platform") as site:
+        site.apply("pools", [{"name": "p", "retry_budget_ratio": 1.0}])
+        site.apply("routes", [{"name": "p", "path_prefix": "/", "pool": "p"}])
+        fields = {"availability_zone": "", "state": "ready", "sequence": 1}
+        site.announce("u-1", "p", upstream.port, **fields)
+        for cut in range(0, 60, 3):
+            cuts[f"/cut/{cut}"] = cut
+            reply = site.send(method, f"/cut/{cut}", body=b"x" if method == "POST" else None)
+            assert reply.status == 502
+    upstream.close()
