Connections: the end of a chunked response is looked at like any other

Two effects of one cause: the check at the end of a response covered only those with a length.

- Bytes that had arrived with the end of a chunked response were dropped and the connection kept, so the rest of a second answer could come where the next one was due.
- A response to HEAD with `Transfer-Encoding: chunked` was never ended, and its connection kept. http.client refuses to read another response there: the next request was sent and run, and its caller got 502.

Evidence, before: five of the new cases fail (reusable with bytes left; ResponseNotReady in the next read). No wrong answer was seen at a caller by this alone: the identifier is checked as well.

Change: a response ends when nothing more of its body is due, whatever its framing, and the bytes beyond are looked for at that point. The body of a chunked response stays valid: its end is marked.

After: all cases pass.

--- a/src/foxtaildrum/requests/dialects.py
+++ b/src/foxtaildrum/requests/dialects.py
@@ -38,7 +38,8 @@
     not_run_statuses : frozenset of int
         Statuses that tell the caller that its request was not run.
     accepts_trailing_bytes : bool
-        Whether a response is valid if more bytes follow its body.
+        Whether a response is valid if more bytes follow its body than its length declares.
+        The end of a chunked body is not in doubt.
     accepts_close_delimited : bool
         Whether a response may have no declared length and end with its connection.
     announcement_fields : tuple of str
--- a/src/foxtaildrum/requests/responses.py
+++ b/src/foxtaildrum/requests/responses.py
@@ -104,7 +104,7 @@
 
 
 class BoundedResponse(http.client.HTTPResponse):
-    """Response that is read within limits, and detects bytes beyond its declared length.
+    """Response that is read within limits, and detects bytes beyond its end.
 
     Parameters
     ----------
@@ -124,6 +124,7 @@
         self.fp.close()
         self._reader = _BoundedReader(sock, deadline)
         self.fp = _LineReader(self._reader)
+        self._has_last_chunk = False
         self.has_trailing_bytes = False
 
     def begin(self) -> None:
@@ -131,6 +132,11 @@
         with self._limit_bytes(MAX_HEAD_BYTES):
             super().begin()
 
+    @property
+    def awaits_body(self) -> bool:
+        """Whether more of the body is due; a response to HEAD has none."""
+        return self.length != 0
+
     def set_deadline(self, deadline: float) -> None:
         """Set the time by which the rest of the response must have arrived."""
         self._reader.deadline = deadline
@@ -151,6 +157,11 @@
         finally:
             self._reader.bytes_left = None
 
+    def end(self) -> None:
+        """End a response whose body was read completely."""
+        if not self.isclosed():
+            self._close_conn()
+
     def _get_chunk_left(self) -> int | None:
         """Return the bytes left of the current or the next chunk; None after the last one."""
         if self.chunk_left:
@@ -160,6 +171,7 @@
         self.chunk_left = self._read_chunk_size()
         if self.chunk_left == 0:
             self._read_and_discard_trailer()
+            self._has_last_chunk = True
             self._close_conn()
             self.chunk_left = None
         return self.chunk_left
@@ -176,7 +188,7 @@
             super()._read_and_discard_trailer()
 
     def _close_conn(self) -> None:
-        if self.fp is not None and self.length == 0 and not self.chunked:
+        if self.fp is not None and (self._has_last_chunk or not self.awaits_body):
             try:
                 self.has_trailing_bytes = self.has_input()
             except OSError:
--- a/src/foxtaildrum/requests/transport.py
+++ b/src/foxtaildrum/requests/transport.py
@@ -319,7 +319,7 @@
         response = self._response
         response.set_deadline(deadline)
         try:
-            if response.chunked:
+            if response.chunked and response.awaits_body:
                 yield from self._read_chunks(response, deadline, is_cancelled)
             else:
                 yield from self._read_sized(response, deadline, is_cancelled)
@@ -362,8 +362,8 @@
             if held_chunk:
                 yield held_chunk
             held_chunk = chunk
-        if response.length == 0 and not response.isclosed():
-            response.read()
+        if not response.awaits_body:
+            response.end()
         if response.length or (response.has_trailing_bytes and not self.accepts_trailing_bytes):
             raise TransportError(ErrorKind.ANSWER_LOST)
         if held_chunk:
--- a/tests/test_cut_responses.py
+++ b/tests/test_cut_responses.py
@@ -138,6 +138,31 @@
     assert (status, data, connection.reusable) == (200, b"whole", True)
 
 
+@pytest.mark.parametrize("framing", ["length", "chunked"])
+@pytest.mark.parametrize("method", ["GET", "HEAD"])
+def test_a_connection_with_bytes_after_a_response_is_not_kept(start_upstream, framing, method):
+    response = build_response(200, HEADERS, BODY, framing)
+    if method == "HEAD":
+        response = response.partition(b"\r\n\r\n")[0] + b"\r\n\r\n"
+    upstream = start_upstream(lambda arrival: Script(response + response))
+    connection, status, data = exchange(upstream, method)
+    assert (status, data) == (200, BODY if method == "GET" else b"")
+    assert not connection.reusable
+
+
+@pytest.mark.parametrize("status", [200, 204, 304])
+def test_a_connection_is_kept_after_a_chunked_response_without_a_body(start_upstream, status):
+    def write_script(arrival: Arrival) -> Script:
+        head = build_response(status, HEADERS, b"", "chunked")
+        return Script(head.partition(b"\r\n\r\n")[0] + b"\r\n\r\n")
+
+    upstream = start_upstream(write_script)
+    connection, _, _ = exchange(upstream, "HEAD")
+    assert connection.reusable
+    connection.send(OutgoingRequest("HEAD", "/", {"Host": "x"}, None, 0, "id"), TIMEOUT_S)
+    assert connection.read_head(TIMEOUT_S).status == status
+
+
 @pytest.mark.parametrize("end", ["fin", "rst"])
 @pytest.mark.parametrize("framing", ["length", "chunked", "close"])
 @pytest.mark.parametrize("method", ["GET", "HEAD", "POST"])
