Connections: one that owes the rest of a request is never kept

An upstream rejected a long request before it had read the body and read on later: it got the next caller's order, or a status check, where the rest of the body was due. The swallowed order was answered with 502.

Cause: if sending fails but a response has already arrived, that response is used, which is right; but the connection then counted as if the whole request had been sent.

A second effect: the failed send takes the reset from the socket, which then ends like a closed one.

Change: a connection knows whether its last request was sent to its end. If not, it isn't kept, and a response without a length isn't accepted on it.

--- a/src/foxtaildrum/requests/transport.py
+++ b/src/foxtaildrum/requests/transport.py
@@ -132,8 +132,8 @@
     Attributes
     ----------
     reusable : bool
-        Whether the last response was read completely, no bytes followed it and the
-        connection is still open.
+        Whether the last request was sent and its response read completely, no bytes
+        followed it and the connection is still open.
     states_response_id : bool
         Whether a response on this connection stated the identifier of its attempt or request.
     """
@@ -246,6 +246,7 @@
 
     __slots__ = (
         "_connection",
+        "_is_sent",
         "_method",
         "_response",
         "_sock",
@@ -259,6 +260,7 @@
         host, port = parse_address(address)
         self._connection = _UpstreamHTTPConnection(host, port, timeout=timeout_s)
         self._method = ""
+        self._is_sent = False
         self._response: BoundedResponse | None = None
         self.reusable = False
         self.states_response_id = False
@@ -274,7 +276,7 @@
 
     def send(self, request: OutgoingRequest, timeout_s: float) -> None:
         """Send the whole request; raise :class:`TransportError` on failure."""
-        self.reusable = False
+        self.reusable = self._is_sent = False
         self._method = request.method
         self._connection.timeout = timeout_s
         headers = {"User-Agent": SKIP_HEADER, "Accept-Encoding": SKIP_HEADER}
@@ -296,6 +298,8 @@
             # whole body, so a response that already arrived is still used.
             if not self._has_early_response():
                 raise TransportError(ErrorKind.ANSWER_LOST) from error
+            return
+        self._is_sent = True
 
     def fileno(self) -> int:
         """Return the file descriptor to poll for the response."""
@@ -325,7 +329,12 @@
                 yield from self._read_sized(response, deadline, is_cancelled)
         except _HTTP_ERRORS as error:
             raise TransportError(ErrorKind.ANSWER_LOST) from error
-        self.reusable = self._connection.sock is not None and not response.has_trailing_bytes
+        # An upstream may still read the rest of a request that was not sent to its end.
+        self.reusable = (
+            self._is_sent
+            and self._connection.sock is not None
+            and not response.has_trailing_bytes
+        )
 
     def close(self) -> None:
         """Close the connection, which cancels the work of the upstream."""
@@ -433,8 +442,8 @@
             return None
         if not content_length:
             # Without a declared length, a truncated response is only detected if the
-            # connection is reset.
-            if not self.accepts_close_delimited:
+            # connection is reset, which the failed send of a request may have reported.
+            if not (self.accepts_close_delimited and self._is_sent):
                 raise TransportError(ErrorKind.ANSWER_INVALID)
             return None
         return int(content_length)
--- a/tests/test_cut_responses.py
+++ b/tests/test_cut_responses.py
@@ -4,6 +4,8 @@
 
 import contextlib
 import io
+import socket
+import threading
 
 import pytest
 
@@ -16,6 +18,7 @@
     Script,
     ScriptedUpstream,
     build_response,
+    end_connection,
 )
 from .test_platform import load_module
 
@@ -163,6 +166,59 @@
     assert connection.read_head(TIMEOUT_S).status == status
 
 
+class EarlyUpstream:
+    """Answers before it has read the body of its one request, and reads on when it is told."""
+
+    def __init__(self, data: bytes, end: str = "") -> None:
+        self._listener = socket.socket()
+        self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65536)
+        self._listener.bind(("127.0.0.1", 0))
+        self._listener.listen()
+        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
+        self.may_end = threading.Event()
+        self._data = data
+        self._end = end
+        threading.Thread(target=self._serve, daemon=True).start()
+
+    def _serve(self) -> None:
+        sock, _ = self._listener.accept()
+        with sock:
+            sock.recv(65536)
+            sock.sendall(self._data)
+            if self._end:
+                end_connection(sock, self._end)
+                return
+            self.may_end.wait(TIMEOUT_S)
+
+    def close(self) -> None:
+        self.may_end.set()
+        self._listener.close()
+
+
+@pytest.mark.parametrize("body", [b"", b"refused"])
+@pytest.mark.parametrize("framing", ["length", "chunked"])
+def test_a_connection_that_owes_the_rest_of_a_body_is_not_kept(body, framing):
+    """The upstream reads on later and would take the next request for the rest."""
+    upstream = EarlyUpstream(build_response(503, {"X-Not-Executed": "1"}, body, framing))
+    connection = open_http(upstream.address, TIMEOUT_S)
+    long = io.BytesIO(b"x" * 16_000_000)
+    request = OutgoingRequest("POST", "/", {"Host": "x"}, long, 16_000_000, "id")
+    connection.send(request, 0.3)
+    assert connection.read_head(TIMEOUT_S).status == 503
+    assert b"".join(connection.read_body(read_clock() + TIMEOUT_S)) == body
+    assert not connection.reusable
+    connection.close()
+    upstream.close()
+
+
+def test_an_unframed_early_answer_that_is_reset_is_not_complete():
+    """The failed send takes the reset from the socket, which then ends like a closed one."""
+    upstream = EarlyUpstream(build_response(200, HEADERS, BODY, "close"), end="rst")
+    with pytest.raises(TransportError):
+        exchange(upstream, "POST", b"x" * 16_000_000)
+    upstream.close()
+
+
 @pytest.mark.parametrize("end", ["fin", "rst"])
 @pytest.mark.parametrize("framing", ["length", "chunked", "close"])
 @pytest.mark.parametrize("method", ["GET", "HEAD", "POST"])
