Answers: a late copy of another answer proves nothing about a request

An upstream wrote an answer once more, late, where the next one on the connection was due. Callers got another's answer; they were told "not run" for orders that had run or were running; or such an order was sent to a second upstream.

Cause: what wasn't known yet counted as proof. - A response without an identifier was accepted on a connection whose earlier responses had none, such as one that had carried only status checks, or nothing. - A request refused on a connection was sent again over it, where a late copy of the refusal has the right identifier. The same holds for a caller that uses an identifier again. - A status check took whatever came as its response, also a late one read by the connection pool. If it was the copy of another, its own response was still due on the connection, which was kept.

A request isn't sent twice over one connection. So a copy can only carry the identifier of something else, or none, and both are refused: the order's outcome is unknown (502), a request that may be repeated is sent again. Status checks and requests go on sharing connections, since the identifiers suffice.

Not covered: Foxtaildrum's own dialect doesn't require an upstream to repeat the identifier; see the known limits in docs/design/rules.md.

--- a/src/foxtaildrum/balancing/probes.py
+++ b/src/foxtaildrum/balancing/probes.py
@@ -12,6 +12,7 @@
 from ..admin.metrics import Meter
 from ..clock import read_clock
 from ..isolation import run_isolated
+from ..requests.answers import check_identifier
 from ..requests.dialects import Dialect
 from ..requests.transport import OutgoingRequest, TransportError
 from .candidates import UpstreamLoad
@@ -92,6 +93,7 @@
     try:
         connection.send(request, PROBE_TIMEOUT_S)
         head = connection.read_head(PROBE_TIMEOUT_S)
+        check_identifier(dialect, connection, head.all_headers, "")
         for _ in connection.read_body(read_clock() + PROBE_TIMEOUT_S):
             continue
     except TransportError:
--- a/src/foxtaildrum/balancing/samples.py
+++ b/src/foxtaildrum/balancing/samples.py
@@ -11,8 +11,9 @@
 
 from ..clock import read_clock
 from ..logs import log_event
+from ..requests.answers import check_identifier
 from ..requests.dialects import Dialect
-from ..requests.transport import Connection, OutgoingRequest, TransportError
+from ..requests.transport import Connection, Head, OutgoingRequest, TransportError
 from .candidates import UpstreamLoad
 from .pools import UpstreamPool
 from .sampling import MAX_ROUNDS, shows_progress
@@ -178,7 +179,7 @@
                 self._handle_response(pending.pop(descriptor))
         for check in pending.values():
             connections = self._pool.get_connections(check.upstream)
-            connections.hold_late(read_clock(), check.connection)
+            connections.hold_late(read_clock(), check.connection, self._check_head)
             result.silent.append(check.upstream)
 
     def _handle_response(self, check: _PendingCheck) -> None:
@@ -186,6 +187,7 @@
         deadline = read_clock() + SAMPLE_TIMEOUT_S
         try:
             head = connection.read_head(SAMPLE_TIMEOUT_S)
+            self._check_head(connection, head)
             for _ in connection.read_body(deadline):
                 continue
         except TransportError as error:
@@ -213,3 +215,7 @@
         report = self._dialect.read_load(head.all_headers)
         draining = self._dialect.states_draining(head.all_headers)
         self._pool.record_response(now, check.upstream, report, draining)
+
+    def _check_head(self, connection: Connection, head: Head) -> None:
+        """Refuse a late copy of an answer to a request: status checks have no identifier."""
+        check_identifier(self._dialect, connection, head.all_headers, "")
--- /dev/null
+++ b/src/foxtaildrum/requests/answers.py
@@ -0,0 +1,58 @@
+"""Whether a response belongs to the request that waits for it, without I/O.
+
+An upstream may send a response once more, when the next one on the connection is due. Such a
+copy proves nothing about the request that waits, neither a success nor that it was not run.
+"""
+
+from __future__ import annotations
+
+import http.client
+
+from ..kinds import ErrorKind
+from .dialects import Dialect, Headers
+from .transport import Connection, TransportError
+
+NO_IDENTIFIER = "no_identifier"
+OTHER_IDENTIFIER = "other_identifier"
+NO_PROOF = "no_proof"
+
+
+def check_identifier(
+    dialect: Dialect, connection: Connection, headers: Headers, expected_id: str
+) -> None:
+    """Refuse a response that was or may have been sent for something else.
+
+    Parameters
+    ----------
+    expected_id : str
+        Identifier that the response must repeat; empty for the response to a status check,
+        which has none.
+
+    Raises
+    ------
+    TransportError
+        If the response states another identifier, or none although the dialect requires one
+        or an earlier response on the connection had one.
+    """
+    stated_id = headers.get(dialect.response_id_header, "")
+    if stated_id:
+        connection.states_response_id = True
+    if stated_id == expected_id:
+        return
+    if stated_id:
+        raise TransportError(ErrorKind.ANSWER_INVALID, reason=OTHER_IDENTIFIER)
+    if dialect.requires_response_id or connection.states_response_id:
+        raise TransportError(ErrorKind.ANSWER_INVALID, reason=NO_IDENTIFIER)
+
+
+def check_proof(dialect: Dialect, status: int, headers: Headers) -> None:
+    """Refuse a success without the header that the dialect requires.
+
+    Raises
+    ------
+    TransportError
+        If the header is missing.
+    """
+    required = dialect.required_response_header
+    if required and required not in headers and status < http.client.BAD_REQUEST:
+        raise TransportError(ErrorKind.ANSWER_INVALID, reason=NO_PROOF)
--- a/src/foxtaildrum/requests/connections.py
+++ b/src/foxtaildrum/requests/connections.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import threading
+from collections.abc import Callable
 
 from ..clock import read_clock
-from .transport import Adapter, Connection, TransportError, has_input
+from .transport import Adapter, Connection, Head, TransportError, has_input
 
 MAX_IDLE_S = 30.0
 MAX_IDLE_NON_IDEMPOTENT_S = 1.0
@@ -13,6 +14,12 @@
 MAX_LATE_S = 2.0
 LATE_READ_TIMEOUT_S = 0.01
 
+HeadCheck = Callable[[Connection, Head], None]
+
+
+def _accept_any(connection: Connection, head: Head) -> None:
+    """Accept every response."""
+
 
 class ConnectionPool:
     """Idle connections to one address; the most recently used one is reused first.
@@ -31,12 +38,17 @@
         self._address = address
         self._open_connection = open_connection
         self._idle: list[tuple[float, Connection]] = []
-        self._late: list[tuple[float, Connection]] = []
+        self._late: list[tuple[float, Connection, HeadCheck]] = []
         self._lock = threading.Lock()
 
-    def acquire(self, now: float, timeout_s: float, idempotent: bool) -> Connection:
+    def acquire(
+        self, now: float, timeout_s: float, idempotent: bool, request_id: str = ""
+    ) -> Connection:
         """Return an idle connection, or open a new one.
 
+        A request is never sent twice over one connection: a late copy of its first answer
+        could not be told from the second one.
+
         A request that is not idempotent reuses only a connection that was idle for at
         most ``MAX_IDLE_NON_IDEMPOTENT_S``: the upstream may be about to close one that was
         idle for longer, and the request could not be sent again.
@@ -50,9 +62,10 @@
         max_idle_s = MAX_IDLE_S if idempotent else MAX_IDLE_NON_IDEMPOTENT_S
         while True:
             with self._lock:
-                if not self._idle:
-                    break
-                returned_at, connection = self._idle.pop()
+                idle = self._pop_idle(request_id)
+            if idle is None:
+                break
+            returned_at, connection = idle
             if now - returned_at <= max_idle_s and not has_input(connection.fileno()):
                 return connection
             connection.close()
@@ -69,14 +82,21 @@
         for item in closing:
             item.close()
 
-    def hold_late(self, now: float, connection: Connection) -> None:
+    def hold_late(
+        self, now: float, connection: Connection, check_head: HeadCheck = _accept_any
+    ) -> None:
         """Keep a connection whose response to a status check is late.
 
         It is used again once the response has arrived and was read, and closed if that takes
         longer than ``MAX_LATE_S``.
+
+        Parameters
+        ----------
+        check_head : callable
+            Raises :class:`TransportError` if the head belongs to another response.
         """
         with self._lock:
-            self._late.append((now, connection))
+            self._late.append((now, connection, check_head))
 
     def _reclaim_late(self, now: float) -> None:
         """Read the late responses that have arrived."""
@@ -84,15 +104,22 @@
             return
         with self._lock:
             late, self._late = self._late, []
-        for held_at, connection in late:
+        for held_at, connection, check_head in late:
             if has_input(connection.fileno()):
-                _read_late_response(connection)
+                _read_late_response(connection, check_head)
                 self.release(now, connection)
             elif now - held_at <= MAX_LATE_S:
-                self.hold_late(held_at, connection)
+                self.hold_late(held_at, connection, check_head)
             else:
                 connection.close()
 
+    def _pop_idle(self, request_id: str) -> tuple[float, Connection] | None:
+        """Return the connection that was used last among those without the request."""
+        for position in reversed(range(len(self._idle))):
+            if not (request_id and self._idle[position][1].has_carried(request_id)):
+                return self._idle.pop(position)
+        return None
+
     def _pop_expired(self, now: float) -> list[Connection]:
         expired = []
         while self._idle and now - self._idle[0][0] > MAX_IDLE_S:
@@ -102,17 +129,17 @@
     def close(self) -> None:
         """Close every idle connection."""
         with self._lock:
-            closing = self._idle + self._late
+            closing = [item[1] for item in (*self._idle, *self._late)]
             self._idle, self._late = [], []
-        for _, connection in closing:
+        for connection in closing:
             connection.close()
 
 
-def _read_late_response(connection: Connection) -> None:
+def _read_late_response(connection: Connection, check_head: HeadCheck) -> None:
     """Read the response to a status check; the connection stays unusable if that fails."""
     deadline = read_clock() + LATE_READ_TIMEOUT_S
     try:
-        connection.read_head(LATE_READ_TIMEOUT_S)
+        check_head(connection, connection.read_head(LATE_READ_TIMEOUT_S))
         for _ in connection.read_body(deadline):
             continue
     except TransportError:
--- a/src/foxtaildrum/requests/dialects.py
+++ b/src/foxtaildrum/requests/dialects.py
@@ -31,6 +31,10 @@
         Header that identifies the attempt; empty for none.
     response_id_header : str
         Header in which a response repeats the identifier of its attempt or request.
+    requires_response_id : bool
+        Whether every response to a request has ``response_id_header``; one without it may be
+        a late copy of another. If not, a late copy is recognized only on a connection with an
+        earlier response that has the header.
     required_response_header : str
         Header that every successful response of an upstream must have; empty for none.
     idempotency_key_header : str
@@ -52,6 +56,7 @@
     target_header = ""
     attempt_header = "Foxtaildrum-Attempt"
     response_id_header = "Foxtaildrum-Attempt"
+    requires_response_id = False
     required_response_header = ""
     idempotency_key_header = "Idempotency-Key"
     not_run_statuses: frozenset[int] = frozenset()
--- a/src/foxtaildrum/requests/dispatch.py
+++ b/src/foxtaildrum/requests/dispatch.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import http.client
 import select
 from collections import deque
 from collections.abc import Callable, Iterator
@@ -16,6 +15,7 @@
 from ..kinds import ErrorKind, Outcome
 from ..logs import log_event
 from . import steps
+from .answers import check_identifier, check_proof
 from .attempts import AttemptState, ForwardedAttempt, UpstreamAttempt, format_attempt_id
 from .dialects import Dialect
 from .exchange import Exchange
@@ -34,9 +34,6 @@
 CONNECT_TIMEOUT_S = 0.4
 CALLER_POLL_S = 0.05
 CRASH_CHECK_TIMEOUT_S = 0.1
-NO_IDENTIFIER = "no_identifier"
-OTHER_IDENTIFIER = "other_identifier"
-NO_PROOF = "no_proof"
 # Responses with a declared length up to this are read completely before they are relayed.
 PREFETCH_BYTES = 262_144
 
@@ -247,7 +244,9 @@
         timeout_s = min(CONNECT_TIMEOUT_S, self._compute_remaining_s())
         idempotent = self._exchange.idempotent
         try:
-            attempt.connection = connections.acquire(read_clock(), timeout_s, idempotent)
+            attempt.connection = connections.acquire(
+                read_clock(), timeout_s, idempotent, self._request.request_id
+            )
             attempt.connection.accepts_trailing_bytes = self._dialect.accepts_trailing_bytes
             attempt.connection.accepts_close_delimited = self._dialect.accepts_close_delimited
         except TransportError:
@@ -423,26 +422,15 @@
 
     def _check_response(self, number: int, head: Head, not_run: bool) -> None:
         dialect = self._dialect
-        stated_id = head.all_headers.get(dialect.response_id_header, "")
         expected_id = (
             format_attempt_id(self._request, number)
             if dialect.response_id_header == dialect.attempt_header
             else self._request.request_id
         )
-        # A response to another attempt means that requests and responses on the connection
-        # are out of sync. So does one without an identifier, such as a late copy, on a
-        # connection whose earlier responses had one.
         connection = self._attempt_states[number].connection
-        connection.states_response_id |= bool(stated_id)
-        if connection.states_response_id and stated_id != expected_id:
-            reason = OTHER_IDENTIFIER if stated_id else NO_IDENTIFIER
-            raise TransportError(ErrorKind.ANSWER_INVALID, reason=reason)
-        lacks_required_header = (
-            dialect.required_response_header
-            and dialect.required_response_header not in head.all_headers
-        )
-        if lacks_required_header and not not_run and head.status < http.client.BAD_REQUEST:
-            raise TransportError(ErrorKind.ANSWER_INVALID, reason=NO_PROOF)
+        check_identifier(dialect, connection, head.all_headers, expected_id)
+        if not not_run:
+            check_proof(dialect, head.status, head.all_headers)
 
     def _prefetch_body(self, attempt: AttemptState) -> IO[bytes] | bytes | None:
         length = attempt.head.length
--- a/src/foxtaildrum/requests/transport.py
+++ b/src/foxtaildrum/requests/transport.py
@@ -5,6 +5,7 @@
 import http.client
 import select
 import socket
+from collections import deque
 from collections.abc import Callable, Iterator, Mapping
 from functools import partial
 from typing import IO, Protocol
@@ -42,6 +43,8 @@
 KEEPALIVE_MAX_PROBES = 3
 MAX_REFUSAL_CHECKS = 3
 LISTENER_CLOSE_TIMEOUT_S = 0.02
+# Later requests whose responses have matched show that no late copy is due any more.
+MAX_CARRIED_IDS = 32
 
 _HTTP_ERRORS = (OSError, http.client.HTTPException, urllib3.exceptions.HTTPError)
 
@@ -141,6 +144,9 @@
     reusable: bool
     states_response_id: bool
 
+    def has_carried(self, request_id: str) -> bool:
+        """Return whether a late copy of an answer to this request may still arrive here."""
+
     def send(self, request: OutgoingRequest, timeout_s: float) -> None:
         """Send the whole request; raise :class:`TransportError` on failure."""
 
@@ -245,6 +251,7 @@
     """
 
     __slots__ = (
+        "_carried_ids",
         "_connection",
         "_is_sent",
         "_method",
@@ -259,6 +266,8 @@
     def __init__(self, address: str, timeout_s: float) -> None:
         host, port = parse_address(address)
         self._connection = _UpstreamHTTPConnection(host, port, timeout=timeout_s)
+        # Hashes take less memory than identifiers.
+        self._carried_ids: deque[int] = deque(maxlen=MAX_CARRIED_IDS)
         self._method = ""
         self._is_sent = False
         self._response: BoundedResponse | None = None
@@ -274,8 +283,14 @@
         self._sock = self._connection.sock
         _configure_socket(self._sock)
 
+    def has_carried(self, request_id: str) -> bool:
+        """Return whether a late copy of an answer to this request may still arrive here."""
+        return hash(request_id) in self._carried_ids
+
     def send(self, request: OutgoingRequest, timeout_s: float) -> None:
         """Send the whole request; raise :class:`TransportError` on failure."""
+        if request.request_id:
+            self._carried_ids.append(hash(request.request_id))
         self.reusable = self._is_sent = False
         self._method = request.method
         self._connection.timeout = timeout_s
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -22,6 +22,10 @@
         self.closed = False
         self.reusable = True
         self.fails = False
+        self.carried: set[str] = set()
+
+    def has_carried(self, request_id: str) -> bool:
+        return request_id in self.carried
 
     def read_head(self, timeout_s: float) -> None:
         if self.fails:
@@ -108,6 +112,31 @@
     assert connection.closed
 
 
+def test_a_connection_whose_late_response_belongs_to_another_request_is_closed():
+    def refuse(connection: FakeConnection, head: None) -> None:
+        raise TransportError(ErrorKind.ANSWER_INVALID)
+
+    pool, _ = build_pool()
+    connection = pool.acquire(0.0, 1.0, True)
+    pool.hold_late(0.0, connection, refuse)
+    connection.peer.send(b"x")
+    assert pool.acquire(0.1, 1.0, True) is not connection
+    assert connection.closed
+
+
+def test_a_request_is_not_sent_twice_over_one_connection():
+    pool, opened = build_pool()
+    connection = pool.acquire(0.0, 1.0, True, "first")
+    connection.carried.add("first")
+    pool.release(0.0, connection)
+    other = pool.acquire(0.1, 1.0, True, "first")
+    assert other is not connection
+    pool.release(0.1, other)
+    assert pool.acquire(0.2, 1.0, True, "second") is other
+    assert pool.acquire(0.2, 1.0, True, "third") is connection
+    assert len(opened) == 2
+
+
 def test_a_connection_whose_response_never_comes_is_closed():
     pool, _ = build_pool()
     connection = pool.acquire(0.0, 1.0, True)
--- a/tests/test_samples.py
+++ b/tests/test_samples.py
@@ -32,7 +32,7 @@
 class FakeConnection:
     """Connection whose upstream answers a status check with ``answer``, or never if None."""
 
-    accepts_trailing_bytes = accepts_close_delimited = False
+    accepts_trailing_bytes = accepts_close_delimited = states_response_id = False
 
     def __init__(self, answer: dict[str, str] | None) -> None:
         self.answer = answer
@@ -152,6 +152,14 @@
     assert sampled.get("a").reported_at == float("-inf")
 
 
+def test_a_late_copy_of_an_answer_to_a_request_is_no_load_report():
+    copy = {"Foxtaildrum-Attempt": "order-0", "Name": "a", "Load": "0,0,4,100"}
+    sampled = SampledPool(a=copy, b={"Name": "b"}, far={"Name": "far"})
+    sampled.sampler.sample(frozenset(), 0.0)
+    assert sampled.get("a").reported_at == float("-inf")
+    assert sampled.opened["a"].closed
+
+
 def test_no_upstream_is_blamed_if_none_answers():
     """A document that fills the link of this instance delays the answers of all."""
     sampled = SampledPool(a=None, b=None, c=None, d=None, e=None, f=None, g=None)
