--- a/src/foxtaildrum/requests/transport.py
+++ b/src/foxtaildrum/requests/transport.py
@@ -46,6 +46,12 @@
 # Later requests whose responses have matched show that no late copy is due any more.
 MAX_CARRIED_IDS = 32
 
+# Why a response is refused, for the log.
+BODY_CUT = "body_cut"
+BYTES_BEYOND = "bytes_beyond"
+HEAD_MALFORMED = "head_malformed"
+LENGTH_UNCLEAR = "length_unclear"
+
 _HTTP_ERRORS = (OSError, http.client.HTTPException, urllib3.exceptions.HTTPError)
 
 
@@ -388,8 +394,10 @@
             held_chunk = chunk
         if not response.awaits_body:
             response.end()
-        if response.length or (response.has_trailing_bytes and not self.accepts_trailing_bytes):
-            raise TransportError(ErrorKind.ANSWER_LOST)
+        if response.length:
+            raise TransportError(ErrorKind.ANSWER_LOST, reason=BODY_CUT)
+        if response.has_trailing_bytes and not self.accepts_trailing_bytes:
+            raise TransportError(ErrorKind.ANSWER_LOST, reason=BYTES_BEYOND)
         if held_chunk:
             yield held_chunk
 
@@ -441,16 +449,16 @@
 
     def _parse_body_length(self, response: BoundedResponse) -> int | None:
         if response.status < 200 or response.msg.defects:
-            raise TransportError(ErrorKind.ANSWER_INVALID)
+            raise TransportError(ErrorKind.ANSWER_INVALID, reason=HEAD_MALFORMED)
         has_no_body = self._method == "HEAD" or response.status in BODYLESS_STATUSES
         transfer_encoding = _join_header_values(response, "Transfer-Encoding").lower()
         content_length = _join_header_values(response, "Content-Length")
         if transfer_encoding and (transfer_encoding != "chunked" or content_length):
-            raise TransportError(ErrorKind.ANSWER_INVALID)
+            raise TransportError(ErrorKind.ANSWER_INVALID, reason=LENGTH_UNCLEAR)
         if "Content-Length" in response.headers and not (
             content_length.isascii() and content_length.isdigit()
         ):
-            raise TransportError(ErrorKind.ANSWER_INVALID)
+            raise TransportError(ErrorKind.ANSWER_INVALID, reason=LENGTH_UNCLEAR)
         if has_no_body:
             return 0
         if transfer_encoding:
@@ -459,7 +467,7 @@
             # Without a declared length, a truncated response is only detected if the
             # connection is reset, which the failed send of a request may have reported.
             if not (self.accepts_close_delimited and self._is_sent):
-                raise TransportError(ErrorKind.ANSWER_INVALID)
+                raise TransportError(ErrorKind.ANSWER_INVALID, reason=LENGTH_UNCLEAR)
             return None
         return int(content_length)
 
--- a/tests/test_cut_responses.py
+++ b/tests/test_cut_responses.py
@@ -242,3 +242,21 @@
             reply = site.send(method, f"/cut/{cut}", body=b"x" if method == "POST" else None)
             assert reply.status == 502
     upstream.close()
+
+
+@pytest.mark.parametrize(
+    ("response", "reason"),
+    [
+        (b"HTTP/1.1 103 Hints\r\n\r\n", "head_malformed"),
+        (b"HTTP/1.1 200 OK\r\nno colon\r\n\r\n", "head_malformed"),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n", "length_unclear"),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nshort", "body_cut"),
+        (b"HTTP/1.1 200 OK\r\nContent-Le", "CutOffError"),
+        (b"", "RemoteDisconnected"),
+    ],
+)
+def test_the_log_can_tell_why_a_response_was_refused(start_upstream, response, reason):
+    upstream = start_upstream(lambda arrival: Script(response, end="fin"))
+    with pytest.raises(TransportError) as caught:
+        exchange(upstream, "GET")
+    assert reason in caught.value.reason
