A leave is acknowledged once it is on the disks of a majority

Callers' requests reached an upstream again after its drain or leave had been acknowledged, when all processes were killed or lost power right after it.

Cause: a voter sent its receipt once it had the update in memory, and wrote its list to disk at most every 0.5 s; an instance outside the control group acknowledged alone.

A voter sends its receipt, and counts itself, after the sync of an entry at least as new. An instance outside the control group asks control instances to find a majority of the voters. The format of messages and journals is unchanged: a list that was saved by this release is read by an earlier one (merged by rank), and the other way round.

During an upgrade a voter of an earlier release still sends its receipt from memory, and so does an earlier control instance that an entry instance asks; what is acknowledged with their help survives the loss of one instance, not of all. Once all control instances run this release, it survives both.

--- a/src/foxtaildrum/control/journal.py
+++ b/src/foxtaildrum/control/journal.py
@@ -182,9 +182,12 @@
         """Start an empty journal; the current file is renamed and kept."""
         self._disk.set_aside(self._name)
 
-    def append(self, record: bytes) -> None:
-        """Append one record; it is durable when this returns."""
-        self._disk.append(self._name, pack_record(record))
+    def append(self, *records: bytes) -> None:
+        """Append records with one sync; they are durable when this returns.
+
+        A crash can keep any of several records and lose the others.
+        """
+        self._disk.append(self._name, b"".join(pack_record(r) for r in records))
 
     def replace(self, records: Iterable[bytes]) -> None:
         """Replace all records atomically."""
--- a/src/foxtaildrum/control/storage.py
+++ b/src/foxtaildrum/control/storage.py
@@ -10,7 +10,7 @@
 import msgpack
 import pykka
 
-from ..fleet.actions import Write
+from ..fleet.actions import UPSTREAM_STREAM, Write
 from ..logs import log_event
 from .journal import Journal
 
@@ -62,9 +62,13 @@
     def _append(self, group: list[Write]) -> None:
         if not group:
             return
-        journal = self._journals[group[0].stream]
-        record = merge_batches([r for write in group for r in write.records])
-        self._run_and_report(group, lambda: journal.append(msgpack.packb(record)))
+        stream = group[0].stream
+        journal = self._journals[stream]
+        records = [r for write in group for r in write.records]
+        if stream != UPSTREAM_STREAM:
+            records = [merge_batches(records)]
+        packed = [msgpack.packb(record) for record in records]
+        self._run_and_report(group, lambda: journal.append(*packed))
 
     def _replace(self, write: Write) -> None:
         journal = self._journals[write.stream]
--- a/src/foxtaildrum/fleet/actions.py
+++ b/src/foxtaildrum/fleet/actions.py
@@ -36,6 +36,19 @@
     upstream_ids: list[str]
 
 
+@dataclass(slots=True)
+class UpstreamsOrphaned:
+    """The leases of some upstreams ran out here because their owners are unusable.
+
+    Parameters
+    ----------
+    owners : dict
+        Owner of each lease, by the identifier of the upstream.
+    """
+
+    owners: dict[str, str]
+
+
 @dataclass(slots=True)
 class UpstreamLeaving:
     """An upstream is draining or has left."""
@@ -70,6 +83,7 @@
     | ReadCompleted
     | ReceiptsCompleted
     | UpstreamsLost
+    | UpstreamsOrphaned
     | UpstreamLeaving
     | MemberChanged
     | PermitsAnswered
--- a/src/foxtaildrum/fleet/announcing.py
+++ b/src/foxtaildrum/fleet/announcing.py
@@ -7,20 +7,14 @@
 from .. import records as r
 from ..events import Send
 from ..exceptions import StaleAnnouncementError
-from .actions import (
-    UPSTREAM_STREAM,
-    ActionQueue,
-    UpstreamLeaving,
-    UpstreamsLost,
-    Write,
-)
+from .actions import ActionQueue, UpstreamLeaving, UpstreamsLost, UpstreamsOrphaned
 from .membership import Membership
 from .parts import Part, handles
-from .receipts import Receipts, ReceiptsCompleted
+from .receipts import MAJORITY_PREFIX, STORED_PREFIX, Receipts, ReceiptsCompleted
+from .saving import UpstreamSaver
 from .upstreams import READY, Entry, UpstreamList
 
 LEASE_CHECK_PERIOD_S = 0.5
-SAVE_PERIOD_S = 0.5
 MAX_DIRECT_UPDATE_MEMBERS = 64
 
 
@@ -34,6 +28,9 @@
     list_voters : callable or None
         Returns the voters, of which a majority confirms drains and leaves; None outside the
         control group.
+    list_control_instances : callable
+        Returns the known control instances, which confirm drains and leaves to an instance
+        outside the control group.
     actions : ActionQueue
         Receives the actions.
     now : float
@@ -44,25 +41,38 @@
         self,
         members: Membership,
         list_voters: Callable[[], list[str]] | None,
+        list_control_instances: Callable[[], list[str]],
         actions: ActionQueue,
         now: float,
     ) -> None:
         instance_id = members.me.instance_id
         self.upstreams = UpstreamList(instance_id)
-        self.receipts = Receipts(instance_id)
+        self.receipts = Receipts(instance_id, list_voters is not None)
         self._members = members
         self._list_voters = list_voters
+        self._list_control_instances = list_control_instances
         self._actions = actions
-        self._saved_root = 0
-        self._save_at = now
-        self._save_token = 0
+        self._saver: UpstreamSaver | None = None
+        if list_voters is not None:
+            self._saver = UpstreamSaver(self.upstreams, actions, now)
+        self._relayed: dict[str, tuple[str, str]] = {}
         self._lease_check_at = now
 
     def tick(self, now: float) -> None:
         """Save the list and expire leases."""
-        self._save(now)
+        if self._saver is not None:
+            self._saver.tick(now)
         self._expire_leases(now)
 
+    def handle_written(self, now: float, token: int) -> None:
+        """Handle the completion of a write that was synced."""
+        self._saver.handle_written(token)
+        self.process_receipts(now)
+
+    def handle_write_failed(self, now: float, token: int) -> None:
+        """Handle a write that failed."""
+        self._saver.handle_write_failed(now, token)
+
     def announce(
         self, now: float, upstream_id: str, announcement: r.Announcement, token: str
     ) -> str:
@@ -98,7 +108,9 @@
         upstream now uses an address, it refuses requests meant for the former one.
         """
         for fields in records:
-            self.upstreams.merge(now, Entry.from_wire(now, fields))
+            entry = Entry.from_wire(now, fields)
+            self.upstreams.merge(now, entry)
+            self._saver.record_restored(entry)
 
     def transfer_leases(self, now: float, successor: str) -> None:
         """Make another instance the owner of all leases that this one owns."""
@@ -118,26 +130,40 @@
 
     def process_receipts(self, now: float) -> None:
         """Request the receipts that are due, and report those that are complete."""
-        voters = self._list_voters() if self._list_voters is not None else []
+        counted = self._list_voters or self._list_control_instances
+        voters = counted()
         for peer, token, entry in self.receipts.list_due(now, voters):
             message = r.UpstreamNews(entries=[entry.to_wire(now)], token=token)
             self._actions.add(Send(peer, message))
-        self._actions.extend(self.receipts.pop_actions(now, voters))
+        for completed in self.receipts.pop_actions(now, voters):
+            peer, token = self._relayed.pop(completed.token, ("", ""))
+            if not peer:
+                self._actions.add(completed)
+            elif completed.stored:
+                self._actions.add(Send(peer, r.NewsReceipt(token=token)))
 
     @handles(r.UpstreamNews)
     def handle_news(self, now: float, peer: str, message: r.UpstreamNews) -> None:
-        """Merge entries of another instance."""
-        for fields in message.entries:
-            entry = Entry.from_wire(now, fields)
+        """Merge entries of another instance, and confirm them if it asks for that."""
+        entries = [Entry.from_wire(now, fields) for fields in message.entries]
+        for entry in entries:
             if not self._has_expired_here(entry):
                 self.upstreams.merge(now, entry)
-        if message.token:
-            self._actions.add(Send(peer, r.NewsReceipt(token=message.token)))
+        if not message.token:
+            return
+        receipt = Send(peer, r.NewsReceipt(token=message.token))
+        if self._saver is None:
+            self._actions.add(receipt)
+        elif message.token.startswith(MAJORITY_PREFIX):
+            for entry in entries:
+                self._relay_receipts(now, peer, message.token, entry)
+        else:
+            self._saver.request_sync(now, entries, lambda: self._actions.add(receipt))
 
     @handles(r.NewsReceipt)
     def handle_receipt(self, now: float, peer: str, message: r.NewsReceipt) -> None:
         """Count a voter that has stored an entry."""
-        self.receipts.handle_receipt(peer, message)
+        self.receipts.record_holder(peer, message.token)
         self.process_receipts(now)
 
     @handles(r.RenewRequest)
@@ -147,24 +173,29 @@
 
     def _request_receipts(self, now: float, token: str, upstream_id: str) -> None:
         entry = self.upstreams.entries.get(upstream_id)
-        if entry is None or self._list_voters is None:
+        if entry is None:
             self._actions.add(ReceiptsCompleted(token, True))
             return
-        self.receipts.begin(now, token, entry)
-        self.process_receipts(now)
+        self._collect_receipts(now, token, entry)
 
-    def _save(self, now: float) -> None:
-        """Write the upstream list to disk, so that it survives a restart of all instances."""
-        if self._list_voters is None or now < self._save_at:
-            return
-        root = self.upstreams.digest.compute_root()
-        if root == self._saved_root:
+    def _relay_receipts(self, now: float, peer: str, message_token: str, entry: Entry) -> None:
+        """Collect receipts for an instance that knows no voters."""
+        token = f"{peer} {message_token}"
+        known = self.upstreams.entries.get(entry.upstream_id)
+        if known is None or known.rank() < entry.rank() or self.receipts.is_pending(token):
             return
-        self._saved_root = root
-        self._save_at = now + SAVE_PERIOD_S
-        self._save_token += 1
-        entries = [e.to_wire(now) for e in self.upstreams.entries.values()]
-        self._actions.add(Write(UPSTREAM_STREAM, self._save_token, entries, True))
+        stored_token = STORED_PREFIX + message_token.removeprefix(MAJORITY_PREFIX)
+        self._relayed[token] = (peer, stored_token)
+        self._collect_receipts(now, token, known)
+
+    def _collect_receipts(self, now: float, token: str, entry: Entry) -> None:
+        message_token = self.receipts.begin(now, token, entry)
+        if self._saver is not None:
+            me = self.upstreams.instance_id
+            self._saver.request_sync(
+                now, [entry], lambda: self.receipts.record_holder(me, message_token)
+            )
+        self.process_receipts(now)
 
     def _expire_leases(self, now: float) -> None:
         if now < self._lease_check_at:
--- a/src/foxtaildrum/fleet/node.py
+++ b/src/foxtaildrum/fleet/node.py
@@ -156,7 +156,9 @@
         self._actions = ActionQueue()
         self._claims = ClaimPart(me.instance_id, self.control, holder, self._actions)
         list_voters = self._list_voters if saved is not None else None
-        self._upstreams = UpstreamPart(self.members, list_voters, self._actions, now)
+        self._upstreams = UpstreamPart(
+            self.members, list_voters, self.list_control_instances, self._actions, now
+        )
         self._crashes = CrashPart(self.members, self._actions, now)
         self._limits = LimitPart(self.upstreams, self._actions, now)
         self._tables = TablePart(self.follower, self.members, self._actions)
@@ -266,13 +268,17 @@
             self._run_consensus(now, Persisted(token))
         elif stream == CLAIM_STREAM:
             self._claims.handle_written(now, token)
+        elif stream == UPSTREAM_STREAM:
+            self._upstreams.handle_written(now, token)
         return self._pop_actions(now)
 
     def handle_write_failed(self, now: float, stream: str, token: int) -> list[Action]:
         """Handle a write that failed; the journal's disk is not used again."""
         if stream == LOG_STREAM:
             self._run_consensus(now, PersistFailed(token))
-        if stream != UPSTREAM_STREAM:
+        if stream == UPSTREAM_STREAM:
+            self._upstreams.handle_write_failed(now, token)
+        else:
             self._claims.handle_write_failed()
         return self._pop_actions(now)
 
@@ -295,8 +301,7 @@
         """Record an announcement; return the reason of a refusal and the actions.
 
         If a token is given, :class:`ReceiptsCompleted` reports under that token whether a
-        majority of the voters has stored the entry. An instance outside the control group
-        collects no receipts and reports it as stored.
+        majority of the voters has stored the entry.
         """
         refusal = self._upstreams.announce(now, upstream_id, announcement, token)
         return refusal, [] if refusal else self._pop_actions(now)
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -282,7 +282,7 @@
             if write.replace:
                 journal.replace(packed)
             else:
-                journal.append(packed[0])
+                journal.append(*packed)
         except OSError:
             self.perform(host, host.node.handle_write_failed(now, write.stream, write.token))
             return
