Logs: who confirmed a leave, orphaned leases, and restored lists

The record of the incident couldn't tell a lease that its owner ended from one that another instance dropped because it took the owner for dead: both were `upstream_lost`. It didn't say either who had stored a leave when it was acknowledged, or with which list an instance started.

New events: `leave_confirmed` (with the instances that stored it, also when too few did), `upstream_orphaned` (with the owner; no longer `upstream_lost`), `upstreams_restored` (at a start, how many were ready and how many had left). `explain` shows the first two beside a request.

--- a/src/foxtaildrum/admin/explain.py
+++ b/src/foxtaildrum/admin/explain.py
@@ -12,6 +12,7 @@
         "disk_failed",
         "drain_heard",
         "leader_changed",
+        "leave_confirmed",
         "links_lost",
         "links_restored",
         "member_changed",
@@ -19,6 +20,7 @@
         "stopping",
         "tables_in_force",
         "upstream_lost",
+        "upstream_orphaned",
     }
 )
 
--- a/src/foxtaildrum/fleet/runtime.py
+++ b/src/foxtaildrum/fleet/runtime.py
@@ -32,6 +32,7 @@
     PermitsAnswered,
     UpstreamLeaving,
     UpstreamsLost,
+    UpstreamsOrphaned,
     Write,
 )
 from .node import Node
@@ -241,9 +242,11 @@
                 self._storage(action)
             elif isinstance(action, PermitsAnswered):
                 self._publisher.deliver_permits(now, action)
-            elif isinstance(action, UpstreamsLost | MemberChanged | UpstreamLeaving):
+            elif isinstance(action, _LoggedAction):
                 _log_change(action)
             else:
+                if isinstance(action, ReceiptsCompleted):
+                    _log_confirmation(action)
                 self._complete_future(action.token, _RESULT_GETTERS[type(action)](action))
         self._publisher.publish(now, self._node)
 
@@ -268,7 +271,23 @@
 }
 
 
-def _log_change(action: UpstreamsLost | MemberChanged | UpstreamLeaving) -> None:
+_LoggedAction = UpstreamsLost | UpstreamsOrphaned | MemberChanged | UpstreamLeaving
+
+
+def _log_confirmation(action: ReceiptsCompleted) -> None:
+    if action.entry is None:
+        return
+    log_event(
+        "leave_confirmed",
+        upstream=action.entry.upstream_id,
+        state=action.entry.state,
+        incarnation=action.entry.announcement.incarnation,
+        stored=action.stored,
+        holders=",".join(action.holders) or "-",
+    )
+
+
+def _log_change(action: _LoggedAction) -> None:
     if isinstance(action, UpstreamLeaving):
         log_event(
             "drain_heard",
@@ -281,6 +300,10 @@
     if isinstance(action, MemberChanged):
         log_event("member_changed", member=action.instance_id, state=action.state)
         return
+    if isinstance(action, UpstreamsOrphaned):
+        for upstream_id, owner in action.owners.items():
+            log_event("upstream_orphaned", upstream=upstream_id, owner=owner)
+        return
     for upstream_id in action.upstream_ids:
         log_event("upstream_lost", upstream=upstream_id)
 
--- a/src/foxtaildrum/instance.py
+++ b/src/foxtaildrum/instance.py
@@ -32,6 +32,7 @@
 from .fleet.node import JoinOptions, Node
 from .fleet.peers import PeerNetwork
 from .fleet.runtime import NodeActor, Ticker
+from .fleet.upstreams import READY
 from .fleet.views import ViewPublisher
 from .isolation import run_isolated
 from .logs import LOGGER_NAME, log_event
@@ -304,6 +305,7 @@
         if has_log:
             saved_upstreams = load_upstreams(journals[UPSTREAM_STREAM])
             node.restore_upstreams(read_clock(), saved_upstreams)
+            _log_restored(node)
         return node, journals
 
     def _build_caller_server(self) -> HttpServer | None:
@@ -456,5 +458,12 @@
         return []
 
 
+def _log_restored(node: Node) -> None:
+    entries = node.upstreams.entries.values()
+    ready = sum(e.state == READY and not e.lost for e in entries)
+    if entries:
+        log_event("upstreams_restored", ready=ready, left=len(entries) - ready)
+
+
 def _unpack(records: list[bytes]) -> list[list[Any]]:
     return [msgpack.unpackb(record, strict_map_key=False) for record in records]
--- a/src/foxtaildrum/logevents.py
+++ b/src/foxtaildrum/logevents.py
@@ -30,6 +30,7 @@
     "leader_changed": ("leader", "term", "role"),
     "lines_left_out": ("left_out", "count"),
     "member_changed": ("member", "state"),
+    "leave_confirmed": ("upstream", "state", "incarnation", "stored", "holders"),
     "links_lost": ("pools",),
     "links_restored": ("pools",),
     "message_refused": ("peer", "reason"),
@@ -73,7 +74,9 @@
     "tables_in_force": ("index", "version", "routes_version", "pools_version"),
     "upstream_limit": ("upstream", "limit_per_s"),
     "upstream_lost": ("upstream",),
+    "upstream_orphaned": ("upstream", "owner"),
     "upstream_rests": ("upstream", "rest_s"),
     "upstreams_not_restored": ("reason",),
+    "upstreams_restored": ("ready", "left"),
     "voters_changed": ("voters", "index"),
 }
