A drain is known after its owner was taken for dead

Cause: such an instance dropped the entry with its lease, whatever its state, so a late or repeated `ready` was accepted again, stored and pushed on; and it skipped the news of a drain of an upstream it had dropped, although it sent the receipt for it. A lease whose owner it didn't know at all, as after a restart of all instances without that one, was merged back from others with a full lease each time.

Change: the entry of a draining upstream stays as one whose lease expired, under the same owner and sequence, so that all instances that do this agree on it; only ready upstreams are dropped. Only entries of ready upstreams are skipped, and an instance remembers which of them it has dropped, so that they stay dropped until their owner is usable or they are announced again.

--- a/src/foxtaildrum/fleet/announcing.py
+++ b/src/foxtaildrum/fleet/announcing.py
@@ -201,19 +201,25 @@
         if now < self._lease_check_at:
             return
         self._lease_check_at = now + LEASE_CHECK_PERIOD_S
-        lost = self.upstreams.expire(now, self._members.is_usable)
+        expired = self.upstreams.expire(now, self._members.is_usable)
+        orphans = self.upstreams.pop_orphans()
+        lost = [i for i in expired if i not in orphans]
         if lost:
             self._actions.add(UpstreamsLost(lost))
+        if orphans:
+            self._actions.add(UpstreamsOrphaned(orphans))
 
     def _has_expired_here(self, entry: Entry) -> bool:
-        """Return whether an entry with an unusable owner has already expired here.
+        """Return whether a ready upstream with an unusable owner has already expired here.
 
         Other instances expire it slightly later. Merging it back from them would give it
         a new lease each time, so it would never expire.
         """
-        owner = self._members.members.get(entry.owner)
-        is_orphan = owner is not None and not owner.usable and not entry.is_tombstone
-        return is_orphan and entry.upstream_id not in self.upstreams.entries
+        if entry.is_tombstone or entry.state != READY:
+            return False
+        if entry.upstream_id in self.upstreams.entries or self._members.is_usable(entry.owner):
+            return False
+        return entry.owner in self._members.members or self.upstreams.has_expired(entry)
 
     def _pick_update_targets(self) -> list[str]:
         """Return the instances that upstream updates are pushed to.
--- a/src/foxtaildrum/fleet/upstreams.py
+++ b/src/foxtaildrum/fleet/upstreams.py
@@ -199,6 +199,8 @@
         "_address_holders",
         "_by_pool",
         "_changed_pools",
+        "_expired",
+        "_orphans",
         "_pending_updates",
         "digest",
         "entries",
@@ -212,6 +214,8 @@
         self._address_holders: dict[str, tuple[int, str]] = {}
         self._by_pool: dict[str, dict[str, Entry]] = {}
         self._changed_pools: set[str] = set()
+        self._expired: dict[str, tuple[tuple[Any, ...], float]] = {}
+        self._orphans: dict[str, str] = {}
         self._pending_updates: dict[str, Entry] = {}
 
     def announce(
@@ -357,7 +361,8 @@
         """Expire leases and remove old tombstones.
 
         The owner gossips that a lease expired. If the owner itself is unusable, every
-        instance expires the entry on its own.
+        instance expires the entry on its own: it drops the entry of a ready upstream, and
+        keeps that of a draining one, so that it is not taken for ready again.
 
         Returns
         -------
@@ -365,6 +370,7 @@
             Identifiers of the upstreams whose lease expired here.
         """
         lost = []
+        self._expired = {i: e for i, e in self._expired.items() if e[1] > now}
         for entry in list(self.entries.values()):
             if (
                 not entry.is_tombstone
@@ -375,14 +381,31 @@
                 continue
             if entry.expires_at > now:
                 continue
-            if entry.is_tombstone or entry.owner != self.instance_id:
+            if entry.is_tombstone:
                 self._drop(entry)
-            else:
+                continue
+            lost.append(entry.upstream_id)
+            if entry.owner == self.instance_id:
                 self._mark_lost(now, entry)
-            if not entry.is_tombstone:
-                lost.append(entry.upstream_id)
+                continue
+            self._orphans[entry.upstream_id] = entry.owner
+            if entry.state == DRAINING:
+                self._keep_expired(now, entry)
+            else:
+                self._expired[entry.upstream_id] = (entry.rank(), now + TOMBSTONE_S)
+                self._drop(entry)
         return lost
 
+    def pop_orphans(self) -> dict[str, str]:
+        """Return and clear the owners of the leases that ran out here for an unusable owner."""
+        orphans, self._orphans = self._orphans, {}
+        return orphans
+
+    def has_expired(self, entry: Entry) -> bool:
+        """Return whether this entry, or a newer one, was dropped here with its lease."""
+        expired = self._expired.get(entry.upstream_id)
+        return expired is not None and entry.rank() <= expired[0]
+
     def list_owned(self) -> list[Entry]:
         """Return the live entries whose lease this instance owns."""
         return [
@@ -435,6 +458,14 @@
         entry.expires_at = now + TOMBSTONE_S
         self._store(entry, spread=True)
 
+    def _keep_expired(self, now: float, known: Entry) -> None:
+        # Owner and sequence stay, so that all instances that do this hold the same entry.
+        entry = known.build_successor()
+        entry.sequence = known.sequence
+        entry.lost = True
+        entry.expires_at = now + TOMBSTONE_S
+        self._store(entry, spread=True)
+
     def _drop(self, entry: Entry) -> None:
         del self.entries[entry.upstream_id]
         address = entry.announcement.address
