A leave that is repeated is acknowledged

An upstream whose leave was refused with 503, because no majority confirmed it in time, got 404 from every instance that had heard of it meanwhile, and so no acknowledgement at all.

Cause: a leave of an upstream that had left was answered as unknown. With an incarnation (`born`) it is now confirmed by a majority like the first one, and answered alike. Without one it remains 404.

Evidence: test_a_leave_that_no_majority_confirmed_is_acknowledged_when_it_is_repeated failed before.

--- a/src/foxtaildrum/fleet/upstreams.py
+++ b/src/foxtaildrum/fleet/upstreams.py
@@ -291,8 +291,8 @@
         Returns
         -------
         bool
-            False if the upstream is not known and no incarnation is given, or if it has
-            left already.
+            False if no incarnation is given and the upstream is not known or has left
+            already.
         """
         known = self.entries.get(upstream_id)
         if incarnation and (known is None or known.announcement.incarnation < incarnation):
@@ -303,7 +303,7 @@
             self._store(entry, spread=True)
             return True
         if known is None or known.state == LEFT:
-            return False
+            return bool(incarnation)
         if incarnation and known.announcement.incarnation > incarnation:
             return True
         entry = self._build_entry(now, upstream_id, known.announcement, LEFT, known)
--- a/tests/test_left_upstreams.py
+++ b/tests/test_left_upstreams.py
@@ -11,7 +11,7 @@
 from foxtaildrum.fleet.upstreams import DRAINING, LEFT, READY, Entry
 from foxtaildrum.records import Announcement
 
-from .fleet import Fleet, Host, form_joined_fleet
+from .fleet import Fleet, Host, form_fleet, form_joined_fleet
 
 ACK_LIMIT_S = 1.0
 SETTLED_S = 3.0
@@ -151,6 +151,23 @@
     assert fleet.receipts == {"leave": False}
 
 
+def test_a_leave_that_no_majority_confirmed_is_acknowledged_when_it_is_repeated():
+    fleet = form_fleet(3, 2)
+    fleet.announce("c2", "u", incarnation=7)
+    fleet.run(2.0)
+    fleet.cut(["c1"])
+    begin_leaving(fleet, "c1", "leave", "first")
+    fleet.run(1.5)
+    fleet.blocked.clear()
+    fleet.run(SETTLED_S)
+    host = fleet.hosts["c2"]
+    known, actions = host.node.leave_upstream(host.read_clock(), "u", 7, "second")
+    fleet.perform(host, actions)
+    fleet.run(1.0)
+    assert known
+    assert fleet.receipts == {"first": False, "second": True}
+
+
 def test_an_upstream_whose_new_start_is_known_may_leave_under_the_former_one():
     fleet = form_joined_fleet()
     fleet.announce("c2", "u", incarnation=7)
