An instance that starts serves once it knows who left

After a restart of all instances, an instance could send requests to an upstream that had left, as long as it had heard only of a control instance that was down when the upstream left, and whose disk still held it as ready.

Cause: an instance that starts took the list of the first instance that answered for complete.

Evidence: test_an_instance_that_starts_waits_until_it_knows_who_left (each order of starts of three control instances, one of them with an older disk, and an entry instance) failed before.

Change: a voter that starts compares its list with those of a majority of the voters, any other instance with those of a majority of the control instances that have done so; until then it isn't ready, like one without current tables. Root hashes in pings and acks, which were sent anyway, carry the comparison: that of an instance that hasn't completed it is sent as its complement, below zero.

--- /dev/null
+++ b/src/foxtaildrum/fleet/comparing.py
@@ -0,0 +1,101 @@
+"""Whether the upstream list of an instance that started is complete, without I/O.
+
+What was acknowledged is on the disks of a majority of the voters. An instance that starts holds
+an older list, or none, so it compares its list with others before it serves callers: a voter
+with a majority of the voters, any other instance with a majority of the control instances that
+have done so.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+START_TIMEOUT_S = 3.0
+
+
+class ListComparison:
+    """Instances whose list held nothing that the list here lacks, since the start.
+
+    The root hash that an instance sends is the complement of its real one, and so below zero,
+    until its comparison is complete.
+
+    Parameters
+    ----------
+    instance_id : str
+        Identifier of this instance.
+    list_voters : callable or None
+        Returns the voters; None outside the control group.
+    list_control_instances : callable
+        Returns the known control instances.
+    now : float
+        Current time in seconds.
+
+    Attributes
+    ----------
+    complete : bool
+        Whether the list includes every update that was acknowledged before the start.
+    may_serve : bool
+        Whether upstreams may be used: the list is complete, or it took too long.
+    """
+
+    __slots__ = (
+        "_agreed",
+        "_instance_id",
+        "_list_control_instances",
+        "_list_voters",
+        "_started_at",
+        "complete",
+        "may_serve",
+    )
+
+    def __init__(
+        self,
+        instance_id: str,
+        list_voters: Callable[[], list[str]] | None,
+        list_control_instances: Callable[[], list[str]],
+        now: float,
+    ) -> None:
+        self._instance_id = instance_id
+        self._list_voters = list_voters
+        self._list_control_instances = list_control_instances
+        self._started_at = now
+        self._agreed: set[str] = {instance_id}
+        self.complete = False
+        self.may_serve = False
+
+    def list_awaited(self) -> list[str]:
+        """Return the instances whose list is to be compared with the one here."""
+        return [i for i in self._list_peers() if i not in self._agreed]
+
+    def encode_root(self, root: int) -> int:
+        """Return the root hash to send for the list here."""
+        return root if self.complete else ~root
+
+    def record_root(self, now: float, peer: str, sent_root: int, root: int) -> bool:
+        """Record the root hash that a peer sent; return whether its list equals the one here.
+
+        Parameters
+        ----------
+        root : int
+            Root hash of the list here.
+        """
+        peer_is_complete = sent_root >= 0
+        same = root == (sent_root if peer_is_complete else ~sent_root)
+        if same and (peer_is_complete or self._list_voters is not None):
+            self._agreed.add(peer)
+            self.update(now)
+        return same
+
+    def update(self, now: float) -> None:
+        """Set ``complete`` if a majority has been compared with, and ``may_serve``."""
+        if self.complete:
+            return
+        peers = self._list_peers()
+        self.complete = len(self._agreed.intersection(peers)) > len(peers) // 2
+        if self.complete or now - self._started_at >= START_TIMEOUT_S:
+            self.may_serve = True
+
+    def _list_peers(self) -> list[str]:
+        if self._list_voters is not None:
+            return self._list_voters()
+        return self._list_control_instances()
--- a/src/foxtaildrum/fleet/gossip.py
+++ b/src/foxtaildrum/fleet/gossip.py
@@ -9,6 +9,7 @@
 from ..events import Send
 from .actions import ActionQueue, MemberChanged
 from .announcing import UpstreamPart
+from .comparing import ListComparison
 from .crashing import CrashPart
 from .currency import Currency
 from .digest import BucketDigest
@@ -17,6 +18,7 @@
 from .relaying import TablePart
 
 CONTROL_PING_PERIOD_S = 0.05
+LATE_PING_PERIOD_S = 1.0
 CONTROL_PING_TARGETS = 2
 REPAIR_INTERVAL_S = 0.25
 
@@ -36,6 +38,8 @@
         Tables of this instance.
     currency : Currency
         Whether the tables are up to date.
+    comparison : ListComparison
+        Whether the upstream list is complete.
     list_control_instances : callable
         Returns the known control instances.
     get_leader : callable
@@ -55,6 +59,7 @@
         crashes: CrashPart,
         tables: TablePart,
         currency: Currency,
+        comparison: ListComparison,
         list_control_instances: Callable[[], list[str]],
         get_leader: Callable[[], str],
         rng: random.Random,
@@ -66,6 +71,7 @@
         self._crashes = crashes
         self._tables = tables
         self._currency = currency
+        self._comparison = comparison
         self._list_control_instances = list_control_instances
         self._get_leader = get_leader
         self._rng = rng
@@ -150,34 +156,43 @@
     def _build_summary(self, now: float) -> LocalSummary:
         summary = LocalSummary()
         self._tables.fill_summary(now, summary)
-        summary.upstreams_root = self._upstreams.upstreams.digest.compute_root()
+        root = self._upstreams.upstreams.digest.compute_root()
+        summary.upstreams_root = self._comparison.encode_root(root)
         summary.crashes_root = self._crashes.crashes.digest.compute_root()
         return summary
 
     def _ping_control_instances(self, now: float) -> None:
-        """Ping control instances for a quorum confirmation while this instance starts.
+        """Ping control instances while this instance starts.
 
-        The ring neighbours cannot supply one after a failure of the whole fleet, because
-        they are starting as well.
+        They supply a quorum confirmation and what they know of the upstreams. The ring
+        neighbours cannot do so after a failure of the whole fleet, because they are starting
+        as well.
         """
-        if self._currency.started or now < self._control_ping_at:
+        started = self._currency.started
+        if (started and self._comparison.complete) or now < self._control_ping_at:
             return
-        self._control_ping_at = now + CONTROL_PING_PERIOD_S
-        me = self._members.me.instance_id
-        others = [i for i in self._list_control_instances() if i != me]
-        leader = self._get_leader()
-        if leader in others:
-            others = [leader]
-        targets = self._rng.sample(others, min(CONTROL_PING_TARGETS, len(others)))
+        late = started and self._comparison.may_serve
+        self._control_ping_at = now + (LATE_PING_PERIOD_S if late else CONTROL_PING_PERIOD_S)
+        targets = self._sample(self._comparison.list_awaited())
+        if not started:
+            me = self._members.me.instance_id
+            others = [i for i in self._list_control_instances() if i != me]
+            leader = self._get_leader()
+            targets += [leader] if leader in others else self._sample(others)
         summary = self._build_summary(now)
-        self._actions.extend(self._members.request_acks(now, targets, summary))
+        distinct = dict.fromkeys(targets)
+        self._actions.extend(self._members.request_acks(now, distinct, summary))
+
+    def _sample(self, instances: list[str]) -> list[str]:
+        return self._rng.sample(instances, min(CONTROL_PING_TARGETS, len(instances)))
 
     def _reconcile(self, now: float, peer: str, message: r.Ping | r.Ack) -> None:
         self._currency.record_index(message.applied_index)
         self._tables.request_if_behind(now, peer, message.applied_index)
         if message.members_root != self._members.digest.compute_root():
             self._request_repair(now, peer, "members")
-        if message.upstreams_root != self._upstreams.upstreams.digest.compute_root():
+        root = self._upstreams.upstreams.digest.compute_root()
+        if not self._comparison.record_root(now, peer, message.upstreams_root, root):
             self._request_repair(now, peer, "upstreams")
         if message.crashes_root != self._crashes.crashes.digest.compute_root():
             self._request_repair(now, peer, "crashes")
--- a/src/foxtaildrum/fleet/node.py
+++ b/src/foxtaildrum/fleet/node.py
@@ -42,6 +42,7 @@
 from .actions import CLAIM_STREAM, LOG_STREAM, UPSTREAM_STREAM, Action, ActionQueue, Write
 from .announcing import UpstreamPart
 from .claiming import ClaimPart
+from .comparing import ListComparison
 from .crashes import CrashList
 from .crashing import CrashPart
 from .currency import Currency
@@ -159,6 +160,9 @@
         self._upstreams = UpstreamPart(
             self.members, list_voters, self.list_control_instances, self._actions, now
         )
+        self._comparison = ListComparison(
+            me.instance_id, list_voters, self.list_control_instances, now
+        )
         self._crashes = CrashPart(self.members, self._actions, now)
         self._limits = LimitPart(self.upstreams, self._actions, now)
         self._tables = TablePart(self.follower, self.members, self._actions)
@@ -168,6 +172,7 @@
             self._crashes,
             self._tables,
             self.currency,
+            self._comparison,
             self.list_control_instances,
             self._get_leader,
             rng,
@@ -230,6 +235,7 @@
         self.reader.tick(now)
         self._upstreams.process_receipts(now)
         self.currency.tick(now)
+        self._comparison.update(now)
         return self._pop_actions(now)
 
     def get_tick_period(self) -> float:
@@ -444,8 +450,10 @@
         reasons = []
         if self.stopping:
             reasons.append("stopping")
-        if self.is_starting():
+        if not self.currency.started:
             reasons.append("starting: the tables are not known to be current")
+        elif not self._comparison.may_serve:
+            reasons.append("starting: the upstreams are not known to be current")
         elif self.currency.is_cut_off(now):
             reasons.append("cut off from the control instances")
         if self.consensus is not None and self.consensus.role is Role.FAILED:
@@ -453,12 +461,12 @@
         return reasons
 
     def is_starting(self) -> bool:
-        """Return whether this instance is still waiting for up-to-date tables."""
-        return not self.currency.started
+        """Return whether this instance still waits for up-to-date tables and upstreams."""
+        return not (self.currency.started and self._comparison.may_serve)
 
     def is_open(self, now: float) -> bool:
         """Return whether this instance may serve callers."""
-        return self.currency.started and not self.currency.is_cut_off(now)
+        return not self.is_starting() and not self.currency.is_cut_off(now)
 
     def is_current(self, now: float) -> bool:
         """Return whether the tables here are up to date; see :class:`Currency`."""
--- a/tests/test_left_upstreams.py
+++ b/tests/test_left_upstreams.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import itertools
+
 import msgpack
 import pytest
 
@@ -80,6 +82,35 @@
     assert list_users(fleet) == []
 
 
+@pytest.mark.parametrize("change", ["drain", "leave"])
+def test_an_instance_that_starts_waits_until_it_knows_who_left(change):
+    for order in itertools.permutations(["c1", "c2", "c3", "e1"]):
+        fleet = form_fleet(3, 2)
+        fleet.announce("c3", "u", incarnation=7)
+        fleet.run(2.0)
+        fleet.crash("c3")
+        leave_until_acknowledged(fleet, "c1", change)
+        for host in fleet.hosts:
+            fleet.crash(host)
+        for host in order:
+            fleet.restart(host)
+            for _ in range(100):
+                fleet.run(0.003)
+                assert list_users(fleet) == [], order
+        fleet.run(SETTLED_S)
+        assert list_users(fleet) == [], order
+
+
+def test_a_start_that_reaches_too_few_control_instances_ends_all_the_same():
+    fleet = form_joined_fleet()
+    fleet.announce("c1", "u", incarnation=7)
+    fleet.run(2.0)
+    fleet.crash("e1")
+    fleet.blocked = {(a, b) for c in ("c2", "c3", "c4") for a, b in [("e1", c), (c, "e1")]}
+    fleet.restart("e1")
+    assert fleet.run_until(lambda: "e1" in list_users(fleet), 5.0), fleet.describe()
+
+
 def test_a_receipt_of_a_voter_means_that_its_disk_has_the_update():
     fleet = form_joined_fleet()
     fleet.announce("c2", "u", incarnation=7)
