A damaged record costs only itself, not all saved upstreams

A control instance whose list of upstreams had one damaged record on disk started with an empty list, and forgot every leave that it had confirmed; what it appended after the damage would have been unreadable at the next start.

With leaves appended in groups, a loss of power in the middle of such an append can damage a record before the last one.

Evidence: test_a_damaged_record_does_not_cost_the_leaves_beside_it failed before (the list was empty).

--- a/src/foxtaildrum/control/journal.py
+++ b/src/foxtaildrum/control/journal.py
@@ -178,6 +178,12 @@
             self._disk.truncate(self._name, size)
         return records
 
+    def salvage(self) -> list[bytes]:
+        """Return the intact records of a damaged journal, and keep only these."""
+        records = find_intact_records(self._disk.read(self._name))
+        self.replace(records)
+        return records
+
     def set_aside(self) -> None:
         """Start an empty journal; the current file is renamed and kept."""
         self._disk.set_aside(self._name)
@@ -222,6 +228,18 @@
     return records, position
 
 
+def find_intact_records(data: bytes) -> list[bytes]:
+    """Return the records that are intact, up to damage that hides where the next one starts."""
+    records: list[bytes] = []
+    position = 0
+    while (end := _find_end(data, position)) <= len(data):
+        record = data[position + _HEADER.size : end]
+        if _is_intact(data, position, record):
+            records.append(record)
+        position = end
+    return records
+
+
 def _find_end(data: bytes, position: int) -> int:
     if position + _HEADER.size > len(data):
         return len(data) + 1
--- a/src/foxtaildrum/instance.py
+++ b/src/foxtaildrum/instance.py
@@ -450,10 +450,13 @@
 
 
 def load_upstreams(journal: Journal) -> list[list[Any]]:
-    """Return the saved upstreams; empty if damaged, as upstreams announce themselves again."""
+    """Return the saved upstreams; those that are damaged announce themselves again."""
     try:
         return _unpack(journal.load())
-    except (CorruptJournalError, ValueError) as error:
+    except CorruptJournalError as error:
+        log_event("upstreams_not_restored", level=logging.WARNING, reason=str(error))
+        return _unpack(journal.salvage())
+    except ValueError as error:
         log_event("upstreams_not_restored", level=logging.WARNING, reason=str(error))
         return []
 
--- a/tests/test_left_upstreams.py
+++ b/tests/test_left_upstreams.py
@@ -11,9 +11,10 @@
 from foxtaildrum.control.journal import Journal
 from foxtaildrum.fleet.actions import UPSTREAM_STREAM
 from foxtaildrum.fleet.upstreams import DRAINING, LEFT, READY, Entry
+from foxtaildrum.instance import load_upstreams
 from foxtaildrum.records import Announcement
 
-from .fleet import Fleet, Host, form_fleet, form_joined_fleet
+from .fleet import FakeDisk, Fleet, Host, form_fleet, form_joined_fleet
 
 ACK_LIMIT_S = 1.0
 SETTLED_S = 3.0
@@ -216,3 +217,21 @@
         for e in h.node.upstreams.list_members("p")
     }
     assert incarnations == {8}
+
+
+def test_a_damaged_record_does_not_cost_the_leaves_beside_it():
+    disk = FakeDisk()
+    journal = Journal(disk, UPSTREAM_STREAM)
+    packed = [
+        msgpack.packb(
+            Entry(name, build_announcement(), LEFT, "c1", 1, False, 99.0).to_wire(0.0)
+        )
+        for name in "abc"
+    ]
+    journal.append(*packed)
+    data = bytearray(disk.files[UPSTREAM_STREAM])
+    data[len(data) // 2] ^= 0xFF
+    disk.files[UPSTREAM_STREAM] = bytes(data)
+    assert [fields[0] for fields in load_upstreams(journal)] == ["a", "c"]
+    journal.append(packed[1])
+    assert [fields[0] for fields in load_upstreams(journal)] == ["a", "c", "b"]
