News of a leave doesn't wait on a connection that went silent

An entry instance could go on sending requests to an upstream after its leave was acknowledged, because the news waited on a connection that had gone silent without a reset, while new connections worked.

Cause: connections between instances had neither a limit on unacknowledged data nor any check that what they carry arrives; news of a leave was sent once to each target and was repaired only by the next ping of a neighbour, over the same connections. The buffer of a stalled connection grew without limit.

Change: news of drains and leaves carries a token, is confirmed by each receiver as before for voters (instances of earlier releases do so too), and is repeated every 0.25 s for 3 s. From the first repeat on it also goes to the other neighbours, as an instance that doesn't confirm doesn't pass it on either. Without a confirmation or the ack of a ping in time, the connection is replaced, at most once a second; a peer whose connection was replaced replaces its own to this instance if that is older than 5 s. The system closes a connection whose data isn't acknowledged for 1 s. Only 256 KB are framed ahead, and what waits behind is bounded by the queue.

--- a/src/foxtaildrum/fleet/actions.py
+++ b/src/foxtaildrum/fleet/actions.py
@@ -29,6 +29,13 @@
     replace: bool
 
 
+@dataclass(slots=True)
+class Reconnect:
+    """Replace the connection to an instance: messages on it were not answered."""
+
+    peer_id: str
+
+
 @dataclass(slots=True)
 class UpstreamsLost:
     """The leases of some upstreams expired."""
@@ -82,6 +89,7 @@
     | ClaimCompleted
     | ReadCompleted
     | ReceiptsCompleted
+    | Reconnect
     | UpstreamsLost
     | UpstreamsOrphaned
     | UpstreamLeaving
--- a/src/foxtaildrum/fleet/announcing.py
+++ b/src/foxtaildrum/fleet/announcing.py
@@ -2,12 +2,19 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from .. import records as r
 from ..events import Send
 from ..exceptions import StaleAnnouncementError
-from .actions import ActionQueue, UpstreamLeaving, UpstreamsLost, UpstreamsOrphaned
+from .actions import (
+    ActionQueue,
+    Reconnect,
+    UpstreamLeaving,
+    UpstreamsLost,
+    UpstreamsOrphaned,
+)
+from .deliveries import Deliveries
 from .membership import Membership
 from .parts import Part, handles
 from .receipts import MAJORITY_PREFIX, STORED_PREFIX, Receipts, ReceiptsCompleted
@@ -55,14 +62,16 @@
         self._saver: UpstreamSaver | None = None
         if list_voters is not None:
             self._saver = UpstreamSaver(self.upstreams, actions, now)
+        self._deliveries = Deliveries()
         self._relayed: dict[str, tuple[str, str]] = {}
         self._lease_check_at = now
 
     def tick(self, now: float) -> None:
-        """Save the list and expire leases."""
+        """Save the list, expire leases, and repeat the news that are not confirmed."""
         if self._saver is not None:
             self._saver.tick(now)
         self._expire_leases(now)
+        self._repeat_deliveries(now)
 
     def handle_written(self, now: float, token: int) -> None:
         """Handle the completion of a write that was synced."""
@@ -124,17 +133,20 @@
         updates = self.upstreams.pop_updates()
         if not updates:
             return
-        message = r.UpstreamNews(entries=[e.to_wire(now) for e in updates], token="")
-        self._actions.extend(Send(t, message) for t in self._pick_update_targets())
-        self._actions.extend(_build_leaving_action(e) for e in updates if e.state != READY)
+        targets = self._pick_update_targets()
+        leaving = [e for e in updates if e.state != READY]
+        token = self._deliveries.begin(now, leaving, targets).token if leaving else ""
+        self._send_news(now, updates, token, targets)
+        self._actions.extend(_build_leaving_action(e) for e in leaving)
 
     def process_receipts(self, now: float) -> None:
         """Request the receipts that are due, and report those that are complete."""
         counted = self._list_voters or self._list_control_instances
         voters = counted()
-        for peer, token, entry in self.receipts.list_due(now, voters):
-            message = r.UpstreamNews(entries=[entry.to_wire(now)], token=token)
-            self._actions.add(Send(peer, message))
+        for peer, token, entry, silent in self.receipts.list_due(now, voters):
+            if silent:
+                self._actions.add(Reconnect(peer))
+            self._send_news(now, [entry], token, [peer])
         for completed in self.receipts.pop_actions(now, voters):
             peer, token = self._relayed.pop(completed.token, ("", ""))
             if not peer:
@@ -163,6 +175,7 @@
     @handles(r.NewsReceipt)
     def handle_receipt(self, now: float, peer: str, message: r.NewsReceipt) -> None:
         """Count a voter that has stored an entry."""
+        self._deliveries.record_receipt(peer, message.token)
         self.receipts.record_holder(peer, message.token)
         self.process_receipts(now)
 
@@ -197,6 +210,21 @@
             )
         self.process_receipts(now)
 
+    def _send_news(
+        self, now: float, entries: list[Entry], token: str, targets: Iterable[str]
+    ) -> None:
+        message = r.UpstreamNews(entries=[e.to_wire(now) for e in entries], token=token)
+        self._actions.extend(Send(target, message) for target in targets)
+
+    def _repeat_deliveries(self, now: float) -> None:
+        for delivery in self._deliveries.list_due(now):
+            # An instance that does not confirm does not pass the entries on either.
+            delivery.add_targets(self._members.list_neighbours())
+            targets = [i for i in sorted(delivery.awaited) if self._members.is_usable(i)]
+            if delivery.is_silent(now):
+                self._actions.extend(Reconnect(target) for target in targets)
+            self._send_news(now, delivery.entries, delivery.token, targets)
+
     def _expire_leases(self, now: float) -> None:
         if now < self._lease_check_at:
             return
--- a/src/foxtaildrum/fleet/gossip.py
+++ b/src/foxtaildrum/fleet/gossip.py
@@ -7,7 +7,7 @@
 
 from .. import records as r
 from ..events import Send
-from .actions import ActionQueue, MemberChanged
+from .actions import ActionQueue, MemberChanged, Reconnect
 from .announcing import UpstreamPart
 from .comparing import ListComparison
 from .crashing import CrashPart
@@ -83,6 +83,8 @@
         """Send the pings that are due."""
         summary = self._build_summary(now)
         self._actions.extend(self._members.tick(now, summary))
+        unanswered = dict.fromkeys(self._members.pop_unanswered())
+        self._actions.extend(Reconnect(i) for i in unanswered)
         self._ping_control_instances(now)
 
     def push_updates(self, now: float) -> None:
--- a/src/foxtaildrum/fleet/membership.py
+++ b/src/foxtaildrum/fleet/membership.py
@@ -205,6 +205,9 @@
 
     Attributes
     ----------
+    unanswered : list of str
+        Instances whose pings were not acknowledged in time, since the last
+        :meth:`pop_unanswered`.
     change_count : int
         Number of changes of members so far; results computed from the members can be kept
         until it increases.
@@ -218,6 +221,7 @@
         self.members: dict[str, Member] = {}
         self.digest = BucketDigest()
         self.changed: list[Member] = []
+        self.unanswered: list[str] = []
         self.change_count = 0
         self._rng = rng
         self._ring: list[Member] = []
@@ -392,6 +396,11 @@
         changed, self.changed = self.changed, []
         return changed
 
+    def pop_unanswered(self) -> list[str]:
+        """Return and clear the instances whose pings were not acknowledged in time."""
+        unanswered, self.unanswered = self.unanswered, []
+        return unanswered
+
     def _pick_ping_targets(self) -> list[str]:
         neighbours = self.list_neighbours()
         if not neighbours:
@@ -436,6 +445,7 @@
         actions: list[Send] = []
         for nonce in late:
             ping = self._pending_pings.pop(nonce)
+            self.unanswered.append(ping.target)
             if ping.counts_miss:
                 actions += self._record_miss(now, ping.target, nonce)
         return actions
--- a/src/foxtaildrum/fleet/peers.py
+++ b/src/foxtaildrum/fleet/peers.py
@@ -33,11 +33,18 @@
 from .messages import Message
 
 MAX_QUEUED_MESSAGES = 2000
+MAX_BUFFERED_BYTES = 262_144
 MAX_INBOUND = 20_000
 RECEIVE_BYTES = 65_536
 IDLE_TIMEOUT_S = 60.0
 RECONNECT_DELAY_S = 0.05
 HANDSHAKE_TIMEOUT_S = 2.0
+OPEN_TIMEOUT_S = 1.0
+# A connection whose peer acknowledges no data for so long is closed by the system.
+UNACKNOWLEDGED_TIMEOUT_S = 1.0
+KEEPALIVE_AFTER_S = 10
+RECONNECT_MIN_AGE_S = 1.0
+REOPEN_MIN_AGE_S = 5.0
 SELECT_TIMEOUT_S = 1.0
 
 Deliver = Callable[[str, Message], None]
@@ -121,6 +128,7 @@
         self._outbound: dict[str, _Outbound] = {}
         self._inbound: set[_Inbound] = set()
         self._send_queue: deque[tuple[str, str, Message]] = deque()
+        self._reconnect_queue: deque[str] = deque()
         self._wake_read, self._wake_write = socket.socketpair()
         self._wake_read.setblocking(False)
         self._selector.register(self._wake_read, selectors.EVENT_READ, None)
@@ -137,6 +145,14 @@
     def send(self, peer_id: str, address: str, message: Message) -> None:
         """Queue a message; it is dropped if the peer cannot be reached."""
         self._send_queue.append((peer_id, address, message))
+        self._wake()
+
+    def reconnect(self, peer_id: str) -> None:
+        """Replace the connection to a peer, which may have gone silent, unless it is new."""
+        self._reconnect_queue.append(peer_id)
+        self._wake()
+
+    def _wake(self) -> None:
         with contextlib.suppress(BlockingIOError, OSError):
             self._wake_write.send(b"\0")
 
@@ -165,6 +181,7 @@
                 self._key_replaced = False
                 self._close_connections()
             now = time.monotonic()
+            self._run_step(self._process_reconnects, now)
             self._run_step(self._process_send_queue, now)
             self._run_step(self._close_idle_connections, now)
         self._process_send_queue(time.monotonic())
@@ -199,6 +216,22 @@
         elif connection is not None:
             self._handle_outbound(connection, mask)
 
+    def _process_reconnects(self, now: float) -> None:
+        while self._reconnect_queue:
+            self._reopen(self._reconnect_queue.popleft(), now, RECONNECT_MIN_AGE_S)
+
+    def _reopen(self, peer_id: str, now: float, min_age_s: float) -> None:
+        connection = self._outbound.get(peer_id)
+        if connection is None or connection.writer is None:
+            return
+        if now - connection.opened_at < min_age_s:
+            return
+        waiting = list(connection.queue)
+        self._close_outbound(connection)
+        connection.queue.extend(waiting)
+        connection.retry_at = now
+        self._open_outbound(connection, now)
+
     def _process_send_queue(self, now: float) -> None:
         touched = {}
         while self._send_queue:
@@ -234,6 +267,7 @@
         sock = socket.socket(family, socket.SOCK_STREAM)
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        _limit_silence(sock)
         try:
             sock.connect((host, port))
         except BlockingIOError:
@@ -288,11 +322,8 @@
         self._write_outbound(connection)
 
     def _write_outbound(self, connection: _Outbound) -> None:
-        if connection.writer is not None:
-            while connection.queue:
-                self._append_frame(connection, connection.queue.popleft())
         try:
-            while connection.buffer:
+            while self._fill_buffer(connection):
                 sent = connection.sock.send(connection.buffer)
                 del connection.buffer[:sent]
         except BlockingIOError:
@@ -305,6 +336,13 @@
             events |= selectors.EVENT_WRITE
         self._selector.modify(connection.sock, events, connection)
 
+    def _fill_buffer(self, connection: _Outbound) -> bool:
+        """Frame queued messages up to a limit; return whether there is anything to send."""
+        if connection.writer is not None:
+            while connection.queue and len(connection.buffer) < MAX_BUFFERED_BYTES:
+                self._append_frame(connection, connection.queue.popleft())
+        return bool(connection.buffer)
+
     def _append_frame(self, connection: _Outbound, message: Message) -> None:
         try:
             frame = connection.writer.pack(message)
@@ -376,10 +414,24 @@
             connection.sock.send(answer)
         except OSError as error:
             raise FrameError("sending the answer to the greeting failed") from error
+        self._handle_replaced(greeting.instance_id, time.monotonic())
         connection.peer_id = greeting.instance_id
         connection.reader.set_key(derive_key(self._fleet_key, greeting.nonce, nonce))
         return True
 
+    def _handle_replaced(self, peer_id: str, now: float) -> None:
+        """Handle that a peer opens another connection.
+
+        It has found the former one silent, so the connection to the peer may be silent too.
+        """
+        former = [c for c in self._inbound if c.peer_id == peer_id]
+        if not former:
+            return
+        for connection in former:
+            if now - connection.used_at > RECONNECT_MIN_AGE_S:
+                self._close_inbound(connection)
+        self._reopen(peer_id, now, REOPEN_MIN_AGE_S)
+
     def _close_inbound(self, connection: _Inbound) -> None:
         self._inbound.discard(connection)
         self._selector.unregister(connection.sock)
@@ -388,7 +440,7 @@
     def _close_idle_connections(self, now: float) -> None:
         for connection in list(self._outbound.values()):
             handshaking = connection.sock is not None and connection.writer is None
-            if handshaking and now - connection.opened_at > HANDSHAKE_TIMEOUT_S:
+            if handshaking and now - connection.opened_at > OPEN_TIMEOUT_S:
                 self._close_outbound(connection)
             elif now - connection.used_at > IDLE_TIMEOUT_S:
                 self._close_outbound(connection)
@@ -401,3 +453,12 @@
     def _record_refusal(self, direction: str, peer_id: str, error: FrameError) -> None:
         self._meter.count("frames.refused")
         log_event("frame_refused", direction=direction, peer=peer_id, reason=str(error))
+
+
+def _limit_silence(sock: socket.socket) -> None:
+    """Let the system close a connection whose peer acknowledges nothing for a while."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    if hasattr(socket, "TCP_USER_TIMEOUT"):
+        timeout_ms = int(UNACKNOWLEDGED_TIMEOUT_S * 1000)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_AFTER_S)
--- a/src/foxtaildrum/fleet/receipts.py
+++ b/src/foxtaildrum/fleet/receipts.py
@@ -17,6 +17,7 @@
 
 RECEIPT_TIMEOUT_S = 0.9
 RESEND_PERIOD_S = 0.25
+RECONNECT_AFTER_S = 0.5
 MAJORITY_PREFIX = "majority:"
 STORED_PREFIX = "stored:"
 
@@ -89,19 +90,21 @@
         """Return whether receipts are being collected under a token."""
         return token in self._pending
 
-    def list_due(self, now: float, voters: list[str]) -> list[tuple[str, str, Entry]]:
+    def list_due(self, now: float, voters: list[str]) -> list[tuple[str, str, Entry, bool]]:
         """Return the peers to send an update to now, each with its token and entry.
 
-        A voter gets the update again every ``RESEND_PERIOD_S`` until its receipt arrives.
+        A voter gets the update again every ``RESEND_PERIOD_S`` until its receipt arrives. The
+        last field is whether the connection to the peer may have gone silent.
         """
         due = []
         for pending in self._pending.values():
             if now < pending.resend_at:
                 continue
             pending.resend_at = now + RESEND_PERIOD_S
+            silent = now >= pending.deadline - RECEIPT_TIMEOUT_S + RECONNECT_AFTER_S
             for peer in voters:
                 if peer != self._instance_id and peer not in pending.received_from:
-                    due.append((peer, pending.message_token, pending.entry))
+                    due.append((peer, pending.message_token, pending.entry, silent))
         return due
 
     def record_holder(self, instance_id: str, message_token: str) -> None:
--- a/src/foxtaildrum/fleet/runtime.py
+++ b/src/foxtaildrum/fleet/runtime.py
@@ -30,6 +30,7 @@
     ChangeCompleted,
     MemberChanged,
     PermitsAnswered,
+    Reconnect,
     UpstreamLeaving,
     UpstreamsLost,
     UpstreamsOrphaned,
@@ -238,6 +239,8 @@
         for action in actions:
             if isinstance(action, Send):
                 self._send(action)
+            elif isinstance(action, Reconnect):
+                self._reconnect(action)
             elif isinstance(action, Write):
                 self._storage(action)
             elif isinstance(action, PermitsAnswered):
@@ -257,6 +260,10 @@
         if address:
             self._network.send(action.peer_id, address, action.message)
 
+    def _reconnect(self, action: Reconnect) -> None:
+        if self._network is not None:
+            self._network.reconnect(action.peer_id)
+
     def _complete_future(self, token: str, value: Any) -> None:
         future = self._futures.pop(token, None)
         if future is not None:
--- a/tests/test_left_upstreams.py
+++ b/tests/test_left_upstreams.py
@@ -18,6 +18,8 @@
 
 ACK_LIMIT_S = 1.0
 SETTLED_S = 3.0
+# Two repeats of the news, rather than the next ping of a neighbour.
+REPEATED_S = 0.75
 LEASE_S = 6.0
 
 
@@ -235,3 +237,15 @@
     assert [fields[0] for fields in load_upstreams(journal)] == ["a", "c"]
     journal.append(packed[1])
     assert [fields[0] for fields in load_upstreams(journal)] == ["a", "c", "b"]
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_a_leave_reaches_a_large_fleet_in_time_while_messages_get_lost(seed):
+    fleet = form_fleet(3, 80, seed)
+    fleet.announce("c2", "u", incarnation=7)
+    fleet.run(3.0)
+    fleet.loss = 0.3
+    leave_until_acknowledged(fleet, "c1", "leave")
+    acknowledged_at = fleet.now
+    assert fleet.run_until(lambda: list_users(fleet) == [], 10.0)
+    assert fleet.now - acknowledged_at < REPEATED_S
