In a small fleet only the instance of a leave asks for confirmations

Each instance that passed the news of a leave on asked its targets to confirm it, although in a fleet of up to 64 instances the one at which the upstream left pushes it to all of them itself.

--- a/src/foxtaildrum/fleet/announcing.py
+++ b/src/foxtaildrum/fleet/announcing.py
@@ -135,7 +135,8 @@
             return
         targets = self._pick_update_targets()
         leaving = [e for e in updates if e.state != READY]
-        token = self._deliveries.begin(now, leaving, targets).token if leaving else ""
+        confirmed = [e for e in leaving if self._needs_confirmation(e)]
+        token = self._deliveries.begin(now, confirmed, targets).token if confirmed else ""
         self._send_news(now, updates, token, targets)
         self._actions.extend(_build_leaving_action(e) for e in leaving)
 
@@ -256,11 +257,20 @@
         receives drains first: an instance that cannot reach its ring neighbours then
         still learns of them.
         """
-        is_large = len(self._members.members) > MAX_DIRECT_UPDATE_MEMBERS
-        if self._list_voters is None or is_large:
+        if self._list_voters is None or self._is_large_fleet():
             return self._members.pick_push_targets()
         return self._members.list_usable()
 
+    def _needs_confirmation(self, entry: Entry) -> bool:
+        """Return whether others have to confirm an entry that changed.
+
+        In a small fleet the instance at which it changed pushes it to all.
+        """
+        return entry.owner == self.upstreams.instance_id or self._is_large_fleet()
+
+    def _is_large_fleet(self) -> bool:
+        return len(self._members.members) > MAX_DIRECT_UPDATE_MEMBERS
+
 
 def _build_leaving_action(entry: Entry) -> UpstreamLeaving:
     announcement = entry.announcement
