An instance that starts asks control instances for the upstreams first

While a whole fleet starts, most pings show a difference of the lists, and one comparison is made per 0.25 s; made with an instance that has no list either, it delays the start. Until an instance may serve, it compares its list with the instances only whose list it waits for.

--- a/src/foxtaildrum/fleet/comparing.py
+++ b/src/foxtaildrum/fleet/comparing.py
@@ -67,6 +67,14 @@
         """Return the instances whose list is to be compared with the one here."""
         return [i for i in self._list_peers() if i not in self._agreed]
 
+    def prefers_others(self, peer: str) -> bool:
+        """Return whether others than a peer are to supply what the list here lacks.
+
+        While a whole fleet starts, most peers lack it as well.
+        """
+        awaited = self.list_awaited()
+        return not self.may_serve and bool(awaited) and peer not in awaited
+
     def encode_root(self, root: int) -> int:
         """Return the root hash to send for the list here."""
         return root if self.complete else ~root
--- a/src/foxtaildrum/fleet/gossip.py
+++ b/src/foxtaildrum/fleet/gossip.py
@@ -194,7 +194,8 @@
         if message.members_root != self._members.digest.compute_root():
             self._request_repair(now, peer, "members")
         root = self._upstreams.upstreams.digest.compute_root()
-        if not self._comparison.record_root(now, peer, message.upstreams_root, root):
+        same = self._comparison.record_root(now, peer, message.upstreams_root, root)
+        if not same and not self._comparison.prefers_others(peer):
             self._request_repair(now, peer, "upstreams")
         if message.crashes_root != self._crashes.crashes.digest.compute_root():
             self._request_repair(now, peer, "crashes")
