--- a/tests/test_left_upstreams.py
+++ b/tests/test_left_upstreams.py
@@ -249,3 +249,19 @@
     acknowledged_at = fleet.now
     assert fleet.run_until(lambda: list_users(fleet) == [], 10.0)
     assert fleet.now - acknowledged_at < REPEATED_S
+
+
+def test_leaves_are_acknowledged_once_the_disks_take_bytes_again():
+    fleet = form_fleet(3, 2)
+    fleet.announce("c2", "u", incarnation=7)
+    fleet.run(2.0)
+    disks = [fleet.hosts[name].disk for name in ("c2", "c3")]
+    for disk in disks:
+        disk.failing = True
+    begin_leaving(fleet, "c1", "leave", "first")
+    fleet.run(1.0)
+    for disk in disks:
+        disk.failing = False
+    begin_leaving(fleet, "c1", "leave", "second")
+    fleet.run(1.0)
+    assert fleet.receipts == {"first": False, "second": True}
