An odd address, or a message that can't be encoded, costs only itself

Callers saw nothing by themselves; the status checks and the messages between instances broke off. An address with a port above 65535, without a number as its port, or with text that can't be encoded raised OverflowError, ValueError, TypeError or UnicodeError where only OSError was expected: in the check of the links of all pools, in the thread of the peers in the middle of its send queue (with the socket leaked), and in request threads (500). A port above 65535 that reached getaddrinfo was taken modulo 65536, so another process was asked. A message with half a surrogate pair or a number of more than 64 bits raised in the thread of the peers as well and took the messages queued behind it along.

Change: `parse_address` refuses a port out of range; the three places that open connections take every such error for an address that can't be reached. The encoding of a message raises UnencodableError, a FrameError, so that only this message is dropped; it is logged as `message_not_encoded`.

--- a/src/foxtaildrum/exceptions.py
+++ b/src/foxtaildrum/exceptions.py
@@ -87,6 +87,10 @@
     """A frame is malformed, too large, replayed or has a wrong signature."""
 
 
+class UnencodableError(FrameError):
+    """A message holds a value that cannot be sent."""
+
+
 class AdminRequestError(FoxtaildrumError):
     """A request to the admin interface failed.
 
--- a/src/foxtaildrum/fleet/messages.py
+++ b/src/foxtaildrum/fleet/messages.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from .. import records
-from ..exceptions import FrameError
+from ..exceptions import FrameError, UnencodableError
 from ..validation import load_schema
 
 Message = Any
@@ -32,11 +32,23 @@
 
 _fill_registry()
 
+ENCODING_ERRORS = (ValueError, TypeError, OverflowError, RecursionError)
+
 
 def encode_message(message: Message) -> bytes:
-    """Encode a message as a msgpack list of its type number and its fields in order."""
+    """Encode a message as a msgpack list of its type number and its fields in order.
+
+    Raises
+    ------
+    UnencodableError
+        When a field holds text or a number that cannot be encoded.
+    """
     kind = type(message)
-    return msgpack.packb([_IDS[kind], *[getattr(message, f) for f in _FIELDS[kind]]])
+    values = [getattr(message, f) for f in _FIELDS[kind]]
+    try:
+        return msgpack.packb([_IDS[kind], *values])
+    except ENCODING_ERRORS as error:
+        raise UnencodableError(f"{kind.__name__} cannot be encoded: {error}") from error
 
 
 def decode_message(data: bytes) -> Message:
--- a/src/foxtaildrum/fleet/peers.py
+++ b/src/foxtaildrum/fleet/peers.py
@@ -17,11 +17,11 @@
 from typing import Any
 
 from ..admin.metrics import Meter
-from ..exceptions import FrameError
+from ..exceptions import FrameError, UnencodableError
 from ..isolation import run_isolated
 from ..logs import log_event
 from ..requests.listeners import open_listener
-from ..settings import parse_address
+from ..settings import ADDRESS_ERRORS, parse_address
 from .frames import (
     NONCE_BYTES,
     FrameReader,
@@ -262,18 +262,8 @@
             return
         connection.retry_at = now + RECONNECT_DELAY_S
         connection.opened_at = now
-        host, port = parse_address(connection.address)
-        family = socket.AF_INET6 if ":" in host else socket.AF_INET
-        sock = socket.socket(family, socket.SOCK_STREAM)
-        sock.setblocking(False)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        _limit_silence(sock)
-        try:
-            sock.connect((host, port))
-        except BlockingIOError:
-            pass
-        except OSError:
-            sock.close()
+        sock = _begin_connect(connection.address)
+        if sock is None:
             connection.queue.clear()
             return
         connection.sock = sock
@@ -346,6 +336,9 @@
     def _append_frame(self, connection: _Outbound, message: Message) -> None:
         try:
             frame = connection.writer.pack(message)
+        except UnencodableError as error:
+            log_event("message_not_encoded", peer=connection.peer_id, reason=str(error))
+            return
         except FrameError as error:
             log_event("message_too_large", peer=connection.peer_id, reason=str(error))
             return
@@ -462,3 +455,24 @@
         timeout_ms = int(UNACKNOWLEDGED_TIMEOUT_S * 1000)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_AFTER_S)
+
+
+def _begin_connect(address: str) -> socket.socket | None:
+    """Return a socket that is connecting to an address; None if the address is no use."""
+    try:
+        host, port = parse_address(address)
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        sock = socket.socket(family, socket.SOCK_STREAM)
+    except (OSError, *ADDRESS_ERRORS):
+        return None
+    sock.setblocking(False)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    _limit_silence(sock)
+    try:
+        sock.connect((host, port))
+    except BlockingIOError:
+        pass
+    except (OSError, *ADDRESS_ERRORS):
+        sock.close()
+        return None
+    return sock
--- a/src/foxtaildrum/requests/opens.py
+++ b/src/foxtaildrum/requests/opens.py
@@ -8,7 +8,7 @@
 import socket
 from collections.abc import Callable, Iterable
 
-from ..settings import parse_address
+from ..settings import ADDRESS_ERRORS, parse_address
 
 _ANSWERS = frozenset({0, errno.ECONNREFUSED, errno.ECONNRESET})
 
@@ -65,12 +65,15 @@
         self._sockets.clear()
 
     def _open(self, address: str) -> None:
-        host, port = parse_address(address)
+        try:
+            host, port = parse_address(address)
+        except ADDRESS_ERRORS:
+            return
         family = socket.AF_INET6 if ":" in host else socket.AF_INET
         sock = socket.socket(family, socket.SOCK_STREAM)
         sock.setblocking(False)
         code = errno.EADDRNOTAVAIL
-        with contextlib.suppress(OSError):
+        with contextlib.suppress(OSError, *ADDRESS_ERRORS):
             code = sock.connect_ex((host, port))
         if code not in (0, errno.EINPROGRESS):
             sock.close()
--- a/src/foxtaildrum/requests/transport.py
+++ b/src/foxtaildrum/requests/transport.py
@@ -16,7 +16,7 @@
 
 from ..clock import read_clock
 from ..kinds import ErrorKind
-from ..settings import parse_address
+from ..settings import ADDRESS_ERRORS, parse_address
 from .responses import BoundedResponse
 
 CHUNK_BYTES = 65536
@@ -53,6 +53,7 @@
 LENGTH_UNCLEAR = "length_unclear"
 
 _HTTP_ERRORS = (OSError, http.client.HTTPException, urllib3.exceptions.HTTPError)
+_CONNECT_ERRORS = (*_HTTP_ERRORS, *ADDRESS_ERRORS)
 
 
 class TransportError(Exception):
@@ -225,7 +226,7 @@
             return True
         except ConnectionResetError:
             continue
-        except OSError:
+        except _CONNECT_ERRORS:
             return False
         with sock:
             if not _has_input_within(sock.fileno(), LISTENER_CLOSE_TIMEOUT_S):
@@ -270,8 +271,6 @@
     )
 
     def __init__(self, address: str, timeout_s: float) -> None:
-        host, port = parse_address(address)
-        self._connection = _UpstreamHTTPConnection(host, port, timeout=timeout_s)
         # Hashes take less memory than identifiers.
         self._carried_ids: deque[int] = deque(maxlen=MAX_CARRIED_IDS)
         self._method = ""
@@ -282,8 +281,10 @@
         self.accepts_trailing_bytes = False
         self.accepts_close_delimited = False
         try:
+            host, port = parse_address(address)
+            self._connection = _UpstreamHTTPConnection(host, port, timeout=timeout_s)
             self._connection.connect()
-        except _HTTP_ERRORS as error:
+        except _CONNECT_ERRORS as error:
             timed_out = isinstance(error, urllib3.exceptions.ConnectTimeoutError)
             raise TransportError(ErrorKind.CONNECT_FAILED, timed_out) from error
         self._sock = self._connection.sock
--- a/src/foxtaildrum/resources.py
+++ b/src/foxtaildrum/resources.py
@@ -60,10 +60,10 @@
 
 
 def _check_host(settings: Settings, name: str) -> FieldError | None:
-    host, port = parse_address(getattr(settings, name))
     try:
+        host, port = parse_address(getattr(settings, name))
         socket.getaddrinfo(host, port, type=socket.SOCK_DGRAM)
-    except OSError as error:
+    except (OSError, ValueError) as error:
         return _describe(settings, name, error)
     return None
 
--- a/src/foxtaildrum/settings.py
+++ b/src/foxtaildrum/settings.py
@@ -50,6 +50,8 @@
     ),
 }
 MAX_PORT = 65535
+# Raised for an address that no socket takes.
+ADDRESS_ERRORS = (ValueError, TypeError, OverflowError)
 
 
 def format_flag(name: str) -> str:
@@ -146,9 +148,19 @@
 
 
 def parse_address(text: str) -> tuple[str, int]:
-    """Split ``HOST:PORT`` into the host and the port number."""
-    host, _, port = text.rpartition(":")
-    return host.strip("[]"), int(port)
+    """Split ``HOST:PORT`` into the host and the port number.
+
+    Raises
+    ------
+    ValueError
+        If the port is no number from 0 to 65535. Some functions of the system would use the
+        last 16 bits of a larger one.
+    """
+    host, _, port_text = text.rpartition(":")
+    port = int(port_text)
+    if not 0 <= port <= MAX_PORT:
+        raise ValueError(f"port {port} is out of range")
+    return host.strip("[]"), port
 
 
 def parse_instances(text: str) -> dict[str, str]:
