A record that can't be written stops the storage no more

Cause: the records were encoded outside of the guard for failed writes. The error ended the storage actor, while the process went on; every later vote and acknowledgement waited for a sync that never came.

Change: the records of the upstream list don't depend on each other: one that can't be encoded is left out and logged as `record_skipped`, the others are written. A log that lacks a record is of no use, so there the write is reported as failed and its stream as on a failed disk, while the other streams go on. Writes queued before it are still written. Any other error of a write fails its stream too, instead of the actor.

--- a/src/foxtaildrum/control/storage.py
+++ b/src/foxtaildrum/control/storage.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -11,9 +12,13 @@
 import pykka
 
 from ..fleet.actions import UPSTREAM_STREAM, Write
+from ..fleet.messages import ENCODING_ERRORS
 from ..logs import log_event
 from .journal import Journal
 
+# Streams whose records do not depend on each other.
+INDEPENDENT_STREAMS = frozenset({UPSTREAM_STREAM})
+
 
 @dataclass(slots=True)
 class WriteCompleted:
@@ -63,28 +68,59 @@
         if not group:
             return
         stream = group[0].stream
-        journal = self._journals[stream]
-        records = [r for write in group for r in write.records]
-        if stream != UPSTREAM_STREAM:
-            records = [merge_batches(records)]
-        packed = [msgpack.packb(record) for record in records]
-        self._run_and_report(group, lambda: journal.append(*packed))
+        if stream in INDEPENDENT_STREAMS:
+            packed = [record for write in group for record in self._pack_each(write)]
+        else:
+            try:
+                packed = [msgpack.packb(merge_batches([r for w in group for r in w.records]))]
+            except ENCODING_ERRORS as error:
+                if len(group) > 1:
+                    for write in group:
+                        self._append([write])
+                    return
+                packed = []
+                self._fail(stream, error)
+        self._run_and_report(group, lambda: self._journals[stream].append(*packed))
 
     def _replace(self, write: Write) -> None:
         journal = self._journals[write.stream]
-        packed = [msgpack.packb(record) for record in write.records]
+        packed = self._pack_each(write)
         self._run_and_report([write], lambda: journal.replace(packed))
 
+    def _pack_each(self, write: Write) -> list[bytes]:
+        """Return the records of a write, without those that cannot be encoded.
+
+        A log that lacks a record is of no use, so its stream fails.
+        """
+        packed = []
+        for record in write.records:
+            try:
+                packed.append(msgpack.packb(record))
+            except ENCODING_ERRORS as error:
+                if write.stream not in INDEPENDENT_STREAMS:
+                    self._fail(write.stream, error)
+                    break
+                log_event(
+                    "record_skipped",
+                    level=logging.WARNING,
+                    subject=write.stream,
+                    source="storage",
+                    reason=str(error),
+                )
+        return packed
+
+    def _fail(self, stream: str, error: Exception) -> None:
+        """Write a stream no more: the content of its file is unknown, or lacks a record."""
+        self._failed_streams.add(stream)
+        log_event("disk_failed", stream=stream, reason=str(error) or repr(error))
+
     def _run_and_report(self, group: list[Write], perform: Callable[[], None]) -> None:
         stream = group[0].stream
         if stream not in self._failed_streams:
             try:
                 perform()
-            except OSError as error:
-                # After a failed sync the content of the file is unknown, so the stream is
-                # not written again.
-                self._failed_streams.add(stream)
-                log_event("disk_failed", stream=stream, reason=str(error))
+            except Exception as error:
+                self._fail(stream, error)
         for write in group:
             self._report(WriteCompleted(stream, write.token, stream in self._failed_streams))
 
--- a/src/foxtaildrum/logevents.py
+++ b/src/foxtaildrum/logevents.py
@@ -37,6 +37,7 @@
     "message_refused": ("peer", "reason"),
     "message_too_large": ("peer", "reason"),
     "part_failed": ("part", "reason"),
+    "record_skipped": ("subject", "source", "reason"),
     "refused_request": (
         "request_id",
         "kind",
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -2,17 +2,30 @@
 
 from __future__ import annotations
 
+import contextlib
+from collections import deque
+
 import msgpack
+import pykka
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
 from foxtaildrum.control.journal import Journal
-from foxtaildrum.control.storage import JournalWriter, WriteCompleted
+from foxtaildrum.control.storage import (
+    JournalWriter,
+    PerformWrites,
+    StorageActor,
+    WriteCompleted,
+)
 from foxtaildrum.fleet.actions import Write
 
 from .fleet import FakeDisk
+from .standins.processes import wait_until
+from .standins.values import UNENCODABLE, describe
 
 STREAMS = ("log", "claims")
+WAIT_S = 10.0
 
 
 class CountingDisk(FakeDisk):
@@ -88,3 +101,74 @@
     )
     assert [(r.token, r.failed) for r in reports] == [(1, True), (2, True), (3, False)]
     assert read_items(disk, "log") == []
+
+
+def run_storage(writes: list[Write]):
+    """Perform writes in a storage actor, one at a time; return the disk and the reports."""
+    disk = FakeDisk()
+    reports: list = []
+    journals = {name: Journal(disk, name) for name in ("log", "claims", "upstreams")}
+    waiting: deque[Write] = deque()
+    actor = StorageActor.start(waiting, JournalWriter(journals, reports.append))
+    try:
+        for write in writes:
+            waiting.append(write)
+            actor.tell(PerformWrites())
+        assert wait_until(lambda: len(reports) == len(writes) or not actor.is_alive(), WAIT_S)
+        assert actor.is_alive()
+    finally:
+        with contextlib.suppress(pykka.ActorDeadError):
+            actor.stop(timeout=WAIT_S)
+    return disk, {(report.stream, report.token): report.failed for report in reports}
+
+
+@pytest.mark.parametrize("odd", UNENCODABLE, ids=describe)
+def test_an_upstream_that_cannot_be_written_stops_the_storage(odd):
+    disk, failed = run_storage(
+        [
+            Write("upstreams", 1, [["three"]], True),
+            Write("upstreams", 2, [["one"], ["odd", odd], ["two"]], True),
+            Write("log", 1, [["batch", ["vote", 1, "c1"]]], False),
+        ]
+    )
+    assert failed == {("upstreams", 1): False, ("upstreams", 2): False, ("log", 1): False}
+    assert read_items(disk, "upstreams") == [["one"], ["two"]]
+    assert read_items(disk, "log") == [["vote", 1, "c1"]]
+
+
+@pytest.mark.parametrize("odd", UNENCODABLE, ids=describe)
+@pytest.mark.parametrize("replaces", [True, False])
+def test_a_log_record_that_cannot_be_written_stops_the_other_streams(odd, replaces):
+    disk, failed = run_storage(
+        [
+            Write("log", 1, [["batch", ["vote", 1, "c1"]]], False),
+            Write("log", 2, [["batch", ["vote", 2, odd]]], replaces),
+            Write("log", 3, [["batch", ["vote", 3, "c1"]]], False),
+            Write("claims", 1, [["batch", ["recovered"]]], False),
+            Write("upstreams", 1, [["one"]], True),
+        ]
+    )
+    # What follows a record that is missing must not be written: it would take its place.
+    assert [failed["log", n] for n in (1, 2, 3)] == [False, True, True]
+    assert (failed["claims", 1], failed["upstreams", 1]) == (False, False)
+    assert read_items(disk, "log") == [["vote", 1, "c1"]]
+
+
+def test_writes_queued_beside_an_unwritable_one_get_no_report():
+    disk = FakeDisk()
+    reports: list = []
+    journals = {name: Journal(disk, name) for name in ("log", "claims", "upstreams")}
+    JournalWriter(journals, reports.append).perform(
+        [
+            Write("log", 1, [["batch", ["vote", 1, "c1"]]], False),
+            Write("log", 2, [["batch", ["vote", 2, "c\ud83d"]]], False),
+            Write("log", 3, [["batch", ["vote", 3, "c1"]]], False),
+            Write("claims", 1, [["batch", ["recovered"]]], False),
+        ]
+    )
+    assert {(w.stream, w.token): w.failed for w in reports} == {
+        ("log", 1): False,
+        ("log", 2): True,
+        ("log", 3): True,
+        ("claims", 1): False,
+    }
