A write that ends after the node doesn't end the storage

Seen once among about twelve runs of tests/test_odd_processes.py: "Unhandled exception" in the log of an instance that stopped. That log wasn't kept, so the cause below is inferred; it does what was seen.

Cause: `Instance.close` stops the actor of the node before that of the storage; a write that ends in between reports to an actor that is gone, which raised in the storage and dropped the writes queued behind it.

Evidence: test_a_write_that_ends_after_the_node_stops_the_storage fails on the code before (ActorDeadError, the second write is missing).

Change: the report is dropped if the node is gone, as messages of peers are.

--- a/src/foxtaildrum/instance.py
+++ b/src/foxtaildrum/instance.py
@@ -24,7 +24,7 @@
 from .clock import read_clock
 from .control.entries import SavedState
 from .control.journal import FolderDisk, Journal
-from .control.storage import JournalWriter, PerformWrites, StorageActor
+from .control.storage import JournalWriter, PerformWrites, StorageActor, WriteCompleted
 from .events import Received
 from .exceptions import CorruptJournalError
 from .fleet.actions import CLAIM_STREAM, LOG_STREAM, UPSTREAM_STREAM, Write
@@ -96,7 +96,7 @@
             node, self._queue_write, self._network, self.publisher, self.meter
         )
         if journals:
-            writer = JournalWriter(journals, self._actor.tell)
+            writer = JournalWriter(journals, self._report_write)
             self._storage = StorageActor.start(self._pending_writes, writer)
         self._node_proxy = self._actor.proxy()
         self.publisher.notify_draining = self._node_proxy.mark_draining.defer
@@ -243,6 +243,11 @@
         self._pending_writes.append(action)
         self._storage.tell(PerformWrites())
 
+    def _report_write(self, completed: WriteCompleted) -> None:
+        # While the instance stops, a write may end after the node.
+        with contextlib.suppress(pykka.ActorDeadError):
+            self._actor.tell(completed)
+
     def _deliver_message(self, peer_id: str, message: Any) -> None:
         with contextlib.suppress(pykka.ActorDeadError):
             self._actor.tell(Received(peer_id, message))
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -21,6 +21,7 @@
 from foxtaildrum.fleet.actions import Write
 
 from .fleet import FakeDisk
+from .sites import open_site
 from .standins.processes import wait_until
 from .standins.values import UNENCODABLE, describe
 
@@ -103,6 +104,16 @@
     assert read_items(disk, "log") == []
 
 
+def test_a_write_that_ends_after_the_node_stops_the_storage(tmp_path):
+    with open_site(tmp_path) as site:
+        instance = site.instance
+        instance._actor.stop()
+        for token in (1, 2):
+            instance._queue_write(Write("upstreams", token, [[f"saved-{token}"]], True))
+            instance._storage.ask(PerformWrites(), timeout=5.0)
+        assert b"saved-2" in (tmp_path / "state" / "upstreams").read_bytes()
+
+
 def run_storage(writes: list[Write]):
     """Perform writes in a storage actor, one at a time; return the disk and the reports."""
     disk = FakeDisk()
