Odd numbers in headers cause no internal error

A number in a header with an underscore or in other scripts, which only Python reads, counts as none.

--- a/src/foxtaildrum/balancing/loads.py
+++ b/src/foxtaildrum/balancing/loads.py
@@ -9,6 +9,7 @@
 MAX_REPORTED_PACE = 1e3
 MAX_RATE_LIMIT_PER_S = 1e6
 MAX_REST_S = 600.0
+MAX_QUOTED_CHARS = 40
 
 
 class LoadReport:
@@ -34,12 +35,12 @@
     form, _, text = value.strip().partition(" ")
     try:
         if form.upper() == "JSON":
-            number = float(json.loads(text)["named_metrics"]["slots_in_use"])
+            number = _parse_json_metrics(text)
         elif form.upper() == "TEXT":
             number = _parse_text_metrics(text)
         else:
             return None
-    except (ValueError, KeyError, TypeError):
+    except (ValueError, KeyError, TypeError, OverflowError, RecursionError):
         return None
     return LoadReport(number) if 0 <= number < MAX_REPORTED_SLOTS else None
 
@@ -47,7 +48,7 @@
 def parse_load_figures(value: str) -> LoadReport | None:
     """Parse ``running,waiting,slots[,pace in percent]``; return None if invalid."""
     try:
-        figures = [float(part) for part in value.split(",")]
+        figures = [_parse_number(part) for part in value.split(",")]
     except ValueError:
         return None
     if len(figures) < 3 or not all(0 <= f < MAX_REPORTED_SLOTS for f in figures):
@@ -61,24 +62,38 @@
 def parse_rate_limit(value: str | None) -> float | None:
     """Parse a limit in requests per second; return None if there is none or it is invalid."""
     try:
-        limit_per_s = float(value or "")
+        limit_per_s = _parse_number(value or "")
     except ValueError:
         return None
     return limit_per_s if 0 <= limit_per_s < MAX_RATE_LIMIT_PER_S else None
 
 
+def _parse_number(text: str) -> float:
+    """Return the number in a header; raise ValueError for forms that only Python reads."""
+    if not text.isascii() or "_" in text:
+        raise ValueError(f"not a number: {text[:MAX_QUOTED_CHARS]!r}")
+    return float(text)
+
+
+def _parse_json_metrics(text: str) -> float:
+    number = json.loads(text)["named_metrics"]["slots_in_use"]
+    if isinstance(number, bool):
+        raise TypeError("slots_in_use must be a number")
+    return float(number)
+
+
 def _parse_text_metrics(text: str) -> float:
     for item in text.split(","):
         name, _, number = item.strip().partition("=")
         if name == "named_metrics.slots_in_use":
-            return float(number)
+            return _parse_number(number)
     raise KeyError("named_metrics.slots_in_use")
 
 
 def parse_rest(value: str | None) -> float | None:
     """Return the seconds in which an upstream wants no request, or None if none are stated."""
     try:
-        rest_s = float(value or "")
+        rest_s = _parse_number(value or "")
     except ValueError:
         return None
     if not 0 < rest_s < math.inf:
--- a/src/foxtaildrum/requests/transport.py
+++ b/src/foxtaildrum/requests/transport.py
@@ -43,6 +43,7 @@
 KEEPALIVE_MAX_PROBES = 3
 MAX_REFUSAL_CHECKS = 3
 LISTENER_CLOSE_TIMEOUT_S = 0.02
+MAX_LENGTH_DIGITS = 18
 # Later requests whose responses have matched show that no late copy is due any more.
 MAX_CARRIED_IDS = 32
 
@@ -315,7 +316,7 @@
                 preload_content=False,
                 decode_content=False,
             )
-        except _HTTP_ERRORS as error:
+        except (*_HTTP_ERRORS, ValueError) as error:
             # An upstream may respond and close the connection before it has read the
             # whole body, so a response that already arrived is still used.
             if not self._has_early_response():
@@ -456,9 +457,7 @@
         content_length = _join_header_values(response, "Content-Length")
         if transfer_encoding and (transfer_encoding != "chunked" or content_length):
             raise TransportError(ErrorKind.ANSWER_INVALID, reason=LENGTH_UNCLEAR)
-        if "Content-Length" in response.headers and not (
-            content_length.isascii() and content_length.isdigit()
-        ):
+        if "Content-Length" in response.headers and not _is_length(content_length):
             raise TransportError(ErrorKind.ANSWER_INVALID, reason=LENGTH_UNCLEAR)
         if has_no_body:
             return 0
@@ -493,6 +492,10 @@
     return ", ".join(response.headers.get_all(name, ())).strip()
 
 
+def _is_length(text: str) -> bool:
+    return text.isascii() and text.isdigit() and len(text) <= MAX_LENGTH_DIGITS
+
+
 def _parse_connection_options(connection: str) -> frozenset[str]:
     if not connection:
         return frozenset()
