Odd announcements, leaves and tables are refused as a whole

Callers saw: one odd announcement was acknowledged with 200 and spread. With a start between 2^62 and 2^64, the other instances refused each message with that entry, and the good entries beside it; the entry was saved, and every later start of the control instances ended with "ValueError: invalid incarnation". A lease of NaN was acknowledged and lost at once; `slots` of 4.0 never reached another instance. `"timeout_ms": NaN` and text that can't be encoded were acknowledged in tables as well, and If-Match with 20 digits stopped the storage.

Cause: the body was read with a parser that accepts more than JSON, and the schema had no upper limits of numbers, no limits of text, ports or address ranges. The identifier in the path was only checked for its length.

Change: `parse_json` reads strict JSON in UTF-8 with bounds of depth and digits and names the field in its error; `schema.json` bounds every number and text of an announcement and its address, and the paths in pools; the identifier must be visible ASCII. All of it answers 400 or 422 and stores nothing. Fields that aren't known are ignored, as those of a later release, and 4.0 is taken as 4. A reason is cut after 200 characters. The readers of requests moved from `admin` to `inputs`, unchanged otherwise.

--- a/src/foxtaildrum/admin/admin.py
+++ b/src/foxtaildrum/admin/admin.py
@@ -11,56 +11,28 @@
 
 from ..control.desired import DesiredState
 from ..control.tables import TABLE_NAMES, Change
-from ..exceptions import FieldError, InvalidTableError, NotConfirmedError
+from ..exceptions import InvalidTableError, NotConfirmedError
 from ..fleet.node_api import ChangeAnswer, NodeApi
-from ..records import Announcement
 from ..requests.problem import StartResponse, format_status
-from ..validation import find_problems
 from .exposition import CONTENT_TYPE, format_exposition
+from .inputs import (
+    AdminError,
+    AdminResponse,
+    check_identifier,
+    read_announcement,
+    read_if_match,
+    read_incarnation,
+    read_json,
+    read_rows,
+)
 from .objectives import compute_burn_rates
 
 MAX_CHANGE_ID_LENGTH = 128
-MAX_UPSTREAM_ID_LENGTH = 128
 DEFAULT_LEASE_S = 15.0
 STALE_QUERY = "stale=allow"
 JSON_TYPE = "application/json"
 METRICS_PATH = "/metrics"
 
-
-class AdminResponse:
-    """Response of an admin handler.
-
-    Parameters
-    ----------
-    document : Any
-        Document to encode as JSON, or the encoded body when ``text_type`` is given.
-    text_type : str
-        Content type of a body that is not JSON; empty for JSON.
-    """
-
-    __slots__ = ("document", "headers", "status", "text_type")
-
-    def __init__(
-        self,
-        status: int,
-        document: Any,
-        headers: list[tuple[str, str]] | None = None,
-        text_type: str = "",
-    ) -> None:
-        self.text_type = text_type
-        self.status = status
-        self.document = document
-        self.headers = headers or []
-
-
-class AdminError(Exception):
-    """An admin request was refused; carries the error response."""
-
-    def __init__(self, status: int, title: str, **extra: Any) -> None:
-        super().__init__(title)
-        self.response = AdminResponse(status, {"title": title, "status": status, **extra})
-
-
 Handler = Callable[["Admin", dict[str, Any], str], AdminResponse]
 
 _HANDLERS: dict[tuple[str, str], Handler] = {}
@@ -217,13 +189,13 @@
 def put_table(admin: Admin, environ: dict[str, Any], segment: str) -> AdminResponse:
     """Replace a table if its version is still the one in ``If-Match``."""
     admin.check_token(environ)
-    if_version = _read_if_match(environ)
+    if_version = read_if_match(environ)
     requested_id = environ.get("HTTP_IDEMPOTENCY_KEY", "")
     change_id = requested_id or uuid.uuid4().hex
     first_submission = not requested_id or environ.get("HTTP_FOXTAILDRUM_SUBMISSION") == "first"
     if len(change_id) > MAX_CHANGE_ID_LENGTH:
         raise AdminError(http.client.BAD_REQUEST, "Idempotency-Key is too long")
-    rows = _read_rows(environ, segment)
+    rows = read_rows(environ, segment)
     answer = admin.node.change_table(
         Change(segment, rows, if_version, change_id, first_submission)
     )
@@ -252,7 +224,7 @@
     """Replace both tables and the limits; the operator numbers the version."""
     admin.check_token(environ)
     try:
-        desired = DesiredState.from_document(_read_json(environ))
+        desired = DesiredState.from_document(read_json(environ))
     except InvalidTableError as error:
         raise AdminError(
             http.client.UNPROCESSABLE_ENTITY, "Invalid tables", problems=error.list_problems()
@@ -271,20 +243,8 @@
 @register_handler("PUT", "/v1/upstreams/")
 def put_upstream(admin: Admin, environ: dict[str, Any], segment: str) -> AdminResponse:
     """Register an upstream or renew its announcement."""
-    if len(segment) > MAX_UPSTREAM_ID_LENGTH:
-        raise AdminError(http.client.BAD_REQUEST, "The upstream identifier is too long")
-    document = _read_json(environ)
-    problems = find_problems("Announcement", document, "")
-    if isinstance(document, dict):
-        missing = [name for name in admin.required_fields if name not in document]
-        problems += [FieldError(name, "is required") for name in missing]
-    if problems:
-        listed_problems = [{"field": p.field, "reason": p.reason} for p in problems]
-        raise AdminError(
-            http.client.UNPROCESSABLE_ENTITY, "Invalid announcement", problems=listed_problems
-        )
-    announcement = Announcement(**{"lease_s": admin.lease_s, **document})
-    announcement.incarnation = announcement.incarnation or announcement.born
+    check_identifier(segment)
+    announcement = read_announcement(environ, admin.lease_s, admin.required_fields)
     try:
         refusal = admin.node.announce(segment, announcement)
     except NotConfirmedError as error:
@@ -297,7 +257,8 @@
 @register_handler("DELETE", "/v1/upstreams/")
 def delete_upstream(admin: Admin, environ: dict[str, Any], segment: str) -> AdminResponse:
     """Remove an upstream permanently from its pool."""
-    incarnation = _read_incarnation(environ)
+    check_identifier(segment)
+    incarnation = read_incarnation(environ)
     known = admin.node.leave(segment, incarnation) if incarnation else admin.node.leave(segment)
     if known is None:
         raise AdminError(
@@ -339,55 +300,6 @@
     return AdminResponse(http.client.SERVICE_UNAVAILABLE, document)
 
 
-def _read_if_match(environ: dict[str, Any]) -> int:
-    text = environ.get("HTTP_IF_MATCH")
-    if text is None:
-        raise AdminError(
-            http.client.PRECONDITION_REQUIRED, "If-Match with the version read is required"
-        )
-    version = text.strip().removeprefix("W/").strip('"')
-    if not (version.isascii() and version.isdigit()):
-        raise AdminError(http.client.BAD_REQUEST, f"If-Match {text!r} is not a version")
-    return int(version)
-
-
-def _read_json(environ: dict[str, Any]) -> Any:
-    try:
-        return json.loads(environ["wsgi.input"].read() or b"null")
-    except (ValueError, RecursionError) as error:
-        raise AdminError(http.client.BAD_REQUEST, f"The body is not JSON: {error}") from error
-
-
-def _read_incarnation(environ: dict[str, Any]) -> int:
-    """Return the incarnation of a leaving upstream; 0 when the body has none."""
-    value = _read_json(environ)
-    given_fields = [
-        n for n in ("incarnation", "born") if isinstance(value, dict) and n in value
-    ]
-    if not given_fields:
-        return 0
-    incarnation = value[given_fields[0]]
-    if not isinstance(incarnation, int) or isinstance(incarnation, bool) or incarnation < 0:
-        raise AdminError(
-            http.client.UNPROCESSABLE_ENTITY,
-            "Invalid leave",
-            problems=[{"field": given_fields[0], "reason": "must be a whole number"}],
-        )
-    return incarnation
-
-
-def _read_rows(environ: dict[str, Any], table: str) -> list[dict[str, Any]]:
-    value = _read_json(environ)
-    if not isinstance(value, dict) or set(value) != {table}:
-        error = InvalidTableError(
-            "invalid table", [FieldError(table, f'the body must be {{"{table}": [...]}}')]
-        )
-        raise AdminError(
-            http.client.UNPROCESSABLE_ENTITY, "Invalid table", problems=error.list_problems()
-        )
-    return value[table]
-
-
 def _send_response(start_response: StartResponse, response: AdminResponse) -> Iterable[bytes]:
     if response.text_type:
         body, content_type = response.document, response.text_type
--- a/src/foxtaildrum/checks.py
+++ b/src/foxtaildrum/checks.py
@@ -6,10 +6,14 @@
 
 REGEX_PATTERNS = {
     "^[A-Za-z0-9][A-Za-z0-9_.-]{0,62}$": re.compile("^[A-Za-z0-9][A-Za-z0-9_.-]{0,62}\\Z"),
+    "^[!-~]*$": re.compile("^[!-~]*\\Z"),
     "^/": re.compile("^/"),
     "^[A-Z]{1,32}$": re.compile("^[A-Z]{1,32}\\Z"),
-    "^([0-9]{1,3}(\\.[0-9]{1,3}){3}|\\[[0-9A-Fa-f:.]+\\]):[0-9]{1,5}$": re.compile(
-        "^([0-9]{1,3}(\\.[0-9]{1,3}){3}|\\[[0-9A-Fa-f:.]+\\]):[0-9]{1,5}\\Z"
+    "^((22[0-3]|2[01][0-9]|1[0-9]{2}|[1-9]?[1-9]|[1-9]0)(\\.(25[0-5]|2[0-4][0-9]|1[0-9]{2}|[1-9]?[0-9])){3}|\\[[0-9A-Fa-f:.]{2,45}\\]):(6553[0-5]|655[0-2][0-9]|65[0-4][0-9]{2}|6[0-4][0-9]{3}|[1-5][0-9]{4}|[1-9][0-9]{0,3})$": re.compile(
+        "^((22[0-3]|2[01][0-9]|1[0-9]{2}|[1-9]?[1-9]|[1-9]0)(\\.(25[0-5]|2[0-4][0-9]|1[0-9]{2}|[1-9]?[0-9])){3}|\\[[0-9A-Fa-f:.]{2,45}\\]):(6553[0-5]|655[0-2][0-9]|65[0-4][0-9]{2}|6[0-4][0-9]{3}|[1-5][0-9]{4}|[1-9][0-9]{0,3})\\Z"
+    ),
+    "^[^\\u0000-\\u001f\\u007f\\ud800-\\udfff]*$": re.compile(
+        "^[^\\u0000-\\u001f\\u007f\\ud800-\\udfff]*\\Z"
     ),
     "^[A-Za-z0-9_.-]{1,63}$": re.compile("^[A-Za-z0-9_.-]{1,63}\\Z"),
     "^.+:[0-9]{1,5}$": re.compile("^.+:[0-9]{1,5}\\Z"),
@@ -170,11 +174,23 @@
             data__loadpath = data["load_path"]
             if not isinstance(data__loadpath, (str)):
                 raise SchemaMismatchError
+            if isinstance(data__loadpath, str):
+                data__loadpath_len = len(data__loadpath)
+                if data__loadpath_len > 2048:
+                    raise SchemaMismatchError
+                if not REGEX_PATTERNS["^[!-~]*$"].search(data__loadpath):
+                    raise SchemaMismatchError
         if "health_path" in data_keys:
             data_keys.remove("health_path")
             data__healthpath = data["health_path"]
             if not isinstance(data__healthpath, (str)):
                 raise SchemaMismatchError
+            if isinstance(data__healthpath, str):
+                data__healthpath_len = len(data__healthpath)
+                if data__healthpath_len > 2048:
+                    raise SchemaMismatchError
+                if not REGEX_PATTERNS["^[!-~]*$"].search(data__healthpath):
+                    raise SchemaMismatchError
         if "max_conns" in data_keys:
             data_keys.remove("max_conns")
             data__maxconns = data["max_conns"]
@@ -426,10 +442,7 @@
             if not isinstance(data__pool, (str)):
                 raise SchemaMismatchError
             if isinstance(data__pool, str):
-                data__pool_len = len(data__pool)
-                if data__pool_len < 1:
-                    raise SchemaMismatchError
-                if data__pool_len > 63:
+                if not REGEX_PATTERNS["^[A-Za-z0-9][A-Za-z0-9_.-]{0,62}$"].search(data__pool):
                     raise SchemaMismatchError
         if "address" in data_keys:
             data_keys.remove("address")
@@ -438,7 +451,7 @@
                 raise SchemaMismatchError
             if isinstance(data__address, str):
                 if not REGEX_PATTERNS[
-                    "^([0-9]{1,3}(\\.[0-9]{1,3}){3}|\\[[0-9A-Fa-f:.]+\\]):[0-9]{1,5}$"
+                    "^((22[0-3]|2[01][0-9]|1[0-9]{2}|[1-9]?[1-9]|[1-9]0)(\\.(25[0-5]|2[0-4][0-9]|1[0-9]{2}|[1-9]?[0-9])){3}|\\[[0-9A-Fa-f:.]{2,45}\\]):(6553[0-5]|655[0-2][0-9]|65[0-4][0-9]{2}|6[0-4][0-9]{3}|[1-5][0-9]{4}|[1-9][0-9]{0,3})$"
                 ].search(data__address):
                     raise SchemaMismatchError
         if "availability_zone" in data_keys:
@@ -450,6 +463,10 @@
                 data__availabilityzone_len = len(data__availabilityzone)
                 if data__availabilityzone_len > 63:
                     raise SchemaMismatchError
+                if not REGEX_PATTERNS["^[^\\u0000-\\u001f\\u007f\\ud800-\\udfff]*$"].search(
+                    data__availabilityzone
+                ):
+                    raise SchemaMismatchError
         if "slots" in data_keys:
             data_keys.remove("slots")
             data__slots = data["slots"]
@@ -492,6 +509,8 @@
             ):
                 if data__incarnation < 0:
                     raise SchemaMismatchError
+                if data__incarnation > 4611686018427387904:
+                    raise SchemaMismatchError
         if "sequence" in data_keys:
             data_keys.remove("sequence")
             data__sequence = data["sequence"]
@@ -506,6 +525,8 @@
             ):
                 if data__sequence < 0:
                     raise SchemaMismatchError
+                if data__sequence > 4611686018427387904:
+                    raise SchemaMismatchError
         if "born" in data_keys:
             data_keys.remove("born")
             data__born = data["born"]
@@ -518,6 +539,8 @@
             if isinstance(data__born, (int, float)) and not isinstance(data__born, bool):
                 if data__born < 0:
                     raise SchemaMismatchError
+                if data__born > 4611686018427387904:
+                    raise SchemaMismatchError
         if "warmup_left_ms" in data_keys:
             data_keys.remove("warmup_left_ms")
             data__warmupleftms = data["warmup_left_ms"]
@@ -541,6 +564,10 @@
                 data__version_len = len(data__version)
                 if data__version_len > 128:
                     raise SchemaMismatchError
+                if not REGEX_PATTERNS["^[^\\u0000-\\u001f\\u007f\\ud800-\\udfff]*$"].search(
+                    data__version
+                ):
+                    raise SchemaMismatchError
         if "lease_s" in data_keys:
             data_keys.remove("lease_s")
             data__leases = data["lease_s"]
@@ -551,8 +578,6 @@
                     raise SchemaMismatchError
                 if data__leases <= 0:
                     raise SchemaMismatchError
-        if data_keys:
-            raise SchemaMismatchError
     return data
 
 
--- a/src/foxtaildrum/records.py
+++ b/src/foxtaildrum/records.py
@@ -112,7 +112,7 @@
     """
     address: str
     """
-    IP address and port.
+    IP address and port; neither unspecified nor multicast.
     """
     availability_zone: str = ""
     """
--- a/src/foxtaildrum/validation.py
+++ b/src/foxtaildrum/validation.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 import functools
+import ipaddress
 import json
 import pkgutil
+import re
+from collections.abc import Iterator
 from typing import TYPE_CHECKING, Any
 
 from . import checks
@@ -13,6 +16,10 @@
 if TYPE_CHECKING:
     import jsonschema
 
+MAX_REASON_CHARS = 200
+MAX_CACHED_ADDRESSES = 4096
+
+_IDENTIFIER = re.compile(r"[!-~]{1,128}")
 _CHECK_BY_RECORD = {
     "Announcement": checks.check_announcement,
     "Limits": checks.check_limits,
@@ -35,9 +42,21 @@
     import jsonschema
 
     schema = load_schema()
-    return jsonschema.Draft202012Validator(
-        {"$ref": f"#/$defs/{record}", "$defs": schema["$defs"]}
+    validator_type = jsonschema.validators.extend(
+        jsonschema.Draft202012Validator, {"pattern": _list_pattern_errors}
     )
+    return validator_type({"$ref": f"#/$defs/{record}", "$defs": schema["$defs"]})
+
+
+def _list_pattern_errors(
+    validator: Any, pattern: str, value: Any, schema: dict[str, Any]
+) -> Iterator[jsonschema.ValidationError]:
+    import jsonschema
+
+    # As in the generated checks, $ matches only the end and not before a last line break.
+    if isinstance(value, str) and not re.search(pattern.replace("$", r"\Z"), value):
+        described = schema.get("description", pattern)
+        yield jsonschema.ValidationError(f"{_shorten(value)!r} does not fit: {described}")
 
 
 def get_property_schemas(record: str) -> dict[str, dict[str, Any]]:
@@ -69,11 +88,44 @@
         return _list_problems(record, value, prefix)
 
 
+def find_announcement_problems(value: Any) -> list[FieldError]:
+    """Validate an announcement, including its address, and return every problem."""
+    problems = find_problems("Announcement", value, "")
+    if not problems and not _is_usable(value["address"]):
+        reason = "must be the address of one host, neither unspecified nor multicast"
+        problems.append(FieldError("address", reason))
+    return problems
+
+
+def is_identifier(text: str) -> bool:
+    """Return whether a text can identify an upstream or an instance in paths and headers."""
+    return _IDENTIFIER.fullmatch(text) is not None
+
+
+@functools.lru_cache(maxsize=MAX_CACHED_ADDRESSES)
+def _is_usable(address: str) -> bool:
+    """Return whether an address that matches the schema belongs to one host."""
+    host, _, _ = address.rpartition(":")
+    if not host.startswith("["):
+        return True
+    try:
+        parsed = ipaddress.IPv6Address(host.strip("[]"))
+    except ValueError:
+        return False
+    return not (parsed.is_unspecified or parsed.is_multicast)
+
+
 def _list_problems(record: str, value: Any, prefix: str) -> list[FieldError]:
     errors = _build_validator(record).iter_errors(value)
     return [FieldError(_describe_path(prefix, e), _describe_reason(e)) for e in errors]
 
 
+def _shorten(text: str) -> str:
+    if len(text) <= MAX_REASON_CHARS:
+        return text
+    return text[:MAX_REASON_CHARS] + "..."
+
+
 def _describe_path(prefix: str, error: jsonschema.ValidationError) -> str:
     path = prefix
     for part in error.absolute_path:
@@ -86,5 +138,5 @@
 
 def _describe_reason(error: jsonschema.ValidationError) -> str:
     if error.validator == "additionalProperties":
-        return "unknown field: " + error.message
-    return error.message
+        return _shorten("unknown field: " + error.message)
+    return _shorten(error.message)
