An odd record of another instance or the disk costs only itself

Callers saw: an odd entry among those of the upstreams, from another instance or build, took the good ones in the same message with it, again with each repair, so upstreams stayed unknown. In the saved list it ended the process at every start, and one record that can't be read discarded the whole list.

Cause: the first invalid record raised and so refused the message, or left `Instance.__init__`. `Entry.from_wire` checked few fields: pools, addresses, identifiers, zones and slots of any content were taken over and spread.

Change: `read_records` builds each record on its own; one that can't be used is skipped, logged as `record_skipped` with its source and reason, and counted as `records.skipped`. An entry of another instance passes the same check as an announcement over HTTP, generated from the schema. Text that can't be read costs its record, not the frame; in messages of the log it still refuses the frame. A receipt is only sent if nothing was skipped: it states that the entry is stored. A renewal with an odd lease is refused. The format of messages and files is unchanged.

--- a/src/foxtaildrum/fleet/actions.py
+++ b/src/foxtaildrum/fleet/actions.py
@@ -74,6 +74,23 @@
     reply: PermitReply
 
 
+@dataclass(slots=True)
+class RecordSkipped:
+    """A record of another instance or on disk was left out, as it cannot be used.
+
+    Parameters
+    ----------
+    subject : str
+        Kind of the record: upstream, member or crash.
+    source : str
+        Instance that sent it, or ``disk``.
+    """
+
+    subject: str
+    source: str
+    reason: str
+
+
 @dataclass(slots=True)
 class MemberChanged:
     """The membership state of another instance changed."""
@@ -95,6 +112,7 @@
     | UpstreamLeaving
     | MemberChanged
     | PermitsAnswered
+    | RecordSkipped
 )
 
 
--- a/src/foxtaildrum/fleet/announcing.py
+++ b/src/foxtaildrum/fleet/announcing.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
+from functools import partial
+from typing import Any
 
 from .. import records as r
 from ..events import Send
@@ -15,14 +17,17 @@
     UpstreamsOrphaned,
 )
 from .deliveries import Deliveries
+from .intake import read_records
 from .membership import Membership
 from .parts import Part, handles
 from .receipts import MAJORITY_PREFIX, STORED_PREFIX, Receipts, ReceiptsCompleted
 from .saving import UpstreamSaver
-from .upstreams import READY, Entry, UpstreamList
+from .upstreams import READY, Entry, UpstreamList, check_lease
 
 LEASE_CHECK_PERIOD_S = 0.5
 MAX_DIRECT_UPDATE_MEMBERS = 64
+# Source of the entries that were saved before a restart.
+DISK = "disk"
 
 
 class UpstreamPart(Part):
@@ -116,8 +121,7 @@
         Its entries may be outdated. A later announcement replaces them, and if another
         upstream now uses an address, it refuses requests meant for the former one.
         """
-        for fields in records:
-            entry = Entry.from_wire(now, fields)
+        for entry in self._read_entries(now, DISK, records):
             self.upstreams.merge(now, entry)
             self._saver.record_restored(entry)
 
@@ -158,11 +162,12 @@
     @handles(r.UpstreamNews)
     def handle_news(self, now: float, peer: str, message: r.UpstreamNews) -> None:
         """Merge entries of another instance, and confirm them if it asks for that."""
-        entries = [Entry.from_wire(now, fields) for fields in message.entries]
+        entries = list(self._read_entries(now, peer, message.entries))
         for entry in entries:
             if not self._has_expired_here(entry):
                 self.upstreams.merge(now, entry)
-        if not message.token:
+        # A receipt states that every entry is stored.
+        if not message.token or len(entries) < len(message.entries):
             return
         receipt = Send(peer, r.NewsReceipt(token=message.token))
         if self._saver is None:
@@ -183,8 +188,15 @@
     @handles(r.RenewRequest)
     def handle_renewal(self, now: float, peer: str, message: r.RenewRequest) -> None:
         """Renew a lease that this instance owns."""
+        if not message.lease_s > 0:
+            raise ValueError(f"invalid lease {message.lease_s!r}")
+        check_lease(message.lease_s)
         self.upstreams.renew(now, message.upstream_id, message.incarnation, message.lease_s)
 
+    def _read_entries(self, now: float, source: str, items: list[Any]) -> Iterator[Entry]:
+        build = partial(Entry.from_wire, now)
+        return read_records("upstream", source, items, build, self._actions)
+
     def _request_receipts(self, now: float, token: str, upstream_id: str) -> None:
         entry = self.upstreams.entries.get(upstream_id)
         if entry is None:
--- a/src/foxtaildrum/fleet/crashes.py
+++ b/src/foxtaildrum/fleet/crashes.py
@@ -15,6 +15,7 @@
 
 import msgspec
 
+from ..validation import is_printable
 from .digest import BucketDigest, find_bucket
 
 MAX_CRASHES = 3
@@ -77,7 +78,11 @@
         fingerprint, epoch, starts, remaining_s = msgspec.convert(fields, _WireRecord)
         if not 0 < len(fingerprint) <= MAX_FINGERPRINT_CHARS or not 0 <= epoch < 2**31:
             raise ValueError("a crash record is out of range")
-        if len(starts) > MAX_STARTS or any(len(s) > MAX_START_CHARS for s in starts):
+        if not is_printable(fingerprint, MAX_FINGERPRINT_CHARS):
+            raise ValueError("invalid fingerprint")
+        if len(starts) > MAX_STARTS or not all(
+            is_printable(s, MAX_START_CHARS) for s in starts
+        ):
             raise ValueError("a crash record has too many upstreams")
         if not 0 <= remaining_s < math.inf:
             raise ValueError(f"invalid time {remaining_s!r}")
--- a/src/foxtaildrum/fleet/crashing.py
+++ b/src/foxtaildrum/fleet/crashing.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+from functools import partial
+
 from .. import records as r
 from ..events import Send
 from .actions import ActionQueue
 from .crashes import CrashList, CrashRecord, describe_start
+from .intake import read_records
 from .membership import Membership
 from .parts import Part, handles
 
@@ -62,5 +65,6 @@
     @handles(r.CrashNews)
     def handle_news(self, now: float, peer: str, message: r.CrashNews) -> None:
         """Merge records of another instance."""
-        for fields in message.records:
-            self.crashes.merge(now, CrashRecord.from_wire(now, fields))
+        build = partial(CrashRecord.from_wire, now)
+        for record in read_records("crash", peer, message.records, build, self._actions):
+            self.crashes.merge(now, record)
--- a/src/foxtaildrum/fleet/gossip.py
+++ b/src/foxtaildrum/fleet/gossip.py
@@ -4,6 +4,7 @@
 
 import random
 from collections.abc import Callable
+from functools import partial
 
 from .. import records as r
 from ..events import Send
@@ -13,6 +14,7 @@
 from .crashing import CrashPart
 from .currency import Currency
 from .digest import BucketDigest
+from .intake import read_records
 from .membership import LocalSummary, Member, Membership
 from .parts import Part, handles
 from .relaying import TablePart
@@ -132,7 +134,10 @@
     @handles(r.MemberNews)
     def handle_member_news(self, now: float, peer: str, message: r.MemberNews) -> None:
         """Merge members that another instance knows."""
-        self._members.merge([Member.from_wire(now, fields) for fields in message.members])
+        members = read_records(
+            "member", peer, message.members, partial(Member.from_wire, now), self._actions
+        )
+        self._members.merge(members)
 
     @handles(r.SyncBuckets)
     def handle_sync_buckets(self, now: float, peer: str, message: r.SyncBuckets) -> None:
--- a/src/foxtaildrum/fleet/membership.py
+++ b/src/foxtaildrum/fleet/membership.py
@@ -19,6 +19,7 @@
 
 from ..events import Send
 from ..records import Ack, MemberNews, Ping, PingReport, PingRequest
+from ..validation import is_identifier, is_printable
 from .digest import BucketDigest, find_bucket
 
 PING_PERIOD_S = 1.0
@@ -35,6 +36,7 @@
 MAX_MEMBERS = 20_000
 # Leaves room to count further in a 64-bit number.
 MAX_INCARNATION = 2**62
+MAX_FIELD_CHARS = 300
 
 
 class MemberState(enum.IntEnum):
@@ -124,6 +126,11 @@
         instance_id, address, zone, role, incarnation, state, forward_address = msgspec.convert(
             fields, _WireMember
         )
+        if not is_identifier(instance_id):
+            raise ValueError("invalid identifier of the member")
+        texts = (address, zone, role, forward_address)
+        if not all(is_printable(text, MAX_FIELD_CHARS) for text in texts):
+            raise ValueError(f"invalid text in the record of {instance_id}")
         if not 0 <= incarnation <= MAX_INCARNATION:
             raise ValueError(f"invalid incarnation {incarnation}")
         return cls(
--- a/src/foxtaildrum/fleet/messages.py
+++ b/src/foxtaildrum/fleet/messages.py
@@ -10,6 +10,7 @@
 
 from .. import records
 from ..exceptions import FrameError, UnencodableError
+from ..jsontext import is_encodable
 from ..validation import load_schema
 
 Message = Any
@@ -33,6 +34,7 @@
 _fill_registry()
 
 ENCODING_ERRORS = (ValueError, TypeError, OverflowError, RecursionError)
+_RECORD_TYPES = (records.UpstreamNews, records.MemberNews, records.CrashNews)
 
 
 def encode_message(message: Message) -> bytes:
@@ -60,7 +62,7 @@
         When the bytes do not encode a message of a type in the schema.
     """
     try:
-        number, *values = msgpack.unpackb(data, strict_map_key=False)
+        number, *values = _unpack(data)
         message_type = _TYPES[number]
         fields = dict(zip(_FIELDS[message_type], values, strict=True))
         return msgspec.convert(fields, message_type)
@@ -70,6 +72,20 @@
         raise FrameError(f"invalid message: {error}") from error
 
 
+def _unpack(data: bytes) -> list[Any]:
+    try:
+        return msgpack.unpackb(data, strict_map_key=False)
+    except UnicodeDecodeError:
+        number, *values = msgpack.unpackb(
+            data, strict_map_key=False, unicode_errors="surrogateescape"
+        )
+        # The records of these messages are checked one by one; any other text is not.
+        texts = [value for value in values if isinstance(value, str)]
+        if _TYPES.get(number) not in _RECORD_TYPES or not all(map(is_encodable, texts)):
+            raise
+        return [number, *values]
+
+
 def list_message_types() -> list[type]:
     """Return all message types in the order of their numbers."""
     return [_TYPES[number] for number in sorted(_TYPES)]
--- a/src/foxtaildrum/fleet/runtime.py
+++ b/src/foxtaildrum/fleet/runtime.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import functools
+import logging
 import threading
 import uuid
 from collections.abc import Callable
@@ -31,6 +32,7 @@
     MemberChanged,
     PermitsAnswered,
     Reconnect,
+    RecordSkipped,
     UpstreamLeaving,
     UpstreamsLost,
     UpstreamsOrphaned,
@@ -245,6 +247,8 @@
                 self._storage(action)
             elif isinstance(action, PermitsAnswered):
                 self._publisher.deliver_permits(now, action)
+            elif isinstance(action, RecordSkipped):
+                self._record_skipped(action)
             elif isinstance(action, _LoggedAction):
                 _log_change(action)
             else:
@@ -253,6 +257,16 @@
                 self._complete_future(action.token, _RESULT_GETTERS[type(action)](action))
         self._publisher.publish(now, self._node)
 
+    def _record_skipped(self, action: RecordSkipped) -> None:
+        self.meter.count("records.skipped")
+        log_event(
+            "record_skipped",
+            level=logging.WARNING,
+            subject=action.subject,
+            source=action.source,
+            reason=action.reason,
+        )
+
     def _send(self, action: Send) -> None:
         if self._network is None:
             return
--- a/src/foxtaildrum/fleet/upstreams.py
+++ b/src/foxtaildrum/fleet/upstreams.py
@@ -8,14 +8,15 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Callable
 from typing import Any
 
 import msgspec
 
+from ..balancing.loads import MAX_RATE_LIMIT_PER_S
 from ..exceptions import StaleAnnouncementError
 from ..records import Announcement
+from ..validation import MAX_REASON_CHARS, find_invalid_fields, is_identifier
 from .digest import BucketDigest, find_bucket
 
 READY = "ready"
@@ -23,6 +24,7 @@
 LEFT = "left"
 TOMBSTONE_S = 900.0
 MAX_ENTRIES = 100_000
+MAX_LEASE_S = 3600.0
 # Leaves room to count further in a 64-bit number.
 MAX_COUNTER = 2**62
 RATE_LIMIT_TOLERANCE_RATIO = 0.05
@@ -153,12 +155,7 @@
         known = msgspec.convert(fields[:WIRE_FIELD_COUNT], _WireEntry)
         upstream_id, pool, address, zone, slots, incarnation, state = known[:7]
         owner, sequence, lost, remaining_s = known[7:]
-        if not 0 <= remaining_s < math.inf:
-            raise ValueError(f"invalid time {remaining_s!r}")
-        if not (abs(incarnation) <= MAX_COUNTER and 0 <= sequence <= MAX_COUNTER):
-            raise ValueError(f"invalid incarnation {incarnation} or sequence {sequence}")
-        if state not in _STATE_RANK:
-            raise ValueError(f"unknown state {state!r}")
+        _check_wire_entry(known)
         announcement = Announcement(
             pool=pool,
             address=address,
@@ -171,7 +168,7 @@
         rate_limit_per_s = msgspec.convert(
             fields[WIRE_FIELD_COUNT] if len(fields) > WIRE_FIELD_COUNT else None, float | None
         )
-        if rate_limit_per_s is not None and not 0 <= rate_limit_per_s < math.inf:
+        if rate_limit_per_s is not None and not 0 <= rate_limit_per_s < MAX_RATE_LIMIT_PER_S:
             raise ValueError(f"invalid rate limit {rate_limit_per_s!r}")
         expires_at = now + remaining_s
         return cls(
@@ -186,6 +183,33 @@
         )
 
 
+def check_lease(lease_s: float) -> None:
+    """Raise ValueError unless a time can be the rest of a lease."""
+    if not 0 <= lease_s <= MAX_LEASE_S:
+        raise ValueError(f"invalid time {lease_s!r}")
+
+
+def _check_wire_entry(known: _WireEntry) -> None:
+    upstream_id, pool, address, zone, slots, incarnation, state = known[:7]
+    owner, sequence, lost, remaining_s = known[7:]
+    if not (is_identifier(upstream_id) and is_identifier(owner)):
+        raise ValueError("invalid identifier of the upstream or its owner")
+    check_lease(remaining_s)
+    if not 0 <= sequence <= MAX_COUNTER:
+        raise ValueError(f"invalid sequence {sequence}")
+    if state not in _STATE_RANK:
+        raise ValueError(f"unknown state {state[:MAX_REASON_CHARS]!r}")
+    document = {"pool": pool, "address": address, "availability_zone": zone}
+    document |= {"slots": slots or 0, "incarnation": incarnation}
+    if lost or state == LEFT:
+        # A leave of an unknown upstream names neither a pool nor an address.
+        document |= {"pool": pool if pool != UNKNOWN_POOL else "p"}
+        document |= {"address": address if address != UNKNOWN_ADDRESS else "127.0.0.1:1"}
+    invalid = find_invalid_fields(document)
+    if invalid:
+        raise ValueError(f"invalid {', '.join(invalid)}")
+
+
 class UpstreamList:
     """Mergeable map of upstreams; the entry with the highest rank wins.
 
--- a/src/foxtaildrum/instance.py
+++ b/src/foxtaildrum/instance.py
@@ -308,7 +308,7 @@
             own_member, control_instances, saved, claim_records, rng, read_clock(), join_options
         )
         if has_log:
-            saved_upstreams = load_upstreams(journals[UPSTREAM_STREAM])
+            saved_upstreams = load_upstreams(journals[UPSTREAM_STREAM], self.meter)
             node.restore_upstreams(read_clock(), saved_upstreams)
             _log_restored(node)
         return node, journals
@@ -454,16 +454,33 @@
     return saved
 
 
-def load_upstreams(journal: Journal) -> list[list[Any]]:
-    """Return the saved upstreams; those that are damaged announce themselves again."""
+def load_upstreams(journal: Journal, meter: Meter) -> list[list[Any]]:
+    """Return the saved upstreams; those that are damaged announce themselves again.
+
+    Parameters
+    ----------
+    meter : Meter
+        Counts the records that cannot be read.
+    """
     try:
-        return _unpack(journal.load())
+        records = journal.load()
     except CorruptJournalError as error:
         log_event("upstreams_not_restored", level=logging.WARNING, reason=str(error))
-        return _unpack(journal.salvage())
-    except ValueError as error:
-        log_event("upstreams_not_restored", level=logging.WARNING, reason=str(error))
-        return []
+        records = journal.salvage()
+    upstreams = []
+    for record in records:
+        try:
+            upstreams += _unpack([record])
+        except (ValueError, TypeError, RecursionError) as error:
+            meter.count("records.skipped")
+            log_event(
+                "record_skipped",
+                level=logging.WARNING,
+                subject="upstream",
+                source="disk",
+                reason=str(error),
+            )
+    return upstreams
 
 
 def _log_restored(node: Node) -> None:
--- a/src/foxtaildrum/validation.py
+++ b/src/foxtaildrum/validation.py
@@ -20,6 +20,7 @@
 MAX_CACHED_ADDRESSES = 4096
 
 _IDENTIFIER = re.compile(r"[!-~]{1,128}")
+_VALID_ANNOUNCEMENT = {"pool": "p", "address": "127.0.0.1:1"}
 _CHECK_BY_RECORD = {
     "Announcement": checks.check_announcement,
     "Limits": checks.check_limits,
@@ -97,11 +98,33 @@
     return problems
 
 
+def find_invalid_fields(value: dict[str, Any]) -> list[str]:
+    """Return the names of the invalid fields of an announcement, without their problems."""
+    try:
+        checks.check_announcement(value)
+    except SchemaMismatchError:
+        return [name for name in value if not _is_valid_field(name, value[name])]
+    return [] if _is_usable(value["address"]) else ["address"]
+
+
 def is_identifier(text: str) -> bool:
     """Return whether a text can identify an upstream or an instance in paths and headers."""
     return _IDENTIFIER.fullmatch(text) is not None
 
 
+def is_printable(text: str, max_length: int) -> bool:
+    """Return whether a text has no control character and can be encoded, within a length."""
+    return len(text) <= max_length and (text.isprintable() or not text)
+
+
+def _is_valid_field(name: str, value: Any) -> bool:
+    try:
+        checks.check_announcement({**_VALID_ANNOUNCEMENT, name: value})
+    except SchemaMismatchError:
+        return False
+    return True
+
+
 @functools.lru_cache(maxsize=MAX_CACHED_ADDRESSES)
 def _is_usable(address: str) -> bool:
     """Return whether an address that matches the schema belongs to one host."""
