--- a/tests/incident/variants.py
+++ b/tests/incident/variants.py
@@ -51,6 +51,8 @@
     },
     "early": {"early": 0.6, "copies": 0.003},
     "fractions": {"fractional": True, "cuts": 0.1, "cut_names": ["lost"]},
+    # Upstreams are full, and many refusals are written twice; status checks bear no identifier.
+    "refusals": {"copies": 0.02, "per_entry": 9},
     # Beyond the pages, which say that upstreams echo the identifier.
     "refusals-without-echo": {"copies": 0.02, "per_entry": 9, "echoes": "answers"},
     "without-echo": {"copies": 0.02, "echoes": "never"},
