--- a/tests/incident/faults.py
+++ b/tests/incident/faults.py
@@ -142,6 +142,11 @@
         site.start(instance)
 
 
+@register_fault("kill the control instance that takes a leave")
+async def kill_only_acknowledger(site: Site, rng: random.Random) -> None:
+    await _kill_next_acknowledger(site, rng)
+
+
 @register_fault("freeze a control instance, and then kill the one that takes a leave")
 async def freeze_and_kill_acknowledger(site: Site, rng: random.Random) -> None:
     first = _pick(rng, site.control, 1)
--- a/tests/incident/variants.py
+++ b/tests/incident/variants.py
@@ -26,7 +26,13 @@
     "owners": {
         "releases": 0.6,
         "linger": True,
-        "faults": [name for name in FAULTS if name.endswith("takes a leave")],
+        "faults": [name for name in FAULTS if "and then" in name],
+        "overlaps": False,
+    },
+    "owner": {
+        "releases": 0.6,
+        "linger": True,
+        "faults": ["kill the control instance that takes a leave"],
         "overlaps": False,
     },
     "restarts": {"releases": 1.2, "faults": [*RESTARTS, "kill some entry instances"]},
