Leaves are acknowledged again once a disk takes bytes again

After one failed write of the saved upstream list, a control instance confirmed no drain and no leave until its restart, since what is acknowledged must be on its disk. Three such disks, one after the other, and no leave of the fleet would be acknowledged any more.

Cause: the writer gave up each stream after its first failure, as the content of the file is unknown then. That holds for the log. The upstream list is replaced as a whole.

Change: the list is written again after a failure. As its file may end in half a record, nothing counts that was appended behind it, and the next write replaces the whole file.

--- a/src/foxtaildrum/control/storage.py
+++ b/src/foxtaildrum/control/storage.py
@@ -110,19 +110,25 @@
         return packed
 
     def _fail(self, stream: str, error: Exception) -> None:
-        """Write a stream no more: the content of its file is unknown, or lacks a record."""
-        self._failed_streams.add(stream)
+        """Write a stream no more: the content of its file is unknown, or lacks a record.
+
+        A stream of independent records is replaced as a whole after a failure.
+        """
+        if stream not in INDEPENDENT_STREAMS:
+            self._failed_streams.add(stream)
         log_event("disk_failed", stream=stream, reason=str(error) or repr(error))
 
     def _run_and_report(self, group: list[Write], perform: Callable[[], None]) -> None:
         stream = group[0].stream
-        if stream not in self._failed_streams:
+        failed = stream in self._failed_streams
+        if not failed:
             try:
                 perform()
             except Exception as error:
+                failed = True
                 self._fail(stream, error)
         for write in group:
-            self._report(WriteCompleted(stream, write.token, stream in self._failed_streams))
+            self._report(WriteCompleted(stream, write.token, failed))
 
 
 class StorageActor(pykka.ThreadingActor):
--- a/src/foxtaildrum/fleet/saving.py
+++ b/src/foxtaildrum/fleet/saving.py
@@ -24,11 +24,22 @@
         self.call = call
 
 
+class _PendingWrite:
+    """A write that is not completed: whose ranks it syncs, and whether it replaces the list."""
+
+    __slots__ = ("ranks", "replaces")
+
+    def __init__(self, ranks: dict[str, _Rank], replaces: bool) -> None:
+        self.ranks = ranks
+        self.replaces = replaces
+
+
 class UpstreamSaver:
     """Decides when entries are written, and remembers which of them are synced.
 
     The whole list is replaced now and then. An entry that somebody waits for is appended at
-    once; entries that are appended together share a sync.
+    once; entries that are appended together share a sync. After a write that failed, the file
+    may end in half a record, so nothing counts that is appended before the list is replaced.
 
     Parameters
     ----------
@@ -47,7 +58,8 @@
         self._save_at = now
         self._token = 0
         self._synced: dict[str, _Rank] = {}
-        self._written: dict[int, dict[str, _Rank]] = {}
+        self._pending_writes: dict[int, _PendingWrite] = {}
+        self._is_damaged = False
         self._waiters: dict[str, list[tuple[_Rank, _Waiter]]] = {}
 
     def tick(self, now: float) -> None:
@@ -89,17 +101,27 @@
 
     def handle_written(self, token: int) -> None:
         """Handle the completion of a write that was synced."""
-        for upstream_id, rank in self._written.pop(token, {}).items():
+        write = self._pending_writes.pop(token)
+        if write.replaces:
+            self._is_damaged = False
+        elif self._is_damaged:
+            self._drop_waiters(write)
+            return
+        for upstream_id, rank in write.ranks.items():
             self._record_synced(upstream_id, rank)
             self._release_waiters(upstream_id, self._synced[upstream_id])
 
     def handle_write_failed(self, now: float, token: int) -> None:
         """Handle a write that failed; those who wait for it have to request it again."""
-        for upstream_id in self._written.pop(token, {}):
-            self._waiters.pop(upstream_id, None)
+        self._drop_waiters(self._pending_writes.pop(token))
+        self._is_damaged = True
         self._saved_root = None
         self._save_at = now + RETRY_PERIOD_S
 
+    def _drop_waiters(self, write: _PendingWrite) -> None:
+        for upstream_id in write.ranks:
+            self._waiters.pop(upstream_id, None)
+
     def _release_waiters(self, upstream_id: str, rank: _Rank) -> None:
         waiting = self._waiters.pop(upstream_id, [])
         left = [(needed, waiter) for needed, waiter in waiting if needed > rank]
@@ -117,15 +139,19 @@
 
     def _is_being_written(self, entry: Entry) -> bool:
         rank = entry.rank()
-        return any(w.get(entry.upstream_id) == rank for w in self._written.values())
+        return any(
+            w.ranks.get(entry.upstream_id) == rank for w in self._pending_writes.values()
+        )
 
     def _record_synced(self, upstream_id: str, rank: _Rank) -> None:
         self._synced[upstream_id] = max(rank, self._synced.get(upstream_id, rank))
 
     def _write(self, now: float, entries: list[Entry], replace: bool) -> None:
+        if self._is_damaged and not replace:
+            entries = list(self._upstreams.entries.values())
+            replace = True
         self._token += 1
-        self._written[self._token] = {
-            e.upstream_id: e.rank() for e in entries if not replace or e.state != READY
-        }
+        ranks = {e.upstream_id: e.rank() for e in entries if not replace or e.state != READY}
+        self._pending_writes[self._token] = _PendingWrite(ranks, replace)
         records = [e.to_wire(now) for e in entries]
         self._actions.add(Write(UPSTREAM_STREAM, self._token, records, replace))
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -18,7 +18,7 @@
     StorageActor,
     WriteCompleted,
 )
-from foxtaildrum.fleet.actions import Write
+from foxtaildrum.fleet.actions import UPSTREAM_STREAM, Write
 
 from .fleet import FakeDisk
 from .sites import open_site
@@ -183,3 +183,14 @@
         ("log", 3): True,
         ("claims", 1): False,
     }
+
+
+def test_a_failed_write_of_the_upstream_list_is_the_last_one():
+    disk = FakeDisk()
+    reports: list[WriteCompleted] = []
+    writer = JournalWriter({UPSTREAM_STREAM: Journal(disk, UPSTREAM_STREAM)}, reports.append)
+    disk.failing = True
+    writer.perform([Write(UPSTREAM_STREAM, 1, [["u"]], False)])
+    disk.failing = False
+    writer.perform([Write(UPSTREAM_STREAM, 2, [["u"]], True)])
+    assert [r.failed for r in reports] == [True, False]
