An instance that lost its disk vouches for no upstream list

Of five control instances with a leave on the disks of three, one of which was lost: the other two and the empty one took the list that they agreed on for complete, without the leave. Requests were served only after a further instance had started, as the log needs one of the holders too, so no request after the leave was seen; the guard wasn't one.

Cause: a majority of instances was counted, not of disks. An instance that starts without the disk of a voter has lost what it confirmed.

Change: until its comparison is complete, such an instance counts neither itself nor with others: the root hash that it sends equals none.

--- a/src/foxtaildrum/fleet/comparing.py
+++ b/src/foxtaildrum/fleet/comparing.py
@@ -11,13 +11,17 @@
 from collections.abc import Callable
 
 START_TIMEOUT_S = 3.0
+# Root hashes are below it.
+ROOT_LIMIT = 2**32
 
 
 class ListComparison:
     """Instances whose list held nothing that the list here lacks, since the start.
 
     The root hash that an instance sends is the complement of its real one, and so below zero,
-    until its comparison is complete.
+    until its comparison is complete. A voter that started without its former disk has lost
+    what it had confirmed: until its comparison is complete, neither itself nor another
+    instance counts its list, and the root hash that it sends equals none.
 
     Parameters
     ----------
@@ -27,6 +31,8 @@
         Returns the voters; None outside the control group.
     list_control_instances : callable
         Returns the known control instances.
+    has_former_disk : callable
+        Returns whether this instance started with all that it had ever confirmed.
     now : float
         Current time in seconds.
 
@@ -40,6 +46,7 @@
 
     __slots__ = (
         "_agreed",
+        "_has_former_disk",
         "_instance_id",
         "_list_control_instances",
         "_list_voters",
@@ -53,19 +60,22 @@
         instance_id: str,
         list_voters: Callable[[], list[str]] | None,
         list_control_instances: Callable[[], list[str]],
+        has_former_disk: Callable[[], bool],
         now: float,
     ) -> None:
         self._instance_id = instance_id
         self._list_voters = list_voters
         self._list_control_instances = list_control_instances
+        self._has_former_disk = has_former_disk
         self._started_at = now
-        self._agreed: set[str] = {instance_id}
+        self._agreed: set[str] = set()
         self.complete = False
         self.may_serve = False
 
     def list_awaited(self) -> list[str]:
         """Return the instances whose list is to be compared with the one here."""
-        return [i for i in self._list_peers() if i not in self._agreed]
+        known = {*self._agreed, self._instance_id}
+        return [i for i in self._list_peers() if i not in known]
 
     def prefers_others(self, peer: str) -> bool:
         """Return whether others than a peer are to supply what the list here lacks.
@@ -77,7 +87,9 @@
 
     def encode_root(self, root: int) -> int:
         """Return the root hash to send for the list here."""
-        return root if self.complete else ~root
+        if self.complete:
+            return root
+        return ~root if self._has_former_disk() else ~(root + ROOT_LIMIT)
 
     def record_root(self, now: float, peer: str, sent_root: int, root: int) -> bool:
         """Record the root hash that a peer sent; return whether its list equals the one here.
@@ -99,7 +111,10 @@
         if self.complete:
             return
         peers = self._list_peers()
-        self.complete = len(self._agreed.intersection(peers)) > len(peers) // 2
+        agreed = self._agreed.intersection(peers)
+        if self._has_former_disk():
+            agreed |= {self._instance_id}.intersection(peers)
+        self.complete = len(agreed) > len(peers) // 2
         if self.complete or now - self._started_at >= START_TIMEOUT_S:
             self.may_serve = True
 
--- a/src/foxtaildrum/fleet/node.py
+++ b/src/foxtaildrum/fleet/node.py
@@ -121,6 +121,7 @@
         self.members = Membership(me, join_options.seeds, rng, now)
         self.state = TableState()
         self.consensus: Consensus | None = None
+        self._started_as_voter = False
         holder: ClaimHolder | None = None
         if saved is not None:
             self.consensus = Consensus(
@@ -133,6 +134,7 @@
                 join_options.tolerated_losses,
                 _MembersDirectory(self),
             )
+            self._started_as_voter = self.consensus.is_voter()
             holder = ClaimHolder(
                 me.instance_id, self.control, saved.disk_id, claim_records, now
             )
@@ -161,7 +163,11 @@
             self.members, list_voters, self.list_control_instances, self._actions, now
         )
         self._comparison = ListComparison(
-            me.instance_id, list_voters, self.list_control_instances, now
+            me.instance_id,
+            list_voters,
+            self.list_control_instances,
+            self._has_former_disk,
+            now,
         )
         self._crashes = CrashPart(self.members, self._actions, now)
         self._limits = LimitPart(self.upstreams, self._actions, now)
@@ -498,6 +504,11 @@
     def _list_voters(self) -> list[str]:
         return list(self.consensus.voters)
 
+    def _has_former_disk(self) -> bool:
+        """Return whether this instance started with all that it had ever confirmed."""
+        consensus = self.consensus
+        return consensus is None or self._started_as_voter or consensus.holds_founding_disk
+
     def _run_consensus(self, now: float, event: Any) -> None:
         actions = self.consensus.handle(now, event)
         if self.consensus.holds_founding_disk:
