A connection that is replaced gets more and more time

A message that takes longer than a second to pass a slow link never arrived: pings behind it were not answered in time, and the connection was replaced every second (40 connections in 40 s, at 1 MB/s and 4 MB).

Change: each replacement doubles the age from which the next one is allowed, from 1 to 30 s; a connection that lived for 30 s starts anew.

--- a/src/foxtaildrum/fleet/peers.py
+++ b/src/foxtaildrum/fleet/peers.py
@@ -44,6 +44,7 @@
 UNACKNOWLEDGED_TIMEOUT_S = 1.0
 KEEPALIVE_AFTER_S = 10
 RECONNECT_MIN_AGE_S = 1.0
+RECONNECT_MAX_AGE_S = 30.0
 REOPEN_MIN_AGE_S = 5.0
 SELECT_TIMEOUT_S = 1.0
 
@@ -61,6 +62,7 @@
         "peer_id",
         "queue",
         "reader",
+        "reopen_age_s",
         "retry_at",
         "sock",
         "used_at",
@@ -77,6 +79,8 @@
         self.reader = FrameReader()
         self.writer: FrameWriter | None = None
         self.retry_at = 0.0
+        # Age from which the connection may be replaced.
+        self.reopen_age_s = RECONNECT_MIN_AGE_S
         self.opened_at = 0.0
         self.used_at = 0.0
 
@@ -224,8 +228,13 @@
         connection = self._outbound.get(peer_id)
         if connection is None or connection.writer is None:
             return
-        if now - connection.opened_at < min_age_s:
+        age_s = now - connection.opened_at
+        if age_s < max(min_age_s, connection.reopen_age_s):
             return
+        # What passes a slow link for long keeps answers waiting: it gets more and more time.
+        is_settled = age_s >= RECONNECT_MAX_AGE_S
+        longer_s = min(2 * connection.reopen_age_s, RECONNECT_MAX_AGE_S)
+        connection.reopen_age_s = RECONNECT_MIN_AGE_S if is_settled else longer_s
         waiting = list(connection.queue)
         self._close_outbound(connection)
         connection.queue.extend(waiting)
--- a/tests/relays.py
+++ b/tests/relays.py
@@ -1,13 +1,15 @@
-"""A relay of bytes between two instances whose open connections can go silent or stall."""
+"""Relays of bytes between two instances: connections that go silent or stall, slow links."""
 
 from __future__ import annotations
 
 import contextlib
 import socket
 import threading
+import time
 from enum import Enum
 
 CHUNK_BYTES = 65_536
+SLOW_CHUNK_BYTES = 4096
 CONNECT_TIMEOUT_S = 5.0
 
 
@@ -74,3 +76,20 @@
                     target.sendall(data)
         if source not in self._faults:
             target.close()
+
+
+class SlowRelay(Relay):
+    """Passes bytes on at the rate of a slow link, all connections and directions together."""
+
+    def __init__(self, target: str, bytes_per_s: float) -> None:
+        self._bytes_per_s = bytes_per_s
+        self._link = threading.Lock()
+        super().__init__(target)
+
+    def _copy(self, source: socket.socket, target: socket.socket) -> None:
+        with contextlib.suppress(OSError):
+            while data := source.recv(SLOW_CHUNK_BYTES):
+                with self._link:
+                    time.sleep(len(data) / self._bytes_per_s)
+                target.sendall(data)
+        target.close()
