--- a/src/foxtaildrum/jsontext.py
+++ b/src/foxtaildrum/jsontext.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import codecs
 import json
 import math
 from collections.abc import Iterator
@@ -61,7 +62,7 @@
         If the text is no JSON, or has a value that no field can hold: nested too deeply, a
         number that is not finite, text that cannot be encoded. The message names the field.
     """
-    text = data.decode()
+    text = data.removeprefix(codecs.BOM_UTF8).decode()
     reader = _Reader()
     try:
         value = json.loads(
--- a/tests/test_odd_announcements.py
+++ b/tests/test_odd_announcements.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import codecs
 import http.client
 import json
 import math
@@ -257,6 +258,12 @@
     assert not is_listed(site, "odd")
 
 
+def test_an_announcement_that_starts_with_a_byte_order_mark_is_refused(site):
+    body = codecs.BOM_UTF8 + json.dumps(GOOD).encode()
+    assert call(site, "PUT", "/v1/upstreams/marked", body)[0] == 200
+    assert is_listed(site, "marked")
+
+
 @pytest.mark.parametrize(
     "extra", ['"unknown": {"a": [1, 2.5, null]}', '"pool2": "x", "zones": []', '"seq": 1e300']
 )
