Signals in series don't hang a process that is to stop

Two SIGTERMs within a millisecond, or a SIGHUP and a SIGTERM, could leave an instance that never ended: seen in 3 of about 20 runs of tests/test_odd_processes.py beside load, where c1 gets both first (once here, twice by the reviewer), killed after 20 s.

Cause: the handlers set threading.Event objects. A signal that interrupts a handler, or the wait of the main thread, at the moment in which it holds the lock of the event waits for that lock for ever.

Evidence: test_signals_in_series_hang_the_main_thread (3,000 SIGHUPs, then SIGTERM) failed in two of two runs before, and passes now.

Change: handlers take no lock: they set a flag and write to a pipe.

--- a/src/foxtaildrum/cli.py
+++ b/src/foxtaildrum/cli.py
@@ -10,7 +10,6 @@
 import signal
 import socket
 import sys
-import threading
 import tomllib
 import uuid
 from collections.abc import Callable, Sequence
@@ -45,6 +44,7 @@
 from .logs import configure_logs, log_event
 from .records import Settings
 from .settings import find_source, format_flag, load_settings, read_secret
+from .signals import SignalRequests
 
 
 def main(
@@ -89,24 +89,10 @@
     """Run an instance until SIGTERM or SIGINT; a second signal exits at once."""
     settings = load_settings(vars(arguments), os.environ)
     configure_logs(settings.log_level, settings.log_format, settings.log_lines_per_s)
-    stop_requested = threading.Event()
-
-    def handle_signal(number: int, frame: Any) -> None:
-        if stop_requested.is_set():
-            os._exit(EXIT_FAILED)
-        stop_requested.set()
-        wake_event.set()
-
-    signal.signal(signal.SIGTERM, handle_signal)
-    signal.signal(signal.SIGINT, handle_signal)
-    reload_requested = threading.Event()
-    wake_event = threading.Event()
-
-    def handle_reload(number: int, frame: Any) -> None:
-        reload_requested.set()
-        wake_event.set()
-
-    signal.signal(signal.SIGHUP, handle_reload)
+    requests = SignalRequests()
+    signal.signal(signal.SIGTERM, requests.handle_stop)
+    signal.signal(signal.SIGINT, requests.handle_stop)
+    signal.signal(signal.SIGHUP, requests.handle_reload)
     try:
         instance = Instance.from_settings(settings, arguments.listener)
     except CorruptJournalError as error:
@@ -115,11 +101,9 @@
         )
         return EXIT_FAILED
     instance.start()
-    while not stop_requested.is_set():
-        wake_event.wait()
-        wake_event.clear()
-        if reload_requested.is_set():
-            reload_requested.clear()
+    while not requests.stop_requested:
+        requests.wait()
+        if requests.take_reload():
             reload_settings(instance, arguments)
     return EXIT_OK if instance.stop() else EXIT_FAILED
 
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -11,6 +11,7 @@
 from .standins.processes import InstanceProcess, UpstreamProcess, wait_until
 
 REQUEST_COUNT = 6
+SIGNAL_COUNT = 3000
 
 
 def start_site(folder, **settings):
@@ -47,6 +48,16 @@
     upstreams.stop()
 
 
+def test_signals_in_series_hang_the_main_thread(tmp_path):
+    """A handler that interrupts another one must not wait for what that one holds."""
+    instance = InstanceProcess(tmp_path, "one", shutdown_grace_s="1")
+    instance.wait_ready()
+    for _ in range(SIGNAL_COUNT):
+        instance.popen.send_signal(signal.SIGHUP)
+    instance.popen.send_signal(signal.SIGTERM)
+    assert instance.popen.wait(20) == 0
+
+
 def test_a_second_signal_exits_at_once(tmp_path):
     instance, upstreams = start_site(tmp_path)
     thread = threading.Thread(target=_call_and_ignore_errors, args=(instance.listen,))
