--- a/tests/incident/upstreams.py
+++ b/tests/incident/upstreams.py
@@ -17,6 +17,7 @@
 
 HEALTH_PATH = "/healthz"
 EARLY_BODY_BYTES = 65_536
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
 class Service:
@@ -179,6 +180,9 @@
         self._beats.cancel()
         self._server.close()
         for writer in list(self._writers):
+            # Without it, an answer without a length would seem to end here.
+            sock = writer.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
             writer.transport.abort()
 
     # Requests.
@@ -375,7 +379,7 @@
         """Reset the connection; return that it doesn't live on."""
         sock = self._writer.get_extra_info("socket")
         with contextlib.suppress(OSError):
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
         self._writer.transport.abort()
         return False
 
