Name the check of an upstream's identifier after what it checks

check_identifier named two functions: one of the admin interface, one of answers. The saved list says why its root is forgotten after a failed write.

--- a/src/foxtaildrum/admin/admin.py
+++ b/src/foxtaildrum/admin/admin.py
@@ -18,7 +18,7 @@
 from .inputs import (
     AdminError,
     AdminResponse,
-    check_identifier,
+    check_upstream_id,
     read_announcement,
     read_if_match,
     read_incarnation,
@@ -243,7 +243,7 @@
 @register_handler("PUT", "/v1/upstreams/")
 def put_upstream(admin: Admin, environ: dict[str, Any], segment: str) -> AdminResponse:
     """Register an upstream or renew its announcement."""
-    check_identifier(segment)
+    check_upstream_id(segment)
     announcement = read_announcement(environ, admin.lease_s, admin.required_fields)
     try:
         refusal = admin.node.announce(segment, announcement)
@@ -257,7 +257,7 @@
 @register_handler("DELETE", "/v1/upstreams/")
 def delete_upstream(admin: Admin, environ: dict[str, Any], segment: str) -> AdminResponse:
     """Remove an upstream permanently from its pool."""
-    check_identifier(segment)
+    check_upstream_id(segment)
     incarnation = read_incarnation(environ)
     known = admin.node.leave(segment, incarnation) if incarnation else admin.node.leave(segment)
     if known is None:
--- a/src/foxtaildrum/admin/inputs.py
+++ b/src/foxtaildrum/admin/inputs.py
@@ -77,7 +77,7 @@
         raise AdminError(http.client.BAD_REQUEST, f"The body is not JSON: {error}") from error
 
 
-def check_identifier(segment: str) -> None:
+def check_upstream_id(segment: str) -> None:
     """Refuse a path whose last segment cannot identify an upstream."""
     if not is_identifier(segment):
         raise AdminError(
--- a/src/foxtaildrum/fleet/saving.py
+++ b/src/foxtaildrum/fleet/saving.py
@@ -115,6 +115,7 @@
         """Handle a write that failed; those who wait for it have to request it again."""
         self._drop_waiters(self._pending_writes.pop(token))
         self._is_damaged = True
+        # The file is not known to hold any list, so the next tick writes it whatever its root.
         self._saved_root = None
         self._save_at = now + RETRY_PERIOD_S
 
