Tests: wait for a connection without the limit of select on descriptors

test_an_upstream_that_ends_just_after_it_accepted_a_connection_has_crashed failed once in one process behind test_lost_links, with "filedescriptor out of range in select()": about 1,890 descriptors were open, and select takes 1,024. poll waits for the same event. The assertions are unchanged; the file passes.

--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -290,7 +290,9 @@
     host, port = listener.getsockname()
 
     def end_after_first_connection() -> None:
-        select.select([listener], [], [])
+        poll = select.poll()
+        poll.register(listener, select.POLLIN)
+        poll.poll()
         listener.close()
 
     thread = threading.Thread(target=end_after_first_connection)
