Messages, logs and windows are bounded in bytes, not in entries

A control instance without its disk was never a voter again, and two further lost disks ended the group.

Cause: batches of entries were counted (64) and not measured; 64 entries of 75 KB exceed a frame of 4 MiB, were dropped with an ordinary line, and were built again at the next request.

Evidence: record of the case, "message of 4646381 bytes exceeds 4194304"; the simulated fleet, which now refuses messages over a frame, shows AppendRequest, FollowEntries, UpstreamNews and ClaimBatch over it.

What can't be sent is counted and logged as an error.

Ruled out: a higher limit (moves the number), fragments of any size (keep heartbeats waiting on slow links).

--- a/src/foxtaildrum/admin/admin.py
+++ b/src/foxtaildrum/admin/admin.py
@@ -237,7 +237,7 @@
         document["title"] = f"Version {answer.version} is held with another content"
         return AdminResponse(http.client.CONFLICT, document)
     document["title"] = answer.detail
-    return AdminResponse(http.client.SERVICE_UNAVAILABLE, document)
+    return AdminResponse(_find_failure_status(answer), document)
 
 
 @register_handler("PUT", "/v1/upstreams/")
@@ -297,7 +297,13 @@
         document["title"] = "The change identifier belongs to another change"
         return AdminResponse(http.client.UNPROCESSABLE_ENTITY, document, etag)
     document["title"] = answer.detail
-    return AdminResponse(http.client.SERVICE_UNAVAILABLE, document)
+    return AdminResponse(_find_failure_status(answer), document)
+
+
+def _find_failure_status(answer: ChangeAnswer) -> int:
+    if answer.verdict == "too_large":
+        return http.client.REQUEST_ENTITY_TOO_LARGE
+    return http.client.SERVICE_UNAVAILABLE
 
 
 def _send_response(start_response: StartResponse, response: AdminResponse) -> Iterable[bytes]:
--- a/src/foxtaildrum/control/entries.py
+++ b/src/foxtaildrum/control/entries.py
@@ -2,19 +2,29 @@
 
 from __future__ import annotations
 
+from itertools import islice
 from typing import Any
 
+from ..sizes import count_fitting, measure_record
+
 
 class Entry:
-    """One entry of the log."""
+    """One entry of the log.
 
-    __slots__ = ("index", "kind", "payload", "term")
+    Attributes
+    ----------
+    size : int
+        Size of the encoded entry in bytes.
+    """
+
+    __slots__ = ("index", "kind", "payload", "size", "term")
 
     def __init__(self, index: int, term: int, kind: str, payload: Any) -> None:
         self.index = index
         self.term = term
         self.kind = kind
         self.payload = payload
+        self.size = measure_record(self.to_wire())
 
     def to_wire(self) -> list[Any]:
         """Return the entry as a list that msgpack can encode."""
@@ -62,6 +72,12 @@
         start = index - self.snapshot_index - 1
         return self._entries[start : start + limit]
 
+    def list_batch(self, index: int) -> list[Entry]:
+        """Return the entries from ``index`` on that fit into one message; at least one."""
+        start = index - self.snapshot_index - 1
+        sizes = (entry.size for entry in islice(self._entries, start, None))
+        return self._entries[start : start + count_fitting(sizes)]
+
     def append(self, entry: Entry) -> None:
         """Append one entry."""
         self._entries.append(entry)
--- a/src/foxtaildrum/control/following.py
+++ b/src/foxtaildrum/control/following.py
@@ -127,6 +127,7 @@
             self.log.compact(message.index, message.last_term)
         self.commit_index = message.index
         self.applied_index = message.index
+        self._applied_bytes = 0
         self._restore_snapshot()
         self._load_voter_configs()
         self._needs_rewrite = True
--- a/src/foxtaildrum/control/group.py
+++ b/src/foxtaildrum/control/group.py
@@ -19,7 +19,12 @@
 from .gate import SyncGate
 
 FIRST_ELECTION_MAX_S = 0.3
-COMPACT_ENTRIES = 1024  # applied entries after which a snapshot replaces them
+# A snapshot replaces the applied entries once they are that many or this large.
+COMPACT_ENTRIES = 1024
+COMPACT_BYTES = 4 * 1024 * 1024
+# The entries may be this many times as large as the last snapshot, so that other instances
+# have received a large snapshot before the next one replaces it.
+COMPACT_SNAPSHOTS = 4
 
 # Kinds of log entries.
 NOOP = "noop"
@@ -140,6 +145,8 @@
         self.leader_id = ""
         self.commit_index = self.log.snapshot_index
         self.applied_index = self.log.snapshot_index
+        # Size of the entries that were applied since the snapshot.
+        self._applied_bytes = 0
         self._formed = saved.formed
         self._voter_configs: list[tuple[int, dict[str, list[str]]]] = [(0, self._formed)]
         self.holds_founding_disk = self._names_own_disk(self._formed)
@@ -291,6 +298,7 @@
         while self.applied_index < self.commit_index:
             self.applied_index += 1
             entry = self.log.get(self.applied_index)
+            self._applied_bytes += entry.size
             result = self.state.apply(entry.kind, entry.payload)
             applied.append((entry.index, entry.kind, entry.payload))
             token = self._pending_proposals.pop(entry.index, None)
@@ -300,14 +308,20 @@
             self._actions.append(Committed(applied))
         if self.role is Role.LEARNER and self.is_voter():
             self.role = Role.FOLLOWER
-        if self.applied_index - self.log.snapshot_index >= COMPACT_ENTRIES:
+        if self._is_compaction_due():
             self._compact()
 
+    def _is_compaction_due(self) -> bool:
+        applied = self.applied_index - self.log.snapshot_index
+        max_bytes = max(COMPACT_BYTES, COMPACT_SNAPSHOTS * len(self._snapshot))
+        return applied >= COMPACT_ENTRIES or self._applied_bytes >= max_bytes
+
     def _compact(self) -> None:
         term = self.log.get_term(self.applied_index)
         self._compact_configs(self.applied_index)
         voters = self._voter_configs[0][1]
         self._snapshot = msgpack.packb([voters, self.state.capture()])
+        self._applied_bytes = 0
         self.log.compact(self.applied_index, term)
         for peer in self._peers.values():
             peer.offset = 0
--- a/src/foxtaildrum/control/holder.py
+++ b/src/foxtaildrum/control/holder.py
@@ -14,6 +14,7 @@
     ClaimReply,
     ClaimRequest,
 )
+from ..sizes import count_fitting, measure_record
 from .claims import RETENTION_S, Claim, Verdict
 from .gate import SyncGate
 
@@ -153,10 +154,12 @@
         """Send a batch of claims to a holder that lost its disk."""
         if self.failed or not self.recovered:
             return []
-        keys = sorted(key for key in self.claims if key > message.after)[:BATCH_CLAIMS]
+        later_keys = sorted(key for key in self.claims if key > message.after)
+        claims = [self.claims[key].to_wire() for key in later_keys[:BATCH_CLAIMS]]
+        count = count_fitting(map(measure_record, claims))
         batch = ClaimBatch(
-            claims=[self.claims[key].to_wire() for key in keys],
-            final=len(keys) < BATCH_CLAIMS,
+            claims=claims[:count],
+            final=count == len(later_keys),
             disk_id=message.disk_id,
         )
         return [Send(peer, batch)]
--- a/src/foxtaildrum/control/leadership.py
+++ b/src/foxtaildrum/control/leadership.py
@@ -13,7 +13,6 @@
 from .group import ADMIT, NOOP, PeerProgress, Role
 
 HEARTBEAT_S = 0.2
-MAX_ENTRIES_PER_MESSAGE = 64
 PIECE_BYTES = 65_536
 FORMING_WAIT_S = 3.0  # a new leader waits this long for the group to reach its full size
 
@@ -83,7 +82,7 @@
         if previous_term is None:
             self._send_piece(now, peer)
             return
-        entries = self.log.list_from(progress.next_index, MAX_ENTRIES_PER_MESSAGE)
+        entries = self.log.list_batch(progress.next_index)
         request = AppendRequest(
             term=self.term,
             previous_index=previous,
--- a/src/foxtaildrum/control/proposals.py
+++ b/src/foxtaildrum/control/proposals.py
@@ -6,11 +6,13 @@
 from collections import OrderedDict
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Any
 
 from .. import records as r
 from ..events import ProposalCompleted, Send
 from ..exceptions import InvalidTableError
 from ..fleet.node_api import ChangeAnswer
+from ..sizes import MAX_RECORD_BYTES, measure_record
 from .consensus import Consensus
 from .desired import REBASED, DesiredState, build_patch, evaluate_number
 from .group import ProposalFailure, Role
@@ -24,6 +26,7 @@
 MAX_PENDING_ENTRIES = 1024
 DESIRED_STATE_FIELD_COUNT = 3  # distinguishes a desired state from a change
 
+TOO_LARGE = "too_large"
 REDIRECT = "redirect"
 UNAVAILABLE = "unavailable"
 HOP_SEPARATOR = "/"  # between the token of a proposal and its number of redirects
@@ -125,6 +128,9 @@
     def propose(self, now: float, token: str, change: Change | DesiredState) -> None:
         """Propose a change made at this instance."""
         self._proposals[token] = _Proposal(change, "", now + PROPOSAL_TIMEOUT_S)
+        if measure_record(change.to_wire()) > MAX_RECORD_BYTES:
+            self._answer_proposal(token, _build_too_large())
+            return
         if self._is_leader():
             self._propose_locally(now, token, change)
         else:
@@ -167,7 +173,15 @@
             self._answer_proposal(token, answer)
             return
         patch = self._state.tables.build_patch(change)
-        self._submit(now, token, CHANGE, patch.to_wire())
+        self._append(now, token, CHANGE, patch.to_wire())
+
+    def _append(self, now: float, token: str, kind: str, payload: list[Any]) -> bool:
+        """Append an entry to the log, unless no message can carry it; return whether."""
+        if measure_record(payload) > MAX_RECORD_BYTES:
+            self._answer_proposal(token, _build_too_large())
+            return False
+        self._submit(now, token, kind, payload)
+        return True
 
     def _process_queue(self, now: float) -> None:
         """Append the next desired state once the previous one is applied.
@@ -197,7 +211,8 @@
             self._desired_queue.pop(0)
             self._appended_token = token
             patch = build_patch(self._state.tables, proposal.change)
-            self._submit(now, token, DESIRED, patch.to_wire())
+            if not self._append(now, token, DESIRED, patch.to_wire()):
+                self._appended_token = ""
 
     def _check_before_append(self, change: Change) -> ChangeAnswer | None:
         remembered = self._state.tables.find_answer(change)
@@ -352,6 +367,11 @@
     return ChangeAnswer(UNAVAILABLE, 0, detail=f"The change was not accepted: {reason}")
 
 
+def _build_too_large() -> ChangeAnswer:
+    detail = f"The change is larger than {MAX_RECORD_BYTES} bytes as it is stored"
+    return ChangeAnswer(TOO_LARGE, 0, detail=detail)
+
+
 def _build_unknown() -> ChangeAnswer:
     detail = (
         "It is not known whether the change was accepted; resend it with the same identifier"
--- a/src/foxtaildrum/control/storage.py
+++ b/src/foxtaildrum/control/storage.py
@@ -12,8 +12,8 @@
 import pykka
 
 from ..fleet.actions import UPSTREAM_STREAM, Write
-from ..fleet.messages import ENCODING_ERRORS
 from ..logs import log_event
+from ..sizes import ENCODING_ERRORS
 from .journal import Journal
 
 # Streams whose records do not depend on each other.
--- a/src/foxtaildrum/control/table_follower.py
+++ b/src/foxtaildrum/control/table_follower.py
@@ -6,20 +6,20 @@
 
 from __future__ import annotations
 
-from collections import deque
 from typing import Any
 
 import msgpack
 
 from ..events import Send
 from ..records import FollowEntries, FollowPiece, FollowRequest
+from ..sizes import measure_record, split_batches
 from .desired import DesiredPatch, apply_patch
 from .tables import Patch, Tables
+from .windows import WINDOW_BYTES, EntryWindow
 
-WINDOW_ENTRIES = 256  # a neighbour that is further behind gets the whole tables
 PIECE_BYTES = 65_536
 REQUEST_TIMEOUT_S = 0.5
-MAX_ENTRIES_PER_MESSAGE = 64
+PIECE_TIMEOUT_S = 2.0
 
 # Kinds of log entries.
 CHANGE = "change"
@@ -89,11 +89,12 @@
         self.fetches_entries = fetches_entries
         self.foreign_group = ""
         self.generation = 0
-        self._recent_entries: deque[list[Any]] = deque(maxlen=WINDOW_ENTRIES)
+        self._recent_entries = EntryWindow()
         self._confirmed_index = -1
         self._confirmed_at = float("-inf")
         self._complete_up_to = float("-inf")
         self._requested_at = float("-inf")
+        self._wanted_index = 0
         self._piece_index = 0
         self._pieces = bytearray()
         self._packed_state: tuple[int, bytes] = (-1, b"")
@@ -140,22 +141,24 @@
         """Request entries from ``peer`` if it has later ones than this instance."""
         if not self.fetches_entries or peer_index <= self.index:
             return []
-        if now - self._requested_at < REQUEST_TIMEOUT_S:
+        self._wanted_index = max(self._wanted_index, peer_index)
+        timeout_s = PIECE_TIMEOUT_S if self._pieces else REQUEST_TIMEOUT_S
+        if now - self._requested_at < timeout_s:
             return []
         return [self._build_request(now, peer)]
 
+    def request_rest(self, now: float, peer: str) -> list[Send]:
+        """Request what is still missing from a peer that has just sent a part of it."""
+        return self.request_if_behind(now, peer, self._wanted_index)
+
     def answer_request(self, peer: str, message: FollowRequest) -> list[Send]:
         """Send entries, or a piece of the tables, to a neighbour that is behind."""
         if message.after_index >= self.index:
             return []
-        first_index = self._recent_entries[0][0] if self._recent_entries else self.index + 1
-        if message.after_index + 1 < first_index:
+        if not self._recent_entries.reaches_back_to(message.after_index):
             return [self._send_piece(peer, message)]
-        entries = [e for e in self._recent_entries if e[0] > message.after_index]
-        reply = FollowEntries(
-            group_id=self.state.group_id, entries=entries[:MAX_ENTRIES_PER_MESSAGE]
-        )
-        return [Send(peer, reply)]
+        entries = self._recent_entries.list_batch(message.after_index)
+        return [Send(peer, FollowEntries(group_id=self.state.group_id, entries=entries))]
 
     def handle_entries(self, now: float, peer: str, message: FollowEntries) -> list[Any]:
         """Apply the entries that directly continue the state; return the applied ones."""
@@ -185,11 +188,12 @@
             return []
         if message.index <= self.index:
             return []
-        if message.index != self._piece_index or message.offset == 0:
+        if message.index != self._piece_index and message.offset == 0:
             self._piece_index = message.index
             self._pieces.clear()
-        if message.offset != len(self._pieces):
-            return [self._build_request(now, peer)]
+        if message.index != self._piece_index or message.offset != len(self._pieces):
+            # A late piece: the one that was requested is on its way, or is requested again.
+            return []
         self._pieces += message.piece
         if not message.final:
             return [self._build_request(now, peer)]
@@ -199,9 +203,16 @@
         self._requested_at = float("-inf")
         return []
 
-    def build_push(self, entries: list[Any]) -> FollowEntries:
-        """Return the message that forwards entries to neighbours."""
-        return FollowEntries(group_id=self.state.group_id, entries=entries)
+    def build_pushes(self, entries: list[Any]) -> list[FollowEntries]:
+        """Return the messages that forward entries to neighbours.
+
+        Of more entries than a window holds only the last are forwarded: a neighbour that lacks
+        those before them asks for the tables, which are smaller.
+        """
+        batches = list(split_batches(entries))
+        if len(entries) > 1 and sum(map(measure_record, entries)) > WINDOW_BYTES:
+            batches = batches[-1:]
+        return [FollowEntries(group_id=self.state.group_id, entries=b) for b in batches]
 
     def _update_current_at(self) -> None:
         if 0 <= self._confirmed_index <= self.index:
@@ -230,9 +241,7 @@
             offset = message.offset
         else:
             offset = 0
-            if self._packed_state[0] != self.index:
-                captured = self.state.capture(with_answers=False)
-                self._packed_state = (self.index, msgpack.packb(captured))
+            self._pack_state()
         index, data = self._packed_state
         end = offset + PIECE_BYTES
         reply = FollowPiece(
@@ -243,3 +252,17 @@
             final=end >= len(data),
         )
         return Send(peer, reply)
+
+    def _pack_state(self) -> None:
+        """Pack the tables, unless others can continue from those that are packed.
+
+        All that start at about the same time get the same tables: one that still receives
+        pieces of them would otherwise have to begin again with each change.
+        """
+        packed_index = self._packed_state[0]
+        if packed_index == self.index:
+            return
+        if packed_index >= 0 and self._recent_entries.reaches_back_to(packed_index):
+            return
+        captured = self.state.capture(with_answers=False)
+        self._packed_state = (self.index, msgpack.packb(captured))
--- a/src/foxtaildrum/control/tables.py
+++ b/src/foxtaildrum/control/tables.py
@@ -14,6 +14,7 @@
 
 TABLE_NAMES = ("routes", "pools")
 REMEMBERED_CHANGES = 4096
+MAX_REMEMBERED_PROBLEMS = 20
 
 _RECORDS = {"routes": "Route", "pools": "Pool"}
 _TYPES = {"routes": Route, "pools": Pool}
@@ -282,7 +283,7 @@
         try:
             check_references(merged["routes"], merged["pools"])
         except InvalidTableError as error:
-            problems = error.list_problems()
+            problems = error.list_problems(MAX_REMEMBERED_PROBLEMS)
             return ChangeResult("invalid", table.version, table.changed_by, problems)
         self.tables[patch.table] = Table(rows, table.version + 1, patch.change_id)
         return ChangeResult("accepted", table.version + 1, patch.change_id, [])
--- a/src/foxtaildrum/exceptions.py
+++ b/src/foxtaildrum/exceptions.py
@@ -4,6 +4,10 @@
 
 from collections.abc import Sequence
 
+MAX_LISTED_PROBLEMS = 100
+MAX_FIELD_CHARS = 200
+MAX_REASON_CHARS = 400
+
 
 class FoxtaildrumError(Exception):
     """Base class of every exception raised by foxtaildrum."""
@@ -33,9 +37,19 @@
         """Return a group of the same type that holds ``excs``."""
         return type(self)(self.message, excs)
 
-    def list_problems(self) -> list[dict[str, str]]:
-        """Return each problem as a mapping with ``field`` and ``reason``."""
-        return [{"field": e.field, "reason": e.reason} for e in self.exceptions]
+    def list_problems(self, limit: int = MAX_LISTED_PROBLEMS) -> list[dict[str, str]]:
+        """Return each problem as a mapping with ``field`` and ``reason``.
+
+        Of more than ``limit`` problems the first are listed, and how many there are beyond.
+        """
+        listed = [
+            {"field": e.field[:MAX_FIELD_CHARS], "reason": e.reason[:MAX_REASON_CHARS]}
+            for e in self.exceptions[:limit]
+        ]
+        further = len(self.exceptions) - limit
+        if further > 0:
+            listed.append({"field": "-", "reason": f"{further} further problems"})
+        return listed
 
 
 class InvalidSettingsError(InvalidFieldsError):
@@ -87,6 +101,10 @@
     """A frame is malformed, too large, replayed or has a wrong signature."""
 
 
+class MessageTooLargeError(FrameError):
+    """A message is larger than a frame may be."""
+
+
 class UnencodableError(FrameError):
     """A message holds a value that cannot be sent."""
 
--- a/src/foxtaildrum/fleet/announcing.py
+++ b/src/foxtaildrum/fleet/announcing.py
@@ -9,6 +9,7 @@
 from .. import records as r
 from ..events import Send
 from ..exceptions import StaleAnnouncementError
+from ..sizes import split_batches
 from .actions import (
     ActionQueue,
     Reconnect,
@@ -138,6 +139,10 @@
         if not updates:
             return
         targets = self._pick_update_targets()
+        for batch in split_batches(updates, lambda entry: entry.to_wire(now)):
+            self._push_batch(now, batch, targets)
+
+    def _push_batch(self, now: float, updates: list[Entry], targets: list[str]) -> None:
         leaving = [e for e in updates if e.state != READY]
         confirmed = [e for e in leaving if self._needs_confirmation(e)]
         token = self._deliveries.begin(now, confirmed, targets).token if confirmed else ""
--- a/src/foxtaildrum/fleet/crashing.py
+++ b/src/foxtaildrum/fleet/crashing.py
@@ -6,6 +6,7 @@
 
 from .. import records as r
 from ..events import Send
+from ..sizes import split_batches
 from .actions import ActionQueue
 from .crashes import CrashList, CrashRecord, describe_start
 from .intake import read_records
@@ -59,8 +60,10 @@
         if not updates:
             return
         self._push_at = now + PUSH_INTERVAL_S
-        message = r.CrashNews(records=[record.to_wire(now) for record in updates])
-        self._actions.extend(Send(t, message) for t in self._members.pick_push_targets())
+        targets = self._members.pick_push_targets()
+        for batch in split_batches([record.to_wire(now) for record in updates]):
+            message = r.CrashNews(records=batch)
+            self._actions.extend(Send(target, message) for target in targets)
 
     @handles(r.CrashNews)
     def handle_news(self, now: float, peer: str, message: r.CrashNews) -> None:
--- a/src/foxtaildrum/fleet/frames.py
+++ b/src/foxtaildrum/fleet/frames.py
@@ -13,14 +13,14 @@
 
 import msgpack
 
-from ..exceptions import FrameError
+from ..exceptions import FrameError, MessageTooLargeError
+from ..sizes import MAX_MESSAGE_BYTES
 from .messages import Message, decode_message, encode_message
 
 VERSION = 1
 NONCE_BYTES = 16
 MAC_BYTES = 16
 MAX_GREETING_BYTES = 256
-MAX_FRAME_BYTES = 4 * 1024 * 1024
 
 _LENGTH = struct.Struct(">I")
 _POSITION = struct.Struct(">Q")
@@ -93,12 +93,15 @@
 
         Raises
         ------
-        FrameError
-            When the message is too large.
+        MessageTooLargeError
+            When the message exceeds the limit of a frame.
         """
         payload = encode_message(message)
-        if len(payload) > MAX_FRAME_BYTES:
-            raise FrameError(f"message of {len(payload)} bytes exceeds {MAX_FRAME_BYTES}")
+        if len(payload) > MAX_MESSAGE_BYTES:
+            kind = type(message).__name__
+            raise MessageTooLargeError(
+                f"{kind} of {len(payload)} bytes exceeds {MAX_MESSAGE_BYTES}"
+            )
         mac = _sign(self._key, _POSITION.pack(self._position), payload)
         self._position += 1
         return _pack(mac, payload)
@@ -144,7 +147,7 @@
         FrameError
             When a frame is malformed, too large, replayed or wrongly signed.
         """
-        frame = self._read_frame(MAX_FRAME_BYTES)
+        frame = self._read_frame(MAX_MESSAGE_BYTES)
         if frame is None:
             return None
         mac, payload = frame
--- a/src/foxtaildrum/fleet/gossip.py
+++ b/src/foxtaildrum/fleet/gossip.py
@@ -8,6 +8,7 @@
 
 from .. import records as r
 from ..events import Send
+from ..sizes import split_batches
 from .actions import ActionQueue, MemberChanged, Reconnect
 from .announcing import UpstreamPart
 from .comparing import ListComparison
@@ -24,6 +25,8 @@
 CONTROL_PING_TARGETS = 2
 REPAIR_INTERVAL_S = 0.25
 
+News = r.MemberNews | r.UpstreamNews | r.CrashNews
+
 
 class GossipPart(Part):
     """Pings other instances and repairs differences of members, upstreams and tables.
@@ -143,23 +146,25 @@
     def handle_sync_buckets(self, now: float, peer: str, message: r.SyncBuckets) -> None:
         """Send the members, upstreams or crashes that another instance lacks."""
         buckets = self._get_digest(message.subject).find_differences(message.hashes)
-        repair: r.MemberNews | r.UpstreamNews | r.CrashNews
-        if message.subject == "members":
-            found = [m.to_wire() for m in self._members.list_in_buckets(buckets)]
-            repair = r.MemberNews(members=found)
-        elif message.subject == "crashes":
-            crashes = self._crashes.crashes.list_in_buckets(buckets)
-            found = [c.to_wire(now) for c in crashes]
-            repair = r.CrashNews(records=found)
-        else:
-            entries = self._upstreams.upstreams.list_in_buckets(buckets)
-            found = [e.to_wire(now) for e in entries]
-            repair = r.UpstreamNews(entries=found, token="")
-        if found:
+        for repair in self._build_repairs(now, message.subject, buckets):
             self._actions.add(Send(peer, repair))
         if buckets and not message.reply:
             self._actions.add(Send(peer, self._build_buckets(message.subject, reply=True)))
 
+    def _build_repairs(self, now: float, subject: str, buckets: set[int]) -> list[News]:
+        """Return the messages with all members, upstreams or crashes in some buckets."""
+        if subject == "members":
+            members = self._members.list_in_buckets(buckets)
+            batches = split_batches([m.to_wire() for m in members])
+            return [r.MemberNews(members=batch) for batch in batches]
+        if subject == "crashes":
+            crashes = self._crashes.crashes.list_in_buckets(buckets)
+            batches = split_batches([c.to_wire(now) for c in crashes])
+            return [r.CrashNews(records=batch) for batch in batches]
+        entries = self._upstreams.upstreams.list_in_buckets(buckets)
+        batches = split_batches([e.to_wire(now) for e in entries])
+        return [r.UpstreamNews(entries=batch, token="") for batch in batches]
+
     def _build_summary(self, now: float) -> LocalSummary:
         summary = LocalSummary()
         self._tables.fill_summary(now, summary)
--- a/src/foxtaildrum/fleet/membership.py
+++ b/src/foxtaildrum/fleet/membership.py
@@ -19,6 +19,7 @@
 
 from ..events import Send
 from ..records import Ack, MemberNews, Ping, PingReport, PingRequest
+from ..sizes import split_batches
 from ..validation import is_identifier, is_printable
 from .digest import BucketDigest, find_bucket
 
@@ -354,9 +355,11 @@
         if not self._pending_updates or now < self._flush_at:
             return []
         self._flush_at = now + PUSH_INTERVAL_S
-        message = MemberNews(members=[m.to_wire() for m in self._pending_updates.values()])
+        updates = [m.to_wire() for m in self._pending_updates.values()]
         self._pending_updates.clear()
-        return [Send(target, message) for target in self.pick_push_targets()]
+        targets = self.pick_push_targets()
+        messages = [MemberNews(members=batch) for batch in split_batches(updates)]
+        return [Send(target, message) for message in messages for target in targets]
 
     def pick_push_targets(self) -> list[str]:
         """Return the neighbours to push updates to: the successor and a random sample."""
--- a/src/foxtaildrum/fleet/messages.py
+++ b/src/foxtaildrum/fleet/messages.py
@@ -11,6 +11,7 @@
 from .. import records
 from ..exceptions import FrameError, UnencodableError
 from ..jsontext import is_encodable
+from ..sizes import ENCODING_ERRORS
 from ..validation import load_schema
 
 Message = Any
@@ -33,7 +34,6 @@
 
 _fill_registry()
 
-ENCODING_ERRORS = (ValueError, TypeError, OverflowError, RecursionError)
 _RECORD_TYPES = (records.UpstreamNews, records.MemberNews, records.CrashNews)
 
 
--- a/src/foxtaildrum/fleet/node_api.py
+++ b/src/foxtaildrum/fleet/node_api.py
@@ -19,7 +19,8 @@
     ----------
     verdict : str
         A verdict of :class:`~foxtaildrum.control.tables.ChangeResult`; ``unavailable``
-        when the change was not accepted; ``unknown`` when it may have been accepted.
+        when the change was not accepted; ``too_large`` when it never can be; ``unknown``
+        when it may have been accepted.
     version : int
         Version of the table.
     changed_by : str
--- a/src/foxtaildrum/fleet/peers.py
+++ b/src/foxtaildrum/fleet/peers.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import contextlib
+import logging
 import os
 import selectors
 import socket
@@ -17,7 +18,7 @@
 from typing import Any
 
 from ..admin.metrics import Meter
-from ..exceptions import FrameError, UnencodableError
+from ..exceptions import FrameError, MessageTooLargeError, UnencodableError
 from ..isolation import run_isolated
 from ..logs import log_event
 from ..requests.listeners import open_listener
@@ -71,7 +72,7 @@
     def __init__(self, peer_id: str, address: str) -> None:
         self.peer_id = peer_id
         self.address = address
-        self.queue: deque[Message] = deque(maxlen=MAX_QUEUED_MESSAGES)
+        self.queue: deque[Message] = deque()
         self.sock: socket.socket | None = None
         self.buffer = bytearray()
         self.nonce = b""
@@ -247,7 +248,7 @@
             connection = self._outbound.get(peer_id)
             if connection is None or connection.address != address:
                 connection = self._replace_outbound(connection, peer_id, address)
-            connection.queue.append(message)
+            self._enqueue(connection, message)
             connection.used_at = now
             touched[peer_id] = connection
         for connection in touched.values():
@@ -256,6 +257,19 @@
             elif connection.writer is not None:
                 self._write_outbound(connection)
 
+    def _enqueue(self, connection: _Outbound, message: Message) -> None:
+        if len(connection.queue) >= MAX_QUEUED_MESSAGES:
+            dropped = connection.queue.popleft()
+            self._meter.count("peers.unsendable_messages")
+            reason = f"{type(dropped).__name__}: {MAX_QUEUED_MESSAGES} messages wait"
+            log_event(
+                "message_dropped",
+                level=logging.WARNING,
+                peer=connection.peer_id,
+                reason=reason,
+            )
+        connection.queue.append(message)
+
     def _replace_outbound(
         self, connection: _Outbound | None, peer_id: str, address: str
     ) -> _Outbound:
@@ -345,10 +359,22 @@
         try:
             frame = connection.writer.pack(message)
         except UnencodableError as error:
-            log_event("message_not_encoded", peer=connection.peer_id, reason=str(error))
+            self._meter.count("peers.unsendable_messages")
+            log_event(
+                "message_not_encoded",
+                level=logging.ERROR,
+                peer=connection.peer_id,
+                reason=str(error),
+            )
             return
-        except FrameError as error:
-            log_event("message_too_large", peer=connection.peer_id, reason=str(error))
+        except MessageTooLargeError as error:
+            self._meter.count("peers.unsendable_messages")
+            log_event(
+                "message_too_large",
+                level=logging.ERROR,
+                peer=connection.peer_id,
+                reason=str(error),
+            )
             return
         connection.buffer += frame
         self._meter.count("peers.sent_messages")
--- a/src/foxtaildrum/fleet/relaying.py
+++ b/src/foxtaildrum/fleet/relaying.py
@@ -68,6 +68,7 @@
         applied = self._follower.handle_entries(now, peer, message)
         if applied:
             self._push(applied, peer)
+            self._actions.extend(self._follower.request_rest(now, peer))
         elif self._follower.has_gap(message):
             self.request_if_behind(now, peer, message.entries[-1][0])
 
@@ -75,8 +76,9 @@
     def handle_piece(self, now: float, peer: str, message: r.FollowPiece) -> None:
         """Handle a piece of a snapshot."""
         self._actions.extend(self._follower.handle_piece(now, peer, message))
+        self._actions.extend(self._follower.request_rest(now, peer))
 
     def _push(self, entries: list[list], sender: str) -> None:
-        push = self._follower.build_push(entries)
         targets = self._members.pick_push_targets()
-        self._actions.extend(Send(t, push) for t in targets if t != sender)
+        for push in self._follower.build_pushes(entries):
+            self._actions.extend(Send(t, push) for t in targets if t != sender)
--- a/src/foxtaildrum/logevents.py
+++ b/src/foxtaildrum/logevents.py
@@ -33,6 +33,7 @@
     "leave_confirmed": ("upstream", "state", "incarnation", "stored", "holders"),
     "links_lost": ("pools",),
     "links_restored": ("pools",),
+    "message_dropped": ("peer", "reason"),
     "message_not_encoded": ("peer", "reason"),
     "message_refused": ("peer", "reason"),
     "message_too_large": ("peer", "reason"),
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -31,6 +31,7 @@
 from foxtaildrum.fleet.receipts import ReceiptsCompleted
 from foxtaildrum.instance import load_log_state
 from foxtaildrum.records import Announcement, ClaimFinish
+from foxtaildrum.sizes import MAX_MESSAGE_BYTES
 
 SYNC_S = 0.001
 MIN_DELAY_S = 0.0005
@@ -208,6 +209,7 @@
         self.latest_token: dict[str, str] = {}
         self.leaders: dict[int, tuple[str, int]] = {}
         self.messages = 0
+        self.largest_message = (0, "")
         self.message_bytes = 0
         self.sent_bytes: dict[str, int] = dict.fromkeys(names, 0)
         self.last_arrival: dict[tuple[str, str], float] = {}
@@ -328,6 +330,9 @@
         if self.hosts[sender].node is None or target not in self.hosts:
             return
         data = encode_message(message)
+        kind = type(message).__name__
+        assert len(data) <= MAX_MESSAGE_BYTES, f"{kind} of {len(data)} bytes cannot be sent"
+        self.largest_message = max(self.largest_message, (len(data), kind))
         self.messages += 1
         self.message_bytes += len(data)
         self.sent_bytes[sender] += len(data)
--- a/tests/test_fleet_matrix.py
+++ b/tests/test_fleet_matrix.py
@@ -15,7 +15,7 @@
 import pytest
 
 from foxtaildrum import records as r
-from foxtaildrum.control import group, table_follower
+from foxtaildrum.control import group, windows
 
 from .fleet import Fleet, form_fleet
 
@@ -262,7 +262,7 @@
 @pytest.fixture(autouse=True)
 def small_logs(monkeypatch):
     monkeypatch.setattr(group, "COMPACT_ENTRIES", COMPACT_ENTRIES)
-    monkeypatch.setattr(table_follower, "WINDOW_ENTRIES", WINDOW_ENTRIES)
+    monkeypatch.setattr(windows, "WINDOW_ENTRIES", WINDOW_ENTRIES)
 
 
 @pytest.mark.parametrize("place", ["sender", "receiver"])
--- a/tests/test_frames.py
+++ b/tests/test_frames.py
@@ -14,6 +14,7 @@
 from foxtaildrum.fleet import frames
 from foxtaildrum.fleet.frames import FrameReader, FrameWriter, Greeting, derive_key
 from foxtaildrum.fleet.messages import decode_message, encode_message, list_message_types
+from foxtaildrum.sizes import MAX_MESSAGE_BYTES
 
 KEY = b"fleet key"
 SESSION_KEY = derive_key(KEY, b"a" * 16, b"b" * 16)
@@ -105,7 +106,7 @@
 
 def test_an_oversized_frame_is_refused_before_it_is_read():
     reader = build_reader()
-    reader.feed((frames.MAX_FRAME_BYTES + 1).to_bytes(4, "big") + b"x" * 16)
+    reader.feed((MAX_MESSAGE_BYTES + 1).to_bytes(4, "big") + b"x" * 16)
     with pytest.raises(FrameError):
         reader.read_message()
 
