--- a/tests/test_odd_processes.py
+++ b/tests/test_odd_processes.py
@@ -162,6 +162,7 @@
     ]
 
 
+# Guards against review/3: after odd pings to the control instances no change was acknowledged.
 def test_odd_announcements_stop_the_storage_and_the_list(fleet):
     assert fleet.put_tables("c1", 1) == 200
     accepted = [
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -133,6 +133,8 @@
     return disk, {(report.stream, report.token): report.failed for report in reports}
 
 
+# Guards against review/3: one name that can't be encoded ended the storage of its instance, and
+# with it every later vote and acknowledgement there.
 @pytest.mark.parametrize("odd", UNENCODABLE, ids=describe)
 def test_an_upstream_that_cannot_be_written_stops_the_storage(odd):
     disk, failed = run_storage(
