A stopping instance takes no request that it can't answer in time

Cause: the stop waits for what is in flight, but nothing compared the time limit of a request that comes meanwhile with the end of the stop.

Change: a stop has a plan. A request is taken if its time limit ends before the stop; otherwise it is refused at once as not run (kind "stopping"), so that another instance serves it. One that may be repeated is taken in the first half all the same. A forwarded request is declined.

--- a/src/foxtaildrum/instance.py
+++ b/src/foxtaildrum/instance.py
@@ -41,6 +41,7 @@
 from .requests.forwards import Forwarder
 from .requests.proxy import Proxy
 from .requests.server import HttpServer
+from .requests.stops import StopPlan
 from .resources import check_resources, open_data_folder
 from .settings import parse_instances, read_secret
 
@@ -157,6 +158,9 @@
     def stop(self) -> bool:
         """Stop gracefully; return whether every request in flight finished in time."""
         deadline = time.monotonic() + self.settings.shutdown_grace_s
+        now = read_clock()
+        length_s = self.settings.shutdown_grace_s - LEAVE_GOSSIP_PAUSE_S
+        self.proxy.stop_plan = StopPlan(now, now + length_s)
         log_event("stopping", grace_s=self.settings.shutdown_grace_s)
         self._node_proxy.begin_stop().get()
         all_ended = True
--- a/src/foxtaildrum/kinds.py
+++ b/src/foxtaildrum/kinds.py
@@ -43,6 +43,7 @@
     ANSWER_INVALID = "answer_invalid"
     CALLER_LEFT = "caller_left"
     NOT_READY = "not_ready"
+    STOPPING = "stopping"
     KEY_RUNNING = "key_running"
     KEY_REUSED = "key_reused"
     KEY_UNKNOWN = "key_unknown"
@@ -131,6 +132,9 @@
         499, _UNKNOWN, Retry.NEVER, "The caller left before the answer"
     ),
     ErrorKind.NOT_READY: ErrorSpec(503, _NOT_RUN, Retry.NEVER, "The instance is not ready"),
+    ErrorKind.STOPPING: ErrorSpec(
+        503, _NOT_RUN, Retry.NEVER, "The instance stops before the request's time is over"
+    ),
     ErrorKind.KEY_RUNNING: ErrorSpec(
         409, _NOT_RUN, Retry.NEVER, "A request with this idempotency key is running"
     ),
--- a/src/foxtaildrum/requests/problem.py
+++ b/src/foxtaildrum/requests/problem.py
@@ -17,6 +17,7 @@
     ErrorKind.NO_UPSTREAM: 0.5,
     ErrorKind.UPSTREAMS_UNREACHABLE: 0.5,
     ErrorKind.SHED: 0.02,
+    ErrorKind.STOPPING: 0.02,
     ErrorKind.OVERLOADED: 0.1,
 }
 OUTCOME_HEADER = "Foxtaildrum-Outcome"
--- a/src/foxtaildrum/requests/proxy.py
+++ b/src/foxtaildrum/requests/proxy.py
@@ -38,6 +38,7 @@
 )
 from .relays import ErrorResponse, TruncatedResponseError, UpstreamResponse
 from .routing import Router, is_idempotent
+from .stops import StopPlan
 from .transport import HOP_BY_HOP_HEADERS
 
 MAX_IDEMPOTENCY_KEY_CHARS = 255
@@ -137,6 +138,7 @@
         self.forwarder: Forwarder | None = None
         self.crash_view = CrashView()
         self.crash_reporter: CrashReporter | None = None
+        self.stop_plan: StopPlan | None = None
         self._meter = meter
         self._access_log = access_log
 
@@ -248,6 +250,9 @@
         if pool is None:
             return self._send_error(request, start_response, ErrorKind.NO_UPSTREAM)
         idempotent = is_idempotent(found, request.method)
+        if not self._admits(read_clock(), request, timeout_s, idempotent):
+            kind = ErrorKind.STOPPING if request.forward is None else ErrorKind.NOT_READY
+            return self._send_error(request, start_response, kind)
         key = environ.get(self._idempotency_environ_key, "")
         if idempotent or not key or self.claims is None or request.forward is not None:
             return self._dispatch(request, start_response, pool, timeout_s, idempotent, None)
@@ -258,6 +263,13 @@
             )
         return self._claim(request, start_response, pool, timeout_s, key)
 
+    def _admits(
+        self, now: float, request: CallerRequest, timeout_s: float, idempotent: bool
+    ) -> bool:
+        """Return whether a request may be taken, if this instance is stopping."""
+        plan = self.stop_plan
+        return plan is None or plan.admits(now, request.arrived_at + timeout_s, idempotent)
+
     def _wait_until_open(self) -> bool:
         """Return whether requests are accepted; wait briefly while the instance starts."""
         deadline = read_clock() + STARTUP_WAIT_S
