Signals that interrupt each other's handlers don't end the main thread

Cause: a Python handler can interrupt itself; signals that come faster than it runs nest until RecursionError ends the main thread, while other threads go on.

Change: SIGHUP is recorded by a built-in method, which nothing interrupts, and the interpreter writes to the pipe that wakes the main thread.

--- a/src/foxtaildrum/cli.py
+++ b/src/foxtaildrum/cli.py
@@ -7,7 +7,6 @@
 import json
 import logging
 import os
-import signal
 import socket
 import sys
 import tomllib
@@ -90,9 +89,7 @@
     settings = load_settings(vars(arguments), os.environ)
     configure_logs(settings.log_level, settings.log_format, settings.log_lines_per_s)
     requests = SignalRequests()
-    signal.signal(signal.SIGTERM, requests.handle_stop)
-    signal.signal(signal.SIGINT, requests.handle_stop)
-    signal.signal(signal.SIGHUP, requests.handle_reload)
+    requests.install()
     try:
         instance = Instance.from_settings(settings, arguments.listener)
     except CorruptJournalError as error:
--- a/src/foxtaildrum/signals.py
+++ b/src/foxtaildrum/signals.py
@@ -5,6 +5,7 @@
 import contextlib
 import os
 import select
+import signal
 from typing import Any
 
 from .commands import EXIT_FAILED
@@ -15,8 +16,10 @@
 class SignalRequests:
     """Remembers what signals have asked for.
 
-    A handler may interrupt another one, or the main thread at any point. It therefore takes no
-    lock, as :class:`threading.Event` would: it sets a flag and writes to a pipe.
+    A signal may interrupt the main thread at any point, also in a handler. The handlers
+    therefore take no lock, as :class:`threading.Event` would, and those of signals that may
+    come in series are not written in Python: each would interrupt the one before it, until the
+    recursion limit ends the main thread. The interpreter writes to a pipe for each signal.
 
     Attributes
     ----------
@@ -24,26 +27,21 @@
         Whether a signal asked for a stop; a second such signal ends the process at once.
     """
 
-    __slots__ = ("_reload_requested", "_wake_read", "_wake_write", "stop_requested")
+    __slots__ = ("_received", "_wake_read", "_wake_write", "stop_requested")
 
     def __init__(self) -> None:
         self.stop_requested = False
-        self._reload_requested = False
+        self._received: dict[int, Any] = {}
         self._wake_read, self._wake_write = os.pipe()
         os.set_blocking(self._wake_read, False)
         os.set_blocking(self._wake_write, False)
 
-    def handle_stop(self, number: int, frame: Any) -> None:
-        """Request a stop."""
-        if self.stop_requested:
-            os._exit(EXIT_FAILED)
-        self.stop_requested = True
-        self._wake()
-
-    def handle_reload(self, number: int, frame: Any) -> None:
-        """Request a reload of the settings."""
-        self._reload_requested = True
-        self._wake()
+    def install(self) -> None:
+        """Handle the signals of this process from now on; call it in the main thread."""
+        signal.set_wakeup_fd(self._wake_write, warn_on_full_buffer=False)
+        signal.signal(signal.SIGTERM, self._handle_stop)
+        signal.signal(signal.SIGINT, self._handle_stop)
+        signal.signal(signal.SIGHUP, self._received.__setitem__)
 
     def wait(self) -> None:
         """Wait for the next request."""
@@ -53,10 +51,11 @@
 
     def take_reload(self) -> bool:
         """Return whether a reload was requested since the last call."""
-        requested, self._reload_requested = self._reload_requested, False
+        requested = signal.SIGHUP in self._received
+        self._received.clear()
         return requested
 
-    def _wake(self) -> None:
-        # A full pipe wakes the main thread as well.
-        with contextlib.suppress(BlockingIOError):
-            os.write(self._wake_write, b"\0")
+    def _handle_stop(self, number: int, frame: Any) -> None:
+        if self.stop_requested:
+            os._exit(EXIT_FAILED)
+        self.stop_requested = True
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -4,6 +4,8 @@
 
 import http.client
 import signal
+import subprocess
+import sys
 import threading
 
 import urllib3
@@ -12,6 +14,8 @@
 
 REQUEST_COUNT = 6
 SIGNAL_COUNT = 3000
+SENDER_COUNT = 3
+SERIES_COUNT = 100_000
 
 
 def start_site(folder, **settings):
@@ -58,6 +62,21 @@
     assert instance.popen.wait(20) == 0
 
 
+# Guards against handlers that interrupt each other until the recursion limit ends the main
+# thread, while the process goes on and can't be stopped.
+def test_signals_of_several_senders_end_the_main_thread_alone(tmp_path):
+    instance = InstanceProcess(tmp_path, "one", shutdown_grace_s="1")
+    instance.wait_ready()
+    sender = f"import os\nfor _ in range({SERIES_COUNT}): os.kill({instance.popen.pid}, 1)"
+    senders = [subprocess.Popen([sys.executable, "-c", sender]) for _ in range(SENDER_COUNT)]
+    try:
+        assert [process.wait(60) for process in senders] == [0] * SENDER_COUNT
+        instance.popen.send_signal(signal.SIGTERM)
+        assert instance.popen.wait(20) == 0
+    finally:
+        instance.kill()
+
+
 def test_a_second_signal_exits_at_once(tmp_path):
     instance, upstreams = start_site(tmp_path)
     thread = threading.Thread(target=_call_and_ignore_errors, args=(instance.listen,))
