Tests: a crash counts for each request that its upstream ran

Trace: poison-0 crashed u9, u3 and u1; poison-1 crashed u2, and ran on u9 and u3 when they ended. Which of two requests ended an upstream can't be told, and both did crash upstreams.

The check was wrong where it counted only the crashes whose culprit the simulation knew. It now counts those under which a request ran. That is at least as strict: the third crash is never later, so more sends after it count, and that no request beside them is refused is checked as before.

--- a/tests/serving_fleet.py
+++ b/tests/serving_fleet.py
@@ -149,7 +149,8 @@
         self.served_at: list[float] = []
         self.request_count = 0
         self.sent: list[tuple[float, str, str]] = []
-        self.crashes: list[tuple[float, str, str]] = []
+        # Time, upstream, and the requests that it ran: nobody can tell which one ended it.
+        self.crashes: list[tuple[float, str, frozenset[str]]] = []
         self.refused_fingerprints: list[tuple[float, str]] = []
         self.refused_at: list[tuple[float, float, ErrorKind]] = []
         self.upstreams = {
@@ -344,7 +345,8 @@
         upstream = self.upstreams[name]
         if not upstream.up or upstream.incarnation != incarnation:
             return
-        self.crashes.append((self.now, name, culprit.fingerprint))
+        lost = {request.fingerprint for request in upstream.running.values()}
+        self.crashes.append((self.now, name, frozenset({culprit.fingerprint, *lost})))
         upstream.up = False
         for request in upstream.running.values():
             self.schedule(0.001, "lose_answer", request, name, incarnation)
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -53,7 +53,7 @@
     fleet: ServingFleet, fingerprint: str = POISON, excused: tuple[str, ...] = ()
 ) -> int:
     """Return how often a request was sent, once the fleet had time to learn of its crashes."""
-    crashed_at = [t for t, _, culprit in fleet.crashes if culprit == fingerprint]
+    crashed_at = [t for t, _, lost in fleet.crashes if fingerprint in lost]
     assert len(crashed_at) >= MAX_CRASHES
     since = crashed_at[MAX_CRASHES - 1] + REACTION_S
     return sum(
