--- a/tests/test_full_disks.py
+++ b/tests/test_full_disks.py
@@ -150,8 +150,9 @@
         fleet.run(rng.choice((0.0, 0.002, 0.1, 1.0)))
     fleet.heal()
     fleet.put_desired_until_accepted(number + 1, "last")
-    everywhere = lambda: all(is_back(fleet, c) for c in fleet.control)  # noqa: E731
-    assert fleet.run_until(everywhere, 15.0), fleet.describe()
+    assert fleet.run_until(lambda: all(is_back(fleet, c) for c in fleet.control), 15.0), (
+        fleet.describe()
+    )
     assert all(fleet.read_desired(c) == number + 1 for c in fleet.control)
 
 
@@ -206,9 +207,9 @@
 def test_a_large_torn_record_holds_up_the_start(tmp_path, content):
     data = pack_record(b"whole") + pack_record(b"v" + content)[:-1]
     (tmp_path / "log").write_bytes(data)
-    began_at = time.process_time()
+    began_at = time.thread_time()
     assert Journal(FolderDisk(str(tmp_path)), "log").load() == [b"whole"]
-    assert time.process_time() - began_at < MAX_LOAD_S
+    assert time.thread_time() - began_at < MAX_LOAD_S
 
 
 @given(st.binary(max_size=700), st.binary(min_size=1, max_size=700))
