Logs, status and metrics name the code that an instance runs

What operators saw: nothing told which code a process runs. review/2 was reported as failing after its repair; every process of a tree whose build was older than its checkout behaves so, and no line, page or command shows it.

Hypotheses for the report: (1) the processes ran code from before the repair; (2) the repair misses a case at other sizes, times or loads; (3) the build was incomplete or made for another interpreter. Without this commit the logs of (1) and (2) look the same: `message_too_large`, `not_ready`.

Change: a digest of the package's files, the same wherever they are. The line `started`, `--version`, the status and the metric `foxtaildrum_code` name it, and `foxtaildrum versions` lists it for several instances. Instances of earlier builds are listed as unknown.

--- a/src/foxtaildrum/admin/access.py
+++ b/src/foxtaildrum/admin/access.py
@@ -21,8 +21,9 @@
 from ..requests.idempotency import StoredResponse
 from ..requests.proxy import Proxy
 from ..requests.relays import ErrorResponse, UpstreamResponse
+from ..versions import get_running_code
 from .exposition import MetricsSnapshot
-from .gauges import list_node_gauges, list_pool_gauges
+from .gauges import build_code_gauge, list_node_gauges, list_pool_gauges
 from .metrics import Meter
 from .status import describe_node, describe_pool
 
@@ -172,6 +173,8 @@
         """Return the status document."""
         now = read_clock()
         document = self._read(describe_node)
+        code = get_running_code()
+        document["code"] = {"version": code.version, "digest": code.digest}
         document["counters"] = self._meter.describe_counters()
         document["latency_ms"] = self._meter.describe_latencies(now)
         document["pools"] = [
@@ -191,6 +194,7 @@
         pools = self._proxy.view.pools
         snapshot.pool_latencies = {name: pool.hold_times for name, pool in pools.items()}
         snapshot.gauges = self._read(list_node_gauges) + list_pool_gauges(pools)
+        snapshot.gauges.append(build_code_gauge(get_running_code()))
         return snapshot
 
     def get_table(self, name: str) -> tuple[list[dict[str, Any]], int, bool]:
--- a/src/foxtaildrum/admin/gauges.py
+++ b/src/foxtaildrum/admin/gauges.py
@@ -7,6 +7,7 @@
 from ..balancing.pools import UpstreamPool
 from ..control.group import Role
 from ..fleet.node import Node
+from ..versions import RunningCode
 from .exposition import Gauge
 
 
@@ -55,6 +56,12 @@
     ]
 
 
+def build_code_gauge(code: RunningCode) -> Gauge:
+    """Return the gauge that names the code of the instance."""
+    help_text = "1 for the version and the digest of the code that the instance runs."
+    return Gauge("code", help_text, {f"{code.version}-{code.digest}": 1.0}, "code")
+
+
 def list_pool_gauges(pools: dict[str, UpstreamPool]) -> list[Gauge]:
     """Return the gauges of the load and the retry budget of each pool."""
     balancers = {name: pool.balancer for name, pool in pools.items()}
--- a/src/foxtaildrum/cli.py
+++ b/src/foxtaildrum/cli.py
@@ -252,6 +252,20 @@
     return EXIT_OK
 
 
+@register_command("versions")
+def run_versions(arguments: argparse.Namespace) -> int:
+    """Print which code each of the given instances runs."""
+    is_complete = True
+    for address in arguments.admin.split(","):
+        try:
+            status = _build_client(arguments, address).get_status()
+            print(f"{address} {status['instance']} {format_code(status)}")
+        except AdminRequestError as error:
+            is_complete = False
+            print(f"{address} - {error}")
+    return EXIT_OK if is_complete else EXIT_FAILED
+
+
 @register_command("report")
 def run_report(arguments: argparse.Namespace) -> int:
     """Print the burn rates of each route, summed over the given instances."""
@@ -314,6 +328,7 @@
     lines = [
         f"instance {status['instance']} ({status['role']}, "
         f"zone {status['availability_zone']}): {ready}",
+        f"code: {format_code(status)}",
         f"tables: index {status['table_index']}, age {age}",
     ]
     for name, table in status["tables"].items():
@@ -348,6 +363,15 @@
     return lines
 
 
+def format_code(status: dict[str, Any]) -> str:
+    """Return the version and the digest of the code of an instance.
+
+    Instances of earlier builds don't tell it.
+    """
+    code = status.get("code")
+    return f"{code['version']} {code['digest']}" if code else "unknown"
+
+
 def _format_value(value: Any) -> str:
     """Return a value as TOML."""
     if isinstance(value, list) and value and isinstance(value[0], dict):
--- a/src/foxtaildrum/commands.py
+++ b/src/foxtaildrum/commands.py
@@ -7,10 +7,10 @@
 from collections.abc import Callable
 from typing import Any
 
-from . import __version__
 from .admin.report import list_formats
 from .control.tables import TABLE_NAMES
 from .settings import add_flags
+from .versions import get_running_code
 
 EXIT_OK = 0
 EXIT_FAILED = 1
@@ -28,6 +28,15 @@
 _COMMANDS: dict[str, Command] = {}
 
 
+class PrintVersion(argparse.Action):
+    """Prints the version and the digest of the code, which is computed only if asked for."""
+
+    def __call__(self, parser: argparse.ArgumentParser, *_: Any) -> None:
+        """Print both and exit."""
+        print(get_running_code())
+        parser.exit()
+
+
 def register_command(name: str) -> Callable[[Command], Command]:
     """Register the decorated function to run the command ``name``."""
 
@@ -43,7 +52,12 @@
     parser = argparse.ArgumentParser(
         prog="foxtaildrum", description="Load balancer for servers whose load shifts quickly."
     )
-    parser.add_argument("--version", action="version", version=__version__)
+    parser.add_argument(
+        "--version",
+        action=PrintVersion,
+        nargs=0,
+        help="show the version and the digest of the code, and exit",
+    )
     commands = parser.add_subparsers(metavar="COMMAND", required=True)
     serve = _add_command(commands, "serve", "run an instance", "foxtaildrum serve --role all")
     add_flags(serve)
@@ -82,6 +96,14 @@
     _add_admin_flags(status)
     status.add_argument("--format", choices=("text", "json"), default="text")
     status.set_defaults(run=_COMMANDS["status"])
+    versions = _add_command(
+        commands,
+        "versions",
+        "show which code instances run",
+        "foxtaildrum versions --admin 10.0.0.1:8081,10.0.1.1:8081",
+    )
+    _add_admin_flags(versions)
+    versions.set_defaults(run=_COMMANDS["versions"])
     report = _add_command(
         commands,
         "report",
@@ -164,7 +186,7 @@
         "--admin",
         default=os.environ.get("FOXTAILDRUM_ADMIN", DEFAULT_ADMIN_ADDRESS),
         metavar="HOST:PORT",
-        help="admin address; report takes several, comma-separated [FOXTAILDRUM_ADMIN]",
+        help="admin address; report and versions take several, by commas [FOXTAILDRUM_ADMIN]",
     )
     parser.add_argument(
         "--operator-token-file",
--- a/src/foxtaildrum/instance.py
+++ b/src/foxtaildrum/instance.py
@@ -44,6 +44,7 @@
 from .requests.stops import StopPlan
 from .resources import check_resources, open_data_folder
 from .settings import parse_instances, read_secret
+from .versions import get_running_code
 
 ADMIN_THREADS = 8
 ADMIN_MAX_BODY_BYTES = 4 * 1024 * 1024
@@ -147,12 +148,15 @@
             threading.Thread(target=self._send_metrics, name="metrics", daemon=True).start()
         if self._network is not None and not self.settings.fleet_key_file:
             log_event("frames_unsigned", level=logging.WARNING, setting="fleet_key_file")
+        code = get_running_code()
         log_event(
             "started",
             instance=self.settings.instance_id,
             role=self.settings.role,
             callers=self.caller_server.address if self.caller_server else "-",
             admin=self.admin_server.address,
+            version=code.version,
+            code=code.digest,
         )
 
     def stop(self) -> bool:
--- a/src/foxtaildrum/logevents.py
+++ b/src/foxtaildrum/logevents.py
@@ -71,7 +71,7 @@
     ),
     "settings_refused": ("reason",),
     "settings_reloaded": ("need_restart",),
-    "started": ("instance", "role", "callers", "admin"),
+    "started": ("instance", "role", "callers", "admin", "version", "code"),
     "statsd_failed": ("reason",),
     "status_check_failed": ("upstream", "kind", "reason"),
     "stopped": ("all_requests_ended",),
