The platform's command runs the code of the checkout, or says why it can't

What callers saw: in a tree whose build was older than its checkout, the older package ran together with the newer platform/main.py, without a word. After a build by another Python each process ended with a traceback of an import.

Cause: platform/main.py imported whatever package target/deps held, and the build counted as complete by the existence and the time of a file.

Change: the checkout's package is imported, always. A copy of it with bytecode is used from target/code/DIGEST only if the digest of the checkout's files names it; else the files of the checkout are run, with the warning `build_outdated`. Libraries of another interpreter or other versions can't be replaced so: the process ends with one line that names the build command, and status 4. The build makes each folder under another name and renames it when complete, one build at a time, and knows content, versions, ABI and machine. Bytecode is bound to the folder, not to times, so a copied tree keeps it.

Weighed: a comparison at start that ends the process whenever the build is older; a deploy that forgot the build would then not serve, though it can.

--- a/scripts/build-platform.sh
+++ b/scripts/build-platform.sh
@@ -1,13 +1,5 @@
 #!/usr/bin/env bash
-# Installs the program and its runtime dependencies under target/deps.
+# Builds the program under target/: its libraries, and a copy of its code with bytecode.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-deps=target/deps
-if [ ! -e "$deps/complete" ] || [ requirements.runtime.lock -nt "$deps/complete" ]; then
-  rm -rf "$deps"
-  python3 -m pip install --quiet --target "$deps" --requirement requirements.runtime.lock
-  touch "$deps/complete"
-fi
-rm -rf "$deps/foxtaildrum"
-cp -r src/foxtaildrum "$deps/foxtaildrum"
-python3 -m compileall -q "$deps"
+exec python3 scripts/build_platform.py
--- a/src/foxtaildrum/cli.py
+++ b/src/foxtaildrum/cli.py
@@ -19,6 +19,7 @@
 from .admin.explain import explain_request, format_history
 from .admin.objectives import merge_service_levels
 from .admin.report import format_report
+from .builds import BUILD_COMMAND
 from .commands import (
     EXIT_CONFLICT,
     EXIT_FAILED,
@@ -50,6 +51,7 @@
     argv: Sequence[str] | None = None,
     reload: Callable[[], Sequence[str]] | None = None,
     listener: socket.socket | None = None,
+    build_problem: str = "",
 ) -> int:
     """Run the command line and return its exit status.
 
@@ -61,10 +63,13 @@
         Returns the current arguments when SIGHUP asks the instance to reload its settings.
     listener : socket or None
         Socket already listening on the callers' address; None opens one.
+    build_problem : str
+        Why a build beside the code isn't used, for the log; empty if there is no problem.
     """
     arguments = build_parser().parse_args(argv)
     arguments.reload = reload or (lambda: argv)
     arguments.listener = listener
+    arguments.build_problem = build_problem
     try:
         return arguments.run(arguments)
     except InvalidSettingsError as error:
@@ -90,6 +95,13 @@
     configure_logs(settings.log_level, settings.log_format, settings.log_lines_per_s)
     requests = SignalRequests()
     requests.install()
+    if arguments.build_problem:
+        log_event(
+            "build_outdated",
+            level=logging.WARNING,
+            reason=arguments.build_problem,
+            command=BUILD_COMMAND,
+        )
     try:
         instance = Instance.from_settings(settings, arguments.listener)
     except CorruptJournalError as error:
--- a/src/foxtaildrum/exceptions.py
+++ b/src/foxtaildrum/exceptions.py
@@ -109,6 +109,10 @@
     """A message holds a value that cannot be sent."""
 
 
+class UnusableBuildError(FoxtaildrumError, ImportError):
+    """The libraries of a build don't fit the code or the interpreter."""
+
+
 class AdminRequestError(FoxtaildrumError):
     """A request to the admin interface failed.
 
--- a/src/foxtaildrum/logevents.py
+++ b/src/foxtaildrum/logevents.py
@@ -71,6 +71,7 @@
     ),
     "settings_refused": ("reason",),
     "settings_reloaded": ("need_restart",),
+    "build_outdated": ("reason", "command"),
     "started": ("instance", "role", "callers", "admin", "version", "code"),
     "statsd_failed": ("reason",),
     "status_check_failed": ("upstream", "kind", "reason"),
