--- a/src/foxtaildrum/cli.py
+++ b/src/foxtaildrum/cli.py
@@ -4,21 +4,13 @@
 
 import argparse
 import dataclasses
-import json
+import importlib
 import logging
 import os
 import socket
 import sys
-import tomllib
-import uuid
 from collections.abc import Callable, Sequence
-from pathlib import Path
-from typing import Any
 
-from .admin.client import AdminClient
-from .admin.explain import explain_request, format_history
-from .admin.objectives import merge_service_levels
-from .admin.report import format_report
 from .builds import BUILD_COMMAND
 from .commands import (
     EXIT_CONFLICT,
@@ -26,24 +18,22 @@
     EXIT_OK,
     EXIT_USAGE,
     build_parser,
+    format_value,
+    is_serving,
+    print_error,
     register_command,
 )
-from .control.desired import ACCEPTED, DesiredState
-from .control.tables import TABLE_NAMES, check_references, check_table
 from .exceptions import (
-    AdminRequestError,
     CorruptJournalError,
-    FieldError,
     FoxtaildrumError,
     InvalidFieldsError,
     InvalidSettingsError,
-    InvalidTableError,
     StaleVersionError,
 )
 from .instance import Instance
 from .logs import configure_logs, log_event
 from .records import Settings
-from .settings import find_source, format_flag, load_settings, read_secret
+from .settings import find_source, format_flag, load_settings
 from .signals import SignalRequests
 
 
@@ -66,7 +56,11 @@
     build_problem : str
         Why a build beside the code isn't used, for the log; empty if there is no problem.
     """
-    arguments = build_parser().parse_args(argv)
+    argv = list(sys.argv[1:] if argv is None else argv)
+    if not is_serving(argv):
+        # An instance does not need the commands of operators, and starts faster without.
+        importlib.import_module(".operations", __package__)
+    arguments = build_parser(argv).parse_args(argv)
     arguments.reload = reload or (lambda: argv)
     arguments.listener = listener
     arguments.build_problem = build_problem
@@ -74,17 +68,17 @@
         return arguments.run(arguments)
     except InvalidSettingsError as error:
         for problem in error.exceptions:
-            _print_error(f"{format_flag(problem.field)}: {problem.reason}")
+            print_error(f"{format_flag(problem.field)}: {problem.reason}")
         return EXIT_USAGE
     except InvalidFieldsError as error:
         for problem in error.exceptions:
-            _print_error(str(problem))
+            print_error(str(problem))
         return EXIT_FAILED
     except StaleVersionError as error:
-        _print_error(f"not applied: {error}")
+        print_error(f"not applied: {error}")
         return EXIT_CONFLICT
     except (FoxtaildrumError, OSError) as error:
-        _print_error(str(error))
+        print_error(str(error))
         return EXIT_FAILED
 
 
@@ -105,7 +99,7 @@
     try:
         instance = Instance.from_settings(settings, arguments.listener)
     except CorruptJournalError as error:
-        _print_error(
+        print_error(
             f"{settings.data_dir}: {error}; see docs/OPERATIONS.md for replacing the disk"
         )
         return EXIT_FAILED
@@ -123,7 +117,7 @@
     flags = vars(arguments)
     settings = load_settings(flags, os.environ)
     for setting in dataclasses.fields(Settings):
-        value = _format_value(getattr(settings, setting.name))
+        value = format_value(getattr(settings, setting.name))
         print(f"{setting.name} = {value}  # {find_source(setting.name, flags, os.environ)}")
     return EXIT_OK
 
@@ -131,7 +125,8 @@
 def reload_settings(instance: Instance, arguments: argparse.Namespace) -> None:
     """Reload the settings of a running instance; invalid settings change nothing."""
     try:
-        new_arguments = build_parser().parse_args(arguments.reload())
+        argv = arguments.reload()
+        new_arguments = build_parser(argv).parse_args(argv)
         settings = load_settings(vars(new_arguments), os.environ)
     except (OSError, ValueError, LookupError, InvalidSettingsError) as error:
         log_event("settings_refused", level=logging.ERROR, reason=repr(error))
@@ -140,269 +135,5 @@
     log_event("settings_reloaded", need_restart=",".join(need_restart_names) or "-")
 
 
-@register_command("get")
-def run_get(arguments: argparse.Namespace) -> int:
-    """Print a table as TOML."""
-    rows, version = _build_client(arguments).get_table(arguments.table)
-    print(f"# {arguments.table}, version {version}")
-    print(format_table(arguments.table, rows), end="")
-    return EXIT_OK
-
-
-@register_command("apply")
-def run_apply(arguments: argparse.Namespace) -> int:
-    """Replace a table with the content of a file."""
-    rows = read_table(arguments.file, arguments.table)
-    check_table(arguments.table, rows)
-    client = _build_client(arguments)
-    version = arguments.if_version
-    if version is None:
-        _, version = client.get_table(arguments.table)
-    change_id = arguments.change_id or uuid.uuid4().hex
-    try:
-        first_submission = not arguments.change_id
-        print(client.put_table(arguments.table, rows, version, change_id, first_submission))
-    except AdminRequestError as error:
-        raise AdminRequestError(
-            error.status,
-            f"{error.detail}\nto retry, add --if-version {version} --change-id {change_id}",
-        ) from error
-    return EXIT_OK
-
-
-@register_command("get_tables")
-def run_get_tables(arguments: argparse.Namespace) -> int:
-    """Print both tables and the limits as TOML."""
-    document = _build_client(arguments).get_tables()
-    print(format_desired_state(document), end="")
-    return EXIT_OK
-
-
-@register_command("apply_tables")
-def run_apply_tables(arguments: argparse.Namespace) -> int:
-    """Replace both tables and the limits with the content of a file."""
-    document = read_desired_state(arguments.file)
-    if arguments.version is not None:
-        document["version"] = arguments.version
-    DesiredState.from_document(document)
-    verdict, version = _build_client(arguments).put_tables(document)
-    print(version)
-    if verdict != ACCEPTED:
-        _print_error(
-            f"version {document['version']} changes nothing: version {version} is in force"
-        )
-    return EXIT_OK
-
-
-def read_desired_state(path: str) -> dict[str, Any]:
-    """Read the desired state from a TOML file.
-
-    Raises
-    ------
-    InvalidTableError
-        When the file is not valid TOML.
-    """
-    try:
-        return tomllib.loads(Path(path).read_text("utf-8"))
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
-        raise InvalidTableError("invalid file", [FieldError(path, str(error))]) from error
-
-
-def format_desired_state(document: dict[str, Any]) -> str:
-    """Return a desired state as TOML."""
-    blocks = [f"version = {document['version']}\n"]
-    limits = document.get("limits", {})
-    if limits:
-        lines = [f"{name} = {json.dumps(value)}" for name, value in limits.items()]
-        blocks.append("\n".join(["[limits]", *lines]) + "\n")
-    blocks += [format_table(name, document[name]) for name in TABLE_NAMES]
-    return "\n".join(blocks)
-
-
-@register_command("check")
-def run_check(arguments: argparse.Namespace) -> int:
-    """Validate table files; with both tables, also the references between them."""
-    problems: list[Exception] = []
-    tables: dict[str, list[dict[str, Any]]] = {}
-    for path in arguments.files:
-        for name, rows in read_tables(path).items():
-            try:
-                check_table(name, rows)
-                tables[name] = rows
-            except InvalidTableError as error:
-                problems += [
-                    FieldError(f"{path}: {p.field}", p.reason) for p in error.exceptions
-                ]
-    if len(tables) == len(TABLE_NAMES):
-        try:
-            check_references(*({r["name"]: r for r in tables[n]} for n in TABLE_NAMES))
-        except InvalidTableError as error:
-            problems += error.exceptions
-    if problems:
-        raise InvalidTableError("invalid tables", problems)
-    print("ok: " + ", ".join(f"{len(rows)} {name}" for name, rows in tables.items()))
-    return EXIT_OK
-
-
-@register_command("explain")
-def run_explain(arguments: argparse.Namespace) -> int:
-    """Print what the logs of several instances say about one request."""
-    logs = {path: Path(path).read_text("utf-8", "replace") for path in arguments.files}
-    history = explain_request(arguments.request_id, logs)
-    print("\n".join(format_history(history)))
-    return EXIT_OK if history.lines else EXIT_FAILED
-
-
-@register_command("status")
-def run_status(arguments: argparse.Namespace) -> int:
-    """Show the state of an instance."""
-    status = _build_client(arguments).get_status()
-    if arguments.format == "json":
-        print(json.dumps(status, indent=2))
-    else:
-        print("\n".join(format_status_lines(status)))
-    return EXIT_OK
-
-
-@register_command("versions")
-def run_versions(arguments: argparse.Namespace) -> int:
-    """Print which code each of the given instances runs."""
-    is_complete = True
-    for address in arguments.admin.split(","):
-        try:
-            status = _build_client(arguments, address).get_status()
-            print(f"{address} {status['instance']} {format_code(status)}")
-        except AdminRequestError as error:
-            is_complete = False
-            print(f"{address} - {error}")
-    return EXIT_OK if is_complete else EXIT_FAILED
-
-
-@register_command("report")
-def run_report(arguments: argparse.Namespace) -> int:
-    """Print the burn rates of each route, summed over the given instances."""
-    by_route: dict[str, list[dict[str, Any]]] = {}
-    for address in arguments.admin.split(","):
-        for level in _build_client(arguments, address).get_report():
-            by_route.setdefault(level["route"], []).append(level)
-    levels = [merge_service_levels(documents) for documents in by_route.values()]
-    print(format_report(levels, arguments.format), end="")
-    return EXIT_OK
-
-
-def read_tables(path: str) -> dict[str, Any]:
-    """Read the tables from a TOML file.
-
-    Raises
-    ------
-    InvalidTableError
-        When the file is not valid TOML, has an unknown table or has no table.
-    """
-    try:
-        document = tomllib.loads(Path(path).read_text("utf-8"))
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
-        raise InvalidTableError("invalid file", [FieldError(path, str(error))]) from error
-    unknown = [
-        FieldError(f"{path}: {name}", "unknown table; expected routes or pools")
-        for name in document
-        if name not in TABLE_NAMES
-    ]
-    if unknown:
-        raise InvalidTableError("invalid file", unknown)
-    if not document:
-        raise InvalidTableError("invalid file", [FieldError(path, "contains no table")])
-    return document
-
-
-def read_table(path: str, name: str) -> Any:
-    """Read the rows of one table from a TOML file."""
-    tables = read_tables(path)
-    if name not in tables:
-        raise InvalidTableError("invalid file", [FieldError(path, f"contains no {name} table")])
-    return tables[name]
-
-
-def format_table(name: str, rows: list[dict[str, Any]]) -> str:
-    """Return a table as TOML."""
-    blocks = []
-    for row in rows:
-        lines = [f"[[{name}]]"]
-        lines += [f"{k} = {_format_value(v)}" for k, v in row.items() if v is not None]
-        blocks.append("\n".join(lines) + "\n")
-    return "\n".join(blocks)
-
-
-def format_status_lines(status: dict[str, Any]) -> list[str]:
-    """Return the status document as text lines."""
-    ready = "ready" if status["ready"] else "unready: " + "; ".join(status["unready_reasons"])
-    age_s = status["table_age_s"]
-    age = "unknown" if age_s is None else f"{age_s:.1f} s"
-    lines = [
-        f"instance {status['instance']} ({status['role']}, "
-        f"zone {status['availability_zone']}): {ready}",
-        f"code: {format_code(status)}",
-        f"tables: index {status['table_index']}, age {age}",
-    ]
-    for name, table in status["tables"].items():
-        lines.append(
-            f"  {name}: version {table['version']}, {table['rows']} rows, "
-            f"changed by {table['changed_by'] or '-'}"
-        )
-    control = status.get("control")
-    if control:
-        lines.append(
-            f"control: {control['role']}, term {control['term']}, "
-            f"leader {control['leader'] or '-'}, commit {control['commit_index']}, "
-            f"disk {'admitted' if control['disk_admitted'] else 'not admitted'}, "
-            f"{control['claims']} claims"
-            f"{'' if control['claims_recovered'] else ', not recovered'}"
-        )
-    lines.append("members:")
-    lines += [
-        f"  {m['instance']}: {m['state']}, {m['role']}, zone {m['availability_zone']}"
-        for m in status["members"]
-    ]
-    for pool in status["pools"]:
-        lines.append(
-            f"pool {pool['pool']}: policy {pool['policy']}, {pool['waiting']} waiting, "
-            f"mean service {pool['mean_service_ms']:.1f} ms"
-        )
-        lines += [
-            f"  {u['upstream']}: {u['state']}{', ejected' if u['ejected'] else ''}, "
-            f"{u['in_flight']}/{u['slots']} slots"
-            for u in pool["upstreams"]
-        ]
-    return lines
-
-
-def format_code(status: dict[str, Any]) -> str:
-    """Return the version and the digest of the code of an instance.
-
-    Instances of earlier builds don't tell it.
-    """
-    code = status.get("code")
-    return f"{code['version']} {code['digest']}" if code else "unknown"
-
-
-def _format_value(value: Any) -> str:
-    """Return a value as TOML."""
-    if isinstance(value, list) and value and isinstance(value[0], dict):
-        items = [
-            "{ " + ", ".join(f"{k} = {json.dumps(v)}" for k, v in item.items()) + " }"
-            for item in value
-        ]
-        return "[" + ", ".join(items) + "]"
-    return json.dumps(value)
-
-
-def _build_client(arguments: argparse.Namespace, address: str = "") -> AdminClient:
-    token = read_secret(arguments.operator_token_file).decode()
-    return AdminClient(address or arguments.admin, token)
-
-
-def _print_error(text: str) -> None:
-    print(f"foxtaildrum: {text}", file=sys.stderr)
-
-
 if __name__ == "__main__":
     sys.exit(main())
--- a/src/foxtaildrum/commands.py
+++ b/src/foxtaildrum/commands.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import argparse
+import json
 import os
-from collections.abc import Callable
+import sys
+from collections.abc import Callable, Sequence
 from typing import Any
 
-from .admin.report import list_formats
 from .control.tables import TABLE_NAMES
 from .settings import add_flags
 from .versions import get_running_code
@@ -47,8 +48,19 @@
     return register
 
 
-def build_parser() -> argparse.ArgumentParser:
-    """Return the parser of the command line."""
+def is_serving(argv: Sequence[str]) -> bool:
+    """Return whether arguments run an instance."""
+    return list(argv[:1]) == ["serve"]
+
+
+def build_parser(argv: Sequence[str]) -> argparse.ArgumentParser:
+    """Return the parser of the command line.
+
+    Parameters
+    ----------
+    argv : list of str
+        Arguments that will be parsed; if they run an instance, the parser knows only that.
+    """
     parser = argparse.ArgumentParser(
         prog="foxtaildrum", description="Load balancer for servers whose load shifts quickly."
     )
@@ -62,6 +74,12 @@
     serve = _add_command(commands, "serve", "run an instance", "foxtaildrum serve --role all")
     add_flags(serve)
     serve.set_defaults(run=_COMMANDS["serve"])
+    if not is_serving(argv):
+        _add_other_commands(commands)
+    return parser
+
+
+def _add_other_commands(commands: Any) -> None:
     settings = _add_command(
         commands,
         "settings",
@@ -104,6 +122,8 @@
     )
     _add_admin_flags(versions)
     versions.set_defaults(run=_COMMANDS["versions"])
+    from .admin.report import list_formats
+
     report = _add_command(
         commands,
         "report",
@@ -113,7 +133,22 @@
     _add_admin_flags(report)
     report.add_argument("--format", choices=list_formats(), default="text")
     report.set_defaults(run=_COMMANDS["report"])
-    return parser
+
+
+def print_error(text: str) -> None:
+    """Print an error of a command."""
+    print(f"foxtaildrum: {text}", file=sys.stderr)
+
+
+def format_value(value: Any) -> str:
+    """Return a value as TOML."""
+    if isinstance(value, list) and value and isinstance(value[0], dict):
+        items = [
+            "{ " + ", ".join(f"{k} = {json.dumps(v)}" for k, v in item.items()) + " }"
+            for item in value
+        ]
+        return "[" + ", ".join(items) + "]"
+    return json.dumps(value)
 
 
 def _add_command(
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -12,8 +12,9 @@
 import pytest
 
 import foxtaildrum
-from foxtaildrum.cli import format_code, main
+from foxtaildrum.cli import main
 from foxtaildrum.commands import EXIT_FAILED, EXIT_OK
+from foxtaildrum.operations import format_code
 from foxtaildrum.versions import compute_digest, get_running_code
 
 from .sites import open_site
