--- a/src/foxtaildrum/control/table_follower.py
+++ b/src/foxtaildrum/control/table_follower.py
@@ -8,12 +8,12 @@
 
 from typing import Any
 
-import msgpack
-
 from ..events import Send
+from ..exceptions import SnapshotError
 from ..records import FollowEntries, FollowPiece, FollowRequest
 from ..sizes import measure_record, split_batches
 from .desired import DesiredPatch, apply_patch
+from .snapshots import pack_snapshot, unpack_snapshot
 from .tables import Patch, Tables
 from .windows import WINDOW_BYTES, EntryWindow
 
@@ -57,8 +57,9 @@
 
     def restore(self, captured: Any) -> None:
         """Replace the state by a captured one."""
+        tables = Tables.from_wire(captured[1])
         self.group_id = captured[0]
-        self.tables = Tables.from_wire(captured[1])
+        self.tables = tables
 
 
 class TableFollower:
@@ -183,7 +184,14 @@
         return bool(message.entries) and message.entries[0][0] > self.index + 1
 
     def handle_piece(self, now: float, peer: str, message: FollowPiece) -> list[Send]:
-        """Store a piece of the tables; request the next one, or install the tables."""
+        """Store a piece of the tables; request the next one, or install the tables.
+
+        Raises
+        ------
+        SnapshotError
+            When the pieces, which may come from several neighbours, don't make up tables.
+            They are discarded, and requested from the start next time.
+        """
         if not self.fetches_entries or not self._accept_group(message.group_id):
             return []
         if message.index <= self.index:
@@ -197,10 +205,14 @@
         self._pieces += message.piece
         if not message.final:
             return [self._build_request(now, peer)]
-        self.state.restore(msgpack.unpackb(bytes(self._pieces), strict_map_key=False))
+        data = bytes(self._pieces)
         self._pieces.clear()
-        self.handle_replaced(message.index)
         self._requested_at = float("-inf")
+        try:
+            self.state.restore(unpack_snapshot(data))
+        except (LookupError, TypeError, ValueError) as error:
+            raise SnapshotError(f"the tables cannot be restored: {error!r}") from error
+        self.handle_replaced(message.index)
         return []
 
     def build_pushes(self, entries: list[Any]) -> list[FollowEntries]:
@@ -237,12 +249,10 @@
         return Send(peer, request)
 
     def _send_piece(self, peer: str, message: FollowRequest) -> Send:
-        if message.snapshot_index and message.snapshot_index == self._packed_state[0]:
-            offset = message.offset
-        else:
-            offset = 0
+        if not self._can_continue(message):
             self._pack_state()
         index, data = self._packed_state
+        offset = message.offset if self._can_continue(message) else 0
         end = offset + PIECE_BYTES
         reply = FollowPiece(
             group_id=self.state.group_id,
@@ -253,6 +263,11 @@
         )
         return Send(peer, reply)
 
+    def _can_continue(self, message: FollowRequest) -> bool:
+        """Return whether a piece of the packed tables is requested."""
+        index, data = self._packed_state
+        return 0 < message.snapshot_index == index and message.offset < len(data)
+
     def _pack_state(self) -> None:
         """Pack the tables, unless others can continue from those that are packed.
 
@@ -265,4 +280,4 @@
         if packed_index >= 0 and self._recent_entries.reaches_back_to(packed_index):
             return
         captured = self.state.capture(with_answers=False)
-        self._packed_state = (self.index, msgpack.packb(captured))
+        self._packed_state = (self.index, pack_snapshot(captured))
--- a/src/foxtaildrum/exceptions.py
+++ b/src/foxtaildrum/exceptions.py
@@ -97,6 +97,10 @@
     """A journal is damaged before its last record."""
 
 
+class SnapshotError(FoxtaildrumError):
+    """The bytes of a snapshot of the tables are not those that an instance packed."""
+
+
 class FrameError(FoxtaildrumError):
     """A frame is malformed, too large, replayed or has a wrong signature."""
 
--- a/src/foxtaildrum/fleet/actions.py
+++ b/src/foxtaildrum/fleet/actions.py
@@ -81,7 +81,7 @@
     Parameters
     ----------
     subject : str
-        Kind of the record: upstream, member or crash.
+        Kind of the record: upstream, member, crash or tables.
     source : str
         Instance that sent it, or ``disk``.
     """
--- a/src/foxtaildrum/fleet/relaying.py
+++ b/src/foxtaildrum/fleet/relaying.py
@@ -5,7 +5,8 @@
 from .. import records as r
 from ..control.table_follower import TableFollower, TableState
 from ..events import Committed, Send
-from .actions import ActionQueue
+from ..exceptions import SnapshotError
+from .actions import ActionQueue, RecordSkipped
 from .membership import LocalSummary, Membership
 from .parts import Part, handles
 
@@ -75,7 +76,10 @@
     @handles(r.FollowPiece)
     def handle_piece(self, now: float, peer: str, message: r.FollowPiece) -> None:
         """Handle a piece of a snapshot."""
-        self._actions.extend(self._follower.handle_piece(now, peer, message))
+        try:
+            self._actions.extend(self._follower.handle_piece(now, peer, message))
+        except SnapshotError as error:
+            self._actions.append(RecordSkipped("tables", peer, str(error)))
         self._actions.extend(self._follower.request_rest(now, peer))
 
     def _push(self, entries: list[list], sender: str) -> None:
