A log that can't be compacted for want of room goes on growing

What operators see: no change is acknowledged any more although the disks have room for it.

Where the disk lacks the room for that, the write failed, and with it the instance's vote. All control instances compact after the same entry, so that with disks of one size the whole group failed at once; it came back only when each disk had room for the whole state.

Change: the file that was not replaced still has its content. A compaction says which record to append in its place (`substitute`); the instance goes on, logs `journal_not_compacted`, and tries again after as many entries as before. If only the sync of the folder fails, nobody knows which file a loss of power leaves: that is a failure as before (FileNotReplacedError tells the two apart).

--- a/src/foxtaildrum/control/consensus.py
+++ b/src/foxtaildrum/control/consensus.py
@@ -79,7 +79,7 @@
         self.role = Role.FAILED
         self.leader_id = ""
         self._gate.clear()
-        self._needs_rewrite = False
+        self._needs_rewrite = self._is_compacted = False
         self._rewrite_at = now + DISK_RETRY_PERIOD_S
 
     # While the disk fails, this instance neither votes nor acknowledges anything. What it holds
--- a/src/foxtaildrum/control/gate.py
+++ b/src/foxtaildrum/control/gate.py
@@ -53,7 +53,10 @@
         return len(self._batch)
 
     def flush(
-        self, end_position: int, rewritten: list[list[Any]] | None
+        self,
+        end_position: int,
+        rewritten: list[list[Any]] | None,
+        is_compaction: bool = False,
     ) -> list[Persist | Rewrite | Send]:
         """Return the next write, if any, and the messages that wait for no sync.
 
@@ -64,10 +67,13 @@
         rewritten : list or None
             Records that replace the whole journal, including those of the batch; None to
             append the batch.
+        is_compaction : bool
+            Whether the rewritten records only shorten the journal, so that the batch can be
+            appended instead.
         """
         actions: list[Persist | Rewrite | Send] = []
         if self._batch or rewritten is not None:
-            actions.append(self._build_write(end_position, rewritten))
+            actions.append(self._build_write(end_position, rewritten, is_compaction))
         held, self._held_sends = self._held_sends, []
         if self.writes:
             self.writes[max(self.writes)].sends.extend(held)
@@ -86,11 +92,12 @@
         self._held_sends.clear()
 
     def _build_write(
-        self, end_position: int, rewritten: list[list[Any]] | None
+        self, end_position: int, rewritten: list[list[Any]] | None, is_compaction: bool
     ) -> Persist | Rewrite:
         self._token += 1
         self.writes[self._token] = PendingWrite(end_position)
-        batch, self._batch = self._batch, []
+        batch: list[Any] = ["batch", *self._batch]
+        self._batch = []
         if rewritten is not None:
-            return Rewrite(self._token, rewritten)
-        return Persist(self._token, ["batch", *batch])
+            return Rewrite(self._token, rewritten, batch if is_compaction else None)
+        return Persist(self._token, batch)
--- a/src/foxtaildrum/control/group.py
+++ b/src/foxtaildrum/control/group.py
@@ -155,6 +155,7 @@
         self._synced_index = self.log.last_index
         self._gate = SyncGate()
         self._needs_rewrite = False
+        self._is_compacted = False
         self._rewrite_at = now
         self._actions: list[Action] = []
         self._probed_disks: dict[str, str] = {}
@@ -326,7 +327,7 @@
         self.log.compact(self.applied_index, term)
         for peer in self._peers.values():
             peer.offset = 0
-        self._needs_rewrite = True
+        self._is_compacted = True
 
     def _truncate_log(self, last_index: int) -> None:
         if last_index >= self.log.last_index:
@@ -360,6 +361,8 @@
 
     def _flush(self) -> list[Action]:
         actions, self._actions = self._actions, []
-        rewritten = self._build_journal_records() if self._needs_rewrite else None
-        self._needs_rewrite = False
-        return actions + self._gate.flush(self.log.last_index, rewritten)
+        is_compaction = self._is_compacted and not self._needs_rewrite
+        is_rewritten = is_compaction or self._needs_rewrite
+        rewritten = self._build_journal_records() if is_rewritten else None
+        self._needs_rewrite = self._is_compacted = False
+        return actions + self._gate.flush(self.log.last_index, rewritten, is_compaction)
--- a/src/foxtaildrum/control/holder.py
+++ b/src/foxtaildrum/control/holder.py
@@ -274,7 +274,7 @@
         if self._record_count > COMPACT_RECORDS + 2 * len(self.claims):
             rewritten = self._build_journal_records()
             self._record_count = len(rewritten)
-        return self._gate.flush(self._record_count, rewritten)
+        return self._gate.flush(self._record_count, rewritten, is_compaction=True)
 
     def _build_journal_records(self) -> list[list[Any]]:
         records: list[list[Any]] = [["claim", c.to_wire()] for c in self.claims.values()]
--- a/src/foxtaildrum/control/journal.py
+++ b/src/foxtaildrum/control/journal.py
@@ -15,7 +15,7 @@
 from collections.abc import Callable, Iterable
 from typing import Protocol
 
-from ..exceptions import CorruptJournalError
+from ..exceptions import CorruptJournalError, FileNotReplacedError
 from ..logs import log_event
 
 DAMAGED_SUFFIX = ".damaged"
@@ -90,18 +90,25 @@
             raise
 
     def replace(self, name: str, data: bytes) -> None:
-        """Replace the whole file atomically and sync it."""
+        """Replace the whole file atomically and sync it.
+
+        Raises
+        ------
+        FileNotReplacedError
+            When the file still has its content. After any other error it is unknown which
+            content a loss of power leaves.
+        """
         temporary = self._path(name + TEMPORARY_SUFFIX)
         try:
             with open(temporary, "wb") as file:
                 file.write(data)
                 file.flush()
                 os.fsync(file.fileno())
-        except OSError:
+        except OSError as error:
             # What was written takes up room on a disk that is full.
             with contextlib.suppress(OSError):
                 os.unlink(temporary)
-            raise
+            raise FileNotReplacedError(*error.args) from error
         self._close(name)
         os.replace(temporary, self._path(name))
         self._sync_folder()
--- a/src/foxtaildrum/control/storage.py
+++ b/src/foxtaildrum/control/storage.py
@@ -11,6 +11,7 @@
 import msgpack
 import pykka
 
+from ..exceptions import FileNotReplacedError
 from ..fleet.actions import UPSTREAM_STREAM, Write
 from ..logs import log_event
 from ..sizes import ENCODING_ERRORS
@@ -95,7 +96,26 @@
         if packed is None:
             self._report(WriteCompleted(write.stream, write.token, failed=True))
             return
-        self._run_and_report([write], lambda: journal.replace(packed), replaces=True)
+        if write.substitute is None or write.stream in self._failed_streams:
+            self._run_and_report([write], lambda: journal.replace(packed), replaces=True)
+            return
+        self._run_and_report([write], lambda: self._compact(write, packed))
+
+    def _compact(self, write: Write, packed: list[bytes]) -> None:
+        """Replace a journal by a shorter one; without the room for it, append what is new."""
+        journal = self._journals[write.stream]
+        try:
+            journal.replace(packed)
+        except FileNotReplacedError as error:
+            log_event(
+                "journal_not_compacted",
+                level=logging.WARNING,
+                stream=write.stream,
+                reason=str(error),
+            )
+            _, *items = write.substitute
+            if items:
+                journal.append(msgpack.packb(write.substitute))
 
     def _pack_each(self, write: Write) -> list[bytes] | None:
         """Return the records of a write, without those that cannot be encoded.
--- a/src/foxtaildrum/events.py
+++ b/src/foxtaildrum/events.py
@@ -88,10 +88,18 @@
 
 @dataclass(slots=True)
 class Rewrite:
-    """Replace the content of the journal by these records and sync it."""
+    """Replace the content of the journal by these records and sync it.
+
+    Parameters
+    ----------
+    substitute : list or None
+        Record to append if the disk refuses the replacement, where that only makes the journal
+        shorter; None where the replacement is needed.
+    """
 
     token: int
     records: list[list[Any]]
+    substitute: list[Any] | None = None
 
 
 @dataclass(slots=True)
--- a/src/foxtaildrum/exceptions.py
+++ b/src/foxtaildrum/exceptions.py
@@ -97,6 +97,10 @@
     """A journal is damaged before its last record."""
 
 
+class FileNotReplacedError(FoxtaildrumError, OSError):
+    """A file could not be replaced; it still has its content."""
+
+
 class SnapshotError(FoxtaildrumError):
     """The bytes of a snapshot of the tables are not those that an instance packed."""
 
--- a/src/foxtaildrum/fleet/actions.py
+++ b/src/foxtaildrum/fleet/actions.py
@@ -9,7 +9,7 @@
 from ..control.claimer import ClaimCompleted
 from ..control.proposals import ChangeCompleted
 from ..control.reads import ReadCompleted
-from ..events import Send
+from ..events import Rewrite, Send
 from ..records import PermitReply
 from .receipts import ReceiptsCompleted
 
@@ -21,12 +21,24 @@
 
 @dataclass(slots=True)
 class Write:
-    """Append records to a journal, or replace the journal by them, and sync it."""
+    """Append records to a journal, or replace the journal by them, and sync it.
+
+    Parameters
+    ----------
+    substitute : list or None
+        Record to append if the disk refuses a replacement; None where it is needed.
+    """
 
     stream: str
     token: int
     records: list[list[Any]]
     replace: bool
+    substitute: list[Any] | None = None
+
+
+def build_rewrite(stream: str, action: Rewrite) -> Write:
+    """Return the write that replaces the journal of a stream."""
+    return Write(stream, action.token, action.records, True, action.substitute)
 
 
 @dataclass(slots=True)
--- a/src/foxtaildrum/fleet/claiming.py
+++ b/src/foxtaildrum/fleet/claiming.py
@@ -9,7 +9,7 @@
 from ..control.claimer import Claimer
 from ..control.holder import ClaimHolder
 from ..events import Persist, Rewrite, Send
-from .actions import CLAIM_STREAM, ActionQueue, Write
+from .actions import CLAIM_STREAM, ActionQueue, Write, build_rewrite
 from .parts import Part, handles
 
 
@@ -96,7 +96,7 @@
             elif isinstance(action, Persist):
                 self._actions.add(Write(CLAIM_STREAM, action.token, [action.record], False))
             elif isinstance(action, Rewrite):
-                self._actions.add(Write(CLAIM_STREAM, action.token, action.records, True))
+                self._actions.add(build_rewrite(CLAIM_STREAM, action))
             else:
                 self._actions.add(action)
 
--- a/src/foxtaildrum/fleet/node.py
+++ b/src/foxtaildrum/fleet/node.py
@@ -39,7 +39,15 @@
     Tick,
 )
 from ..exceptions import FrameError
-from .actions import CLAIM_STREAM, LOG_STREAM, UPSTREAM_STREAM, Action, ActionQueue, Write
+from .actions import (
+    CLAIM_STREAM,
+    LOG_STREAM,
+    UPSTREAM_STREAM,
+    Action,
+    ActionQueue,
+    Write,
+    build_rewrite,
+)
 from .announcing import UpstreamPart
 from .claiming import ClaimPart
 from .comparing import ListComparison
@@ -520,7 +528,7 @@
             elif isinstance(action, Persist):
                 self._actions.add(Write(LOG_STREAM, action.token, [action.record], False))
             elif isinstance(action, Rewrite):
-                self._actions.add(Write(LOG_STREAM, action.token, action.records, True))
+                self._actions.add(build_rewrite(LOG_STREAM, action))
             elif isinstance(action, ProposalCompleted):
                 self.proposer.handle_completed(action)
             elif isinstance(action, ReadIndexResolved):
--- a/src/foxtaildrum/logevents.py
+++ b/src/foxtaildrum/logevents.py
@@ -32,6 +32,7 @@
     "leader_changed": ("leader", "term", "role"),
     "lines_left_out": ("left_out", "count"),
     "member_changed": ("member", "state"),
+    "journal_not_compacted": ("stream", "reason"),
     "leave_confirmed": ("upstream", "state", "incarnation", "stored", "holders"),
     "links_lost": ("pools",),
     "links_restored": ("pools",),
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -24,7 +24,7 @@
 from foxtaildrum.control.storage import JournalWriter, WriteCompleted
 from foxtaildrum.control.tables import Change
 from foxtaildrum.events import Send
-from foxtaildrum.exceptions import FrameError
+from foxtaildrum.exceptions import FileNotReplacedError, FrameError
 from foxtaildrum.fleet.actions import CLAIM_STREAM, LOG_STREAM, UPSTREAM_STREAM, Write
 from foxtaildrum.fleet.membership import Member, MemberState
 from foxtaildrum.fleet.messages import decode_message, encode_message
@@ -62,7 +62,7 @@
 
     def replace(self, name: str, data: bytes) -> None:
         if self.failing:
-            raise OSError("the disk failed")
+            raise FileNotReplacedError("the disk failed")
         self.files[name] = data
 
     def set_aside(self, name: str) -> None:
