Signals are handled before the program is imported

Cause: the handlers were installed after the imports and the parsing of the settings, a third of a second after the start.

Change: the module `launch` installs them first, on the platform and in the installed program, and hands what they received to the command. A reload that came meanwhile is done once the instance runs; a stop ends the start, with status 0. Exit statuses stand in a module that imports nothing.

Not covered: the first hundredths of a second, in which the interpreter itself starts.

--- a/src/foxtaildrum/__main__.py
+++ b/src/foxtaildrum/__main__.py
@@ -2,6 +2,6 @@
 
 import sys
 
-from .cli import main
+from .launch import main
 
 sys.exit(main())
--- a/src/foxtaildrum/builds.py
+++ b/src/foxtaildrum/builds.py
@@ -18,6 +18,7 @@
 import re
 import sys
 
+from .exits import EXIT_UNUSABLE_BUILD
 from .versions import get_running_code
 
 BUILD_COMMAND = "bash scripts/build-platform.sh"
@@ -25,7 +26,6 @@
 CODE_FOLDER = os.path.join("target", "code")
 REQUIREMENTS_FILE = "requirements.runtime.lock"
 RECORD_FILE = "build.json"
-EXIT_UNUSABLE_BUILD = 4
 
 
 class LibraryRecord:
--- a/src/foxtaildrum/cli.py
+++ b/src/foxtaildrum/cli.py
@@ -7,16 +7,11 @@
 import importlib
 import logging
 import os
-import socket
 import sys
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 
 from .builds import BUILD_COMMAND
 from .commands import (
-    EXIT_CONFLICT,
-    EXIT_FAILED,
-    EXIT_OK,
-    EXIT_USAGE,
     build_parser,
     format_value,
     is_serving,
@@ -30,40 +25,32 @@
     InvalidSettingsError,
     StaleVersionError,
 )
+from .exits import EXIT_CONFLICT, EXIT_FAILED, EXIT_OK, EXIT_USAGE
 from .instance import Instance
+from .launch import Launch
 from .logs import configure_logs, log_event
 from .records import Settings
 from .settings import find_source, format_flag, load_settings
 from .signals import SignalRequests
 
 
-def main(
-    argv: Sequence[str] | None = None,
-    reload: Callable[[], Sequence[str]] | None = None,
-    listener: socket.socket | None = None,
-    build_problem: str = "",
-) -> int:
+def main(argv: Sequence[str] | None = None, launch: Launch | None = None) -> int:
     """Run the command line and return its exit status.
 
     Parameters
     ----------
     argv : list of str or None
         Arguments; None takes those of the process.
-    reload : callable or None
-        Returns the current arguments when SIGHUP asks the instance to reload its settings.
-    listener : socket or None
-        Socket already listening on the callers' address; None opens one.
-    build_problem : str
-        Why a build beside the code isn't used, for the log; empty if there is no problem.
+    launch : Launch or None
+        What was set up before; None if nothing was.
     """
     argv = list(sys.argv[1:] if argv is None else argv)
     if not is_serving(argv):
         # An instance does not need the commands of operators, and starts faster without.
         importlib.import_module(".operations", __package__)
     arguments = build_parser(argv).parse_args(argv)
-    arguments.reload = reload or (lambda: argv)
-    arguments.listener = listener
-    arguments.build_problem = build_problem
+    arguments.argv = argv
+    arguments.launch = launch or Launch(SignalRequests())
     try:
         return arguments.run(arguments)
     except InvalidSettingsError as error:
@@ -87,17 +74,20 @@
     """Run an instance until SIGTERM or SIGINT; a second signal exits at once."""
     settings = load_settings(vars(arguments), os.environ)
     configure_logs(settings.log_level, settings.log_format, settings.log_lines_per_s)
-    requests = SignalRequests()
+    launch = arguments.launch
+    requests = launch.signals
     requests.install()
-    if arguments.build_problem:
+    if launch.build_problem:
         log_event(
             "build_outdated",
             level=logging.WARNING,
-            reason=arguments.build_problem,
+            reason=launch.build_problem,
             command=BUILD_COMMAND,
         )
+    if requests.stop_requested:
+        return EXIT_OK
     try:
-        instance = Instance.from_settings(settings, arguments.listener)
+        instance = Instance.from_settings(settings, launch.listener)
     except CorruptJournalError as error:
         print_error(
             f"{settings.data_dir}: {error}; see docs/OPERATIONS.md for replacing the disk"
@@ -125,7 +115,7 @@
 def reload_settings(instance: Instance, arguments: argparse.Namespace) -> None:
     """Reload the settings of a running instance; invalid settings change nothing."""
     try:
-        argv = arguments.reload()
+        argv = (arguments.launch.read_arguments or (lambda: arguments.argv))()
         new_arguments = build_parser(argv).parse_args(argv)
         settings = load_settings(vars(new_arguments), os.environ)
     except (OSError, ValueError, LookupError, InvalidSettingsError) as error:
--- a/src/foxtaildrum/commands.py
+++ b/src/foxtaildrum/commands.py
@@ -10,13 +10,10 @@
 from typing import Any
 
 from .control.tables import TABLE_NAMES
+from .exits import EXIT_CONFLICT, EXIT_FAILED, EXIT_OK, EXIT_USAGE
 from .settings import add_flags
 from .versions import get_running_code
 
-EXIT_OK = 0
-EXIT_FAILED = 1
-EXIT_USAGE = 2
-EXIT_CONFLICT = 3
 EXIT_CODES = (
     f"exit status: {EXIT_OK} done, {EXIT_FAILED} failed, {EXIT_USAGE} invalid flags or settings"
 )
--- a/src/foxtaildrum/operations.py
+++ b/src/foxtaildrum/operations.py
@@ -13,10 +13,11 @@
 from .admin.explain import explain_request, format_history
 from .admin.objectives import merge_service_levels
 from .admin.report import format_report
-from .commands import EXIT_FAILED, EXIT_OK, format_value, print_error, register_command
+from .commands import format_value, print_error, register_command
 from .control.desired import ACCEPTED, DesiredState
 from .control.tables import TABLE_NAMES, check_references, check_table
 from .exceptions import AdminRequestError, FieldError, InvalidTableError
+from .exits import EXIT_FAILED, EXIT_OK
 from .settings import read_secret
 
 
--- a/src/foxtaildrum/signals.py
+++ b/src/foxtaildrum/signals.py
@@ -8,7 +8,7 @@
 import signal
 from typing import Any
 
-from .commands import EXIT_FAILED
+from .exits import EXIT_FAILED
 
 READ_BYTES = 4096
 
--- a/tests/test_nearly_full_disks.py
+++ b/tests/test_nearly_full_disks.py
@@ -114,7 +114,9 @@
     for name in fleet.control:
         fleet.hosts[name].disk.capacity *= 4
     assert fleet.run_until(lambda: Role.FAILED not in list_roles(fleet), 5.0)
-    assert fleet.run_until(lambda: (fleet.read_desired("c1") or 0) >= number, 15.0), fleet.describe()
+    assert fleet.run_until(lambda: (fleet.read_desired("c1") or 0) >= number, 15.0), (
+        fleet.describe()
+    )
     assert put(fleet, number + 2)
 
 
