An upstream that asks for rest is heard also where its refusal isn't used

Cause: what the head of a response states was recorded only once its body had been read, so not if the body broke off; not at all for a copy that was cancelled because another was answered, although its response lay in the socket; and not for a status check whose refusal came after its time limit.

Change: the statements of a head are recorded before the body is read; of a cancelled copy a head that has arrived is read before the connection is closed; a late response to a status check still asks for rest (its load is out of date), and no check is sent after it. What is still on its way when a copy is cancelled stays unheard.

Tests: three in tests/test_rest.py, with scripted upstreams; all fail before.

--- a/src/foxtaildrum/balancing/samples.py
+++ b/src/foxtaildrum/balancing/samples.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import select
+from functools import partial
 
 from ..clock import read_clock
 from ..logs import log_event
@@ -153,6 +154,11 @@
                 result.answered = True
                 self._pool.record_unanswered_check(read_clock(), upstream)
             return None
+        if read_clock() < upstream.rests_until:
+            # A late response that was read first has asked for that.
+            result.answered = True
+            connections.release(read_clock(), connection)
+            return None
         try:
             connection.send(request, SAMPLE_TIMEOUT_S)
         except TransportError:
@@ -179,7 +185,8 @@
                 self._handle_response(pending.pop(descriptor))
         for check in pending.values():
             connections = self._pool.get_connections(check.upstream)
-            connections.hold_late(read_clock(), check.connection, self._check_head)
+            handle_head = partial(self._handle_late_head, check.upstream)
+            connections.hold_late(read_clock(), check.connection, handle_head)
             result.silent.append(check.upstream)
 
     def _handle_response(self, check: _PendingCheck) -> None:
@@ -206,9 +213,7 @@
         if answering_id and answering_id != check.upstream.upstream_id:
             self._pool.record_moved(now, check.upstream)
             return
-        rest_s = self._dialect.read_rest(head.status, head.all_headers)
-        if rest_s is not None:
-            self._pool.record_rest(now, check.upstream, rest_s)
+        self._record_rest(now, check.upstream, head)
         limit_per_s = self._dialect.read_rate_limit(head.all_headers)
         if limit_per_s is not None:
             self._pool.record_rate_limit(now, check.upstream, limit_per_s, took_permit=False)
@@ -216,6 +221,18 @@
         draining = self._dialect.states_draining(head.all_headers)
         self._pool.record_response(now, check.upstream, report, draining)
 
+    def _record_rest(self, now: float, upstream: UpstreamLoad, head: Head) -> None:
+        rest_s = self._dialect.read_rest(head.status, head.all_headers)
+        if rest_s is not None:
+            self._pool.record_rest(now, upstream, rest_s)
+
+    def _handle_late_head(
+        self, upstream: UpstreamLoad, connection: Connection, head: Head
+    ) -> None:
+        """Record the rest that a late refusal asks for; what else it states is out of date."""
+        self._check_head(connection, head)
+        self._record_rest(read_clock(), upstream, head)
+
     def _check_head(self, connection: Connection, head: Head) -> None:
         """Refuse a late copy of an answer to a request: status checks have no identifier."""
         check_identifier(self._dialect, connection, head.all_headers, "")
--- a/src/foxtaildrum/requests/attempts.py
+++ b/src/foxtaildrum/requests/attempts.py
@@ -34,16 +34,28 @@
 
     Attributes
     ----------
+    is_sent : bool
+        Whether the whole request was sent.
     body : file, bytes or None
         Complete body, or None if it is relayed as ``chunks`` while it arrives.
     """
 
-    __slots__ = ("body", "chunks", "connection", "granted_at", "head", "number", "released")
+    __slots__ = (
+        "body",
+        "chunks",
+        "connection",
+        "granted_at",
+        "head",
+        "is_sent",
+        "number",
+        "released",
+    )
 
     def __init__(self, number: int, granted_at: float) -> None:
         self.number = number
         self.granted_at = granted_at
         self.released = False
+        self.is_sent = False
         self.connection: Connection | None = None
         self.head: Head | None = None
         self.body: IO[bytes] | bytes | None = None
@@ -54,6 +66,11 @@
         """Upstream that serves the attempt, as far as it is known."""
         raise NotImplementedError
 
+    @property
+    def awaits_head(self) -> bool:
+        """Whether the request was sent and no head of its response was read."""
+        return self.is_sent and self.head is None
+
     def get_connections(self) -> ConnectionPool:
         """Return the connections to use."""
         raise NotImplementedError
--- a/src/foxtaildrum/requests/dispatch.py
+++ b/src/foxtaildrum/requests/dispatch.py
@@ -28,12 +28,14 @@
     Head,
     OutgoingRequest,
     TransportError,
+    has_input,
     refuses_connections,
 )
 
 CONNECT_TIMEOUT_S = 0.4
 CALLER_POLL_S = 0.05
 CRASH_CHECK_TIMEOUT_S = 0.1
+UNUSED_HEAD_TIMEOUT_S = 0.005
 # Responses with a declared length up to this are read completely before they are relayed.
 PREFETCH_BYTES = 262_144
 
@@ -267,6 +269,7 @@
             attempt.connection.send(self._request, remaining_s)
         except TransportError as error:
             return steps.AttemptFailed(action.attempt, error.kind)
+        attempt.is_sent = True
         return steps.RequestSent(action.attempt)
 
     def _check_upstream(self, action: steps.CheckUpstream) -> steps.Event:
@@ -284,6 +287,8 @@
         now = read_clock()
         connection = attempt.connection
         if connection is not None:
+            if action.result is steps.AttemptResult.CANCELLED:
+                self._read_unused_head(action.attempt, attempt)
             attempt.get_connections().release(now, connection)
         held_s = now - attempt.granted_at
         if action.result is steps.AttemptResult.OK:
@@ -380,6 +385,8 @@
             not_run = self._dialect.states_not_run(head.status, head.all_headers)
             self._check_response(number, head, not_run)
             attempt.head = head
+            # What the head states holds even if the body breaks off.
+            event = attempt.handle_head(read_clock(), head, not_run, self._dialect)
             attempt.body = self._prefetch_body(attempt)
             if attempt.body is None:
                 attempt.chunks = self._prefetch_chunk(attempt)
@@ -388,10 +395,20 @@
             return steps.AttemptFailed(number, error.kind)
         except CancelledError:
             return steps.CallerLeft()
+        return event
+
+    def _read_unused_head(self, number: int, attempt: AttemptState) -> None:
+        """Record what a response states that has arrived and that nobody needs any more."""
+        if not attempt.awaits_head or not has_input(attempt.connection.fileno()):
+            return
         try:
-            return attempt.handle_head(read_clock(), head, not_run, self._dialect)
-        except TransportError as error:
-            return steps.AttemptFailed(number, error.kind)
+            head = attempt.connection.read_head(UNUSED_HEAD_TIMEOUT_S)
+            not_run = self._dialect.states_not_run(head.status, head.all_headers)
+            self._check_response(number, head, not_run)
+            attempt.handle_head(read_clock(), head, not_run, self._dialect)
+        except TransportError:
+            # The connection is closed, as its response is not read to the end.
+            return
 
     def _record_failure(self, attempt: AttemptState, error: TransportError) -> None:
         if error.kind is ErrorKind.ANSWER_LOST and isinstance(attempt, UpstreamAttempt):
--- a/tests/standins/scripted.py
+++ b/tests/standins/scripted.py
@@ -6,9 +6,13 @@
 import socket
 import struct
 import threading
+import time
 from collections.abc import Callable
 from typing import BinaryIO
 
+REST_TIMEOUT_S = 5.0
+# Longer than bytes that were sent before take to arrive.
+REST_PAUSE_S = 0.05
 ABORT_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
@@ -43,12 +47,27 @@
         Sent when the next request on the connection has arrived, before its response.
     end : str
         How the connection ends after ``data``: ``fin``, ``rst``, or not at all if empty.
+    rest : bytes
+        Sent after ``data``, once ``rest_after`` is set.
+    begun : Event or None
+        Set when ``data`` was sent.
     """
 
-    def __init__(self, data: bytes, late: bytes = b"", end: str = "") -> None:
+    def __init__(
+        self,
+        data: bytes,
+        late: bytes = b"",
+        end: str = "",
+        rest: bytes = b"",
+        rest_after: threading.Event | None = None,
+        begun: threading.Event | None = None,
+    ) -> None:
         self.data = data
         self.late = late
         self.end = end
+        self.rest = rest
+        self.rest_after = rest_after
+        self.begun = begun
 
 
 class ScriptedUpstream:
@@ -93,6 +112,12 @@
                     sock.sendall(late)
                 script = self._write_script(arrival)
                 sock.sendall(script.data)
+                if script.begun is not None:
+                    script.begun.set()
+                if script.rest_after is not None:
+                    script.rest_after.wait(REST_TIMEOUT_S)
+                    time.sleep(REST_PAUSE_S)
+                    sock.sendall(script.rest)
                 late = script.late
                 if script.end:
                     end_connection(sock, script.end)
--- a/tests/test_rest.py
+++ b/tests/test_rest.py
@@ -4,6 +4,9 @@
 
 import json
 import random
+import threading
+import time
+from functools import partial
 
 import pytest
 
@@ -15,6 +18,7 @@
 from foxtaildrum.requests.dialects import Dialect
 
 from .sites import open_site
+from .standins.scripted import Arrival, Script, ScriptedUpstream, build_response
 
 NOW = 100.0
 REST_S = 5.0
@@ -170,3 +174,98 @@
         assert json.loads(reply.body)["kind"] == "upstreams_resting"
         assert float(reply.headers["retry-after"]) > LONG_REST_S / 2
     assert sum(upstreams.describe(u)["refused"] for u in upstreams.ports) == 2
+
+
+# Refusals that an instance receives but has no use for.
+
+REST_HEADERS = {"X-Not-Executed": "1", "Retry-After": str(LONG_REST_S)}
+HEALTH_PATH = "/healthz"
+LATE_S = 0.3
+
+
+@pytest.fixture
+def scripted():
+    """Return a function that starts upstreams with the given script."""
+    upstreams = []
+
+    def start(site, pool: str, write_script, count: int = 1) -> list[ScriptedUpstream]:
+        started = [ScriptedUpstream(partial(write_script, n)) for n in range(count)]
+        for number, upstream in enumerate(started):
+            site.announce(f"u-{number}", pool, upstream.port)
+        upstreams.extend(started)
+        return started
+
+    yield start
+    for upstream in upstreams:
+        upstream.close()
+
+
+def build_own(arrival: Arrival, status: int = 200, headers=None, body: bytes = b"ok") -> bytes:
+    own = {"Foxtaildrum-Attempt": arrival.headers.get("foxtaildrum-attempt", "")}
+    return build_response(status, own | (headers or {}), body)
+
+
+# Guards against a rest that is not kept because the body of the refusal broke off.
+def test_a_refusal_whose_body_breaks_off_asks_for_rest_too(site, scripted):
+    def write(number: int, arrival: Arrival) -> Script:
+        if number:
+            return Script(build_own(arrival))
+        whole = build_own(arrival, 503, REST_HEADERS, b"x" * 100)
+        return Script(whole[:-50], end="fin")
+
+    cut, _ = scripted(site, "p", write, count=2)
+    for number in range(REQUESTS):
+        site.send("GET", f"/{number}")
+    assert len(cut.arrivals) == 1
+
+
+# Guards against a rest that is not kept because another copy of the request was answered.
+def test_a_refusal_beside_the_answer_of_another_copy_asks_for_rest_too(site, scripted):
+    pool = {"name": "p", "retry_budget_ratio": 1.0, "measuring_budget_ratio": 1.0}
+    site.apply("pools", [pool])
+    has_refused, is_hedged = threading.Event(), threading.Event()
+    first = []
+
+    def write(number: int, arrival: Arrival) -> Script:
+        if arrival.target != "/hedged":
+            return Script(build_own(arrival))
+        if not first:
+            first.append(number)
+            is_hedged.wait(5)
+            has_refused.set()
+            return Script(build_own(arrival, 503, REST_HEADERS, b""))
+        # The head of this response comes before the refusal, the body after it.
+        whole = build_own(arrival)
+        return Script(whole[:-1], rest=whole[-1:], rest_after=has_refused, begun=is_hedged)
+
+    upstreams = scripted(site, "p", write, count=2)
+    for number in range(80):
+        site.send("GET", f"/warm/{number}")
+    assert site.send("GET", "/hedged").status == 200
+    refusing = upstreams[first[0]]
+    before = len(refusing.arrivals)
+    for number in range(REQUESTS):
+        assert site.send("GET", f"/after/{number}").status == 200
+    assert len(refusing.arrivals) == before
+
+
+# Guards against a rest that is not kept because the status check was answered late.
+def test_a_late_refusal_of_a_status_check_asks_for_rest_too(tmp_path, scripted):
+    def write(number: int, arrival: Arrival) -> Script:
+        if arrival.target != HEALTH_PATH or number:
+            return Script(build_own(arrival))
+        time.sleep(LATE_S)
+        return Script(build_own(arrival, 503, REST_HEADERS, b""))
+
+    with open_site(tmp_path, probes_per_s=1000, sample_size=2) as site:
+        pool = {"name": "p", "retry_budget_ratio": 1.0, "health_path": HEALTH_PATH}
+        site.apply("pools", [pool])
+        site.apply("routes", [{"name": "p", "path_prefix": "/", "pool": "p"}])
+        resting, _ = scripted(site, "p", write, count=2)
+        while not resting.count_arrivals(HEALTH_PATH):
+            assert site.send("GET", "/before").status == 200
+        time.sleep(2 * LATE_S)
+        before = len(resting.arrivals)
+        for number in range(REQUESTS):
+            assert site.send("GET", f"/{number}").status == 200
+        assert len(resting.arrivals) == before
