Tests: an operator sees which instances of a fleet run other code

Two checkouts of different code, each with a control instance started by the platform's command, listed by one call of foxtaildrum versions.

--- a/tests/checkouts.py
+++ b/tests/checkouts.py
@@ -87,7 +87,9 @@
     def __init__(self, root: Path, folder: Path) -> None:
         folder.mkdir(parents=True)
         settings = folder / "node.json"
-        settings.write_text(json.dumps(build_platform_settings(folder)))
+        document = build_platform_settings(folder)
+        settings.write_text(json.dumps(document))
+        self.admin = document["listen"]["control"]
         self.log = folder / "log"
         with self.log.open("wb") as log:
             self.process = subprocess.Popen(
--- a/tests/test_builds.py
+++ b/tests/test_builds.py
@@ -15,6 +15,7 @@
 import pytest
 
 from foxtaildrum.builds import BUILD_COMMAND, EXIT_UNUSABLE_BUILD, LibraryRecord
+from foxtaildrum.cli import main
 
 from .checkouts import ROOT, Checkout, load_build_script, replace_text
 from .standins.processes import wait_until
@@ -61,6 +62,20 @@
         assert run.has_event("build_outdated")
 
 
+def test_an_operator_sees_which_instances_run_other_code(tmp_path, capsys):
+    checkouts = [Checkout(tmp_path / name) for name in ("former", "present")]
+    replace_text(checkouts[1].package / "__init__.py", '"0.2.0"', '"0.2.1"')
+    for checkout in checkouts:
+        checkout.add_libraries()
+    with checkouts[0].run(tmp_path / "one") as one, checkouts[1].run(tmp_path / "two") as two:
+        for run in (one, two):
+            run.read_event("started")
+        assert main(["versions", "--admin", f"{one.admin},{two.admin}"]) == 0
+    codes = [line.split()[2:] for line in capsys.readouterr().out.splitlines()]
+    assert codes == [["0.2.0", checkouts[0].digest], ["0.2.1", checkouts[1].digest]]
+    assert checkouts[0].digest != checkouts[1].digest
+
+
 # Guards against an import error in each process, where the build counted as complete.
 def test_libraries_for_another_interpreter_end_with_a_line_that_names_the_build(
     checkout, tmp_path
