An error response of one copy of a request waits for the other copy

What callers saw: 500, 502, 503 or 504 of an upstream although another copy of the request was under way and would have been answered.

Cause: with two attempts live, a response with a status that is worth a retry was relayed at once, and the other copy cancelled. Only refusals that state that nothing has run waited for it.

Change: such a response is held while another attempt has none yet; it is relayed if that one fails, or at the deadline.

--- a/src/foxtaildrum/requests/exchange.py
+++ b/src/foxtaildrum/requests/exchange.py
@@ -295,6 +295,10 @@
         attempt.has_retryable_status = (
             event.status in RETRYABLE_STATUSES and not attempt.forwarded
         )
+        if attempt.has_retryable_status and self._awaits_other(attempt):
+            # The other copy may still be answered well.
+            attempt.phase = AttemptPhase.HOLDING_HEAD
+            return []
         if attempt.has_retryable_status and self._may_retry_held_response(now):
             attempt.phase = AttemptPhase.HOLDING_HEAD
             return self._begin_attempt(may_wait=False, hedge=False)
@@ -432,6 +436,14 @@
             return False
         return self._budget.allow_retry()
 
+    def _awaits_other(self, attempt: Attempt) -> bool:
+        """Return whether another attempt is still without a response."""
+        return any(
+            a.is_live and a.phase is not AttemptPhase.HOLDING_HEAD
+            for a in self._attempts
+            if a is not attempt
+        )
+
     def _has_live_attempt(self) -> bool:
         return any(a.is_live for a in self._attempts)
 
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -283,6 +283,47 @@
     ]
 
 
+def hedge_request(budget: FakeBudget) -> Exchange:
+    """Return a request with two copies that were sent and have no response yet."""
+    exchange = Exchange(True, DEADLINE_S, HedgeTimes(None, HEDGE_DELAY_S), budget)
+    exchange.handle(0.0, steps.RequestArrived())
+    for number, now in ((0, 0.0), (1, HEDGE_DELAY_S)):
+        if number:
+            exchange.handle(now, steps.TimerExpired())
+        exchange.handle(now, steps.SlotGranted(number, f"upstream-{number}"))
+        exchange.handle(now, steps.Connected(number))
+        exchange.handle(now, steps.RequestSent(number))
+    return exchange
+
+
+# Guards against a caller that gets the error of one copy while the other would have succeeded.
+@pytest.mark.parametrize("status", [500, 502, 503, 504])
+@pytest.mark.parametrize("failing", [0, 1])
+def test_an_error_of_one_copy_waits_for_the_other(status, failing):
+    exchange = hedge_request(FakeBudget(0, 1))
+    other = 1 - failing
+    assert exchange.handle(2.0, steps.HeadReceived(failing, status, False)) == []
+    assert exchange.handle(3.0, steps.HeadReceived(other, 200, False)) == [
+        steps.ReleaseSlot(failing, steps.AttemptResult.FAILED),
+        steps.RelayResponse(other),
+    ]
+
+
+@pytest.mark.parametrize("end", ["failure", "error", "deadline"])
+def test_an_error_of_one_copy_is_relayed_when_the_other_ends_without_success(end):
+    exchange = hedge_request(FakeBudget(0, 1))
+    exchange.handle(2.0, steps.HeadReceived(0, 500, False))
+    if end == "failure":
+        actions = exchange.handle(3.0, steps.AttemptFailed(1, ErrorKind.ANSWER_LOST))
+        assert actions[-1] == steps.RelayResponse(0)
+    elif end == "error":
+        actions = exchange.handle(3.0, steps.HeadReceived(1, 502, False))
+        assert actions[-1] == steps.RelayResponse(1)
+    else:
+        actions = exchange.handle(DEADLINE_S, steps.TimerExpired())
+        assert actions[-1] == steps.RelayResponse(0)
+
+
 def test_a_held_error_response_is_relayed_when_its_retry_gets_no_slot():
     exchange = Exchange(True, DEADLINE_S, NO_HEDGE, FakeBudget(1, 0))
     exchange.handle(0.0, steps.RequestArrived())
