Known red: a lone request that waits for a thread is refused as overloaded

The test names the kinds now, with the same expectation. Traced: the machine gave the instance no processor for 0.29 s, and a request that waited over 0.25 s for a thread is refused as overloaded, also if nothing else waits.

--- a/tests/test_left_processes.py
+++ b/tests/test_left_processes.py
@@ -47,12 +47,15 @@
     client.announce(name, document)
 
 
-def send_requests(fleet: ProcessFleet) -> set[int]:
-    return {
-        HTTP.request("GET", f"http://{instance.listen}/x{number}").status
-        for instance in fleet.instances.values()
-        for number in range(REQUESTS)
-    }
+def send_requests(fleet: ProcessFleet) -> set[str]:
+    """Send requests to each instance; return the responses other than 200, with their kinds."""
+    failures = set()
+    for name, instance in fleet.instances.items():
+        for number in range(REQUESTS):
+            response = HTTP.request("GET", f"http://{instance.listen}/x{number}")
+            if response.status != 200:
+                failures.add(f"{name} request {number}: {response.status} {response.data!r}")
+    return failures
 
 
 @pytest.mark.parametrize(
@@ -62,7 +65,7 @@
     assert wait_until(
         lambda: all(len(i.status()["upstreams"]) == 2 for i in fleet.instances.values())
     )
-    assert send_requests(fleet) == {200}
+    assert send_requests(fleet) == set()
     left, port = next(iter(upstreams.ports.items()))
     client = fleet.instances[name].client
     if change == "leave":
@@ -78,5 +81,5 @@
     for instance in fleet.instances.values():
         instance.wait_ready()
     served = upstreams.describe(left)["served"]
-    assert send_requests(fleet) == {200}
+    assert send_requests(fleet) == set()
     assert upstreams.describe(left)["served"] == served
