Requirements of six parts, and the fields of the schema that they need

Two deployments need limits for cold upstreams, evacuated zones, organisations with keys and rate limits, pipelined requests and bounds on callers outside the limits. docs/REQUIREMENTS.md states them. The schema gets the fields of tables and settings first, so that the parts can be built side by side; every default leaves the behaviour as it was. Nothing reads them yet.

Run: tests of settings, tables, announcements and desired state pass; linter clean.

--- a/scripts/generate_checks.py
+++ b/scripts/generate_checks.py
@@ -6,7 +6,14 @@
 
 import fastjsonschema
 
-CHECKED_RECORDS = ("Settings", "Announcement", "Route", "Pool", "Limits")
+CHECKED_RECORDS = (
+    "Settings",
+    "Announcement",
+    "Route",
+    "Pool",
+    "Organisation",
+    "Limits",
+)
 HEADER = '"""Validators generated from schema.json with scripts/generate.sh."""\n'
 IMPORTS = "from .exceptions import SchemaMismatchError\n"
 
--- a/src/foxtaildrum/checks.py
+++ b/src/foxtaildrum/checks.py
@@ -6,6 +6,7 @@
 
 REGEX_PATTERNS = {
     "^[A-Za-z0-9][A-Za-z0-9_.-]{0,62}$": re.compile("^[A-Za-z0-9][A-Za-z0-9_.-]{0,62}\\Z"),
+    "^[!-~]{1,256}$": re.compile("^[!-~]{1,256}\\Z"),
     "^[!-~]*$": re.compile("^[!-~]*\\Z"),
     "^/": re.compile("^/"),
     "^[A-Z]{1,32}$": re.compile("^[A-Z]{1,32}\\Z"),
@@ -21,6 +22,9 @@
     "^$|^[^=,]+=[^=,]+:[0-9]{1,5}(,[^=,]+=[^=,]+:[0-9]{1,5})*$": re.compile(
         "^\\Z|^[^=,]+=[^=,]+:[0-9]{1,5}(,[^=,]+=[^=,]+:[0-9]{1,5})*\\Z"
     ),
+    "^$|^[A-Za-z0-9_.-]{1,63}(,[A-Za-z0-9_.-]{1,63})*$": re.compile(
+        "^\\Z|^[A-Za-z0-9_.-]{1,63}(,[A-Za-z0-9_.-]{1,63})*\\Z"
+    ),
 }
 
 
@@ -100,6 +104,82 @@
     return data
 
 
+def check_organisation(data, custom_formats={}, name_prefix=None):
+    if not isinstance(data, (dict)):
+        raise SchemaMismatchError
+    data_is_dict = isinstance(data, dict)
+    if data_is_dict:
+        data__missing_keys = set(["name"]) - data.keys()
+        if data__missing_keys:
+            raise SchemaMismatchError
+        data_keys = set(data.keys())
+        if "name" in data_keys:
+            data_keys.remove("name")
+            data__name = data["name"]
+            if not isinstance(data__name, (str)):
+                raise SchemaMismatchError
+            if isinstance(data__name, str):
+                if not REGEX_PATTERNS["^[A-Za-z0-9][A-Za-z0-9_.-]{0,62}$"].search(data__name):
+                    raise SchemaMismatchError
+        if "keys" in data_keys:
+            data_keys.remove("keys")
+            data__keys = data["keys"]
+            if not isinstance(data__keys, (list, tuple)):
+                raise SchemaMismatchError
+            data__keys_is_list = isinstance(data__keys, (list, tuple))
+            if data__keys_is_list:
+                data__keys_len = len(data__keys)
+                if data__keys_len > 10000:
+                    raise SchemaMismatchError
+                for data__keys_x, data__keys_item in enumerate(data__keys):
+                    if not isinstance(data__keys_item, (str)):
+                        raise SchemaMismatchError
+                    if isinstance(data__keys_item, str):
+                        if not REGEX_PATTERNS["^[!-~]{1,256}$"].search(data__keys_item):
+                            raise SchemaMismatchError
+        if "priority" in data_keys:
+            data_keys.remove("priority")
+            data__priority = data["priority"]
+            if (
+                not isinstance(data__priority, (int, type(None)))
+                and not (isinstance(data__priority, float) and data__priority.is_integer())
+                or isinstance(data__priority, bool)
+            ):
+                raise SchemaMismatchError
+            if isinstance(data__priority, (int, float)) and not isinstance(
+                data__priority, bool
+            ):
+                if data__priority < 0:
+                    raise SchemaMismatchError
+                if data__priority > 1000000:
+                    raise SchemaMismatchError
+        if "rate_per_s" in data_keys:
+            data_keys.remove("rate_per_s")
+            data__ratepers = data["rate_per_s"]
+            if not isinstance(data__ratepers, (int, float)) or isinstance(data__ratepers, bool):
+                raise SchemaMismatchError
+            if isinstance(data__ratepers, (int, float)) and not isinstance(
+                data__ratepers, bool
+            ):
+                if data__ratepers < 0:
+                    raise SchemaMismatchError
+                if data__ratepers > 1000000000:
+                    raise SchemaMismatchError
+        if "burst" in data_keys:
+            data_keys.remove("burst")
+            data__burst = data["burst"]
+            if not isinstance(data__burst, (int, float)) or isinstance(data__burst, bool):
+                raise SchemaMismatchError
+            if isinstance(data__burst, (int, float)) and not isinstance(data__burst, bool):
+                if data__burst < 0:
+                    raise SchemaMismatchError
+                if data__burst > 1000000000:
+                    raise SchemaMismatchError
+        if data_keys:
+            raise SchemaMismatchError
+    return data
+
+
 def check_pool(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
         raise SchemaMismatchError
@@ -221,6 +301,30 @@
                 raise SchemaMismatchError
             if not (isinstance(data__tls, bool) and data__tls is False):
                 raise SchemaMismatchError
+        if "warmup_s" in data_keys:
+            data_keys.remove("warmup_s")
+            data__warmups = data["warmup_s"]
+            if not isinstance(data__warmups, (int, float)) or isinstance(data__warmups, bool):
+                raise SchemaMismatchError
+            if isinstance(data__warmups, (int, float)) and not isinstance(data__warmups, bool):
+                if data__warmups < 0:
+                    raise SchemaMismatchError
+                if data__warmups > 3600:
+                    raise SchemaMismatchError
+        if "warmup_per_s" in data_keys:
+            data_keys.remove("warmup_per_s")
+            data__warmuppers = data["warmup_per_s"]
+            if not isinstance(data__warmuppers, (int, float)) or isinstance(
+                data__warmuppers, bool
+            ):
+                raise SchemaMismatchError
+            if isinstance(data__warmuppers, (int, float)) and not isinstance(
+                data__warmuppers, bool
+            ):
+                if data__warmuppers < 0:
+                    raise SchemaMismatchError
+                if data__warmuppers > 1000000:
+                    raise SchemaMismatchError
         if data_keys:
             raise SchemaMismatchError
     return data
@@ -393,6 +497,11 @@
                     raise SchemaMismatchError
                 if data__objectiveratio >= 1:
                     raise SchemaMismatchError
+        if "public" in data_keys:
+            data_keys.remove("public")
+            data__public = data["public"]
+            if not isinstance(data__public, (bool)):
+                raise SchemaMismatchError
         if data_keys:
             raise SchemaMismatchError
     return data
@@ -984,6 +1093,216 @@
                     raise SchemaMismatchError
                 if data__queuelimit > 100000:
                     raise SchemaMismatchError
+        if "warmup_overshoot" in data_keys:
+            data_keys.remove("warmup_overshoot")
+            data__warmupovershoot = data["warmup_overshoot"]
+            if not isinstance(data__warmupovershoot, (int, float)) or isinstance(
+                data__warmupovershoot, bool
+            ):
+                raise SchemaMismatchError
+            if isinstance(data__warmupovershoot, (int, float)) and not isinstance(
+                data__warmupovershoot, bool
+            ):
+                if data__warmupovershoot < 0:
+                    raise SchemaMismatchError
+                if data__warmupovershoot > 1000:
+                    raise SchemaMismatchError
+        if "warmup_slack" in data_keys:
+            data_keys.remove("warmup_slack")
+            data__warmupslack = data["warmup_slack"]
+            if not isinstance(data__warmupslack, (int, float)) or isinstance(
+                data__warmupslack, bool
+            ):
+                raise SchemaMismatchError
+            if isinstance(data__warmupslack, (int, float)) and not isinstance(
+                data__warmupslack, bool
+            ):
+                if data__warmupslack < 0:
+                    raise SchemaMismatchError
+                if data__warmupslack > 1000000:
+                    raise SchemaMismatchError
+        if "availability_zones" in data_keys:
+            data_keys.remove("availability_zones")
+            data__availabilityzones = data["availability_zones"]
+            if not isinstance(data__availabilityzones, (str)):
+                raise SchemaMismatchError
+            if isinstance(data__availabilityzones, str):
+                if not REGEX_PATTERNS[
+                    "^$|^[A-Za-z0-9_.-]{1,63}(,[A-Za-z0-9_.-]{1,63})*$"
+                ].search(data__availabilityzones):
+                    raise SchemaMismatchError
+        if "evacuation_s" in data_keys:
+            data_keys.remove("evacuation_s")
+            data__evacuations = data["evacuation_s"]
+            if not isinstance(data__evacuations, (int, float)) or isinstance(
+                data__evacuations, bool
+            ):
+                raise SchemaMismatchError
+            if isinstance(data__evacuations, (int, float)) and not isinstance(
+                data__evacuations, bool
+            ):
+                if data__evacuations > 3600:
+                    raise SchemaMismatchError
+                if data__evacuations <= 0:
+                    raise SchemaMismatchError
+        if "key_check_s" in data_keys:
+            data_keys.remove("key_check_s")
+            data__keychecks = data["key_check_s"]
+            if not isinstance(data__keychecks, (int, float)) or isinstance(
+                data__keychecks, bool
+            ):
+                raise SchemaMismatchError
+            if isinstance(data__keychecks, (int, float)) and not isinstance(
+                data__keychecks, bool
+            ):
+                if data__keychecks > 3600:
+                    raise SchemaMismatchError
+                if data__keychecks <= 0:
+                    raise SchemaMismatchError
+        if "revocation_s" in data_keys:
+            data_keys.remove("revocation_s")
+            data__revocations = data["revocation_s"]
+            if not isinstance(data__revocations, (int, float)) or isinstance(
+                data__revocations, bool
+            ):
+                raise SchemaMismatchError
+            if isinstance(data__revocations, (int, float)) and not isinstance(
+                data__revocations, bool
+            ):
+                if data__revocations < 0:
+                    raise SchemaMismatchError
+                if data__revocations > 3600:
+                    raise SchemaMismatchError
+        if "quota_window_s" in data_keys:
+            data_keys.remove("quota_window_s")
+            data__quotawindows = data["quota_window_s"]
+            if not isinstance(data__quotawindows, (int, float)) or isinstance(
+                data__quotawindows, bool
+            ):
+                raise SchemaMismatchError
+            if isinstance(data__quotawindows, (int, float)) and not isinstance(
+                data__quotawindows, bool
+            ):
+                if data__quotawindows > 3600:
+                    raise SchemaMismatchError
+                if data__quotawindows <= 0:
+                    raise SchemaMismatchError
+        if "quota_overshoot" in data_keys:
+            data_keys.remove("quota_overshoot")
+            data__quotaovershoot = data["quota_overshoot"]
+            if not isinstance(data__quotaovershoot, (int, float)) or isinstance(
+                data__quotaovershoot, bool
+            ):
+                raise SchemaMismatchError
+            if isinstance(data__quotaovershoot, (int, float)) and not isinstance(
+                data__quotaovershoot, bool
+            ):
+                if data__quotaovershoot < 0:
+                    raise SchemaMismatchError
+                if data__quotaovershoot > 1000:
+                    raise SchemaMismatchError
+        if "quota_slack" in data_keys:
+            data_keys.remove("quota_slack")
+            data__quotaslack = data["quota_slack"]
+            if not isinstance(data__quotaslack, (int, float)) or isinstance(
+                data__quotaslack, bool
+            ):
+                raise SchemaMismatchError
+            if isinstance(data__quotaslack, (int, float)) and not isinstance(
+                data__quotaslack, bool
+            ):
+                if data__quotaslack < 0:
+                    raise SchemaMismatchError
+                if data__quotaslack > 1000000:
+                    raise SchemaMismatchError
+        if "pipeline_per_connection" in data_keys:
+            data_keys.remove("pipeline_per_connection")
+            data__pipelineperconnection = data["pipeline_per_connection"]
+            if (
+                not isinstance(data__pipelineperconnection, (int))
+                and not (
+                    isinstance(data__pipelineperconnection, float)
+                    and data__pipelineperconnection.is_integer()
+                )
+                or isinstance(data__pipelineperconnection, bool)
+            ):
+                raise SchemaMismatchError
+            if isinstance(data__pipelineperconnection, (int, float)) and not isinstance(
+                data__pipelineperconnection, bool
+            ):
+                if data__pipelineperconnection < 1:
+                    raise SchemaMismatchError
+                if data__pipelineperconnection > 1000:
+                    raise SchemaMismatchError
+        if "pipeline_total" in data_keys:
+            data_keys.remove("pipeline_total")
+            data__pipelinetotal = data["pipeline_total"]
+            if (
+                not isinstance(data__pipelinetotal, (int))
+                and not (
+                    isinstance(data__pipelinetotal, float) and data__pipelinetotal.is_integer()
+                )
+                or isinstance(data__pipelinetotal, bool)
+            ):
+                raise SchemaMismatchError
+            if isinstance(data__pipelinetotal, (int, float)) and not isinstance(
+                data__pipelinetotal, bool
+            ):
+                if data__pipelinetotal < 1:
+                    raise SchemaMismatchError
+                if data__pipelinetotal > 100000:
+                    raise SchemaMismatchError
+        if "pipeline_buffer_bytes" in data_keys:
+            data_keys.remove("pipeline_buffer_bytes")
+            data__pipelinebufferbytes = data["pipeline_buffer_bytes"]
+            if (
+                not isinstance(data__pipelinebufferbytes, (int))
+                and not (
+                    isinstance(data__pipelinebufferbytes, float)
+                    and data__pipelinebufferbytes.is_integer()
+                )
+                or isinstance(data__pipelinebufferbytes, bool)
+            ):
+                raise SchemaMismatchError
+            if isinstance(data__pipelinebufferbytes, (int, float)) and not isinstance(
+                data__pipelinebufferbytes, bool
+            ):
+                if data__pipelinebufferbytes < 0:
+                    raise SchemaMismatchError
+                if data__pipelinebufferbytes > 1073741824:
+                    raise SchemaMismatchError
+        if "max_held_bytes" in data_keys:
+            data_keys.remove("max_held_bytes")
+            data__maxheldbytes = data["max_held_bytes"]
+            if (
+                not isinstance(data__maxheldbytes, (int))
+                and not (
+                    isinstance(data__maxheldbytes, float) and data__maxheldbytes.is_integer()
+                )
+                or isinstance(data__maxheldbytes, bool)
+            ):
+                raise SchemaMismatchError
+            if isinstance(data__maxheldbytes, (int, float)) and not isinstance(
+                data__maxheldbytes, bool
+            ):
+                if data__maxheldbytes < 0:
+                    raise SchemaMismatchError
+                if data__maxheldbytes > 1099511627776:
+                    raise SchemaMismatchError
+        if "body_stall_s" in data_keys:
+            data_keys.remove("body_stall_s")
+            data__bodystalls = data["body_stall_s"]
+            if not isinstance(data__bodystalls, (int, float)) or isinstance(
+                data__bodystalls, bool
+            ):
+                raise SchemaMismatchError
+            if isinstance(data__bodystalls, (int, float)) and not isinstance(
+                data__bodystalls, bool
+            ):
+                if data__bodystalls > 3600:
+                    raise SchemaMismatchError
+                if data__bodystalls <= 0:
+                    raise SchemaMismatchError
         if data_keys:
             raise SchemaMismatchError
     return data
--- a/src/foxtaildrum/records.py
+++ b/src/foxtaildrum/records.py
@@ -98,6 +98,45 @@
     """
     Whether the upstreams speak TLS.
     """
+    warmup_s: float = 0
+    """
+    Time that an upstream is cold after its start, in seconds.
+    """
+    warmup_per_s: float = 0
+    """
+    Requests per second that a cold upstream takes from all instances together; 0 sets no limit.
+    """
+
+
+Key: TypeAlias = str
+
+
+@dataclass(kw_only=True, slots=True)
+class Organisation:
+    """
+    One row of the organisations table.
+    """
+
+    name: str
+    """
+    Unique name of the organisation.
+    """
+    keys: list[Key] = field(default_factory=list)
+    """
+    Keys that identify its callers; no two organisations share one.
+    """
+    priority: int | None = None
+    """
+    Priority of its requests, before that of the route; 0 is the most urgent; null leaves it to the route.
+    """
+    rate_per_s: float = 0
+    """
+    Requests per second that all instances together serve; 0 sets no limit.
+    """
+    burst: float = 0
+    """
+    Requests beyond the rate that may be served at once.
+    """
 
 
 @dataclass(kw_only=True, slots=True)
@@ -294,6 +333,62 @@
     """
     Maximum number of requests that wait for a slot in one pool.
     """
+    warmup_overshoot: float = 1
+    """
+    Factor by which requests to a cold upstream may exceed the rate of its pool.
+    """
+    warmup_slack: float = 0
+    """
+    Requests per second that a cold upstream takes in addition.
+    """
+    availability_zones: str = ""
+    """
+    Availability zones of the deployment, as ZONE,...; empty when they are not known.
+    """
+    evacuation_s: float = 5
+    """
+    Time in which an evacuation takes effect at every instance, in seconds.
+    """
+    key_check_s: float = 1.5
+    """
+    Age of the tables up to which an unknown key is refused for good, in seconds.
+    """
+    revocation_s: float = 0
+    """
+    Time after which a key that was removed is refused by every instance, in seconds; 0 gives no guarantee.
+    """
+    quota_window_s: float = 5
+    """
+    Period in which the rate limits of organisations are counted, in seconds.
+    """
+    quota_overshoot: float = 0.1
+    """
+    Ratio by which an organisation may exceed its rate limit in a period.
+    """
+    quota_slack: float = 20
+    """
+    Requests by which an organisation may exceed its rate limit in a period in addition.
+    """
+    pipeline_per_connection: int = 8
+    """
+    Maximum number of pipelined requests of one connection that run at once; 1 runs one after the other.
+    """
+    pipeline_total: int = 64
+    """
+    Maximum number of pipelined requests of the instance that run ahead of their turn.
+    """
+    pipeline_buffer_bytes: int = 262144
+    """
+    Size of the responses of one connection that wait for their turn, in bytes.
+    """
+    max_held_bytes: int = 0
+    """
+    Size of what all callers' unfinished requests and unsent responses hold, in bytes; 0 derives it from the memory of the machine.
+    """
+    body_stall_s: float = 30
+    """
+    Timeout for a caller that sends no byte of a request's body, in seconds.
+    """
 
 
 @dataclass(kw_only=True, slots=True)
@@ -1134,3 +1229,7 @@
     """
     Fraction of requests that must meet the objective.
     """
+    public: bool = False
+    """
+    Whether requests are served without the key of an organisation.
+    """
--- a/src/foxtaildrum/validation.py
+++ b/src/foxtaildrum/validation.py
@@ -24,6 +24,7 @@
 _CHECK_BY_RECORD = {
     "Announcement": checks.check_announcement,
     "Limits": checks.check_limits,
+    "Organisation": checks.check_organisation,
     "Pool": checks.check_pool,
     "Route": checks.check_route,
     "Settings": checks.check_settings,
