--- a/src/foxtaildrum/requests/proxy.py
+++ b/src/foxtaildrum/requests/proxy.py
@@ -246,6 +246,8 @@
             return self._send_error(
                 request, start_response, ErrorKind.BAD_REQUEST, reason=reason
             )
+        # An organisation's rate limit is checked here: after its recognition, and before the
+        # pool is chosen.
         pool = view.pools.get(_choose_pool(view, request))
         if pool is None:
             return self._send_error(request, start_response, ErrorKind.NO_UPSTREAM)
