Tables: the organisations are a third, optional table of the desired state

Callers are to be told apart by the keys of their organisations. The document of PUT /v1/tables may have the field organisations.

Problems are described by the schema only, never with a value, which may be a key.

--- a/src/foxtaildrum/control/desired.py
+++ b/src/foxtaildrum/control/desired.py
@@ -1,4 +1,4 @@
-"""Desired state: both tables and the limits, replaced as a whole.
+"""Desired state: the tables and the limits, replaced as a whole.
 
 The operator numbers each desired state; the one with the highest number is in force.
 """
@@ -10,8 +10,10 @@
 from typing import Any
 
 from ..exceptions import FieldError, InvalidTableError
+from ..organisations.rows import find_organisation_problems
 from ..validation import find_problems
 from .tables import (
+    ORGANISATIONS,
     TABLE_NAMES,
     ChangeResult,
     Table,
@@ -27,18 +29,18 @@
 CONFLICT = "conflict"
 REBASED = "rebased"  # the patch must be built again, against the tables in force
 
-_FIELDS = ("version", "routes", "pools", "limits")
+_FIELDS = ("version", "routes", "pools", ORGANISATIONS, "limits")
 
 
 class DesiredState:
-    """Complete content of both tables and the limits, numbered by the operator.
+    """Complete content of the tables and the limits, numbered by the operator.
 
     Parameters
     ----------
     number : int
         Number of the desired state; the highest number is in force.
     rows : dict
-        Rows of each table by its name.
+        Rows of each table by its name; without organisations if the document has none.
     limits : dict
         Fields of ``Limits`` that the operator set.
     """
@@ -68,6 +70,9 @@
         for name in TABLE_NAMES:
             problems += find_table_problems(name, rows[name])
         problems += find_reference_problems(rows["routes"], rows["pools"])
+        if ORGANISATIONS in value:
+            rows[ORGANISATIONS] = value[ORGANISATIONS]
+            problems += find_organisation_problems(rows[ORGANISATIONS])
         limits = value.get("limits", {})
         problems += find_problems("Limits", limits, "limits")
         if problems:
@@ -98,7 +103,8 @@
         Number of the desired state that the patch was built against.
     tables : dict
         For each table the rows to add or replace, the names to remove and the order of
-        the names. The order is None when merging the rows already gives it.
+        the names. The order is None when merging the rows already gives it. A patch without
+        the organisations ends their being in force.
     """
 
     __slots__ = ("base", "digest", "limits", "number", "tables", "versions")
@@ -150,21 +156,21 @@
 def build_patch(tables: Tables, desired: DesiredState) -> DesiredPatch:
     """Return the patch that changes ``tables`` into the desired state."""
     table_patches = {}
-    for name in TABLE_NAMES:
-        current_rows = tables.tables[name].rows
-        desired_rows = {row["name"]: row for row in desired.rows[name]}
+    for name, rows in desired.rows.items():
+        current = tables.tables.get(name)
+        current_rows = current.rows if current is not None else {}
+        desired_rows = {row["name"]: row for row in rows}
         upserts = [row for row in desired_rows.values() if current_rows.get(row["name"]) != row]
         removals = [row_name for row_name in current_rows if row_name not in desired_rows]
         order: list[str] | None = list(desired_rows)
         if list(_merge_rows(current_rows, upserts, removals)) == order:
             order = None
         table_patches[name] = [upserts, removals, order]
-    versions = {name: tables.tables[name].version for name in TABLE_NAMES}
     return DesiredPatch(
         desired.number,
         desired.compute_digest(),
         tables.desired_number,
-        versions,
+        _list_versions(tables),
         table_patches,
         desired.limits,
     )
@@ -175,17 +181,15 @@
     earlier_result = evaluate_number(tables, patch.number, patch.digest)
     if earlier_result is not None:
         return earlier_result
-    versions = {name: table.version for name, table in tables.tables.items()}
-    if patch.base != tables.desired_number or patch.versions != versions:
+    if patch.base != tables.desired_number or patch.versions != _list_versions(tables):
         return ChangeResult(REBASED, tables.desired_number, "", [])
-    for name, (upserts, removals, order) in patch.tables.items():
+    changed_by = _format_change_id(patch.number)
+    for name in TABLE_NAMES:
         table = tables.tables[name]
-        rows = _merge_rows(table.rows, upserts, removals)
-        if order is not None:
-            rows = {row_name: rows[row_name] for row_name in order}
-        if rows != table.rows or order is not None:
-            changed_by = _format_change_id(patch.number)
+        rows = _build_rows(table.rows, patch.tables[name])
+        if rows is not None:
             tables.tables[name] = Table(rows, table.version + 1, changed_by)
+    _apply_organisations(tables, patch, changed_by)
     tables.desired_number = patch.number
     tables.desired_digest = patch.digest
     tables.limits = patch.limits
@@ -197,11 +201,42 @@
     document: dict[str, Any] = {"version": tables.desired_number}
     for name in TABLE_NAMES:
         document[name] = tables.tables[name].list_rows()
+    organisations = tables.get_organisations()
+    if organisations is not None:
+        document[ORGANISATIONS] = organisations.list_rows()
     if tables.limits:
         document["limits"] = tables.limits
     return document
 
 
+def _list_versions(tables: Tables) -> dict[str, int]:
+    return {name: table.version for name, table in tables.tables.items()}
+
+
+def _apply_organisations(tables: Tables, patch: DesiredPatch, changed_by: str) -> None:
+    changes = patch.tables.get(ORGANISATIONS)
+    if changes is None:
+        tables.tables.pop(ORGANISATIONS, None)
+        return
+    table = tables.get_organisations()
+    rows = _build_rows({} if table is None else table.rows, changes)
+    if table is None or rows is not None:
+        # Counted by the number of the state: a count would begin again, and give a version
+        # to two contents, if the table was left out in between.
+        tables.tables[ORGANISATIONS] = Table(rows or {}, patch.number, changed_by)
+
+
+def _build_rows(
+    current_rows: dict[str, dict[str, Any]], changes: list[Any]
+) -> dict[str, dict[str, Any]] | None:
+    """Return the rows of a table after the changes; None if they change nothing."""
+    upserts, removals, order = changes
+    rows = _merge_rows(current_rows, upserts, removals)
+    if order is None:
+        return rows if rows != current_rows else None
+    return {name: rows[name] for name in order}
+
+
 def _merge_rows(
     current_rows: dict[str, dict[str, Any]], upserts: list[dict[str, Any]], removals: list[str]
 ) -> dict[str, dict[str, Any]]:
--- a/src/foxtaildrum/control/tables.py
+++ b/src/foxtaildrum/control/tables.py
@@ -1,4 +1,4 @@
-"""Routes and pools tables: validation and versioned changes."""
+"""Tables of the deployment: validation of routes and pools, and versioned changes."""
 
 from __future__ import annotations
 
@@ -13,6 +13,8 @@
 from ..validation import find_problems
 
 TABLE_NAMES = ("routes", "pools")
+# This table is optional and only part of a desired state; see the module desired.
+ORGANISATIONS = "organisations"
 REMEMBERED_CHANGES = 4096
 MAX_REMEMBERED_PROBLEMS = 20
 
@@ -157,7 +159,8 @@
     rows : dict
         Rows by name, in the order in which they were added.
     version : int
-        Number of accepted changes.
+        Number of accepted changes; for the organisations the number of the desired state
+        that changed them last.
     changed_by : str
         Identifier of the change that produced ``version``.
     """
@@ -175,9 +178,15 @@
 
 
 class Tables:
-    """Both tables and the answers to past changes.
+    """The tables and the answers to past changes.
 
     Deterministic: equal sequences of patches give equal states on every replica.
+
+    Attributes
+    ----------
+    tables : dict
+        Tables by name. That of the organisations is there only while the desired state in
+        force has it, be it empty.
     """
 
     __slots__ = ("desired_digest", "desired_number", "limits", "remembered_answers", "tables")
@@ -237,6 +246,10 @@
         """Return the rows of the pools table."""
         return [Pool(**row) for row in self.tables["pools"].rows.values()]
 
+    def get_organisations(self) -> Table | None:
+        """Return the organisations table; None while organisations are not in force."""
+        return self.tables.get(ORGANISATIONS)
+
     def to_wire(self, with_answers: bool) -> list[Any]:
         """Return the state as a list that msgpack can encode.
 
--- a/src/foxtaildrum/validation.py
+++ b/src/foxtaildrum/validation.py
@@ -90,6 +90,19 @@
         return _list_problems(record, value, prefix)
 
 
+def find_unquoted_problems(record: str, value: Any, prefix: str) -> list[FieldError]:
+    """Validate a value that may hold secrets; return every problem without quoting any value.
+
+    The parameters are those of :func:`find_problems`. The names of unknown fields are shown.
+    """
+    try:
+        _CHECK_BY_RECORD[record](value)
+        return []
+    except SchemaMismatchError:
+        errors = _build_validator(record).iter_errors(value)
+        return [problem for e in errors for problem in _list_unquoted(record, prefix, e)]
+
+
 def find_announcement_problems(value: Any) -> list[FieldError]:
     """Validate an announcement, including its address, and return every problem."""
     problems = find_problems("Announcement", value, "")
@@ -144,6 +157,22 @@
     return [FieldError(_describe_path(prefix, e), _describe_reason(e)) for e in errors]
 
 
+def _list_unquoted(
+    record: str, prefix: str, error: jsonschema.ValidationError
+) -> list[FieldError]:
+    """Return the problems of one error, described by the schema only."""
+    path = _describe_path(prefix, error)
+    if error.validator == "additionalProperties":
+        unknown = sorted(error.instance.keys() - get_property_schemas(record).keys())
+        return [FieldError(_shorten(f"{path}.{name}"), "unknown field") for name in unknown]
+    if error.validator == "required":
+        missing = [name for name in error.validator_value if name not in error.instance]
+        return [FieldError(f"{path}.{name}", "is required") for name in missing]
+    described = error.schema.get("description")
+    reason = f"does not fit {error.validator} {error.validator_value}"
+    return [FieldError(path, f"{reason}: {described}" if described else reason)]
+
+
 def _shorten(text: str) -> str:
     if len(text) <= MAX_REASON_CHARS:
         return text
