Requests are recognised by the key of their organisation

While organisations are in force, a request on a route that isn't public needs a known key. The decision reads the age of the tables with the view that they belong to: 401 only within key_check_s, service within revocation_s, else 503 not_ready. Each attempt checks again before it acquires a slot and before it sends. Upstreams get the name in place of the key; forwarded requests state it in a sixth, signed field, and those without one are stated as before. Idempotency keys count within an organisation. The reason of a malformed request no longer quotes the header line, which may hold a key.

Without organisations a request costs one more comparison with None, and headers of these names pass as before.

--- a/src/foxtaildrum/control/table_follower.py
+++ b/src/foxtaildrum/control/table_follower.py
@@ -134,6 +134,11 @@
             return None
         return now - self._complete_up_to
 
+    @property
+    def complete_up_to(self) -> float:
+        """Time up to which the tables include every accepted change; -inf if unknown."""
+        return self._complete_up_to
+
     def get_beacon(self) -> tuple[int, float]:
         """Return the index that a quorum last confirmed, and the time of the confirmation."""
         return self._confirmed_index, self._confirmed_at
--- a/src/foxtaildrum/fleet/views.py
+++ b/src/foxtaildrum/fleet/views.py
@@ -11,6 +11,8 @@
 from ..balancing.pools import UpstreamPool
 from ..balancing.splits import PoolChooser
 from ..logs import log_event
+from ..organisations.keys import KeyTableBuilder
+from ..organisations.recognition import AgeLimits
 from ..records import Settings
 from ..requests.proxy import Proxy, View
 from ..requests.routing import Router
@@ -57,6 +59,9 @@
         self._proxy = proxy
         self._meter = meter
         self._generation = -1
+        self._published_generation = -1
+        self._key_tables = KeyTableBuilder()
+        proxy.recogniser.limits = AgeLimits.from_settings(settings)
         self.notify_draining: Callable[[str], None] = _ignore
         self.apply_limits: Callable[[dict[str, Any]], None] = _ignore
         self.permit_client = PermitClient()
@@ -71,6 +76,10 @@
         if node.follower.generation != self._generation:
             self._generation = node.follower.generation
             changed |= self._publish_tables(node)
+            self._published_generation = self._generation
+        if self._published_generation == node.follower.generation:
+            # A view only ever learns up to when its own tables are complete.
+            self._proxy.view.complete_up_to = node.follower.complete_up_to
         self._publish_crashes(node)
         self._publish_peers(node)
         pools = self._proxy.view.pools
@@ -160,6 +169,9 @@
             pool.set_default_retry_ratio(self._settings.retry_budget_ratio)
             self._set_budgets(pool)
             pools[record.name] = pool
+        organisations = tables.get_organisations()
+        key_table = self._key_tables.build(organisations and organisations.rows)
+        self._proxy.recogniser.counts.retain(key_table.list_names() if key_table else ())
         chooser = PoolChooser(routes, self._proxy.view.chooser)
         self.apply_limits(tables.limits)
         self._proxy.view = View(
@@ -169,6 +181,7 @@
             tables.desired_number,
             node.follower.index,
             tables.is_set,
+            key_table,
         )
         self._meter.set_routes(routes)
         route_names = {route.name for route in routes}
--- a/src/foxtaildrum/kinds.py
+++ b/src/foxtaildrum/kinds.py
@@ -44,6 +44,8 @@
     CALLER_LEFT = "caller_left"
     NOT_READY = "not_ready"
     STOPPING = "stopping"
+    KEY_MISSING = "key_missing"
+    KEY_UNKNOWN_CALLER = "key_unknown_caller"
     KEY_RUNNING = "key_running"
     KEY_REUSED = "key_reused"
     KEY_UNKNOWN = "key_unknown"
@@ -135,6 +137,12 @@
     ErrorKind.STOPPING: ErrorSpec(
         503, _NOT_RUN, Retry.NEVER, "The instance stops before the request's time is over"
     ),
+    ErrorKind.KEY_MISSING: ErrorSpec(
+        401, _NOT_RUN, Retry.NEVER, "The request has no key of an organisation"
+    ),
+    ErrorKind.KEY_UNKNOWN_CALLER: ErrorSpec(
+        401, _NOT_RUN, Retry.NEVER, "The key belongs to no organisation"
+    ),
     ErrorKind.KEY_RUNNING: ErrorSpec(
         409, _NOT_RUN, Retry.NEVER, "A request with this idempotency key is running"
     ),
--- /dev/null
+++ b/src/foxtaildrum/organisations/recognition.py
@@ -0,0 +1,107 @@
+"""Decides whether a request may be served, and for which organisation.
+
+An instance can't know that its tables lack nothing, only how old they are at most: they include
+every change that was accepted longer ago than their age. A key that is unknown here may have
+been added since, and a key that is known may have been removed since.
+"""
+
+from __future__ import annotations
+
+from ..kinds import ErrorKind
+from ..records import Organisation, Settings
+from .keys import KeyTable
+
+
+class AgeLimits:
+    """Ages of the tables up to which they may be decided from.
+
+    Parameters
+    ----------
+    key_check_s : float
+        Age up to which a request without a known key is refused for good, in seconds.
+    revocation_s : float
+        Age up to which requests with keys are served, in seconds; 0 sets no limit.
+    """
+
+    __slots__ = ("key_check_s", "revocation_s")
+
+    def __init__(self, key_check_s: float, revocation_s: float) -> None:
+        self.key_check_s = key_check_s
+        self.revocation_s = revocation_s
+
+    @classmethod
+    def from_settings(cls, settings: Settings) -> AgeLimits:
+        """Build the limits of an instance."""
+        return cls(settings.key_check_s, settings.revocation_s)
+
+    def allow_refusal(self, age_s: float | None) -> bool:
+        """Return whether an unknown key is unknown for certain."""
+        return age_s is not None and age_s <= self.key_check_s
+
+    def allow_service(self, age_s: float | None) -> bool:
+        """Return whether a known key has not been removed for too long."""
+        return not self.revocation_s or (age_s is not None and age_s <= self.revocation_s)
+
+
+class Decision:
+    """Whether a request is served, and for which organisation.
+
+    Parameters
+    ----------
+    organisation : Organisation or None
+        Organisation of a request that is served; None if it has none.
+    refusal : ErrorKind or None
+        Why the request is refused; None if it is served.
+    """
+
+    __slots__ = ("organisation", "refusal")
+
+    def __init__(self, organisation: Organisation | None, refusal: ErrorKind | None) -> None:
+        self.organisation = organisation
+        self.refusal = refusal
+
+
+def decide_by_key(
+    key_table: KeyTable, key: str, is_public: bool, age_s: float | None, limits: AgeLimits
+) -> Decision:
+    """Decide on a request of a caller.
+
+    Parameters
+    ----------
+    key : str
+        Value of the key header; empty without one. Values of a repeated header, which are
+        joined by a comma and a space, are no key.
+    is_public : bool
+        Whether the route serves requests without a key.
+    age_s : float or None
+        Age of the tables that ``key_table`` belongs to, in seconds; None if it is unknown.
+    """
+    organisation = key_table.find(key) if key else None
+    if is_public:
+        return Decision(organisation, None)
+    if organisation is not None:
+        refusal = None if limits.allow_service(age_s) else ErrorKind.NOT_READY
+        return Decision(organisation, refusal)
+    if not limits.allow_refusal(age_s):
+        return Decision(None, ErrorKind.NOT_READY)
+    return Decision(None, ErrorKind.KEY_UNKNOWN_CALLER if key else ErrorKind.KEY_MISSING)
+
+
+def decide_by_name(
+    key_table: KeyTable, name: str, is_public: bool, age_s: float | None, limits: AgeLimits
+) -> Decision:
+    """Decide on a request that another instance forwards and has recognised.
+
+    A request that doesn't fit the tables here was recognised by others: it is not refused for
+    good, but may go elsewhere.
+
+    Parameters
+    ----------
+    name : str
+        Name that the other instance states; empty if the request has no organisation.
+    """
+    organisation = key_table.find_by_name(name) if name else None
+    is_known = organisation is not None if name else is_public
+    if is_known and (is_public or limits.allow_service(age_s)):
+        return Decision(organisation, None)
+    return Decision(None, ErrorKind.NOT_READY)
--- a/src/foxtaildrum/requests/callers.py
+++ b/src/foxtaildrum/requests/callers.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from ..clock import read_clock
+from ..organisations.keys import KeyTable
 from ..records import Organisation, Route
 from .forwards import Forward
 from .transport import OutgoingRequest
@@ -38,6 +39,8 @@
         Route of the request, once it is known.
     organisation : Organisation or None
         Organisation whose key the caller sent, without its keys; None if there is none.
+    key_table : KeyTable or None
+        Organisations in force when the request was recognised; None without any.
     """
 
     __slots__ = (
@@ -45,6 +48,7 @@
         "environ",
         "forward",
         "host",
+        "key_table",
         "method",
         "organisation",
         "path",
@@ -64,6 +68,15 @@
         self.request_id = read_request_id(environ.get("HTTP_X_REQUEST_ID", ""))
         self.route: Route | None = None
         self.organisation: Organisation | None = None
+        self.key_table: KeyTable | None = None
+
+    @property
+    def priority(self) -> int:
+        """Priority of the organisation if it has one, else that of the route."""
+        organisation = self.organisation
+        if organisation is None or organisation.priority is None:
+            return self.route.priority
+        return organisation.priority
 
     def build_outgoing(self, replaced_headers: frozenset[str]) -> OutgoingRequest:
         """Return the request to send to upstreams, without the headers that are replaced."""
--- a/src/foxtaildrum/requests/dialects.py
+++ b/src/foxtaildrum/requests/dialects.py
@@ -39,6 +39,10 @@
         Header that every successful response of an upstream must have; empty for none.
     idempotency_key_header : str
         Header with the idempotency key; empty for none.
+    key_header : str
+        Header with the key of the caller's organisation.
+    organisation_header : str
+        Header with the name of the caller's organisation, for upstreams.
     not_run_statuses : frozenset of int
         Statuses that tell the caller that its request was not run.
     accepts_trailing_bytes : bool
@@ -59,6 +63,8 @@
     requires_response_id = False
     required_response_header = ""
     idempotency_key_header = "Idempotency-Key"
+    key_header = "X-Organisation-Key"
+    organisation_header = "X-Organisation"
     not_run_statuses: frozenset[int] = frozenset()
     accepts_trailing_bytes = False
     accepts_close_delimited = False
--- a/src/foxtaildrum/requests/dispatch.py
+++ b/src/foxtaildrum/requests/dispatch.py
@@ -21,6 +21,7 @@
 from .exchange import Exchange
 from .forwards import Forwarder
 from .guard import RETRY_AFTER_CRASHES_S, CrashGuard
+from .recognising import RETRY_AFTER_TABLES_S, Recognition
 from .relays import ErrorResponse, StreamedBody, UpstreamResponse, read_spooled
 from .transport import (
     CHUNK_BYTES,
@@ -71,6 +72,8 @@
         Whether another instance has forwarded the request, which is then not forwarded again.
     table_index : int
         Index of the change that the tables include last by which the request is handled.
+    recognition : Recognition or None
+        Recognition of the caller's organisation; None while organisations are not in force.
 
     Attributes
     ----------
@@ -93,6 +96,7 @@
         forwarder: Forwarder | None = None,
         takes_forward: bool = False,
         table_index: int = 0,
+        recognition: Recognition | None = None,
     ) -> None:
         self._exchange = exchange
         self._pool = pool
@@ -108,6 +112,7 @@
         self._forwarder = forwarder
         self._takes_forward = takes_forward
         self._table_index = table_index
+        self._recognition = recognition
         self._attempt_states: dict[int, AttemptState] = {}
         self._actions: deque[steps.Action] = deque()
         self._result: ErrorResponse | UpstreamResponse | None = None
@@ -163,6 +168,8 @@
             return steps.SlotRefused(
                 action.attempt, ErrorKind.CRASHES_UPSTREAMS, RETRY_AFTER_CRASHES_S
             )
+        if self._is_unrecognised():
+            return steps.SlotRefused(action.attempt, ErrorKind.NOT_READY, RETRY_AFTER_TABLES_S)
         if self._is_unreachable():
             return self._acquire_forward(action)
         # The replies arrive while the upstreams are checked.
@@ -187,6 +194,11 @@
         )
         return steps.SlotGranted(action.attempt, upstream.upstream_id)
 
+    def _is_unrecognised(self) -> bool:
+        """Return whether the tables no longer show that the caller's key is valid."""
+        recognition = self._recognition
+        return recognition is not None and not recognition.holds(read_clock())
+
     def _is_unreachable(self) -> bool:
         forwarder = self._forwarder
         return forwarder is not None and forwarder.links.is_unreachable(self._pool.name)
@@ -212,7 +224,11 @@
         if peer is None:
             return refusal
         header = self._forwarder.format_header(
-            self._request, self._pool.name, self._exchange.attempts_left, self._table_index
+            self._request,
+            self._pool.name,
+            self._exchange.attempts_left,
+            self._table_index,
+            self._recognition.organisation_name if self._recognition is not None else "",
         )
         self._attempt_states[action.attempt] = ForwardedAttempt(
             action.attempt, now, self._forwarder, peer, self._pool, header
@@ -255,7 +271,7 @@
             if isinstance(attempt, UpstreamAttempt):
                 self._confirm_unreachable()
             return steps.ConnectFailed(action.attempt)
-        if attempt.is_unwanted(read_clock()):
+        if attempt.is_unwanted(read_clock()) or self._is_unrecognised():
             return steps.SlotWithdrawn(action.attempt)
         return steps.Connected(action.attempt)
 
--- a/src/foxtaildrum/requests/forwards.py
+++ b/src/foxtaildrum/requests/forwards.py
@@ -21,7 +21,8 @@
 # Kinds of error after which another instance may take the request.
 DECLINING_KINDS = frozenset({ErrorKind.UPSTREAMS_UNREACHABLE, ErrorKind.NOT_READY})
 
-_FIELD_COUNT = 5
+# Builds that know no organisations send no name, and read no statement that has one.
+_FIELD_COUNTS = (5, 6)
 _UPSTREAM = "upstream"
 _LEAVING = "leaving-upstream"
 
@@ -39,11 +40,21 @@
         Upstreams to which the request may still be sent.
     index : int
         Index of the change that its tables include last.
+    organisation : str
+        Name of the organisation whose key the caller sent; empty without one.
     """
 
-    __slots__ = ("attempts_left", "index", "origin", "pool")
+    __slots__ = ("attempts_left", "index", "organisation", "origin", "pool")
 
-    def __init__(self, origin: str, pool: str, attempts_left: int, index: int) -> None:
+    def __init__(
+        self,
+        origin: str,
+        pool: str,
+        attempts_left: int,
+        index: int,
+        organisation: str = "",
+    ) -> None:
+        self.organisation = organisation
         self.origin = origin
         self.pool = pool
         self.attempts_left = attempts_left
@@ -52,6 +63,8 @@
     def format(self, key: bytes, method: str, target: str, request_id: str) -> str:
         """Return the value of the header, signed together with the request."""
         fields = f"{self.origin} {self.pool} {self.attempts_left} {self.index}"
+        if self.organisation:
+            fields = f"{fields} {self.organisation}"
         return f"{fields} {_sign(key, fields, method, target, request_id)}"
 
     @classmethod
@@ -62,12 +75,12 @@
         fields, _, signature = value.rpartition(" ")
         expected = _sign(key, fields, method, target, request_id)
         parts = value.split(" ")
-        if len(parts) != _FIELD_COUNT or not hmac.compare_digest(
+        if len(parts) not in _FIELD_COUNTS or not hmac.compare_digest(
             signature.encode("latin-1"), expected.encode()
         ):
             return None
         with contextlib.suppress(ValueError):
-            return cls(parts[0], parts[1], int(parts[2]), int(parts[3]))
+            return cls(parts[0], parts[1], int(parts[2]), int(parts[3]), *parts[4:-1])
         return None
 
 
@@ -191,10 +204,15 @@
             return pool
 
     def format_header(
-        self, request: OutgoingRequest, pool: str, attempts_left: int, index: int
+        self,
+        request: OutgoingRequest,
+        pool: str,
+        attempts_left: int,
+        index: int,
+        organisation: str = "",
     ) -> str:
         """Return the header that states what is forwarded."""
-        forward = Forward(self._instance_id, pool, attempts_left, index)
+        forward = Forward(self._instance_id, pool, attempts_left, index, organisation)
         return forward.format(
             self._get_key(), request.method, request.target, request.request_id
         )
--- a/src/foxtaildrum/requests/problem.py
+++ b/src/foxtaildrum/requests/problem.py
@@ -4,6 +4,7 @@
 
 import http.client
 import json
+import re
 from collections.abc import Callable, Iterable
 
 from ..kinds import ERROR_RESPONSES, ErrorKind, Outcome
@@ -22,6 +23,8 @@
 }
 OUTCOME_HEADER = "Foxtaildrum-Outcome"
 
+_HEADER_LINE = re.compile(r'header line ".*"', re.DOTALL)
+
 StartResponse = Callable[[str, list[tuple[str, str]]], object]
 Problem = tuple[str, list[tuple[str, str]], bytes]
 
@@ -45,7 +48,8 @@
 
     def __init__(self, kind: ErrorKind, reason: str, request_id: str, caller: str) -> None:
         self.kind = kind
-        self.reason = reason
+        # The parser quotes the line, which may hold the key of an organisation.
+        self.reason = _HEADER_LINE.sub("header line", reason)
         self.request_id = request_id
         self.caller = caller
 
@@ -83,6 +87,8 @@
         (OUTCOME_HEADER, outcome.value),
         ("X-Request-Id", request_id),
     ]
+    if status == http.client.UNAUTHORIZED:
+        headers.append(("WWW-Authenticate", f'Key header="{dialect.key_header}"'))
     if status == http.client.SERVICE_UNAVAILABLE:
         wait_s = retry_after_s
         if wait_s is None:
--- a/src/foxtaildrum/requests/proxy.py
+++ b/src/foxtaildrum/requests/proxy.py
@@ -14,6 +14,7 @@
 from ..fleet.crashes import CrashView
 from ..kinds import ERROR_RESPONSES, ErrorKind, Outcome
 from ..logs import log_event
+from ..organisations.keys import KeyTable
 from .averages import RouteAverages
 from .callers import CallerRequest, read_time_limit
 from .dialects import Dialect
@@ -36,6 +37,7 @@
     format_status,
     send_problem,
 )
+from .recognising import RETRY_AFTER_TABLES_S, Recogniser
 from .relays import ErrorResponse, TruncatedResponseError, UpstreamResponse
 from .routing import Router, is_idempotent
 from .stops import StopPlan
@@ -86,9 +88,25 @@
         Index of the change that the tables include last.
     is_set : bool
         Whether the tables have been set. Before that, nothing is known of any route.
+    key_table : KeyTable or None
+        Organisations in force; None while there are none.
+
+    Attributes
+    ----------
+    complete_up_to : float
+        Time up to which the tables of this view include every accepted change, in seconds.
     """
 
-    __slots__ = ("chooser", "index", "is_set", "pools", "router", "version")
+    __slots__ = (
+        "chooser",
+        "complete_up_to",
+        "index",
+        "is_set",
+        "key_table",
+        "pools",
+        "router",
+        "version",
+    )
 
     def __init__(
         self,
@@ -98,7 +116,10 @@
         version: int = 0,
         index: int = 0,
         is_set: bool = True,
+        key_table: KeyTable | None = None,
     ) -> None:
+        self.complete_up_to = float("-inf")
+        self.key_table = key_table
         self.is_set = is_set
         self.router = router
         self.index = index
@@ -106,6 +127,11 @@
         self.chooser = chooser or PoolChooser([])
         self.pools = pools
 
+    def compute_age(self, now: float) -> float | None:
+        """Return the age of the tables of this view, in seconds; None if it is unknown."""
+        complete_up_to = self.complete_up_to
+        return None if complete_up_to == float("-inf") else now - complete_up_to
+
 
 class Proxy:
     """WSGI application that serves callers.
@@ -131,6 +157,7 @@
         )
         self._replaced_headers = _REPLACED_HEADERS | {self.dialect.timeout_header.lower()}
         self.view = View(Router([]), {}, is_set=False)
+        self.recogniser = Recogniser(self.dialect, self._get_view)
         self.is_open: Callable[[], bool] = _always
         self.is_starting: Callable[[], bool] = _never
         self.list_unready_reasons: Callable[[], list[str]] = list
@@ -161,8 +188,12 @@
         )
         if request.forward is None:
             return self._decline_unsigned(request, start_response)
-        if request.forward.index > self.view.index:
-            # This instance has not heard yet of the tables that the request is handled by.
+        view = self.view
+        names_organisation = bool(request.forward.organisation)
+        if request.forward.index > view.index or (
+            names_organisation and view.key_table is None
+        ):
+            # This instance has other tables than those that the request is handled by.
             return self._send_error(request, start_response, ErrorKind.NOT_READY)
         return self._serve(request, start_response)
 
@@ -228,7 +259,6 @@
         )
 
     def _serve(self, request: CallerRequest, start_response: StartResponse) -> Iterable[bytes]:
-        environ = request.environ
         if read_clock() - request.arrived_at > MAX_THREAD_WAIT_S:
             return self._send_error(request, start_response, ErrorKind.OVERLOADED)
         if not self._wait_until_open():
@@ -239,8 +269,23 @@
             reason = f"host {request.host}"
             return self._send_error(request, start_response, found, reason=reason)
         request.route = found
+        if view.key_table is not None:
+            refusal = self.recogniser.recognise(request, view)
+            if refusal is not None:
+                retry_after_s = RETRY_AFTER_TABLES_S
+                return self._send_error(
+                    request, start_response, refusal, retry_after_s=retry_after_s
+                )
+        return self._serve_recognised(request, start_response, view)
+
+    def _serve_recognised(
+        self, request: CallerRequest, start_response: StartResponse, view: View
+    ) -> Iterable[bytes]:
+        """Serve a request whose route and organisation are known."""
+        environ = request.environ
+        route = request.route
         timeout_text = environ.get(self._timeout_environ_key)
-        timeout_s = read_time_limit(timeout_text, found)
+        timeout_s = read_time_limit(timeout_text, route)
         if timeout_s is None:
             reason = f"{self.dialect.timeout_header}: {timeout_text}"
             return self._send_error(
@@ -251,7 +296,7 @@
         pool = view.pools.get(_choose_pool(view, request))
         if pool is None:
             return self._send_error(request, start_response, ErrorKind.NO_UPSTREAM)
-        idempotent = is_idempotent(found, request.method)
+        idempotent = is_idempotent(route, request.method)
         if not self._admits(read_clock(), request, timeout_s, idempotent):
             kind = ErrorKind.STOPPING if request.forward is None else ErrorKind.NOT_READY
             return self._send_error(request, start_response, kind)
@@ -300,6 +345,9 @@
         remaining_s = request.arrived_at + timeout_s - read_clock()
         if remaining_s <= 0:
             return self._send_error(request, start_response, ErrorKind.DEADLINE_BEFORE_SEND)
+        if request.organisation is not None:
+            # Another organisation may use the same key and must not get the response.
+            key = f"{request.organisation.name}\n{key}"
         granted_claim, outcome = self.claims.claim(key, digest, remaining_s)
         if outcome.verdict is Verdict.GRANTED:
             return self._dispatch(
@@ -342,7 +390,11 @@
             max_attempts,
             self.dialect.not_run_statuses,
         )
-        outgoing = request.build_outgoing(self._replaced_headers)
+        recognition = None
+        if request.key_table is None:
+            outgoing = request.build_outgoing(self._replaced_headers)
+        else:
+            outgoing, recognition = self.recogniser.prepare(request, self._replaced_headers)
         dispatch = Dispatch(
             exchange,
             pool,
@@ -351,12 +403,13 @@
             self.dialect,
             CrashGuard(outgoing, self._get_crash_view, self.crash_reporter),
             environ.get("SERVER_PROTOCOL") == "HTTP/1.0",
-            request.route.priority,
+            request.priority,
             MAX_QUEUE_WAIT_RATIO * request.route.objective_latency_ms / 1000,
             self.sizes.get(request.route.name),
             self.forwarder,
             forward is not None,
             self.view.index,
+            recognition,
         )
         try:
             result = dispatch.run()
@@ -379,6 +432,9 @@
             )
         return self._send_response(request, start_response, dispatch, result)
 
+    def _get_view(self) -> View:
+        return self.view
+
     def _get_crash_view(self) -> CrashView:
         return self.crash_view
 
@@ -474,6 +530,9 @@
         else:
             # The instance that forwarded the request counts it.
             self._meter.count("requests.forwarded")
+        if request.organisation is not None:
+            self.recogniser.record_end(request, fields["kind"], fields.get("outcome", ""))
+            fields["organisation"] = request.organisation.name
         if fields["kind"]:
             self._meter.count(f"kinds.{fields['kind']}")
         if fields["attempts"] > 1:
--- /dev/null
+++ b/src/foxtaildrum/requests/recognising.py
@@ -0,0 +1,173 @@
+"""Recognition of a request's organisation, and the headers that tell upstreams its name."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Protocol
+
+from ..clock import read_clock
+from ..kinds import ErrorKind, Outcome
+from ..logs import log_event
+from ..organisations.counts import OrganisationCounts, RefusedKeys, Result
+from ..organisations.keys import KeyTable
+from ..organisations.recognition import AgeLimits, Decision, decide_by_key, decide_by_name
+from ..records import Settings
+from .callers import CallerRequest
+from .dialects import Dialect
+from .transport import OutgoingRequest
+
+# The tables of an instance in contact are confirmed more than once a second.
+RETRY_AFTER_TABLES_S = 0.4
+
+
+class KeyView(Protocol):
+    """Part of the view in force that recognition reads.
+
+    Attributes
+    ----------
+    key_table : KeyTable or None
+        Organisations in force; None while there are none.
+    """
+
+    key_table: KeyTable | None
+
+    def compute_age(self, now: float) -> float | None:
+        """Return the age of the tables of this view, in seconds; None if it is unknown."""
+
+
+class Recognition:
+    """Recognition of one request, checked again before each of its attempts.
+
+    Parameters
+    ----------
+    request : CallerRequest
+        Request that was recognised.
+    recogniser : Recogniser
+        Decides again.
+    """
+
+    __slots__ = ("_recogniser", "_request")
+
+    def __init__(self, request: CallerRequest, recogniser: Recogniser) -> None:
+        self._request = request
+        self._recogniser = recogniser
+
+    @property
+    def organisation_name(self) -> str:
+        """Name of the organisation; empty without one."""
+        organisation = self._request.organisation
+        return organisation.name if organisation is not None else ""
+
+    def holds(self, now: float) -> bool:
+        """Return whether the request may still be sent by the tables that are in force now."""
+        if self._request.route.public:
+            return True
+        view = self._recogniser.get_view()
+        key_table = view.key_table
+        if key_table is None:
+            return True
+        if key_table is self._request.key_table:
+            return self._recogniser.limits.allow_service(view.compute_age(now))
+        decision = self._recogniser.decide(now, self._request, view, key_table)
+        known = decision.organisation
+        return decision.refusal is None and (
+            known is not None and known.name == self.organisation_name
+        )
+
+
+class Recogniser:
+    """Recognises the organisations of requests while organisations are in force.
+
+    Parameters
+    ----------
+    dialect : Dialect
+        Names of the headers.
+    get_view : callable
+        Returns the view that is in force.
+
+    Attributes
+    ----------
+    limits : AgeLimits
+        Ages up to which the tables are decided from.
+    counts : OrganisationCounts
+        Requests by organisation and result.
+    """
+
+    def __init__(self, dialect: Dialect, get_view: Callable[[], KeyView]) -> None:
+        self.get_view = get_view
+        self.limits = AgeLimits.from_settings(Settings())
+        self.counts = OrganisationCounts()
+        self._dialect = dialect
+        self._refused_keys = RefusedKeys()
+        self._environ_key = "HTTP_" + dialect.key_header.upper().replace("-", "_")
+        self._replaced_headers = {
+            dialect.key_header.lower(),
+            dialect.organisation_header.lower(),
+        }
+
+    def recognise(self, request: CallerRequest, view: KeyView) -> ErrorKind | None:
+        """Set the organisation of a request; return why it is refused, or None.
+
+        Organisations are in force in the view.
+        """
+        now = read_clock()
+        decision = self.decide(now, request, view, view.key_table)
+        request.key_table = view.key_table
+        request.organisation = decision.organisation
+        if decision.refusal in (ErrorKind.KEY_MISSING, ErrorKind.KEY_UNKNOWN_CALLER):
+            self._report_refusal(now, request, decision.refusal)
+        return decision.refusal
+
+    def decide(
+        self, now: float, request: CallerRequest, view: KeyView, key_table: KeyTable
+    ) -> Decision:
+        """Decide on a request by some organisations in force."""
+        age_s = view.compute_age(now)
+        is_public = request.route.public
+        if request.forward is not None:
+            name = request.forward.organisation
+            return decide_by_name(key_table, name, is_public, age_s, self.limits)
+        key = request.environ.get(self._environ_key, "")
+        return decide_by_key(key_table, key, is_public, age_s, self.limits)
+
+    def prepare(
+        self, request: CallerRequest, replaced_headers: frozenset[str]
+    ) -> tuple[OutgoingRequest, Recognition]:
+        """Return a recognised request as upstreams get it, and what its attempts check.
+
+        The name of the organisation is in the place of the key.
+        """
+        outgoing = request.build_outgoing(replaced_headers | self._replaced_headers)
+        if request.organisation is not None:
+            outgoing.headers[self._dialect.organisation_header] = request.organisation.name
+        return outgoing, Recognition(request, self)
+
+    def record_end(self, request: CallerRequest, kind: str, outcome: str) -> None:
+        """Count a request of an organisation that has ended.
+
+        Parameters
+        ----------
+        kind : str
+            Kind of the error; empty if the response of an upstream was relayed.
+        outcome : str
+            Outcome of a request that failed.
+        """
+        if request.forward is not None:
+            # The instance that forwarded the request counts it.
+            return
+        result = Result.SERVED
+        if kind:
+            result = Result.REFUSED if outcome == Outcome.NOT_RUN else Result.FAILED
+        self.counts.record(request.organisation.name, result)
+
+    def _report_refusal(self, now: float, request: CallerRequest, kind: ErrorKind) -> None:
+        counts = self._refused_keys.record(now, kind)
+        if counts is not None:
+            log_event(
+                "keys_refused",
+                failed=True,
+                missing=counts["missing"],
+                unknown=counts["unknown"],
+                route=request.route.name,
+                origin=request.environ.get("REMOTE_ADDR", ""),
+            )
