While organisations are in force, instances ask control instances for confirmations

The pings on the ring bring a confirmation of the tables every few seconds, too seldom for revocation_s and key_check_s. Carried by Ping and Ack, which older builds answer. Without organisations nobody asks.

--- a/src/foxtaildrum/fleet/gossip.py
+++ b/src/foxtaildrum/fleet/gossip.py
@@ -12,6 +12,7 @@
 from .actions import ActionQueue, MemberChanged, Reconnect
 from .announcing import UpstreamPart
 from .comparing import ListComparison
+from .confirming import ConfirmationSchedule
 from .crashing import CrashPart
 from .currency import Currency
 from .digest import BucketDigest
@@ -82,6 +83,7 @@
         self._rng = rng
         self._actions = actions
         self._control_ping_at = now
+        self._confirmations = ConfirmationSchedule(members.me.instance_id, rng)
         self._repair_at: dict[str, float] = {}
 
     def tick(self, now: float) -> None:
@@ -91,6 +93,8 @@
         unanswered = dict.fromkeys(self._members.pop_unanswered())
         self._actions.extend(Reconnect(i) for i in unanswered)
         self._ping_control_instances(now)
+        if self._tables.state.tables.get_organisations() is not None:
+            self._request_confirmation(now)
 
     def push_updates(self, now: float) -> None:
         """Send the members that changed to other instances, and report them."""
@@ -195,6 +199,23 @@
         distinct = dict.fromkeys(targets)
         self._actions.extend(self._members.request_acks(now, distinct, summary))
 
+    def _request_confirmation(self, now: float) -> None:
+        """Ask a control instance up to when a quorum has confirmed the tables."""
+        if not self._currency.started:
+            return
+        target = self._confirmations.choose(
+            now,
+            self._tables.confirmed_at,
+            self._get_leader(),
+            self._list_usable_control_instances(),
+        )
+        if target:
+            summary = self._build_summary(now)
+            self._actions.extend(self._members.request_acks(now, [target], summary))
+
+    def _list_usable_control_instances(self) -> list[str]:
+        return [i for i in self._list_control_instances() if self._members.is_usable(i)]
+
     def _sample(self, instances: list[str]) -> list[str]:
         return self._rng.sample(instances, min(CONTROL_PING_TARGETS, len(instances)))
 
--- a/src/foxtaildrum/fleet/relaying.py
+++ b/src/foxtaildrum/fleet/relaying.py
@@ -36,6 +36,11 @@
         """Tables in force here."""
         return self._follower.state
 
+    @property
+    def confirmed_at(self) -> float:
+        """Time of the last confirmation by a quorum, in seconds."""
+        return self._follower.get_beacon()[1]
+
     def record_beacon(self, group_id: str, index: int, confirmed_at: float) -> None:
         """Record that a quorum confirmed an index at some time."""
         self._follower.record_beacon(group_id, index, confirmed_at)
