An attempt whose recognition has lapsed is not the upstream's refusal

A slot that was withdrawn counts as a refusal by the upstream, which then gets no requests for a time, and the request is tried again. Where the key is no longer known to be valid after the connection is open, neither is right: the attempt now ends as cancelled and the request with not_ready.

Run: tests/test_exchange.py (with the new event among its interleavings), tests/test_organisations.py, tests/test_hedging.py pass.

--- a/src/foxtaildrum/requests/dispatch.py
+++ b/src/foxtaildrum/requests/dispatch.py
@@ -271,7 +271,9 @@
             if isinstance(attempt, UpstreamAttempt):
                 self._confirm_unreachable()
             return steps.ConnectFailed(action.attempt)
-        if attempt.is_unwanted(read_clock()) or self._is_unrecognised():
+        if self._is_unrecognised():
+            return steps.RecognitionLapsed(action.attempt, RETRY_AFTER_TABLES_S)
+        if attempt.is_unwanted(read_clock()):
             return steps.SlotWithdrawn(action.attempt)
         return steps.Connected(action.attempt)
 
--- a/src/foxtaildrum/requests/exchange.py
+++ b/src/foxtaildrum/requests/exchange.py
@@ -30,6 +30,7 @@
     ForwardDeclined,
     ForwardFailed,
     HeadReceived,
+    RecognitionLapsed,
     RelayResponse,
     ReleaseSlot,
     RequestArrived,
@@ -235,6 +236,17 @@
             *self._retry_or_finish(now, ErrorKind.UPSTREAMS_RESTING),
         ]
 
+    def _handle_recognition_lapsed(self, now: float, event: RecognitionLapsed) -> list[Action]:
+        attempt = self._attempts[event.attempt]
+        if attempt.hedge:
+            self._budget.return_hedge()
+        self._retry_after_s = event.retry_after_s
+        # The upstream is not at fault.
+        return [
+            self._end_attempt(attempt, AttemptResult.CANCELLED),
+            *self._finish_unless_pending(ErrorKind.NOT_READY),
+        ]
+
     def _handle_connected(self, now: float, event: Connected) -> list[Action]:
         attempt = self._attempts[event.attempt]
         if now >= self.deadline:
@@ -497,6 +509,7 @@
     SlotGranted: Exchange._handle_slot_granted,
     SlotRefused: Exchange._handle_slot_refused,
     SlotWithdrawn: Exchange._handle_slot_withdrawn,
+    RecognitionLapsed: Exchange._handle_recognition_lapsed,
     Connected: Exchange._handle_connected,
     ConnectFailed: Exchange._handle_connect_failed,
     RequestSent: Exchange._handle_request_sent,
--- a/src/foxtaildrum/requests/steps.py
+++ b/src/foxtaildrum/requests/steps.py
@@ -75,6 +75,20 @@
     attempt: int
 
 
+@dataclass(slots=True)
+class RecognitionLapsed:
+    """The caller's key is no longer known to be valid; the attempt sent nothing.
+
+    Parameters
+    ----------
+    retry_after_s : float
+        Time after which the request may succeed, in seconds.
+    """
+
+    attempt: int
+    retry_after_s: float
+
+
 @dataclass(slots=True)
 class Connected:
     """A connection for the attempt is open; no byte of the request was sent yet."""
@@ -188,6 +202,7 @@
     | SlotGranted
     | SlotRefused
     | SlotWithdrawn
+    | RecognitionLapsed
     | Connected
     | ConnectFailed
     | RequestSent
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -105,8 +105,11 @@
 
     def on_Connect(self, action):
         self.now += self.draw([0.0, 0.0, DEADLINE_S])
-        if self.draw([True, True, False]):
+        choice = self.draw(["connected", "connected", "failed", "lapsed"])
+        if choice == "connected":
             return steps.Connected(action.attempt)
+        if choice == "lapsed":
+            return steps.RecognitionLapsed(action.attempt, 0.4)
         return steps.ConnectFailed(action.attempt)
 
     def on_SendRequest(self, action):
@@ -483,3 +486,38 @@
     actions = exchange.handle(0.1, steps.AttemptFailed(0, ErrorKind.ANSWER_LOST))
     assert any(isinstance(a, steps.SendProblem) for a in actions)
     assert exchange.no_retry_reason == "budget"
+
+
+@pytest.mark.parametrize("may_have_run", [False, True])
+def test_a_request_whose_key_is_no_longer_valid_is_not_tried_again(may_have_run):
+    """A retry after the removal of the key would run at another upstream."""
+    exchange = Exchange(True, DEADLINE_S, NO_HEDGE, FakeBudget(9, 9))
+    exchange.handle(0.0, steps.RequestArrived())
+    number = 0
+    if may_have_run:
+        exchange.handle(0.0, steps.SlotGranted(0, "u0"))
+        exchange.handle(0.0, steps.Connected(0))
+        exchange.handle(0.0, steps.RequestSent(0))
+        exchange.handle(0.0, steps.AttemptFailed(0, ErrorKind.ANSWER_LOST))
+        number = 1
+    exchange.handle(0.0, steps.SlotGranted(number, "u1"))
+    released, problem, _ = exchange.handle(0.0, steps.RecognitionLapsed(number, 0.4))
+    assert released == steps.ReleaseSlot(number, steps.AttemptResult.CANCELLED)
+    outcome = Outcome.UNKNOWN if may_have_run else Outcome.NOT_RUN
+    assert problem == steps.SendProblem(ErrorKind.NOT_READY, outcome, 0.4)
+
+
+def test_a_hedge_whose_key_is_no_longer_valid_leaves_the_first_attempt_alone():
+    budget = FakeBudget(9, 1)
+    exchange = Exchange(True, DEADLINE_S, HedgeTimes(None, HEDGE_DELAY_S), budget)
+    exchange.handle(0.0, steps.RequestArrived())
+    exchange.handle(0.0, steps.SlotGranted(0, "u0"))
+    exchange.handle(0.0, steps.Connected(0))
+    exchange.handle(0.0, steps.RequestSent(0))
+    exchange.handle(HEDGE_DELAY_S, steps.TimerExpired())
+    exchange.handle(HEDGE_DELAY_S, steps.SlotGranted(1, "u1"))
+    actions = exchange.handle(HEDGE_DELAY_S, steps.RecognitionLapsed(1, 0.4))
+    assert actions == [steps.ReleaseSlot(1, steps.AttemptResult.CANCELLED)]
+    assert budget.hedges == 1
+    relayed = exchange.handle(HEDGE_DELAY_S, steps.HeadReceived(0, 200, False))
+    assert relayed == [steps.RelayResponse(0)]
