Operators see the organisations, their requests and whether keys are served

GET /v1/organisations and foxtaildrum organisations list show name, number of keys, priority, limit and requests by result at each instance; status tells whether the tables are recent enough for keys, the metrics count requests by organisation and result. No key is shown anywhere but in the tables read back. Nothing of it appears without organisations.

--- a/src/foxtaildrum/admin/access.py
+++ b/src/foxtaildrum/admin/access.py
@@ -22,6 +22,7 @@
 from ..requests.proxy import Proxy
 from ..requests.relays import ErrorResponse, UpstreamResponse
 from ..versions import get_running_code
+from . import organisations
 from .exposition import MetricsSnapshot
 from .gauges import build_code_gauge, list_node_gauges, list_pool_gauges
 from .metrics import Meter
@@ -180,6 +181,8 @@
         document["pools"] = [
             describe_pool(now, pool) for pool in self._proxy.view.pools.values()
         ]
+        if self._proxy.view.key_table is not None:
+            document["organisations"] = organisations.describe_recognition(now, self._proxy)
         return document
 
     def describe_service_levels(self) -> list[dict[str, Any]]:
@@ -195,6 +198,7 @@
         snapshot.pool_latencies = {name: pool.hold_times for name, pool in pools.items()}
         snapshot.gauges = self._read(list_node_gauges) + list_pool_gauges(pools)
         snapshot.gauges.append(build_code_gauge(get_running_code()))
+        snapshot.organisation_requests = self._proxy.recogniser.counts.list_by_result()
         return snapshot
 
     def get_table(self, name: str) -> tuple[list[dict[str, Any]], int, bool]:
@@ -213,6 +217,14 @@
             return None
         return self._read(lambda node, now: describe_desired(node.state.tables))
 
+    def describe_organisations(self) -> dict[str, Any]:
+        """Return the organisations in force and their requests here, without any key."""
+        document = self._read(organisations.describe_table)
+        counts = self._proxy.recogniser.counts.list_counts()
+        for row in document["organisations"]:
+            row["requests"] = counts.get(row["name"], {})
+        return document
+
     def change_table(self, change: Change | DesiredState) -> ChangeAnswer:
         """Propose a change and wait for its result."""
         change_future = pykka.ThreadingFuture()
--- a/src/foxtaildrum/admin/admin.py
+++ b/src/foxtaildrum/admin/admin.py
@@ -209,7 +209,7 @@
 
 @register_handler("GET", "/v1/tables")
 def get_tables(admin: Admin, environ: dict[str, Any], segment: str) -> AdminResponse:
-    """Return both tables and the limits, including every change accepted so far."""
+    """Return the tables and the limits, including every change accepted so far."""
     admin.check_token(environ)
     document = admin.node.read_desired_state()
     if document is None:
@@ -221,7 +221,7 @@
 
 @register_handler("PUT", "/v1/tables")
 def put_tables(admin: Admin, environ: dict[str, Any], segment: str) -> AdminResponse:
-    """Replace both tables and the limits; the operator numbers the version."""
+    """Replace the tables and the limits; the operator numbers the version."""
     admin.check_token(environ)
     try:
         desired = DesiredState.from_document(read_json(environ))
@@ -240,6 +240,13 @@
     return AdminResponse(_find_failure_status(answer), document)
 
 
+@register_handler("GET", "/v1/organisations")
+def get_organisations(admin: Admin, environ: dict[str, Any], segment: str) -> AdminResponse:
+    """Return the organisations and their requests at this instance, without any key."""
+    admin.check_token(environ)
+    return AdminResponse(http.client.OK, admin.node.describe_organisations())
+
+
 @register_handler("PUT", "/v1/upstreams/")
 def put_upstream(admin: Admin, environ: dict[str, Any], segment: str) -> AdminResponse:
     """Register an upstream or renew its announcement."""
--- a/src/foxtaildrum/admin/client.py
+++ b/src/foxtaildrum/admin/client.py
@@ -69,11 +69,11 @@
         return _read_document(response)["version"]
 
     def get_tables(self) -> dict[str, Any]:
-        """Return both tables and the limits, including every change accepted so far."""
+        """Return the tables and the limits, including every change accepted so far."""
         return _read_document(self._request("GET", "/v1/tables"))
 
     def put_tables(self, document: dict[str, Any]) -> tuple[str, int]:
-        """Replace both tables and the limits with version ``document["version"]``.
+        """Replace the tables and the limits with version ``document["version"]``.
 
         Returns
         -------
@@ -98,6 +98,10 @@
         result = _read_document(response)
         return result["verdict"], result["version"]
 
+    def get_organisations(self) -> dict[str, Any]:
+        """Return the organisations and their requests at the instance, without any key."""
+        return _read_document(self._request("GET", "/v1/organisations"))
+
     def announce(self, upstream_id: str, announcement: dict[str, Any]) -> None:
         """Announce an upstream, or renew its announcement."""
         _read_document(self._request("PUT", f"/v1/upstreams/{upstream_id}", announcement))
--- a/src/foxtaildrum/admin/exposition.py
+++ b/src/foxtaildrum/admin/exposition.py
@@ -53,6 +53,8 @@
     ----------
     requests : dict
         Finished requests by route and status class, such as ``("lookup", "2xx")``.
+    organisation_requests : dict
+        Requests by organisation and result; empty while organisations are not in force.
     refusals : dict
         Error responses made by the instance itself, by error kind.
     events : dict
@@ -71,6 +73,7 @@
         "events",
         "gauges",
         "left_out",
+        "organisation_requests",
         "pool_latencies",
         "refusals",
         "requests",
@@ -79,6 +82,7 @@
 
     def __init__(self) -> None:
         self.requests: dict[tuple[str, str], int] = {}
+        self.organisation_requests: dict[tuple[str, str], int] = {}
         self.refusals: dict[str, int] = {}
         self.events: dict[str, int] = {}
         self.left_out: dict[str, int] = {}
@@ -125,6 +129,15 @@
         for labels, count in _limit_requests(snapshot.requests).items():
             requests.add_metric(labels, count)
         yield requests
+        if snapshot.organisation_requests:
+            family = CounterMetricFamily(
+                METRIC_PREFIX + "organisation_requests",
+                "Requests of each organisation by result.",
+                labels=("organisation", "result"),
+            )
+            for labels, count in _limit_requests(snapshot.organisation_requests).items():
+                family.add_metric(labels, count)
+            yield family
         yield _build_counter(
             "refusals", "Answers made by the system.", "kind", snapshot.refusals
         )
@@ -185,12 +198,12 @@
 
 def _limit_requests(counts: dict[tuple[str, str], int]) -> dict[tuple[str, str], int]:
     limited: dict[tuple[str, str], int] = {}
-    routes: set[str] = set()
-    for (route, status_class), count in counts.items():
-        if route in routes or len(routes) < MAX_SERIES_PER_METRIC:
-            routes.add(route)
-            key = (route, status_class)
+    names: set[str] = set()
+    for (name, result), count in counts.items():
+        if name in names or len(names) < MAX_SERIES_PER_METRIC:
+            names.add(name)
+            key = (name, result)
         else:
-            key = (OTHER_LABEL_VALUE, status_class)
+            key = (OTHER_LABEL_VALUE, result)
         limited[key] = limited.get(key, 0) + count
     return limited
--- a/src/foxtaildrum/commands.py
+++ b/src/foxtaildrum/commands.py
@@ -88,6 +88,7 @@
     for name in TABLE_NAMES:
         _add_table_commands(commands, name)
     _add_desired_commands(commands)
+    _add_organisation_commands(commands)
     check = _add_command(
         commands,
         "check",
@@ -164,13 +165,13 @@
 
 def _add_desired_commands(commands: Any) -> None:
     tables = commands.add_parser(
-        "tables", help="read or replace both tables and the limits in one change"
+        "tables", help="read or replace the tables and the limits in one change"
     )
     actions = tables.add_subparsers(metavar="ACTION", required=True)
     get = _add_command(
         actions,
         "get",
-        "print both tables and the limits as TOML",
+        "print the tables and the limits as TOML, with the keys of organisations",
         "foxtaildrum tables get > tables.toml",
     )
     _add_admin_flags(get)
@@ -178,7 +179,7 @@
     apply = _add_command(
         actions,
         "apply",
-        "replace both tables and the limits with a file",
+        "replace the tables and the limits with a file",
         "foxtaildrum tables apply tables.toml --version 12",
     )
     apply.add_argument("file", metavar="FILE")
@@ -189,6 +190,22 @@
     apply.set_defaults(run=_COMMANDS["apply_tables"])
 
 
+def _add_organisation_commands(commands: Any) -> None:
+    organisations = commands.add_parser(
+        "organisations", help="show the organisations that instances recognise"
+    )
+    actions = organisations.add_subparsers(metavar="ACTION", required=True)
+    listing = _add_command(
+        actions,
+        "list",
+        "show the organisations and their requests, without any key",
+        "foxtaildrum organisations list --admin 10.0.0.1:8081,10.0.1.1:8081",
+    )
+    _add_admin_flags(listing)
+    listing.add_argument("--format", choices=("text", "json"), default="text")
+    listing.set_defaults(run=_COMMANDS["organisations_list"])
+
+
 def _add_table_commands(commands: Any, name: str) -> None:
     table = commands.add_parser(name, help=f"read or replace the {name} table")
     actions = table.add_subparsers(metavar="ACTION", required=True)
@@ -218,7 +235,8 @@
         "--admin",
         default=os.environ.get("FOXTAILDRUM_ADMIN", DEFAULT_ADMIN_ADDRESS),
         metavar="HOST:PORT",
-        help="admin address; report and versions take several, by commas [FOXTAILDRUM_ADMIN]",
+        help="admin address; organisations list, report and versions take several, by "
+        "commas [FOXTAILDRUM_ADMIN]",
     )
     parser.add_argument(
         "--operator-token-file",
--- a/src/foxtaildrum/fleet/node_api.py
+++ b/src/foxtaildrum/fleet/node_api.py
@@ -73,6 +73,9 @@
         None when this instance cannot confirm that its tables include all of them.
         """
 
+    def describe_organisations(self) -> dict[str, Any]:
+        """Return the organisations in force and their requests here, without any key."""
+
     def change_table(self, change: Change | DesiredState) -> ChangeAnswer:
         """Propose a change and wait for its answer."""
 
--- a/src/foxtaildrum/operations.py
+++ b/src/foxtaildrum/operations.py
@@ -12,12 +12,20 @@
 from .admin.client import AdminClient
 from .admin.explain import explain_request, format_history
 from .admin.objectives import merge_service_levels
+from .admin.organisations import format_organisations
 from .admin.report import format_report
 from .commands import format_value, print_error, register_command
 from .control.desired import ACCEPTED, DesiredState
-from .control.tables import TABLE_NAMES, check_references, check_table
+from .control.tables import (
+    ORGANISATIONS,
+    TABLE_NAMES,
+    check_references,
+    check_table,
+    find_table_problems,
+)
 from .exceptions import AdminRequestError, FieldError, InvalidTableError
 from .exits import EXIT_FAILED, EXIT_OK
+from .organisations.rows import find_organisation_problems
 from .settings import read_secret
 
 
@@ -53,7 +61,7 @@
 
 @register_command("get_tables")
 def run_get_tables(arguments: argparse.Namespace) -> int:
-    """Print both tables and the limits as TOML."""
+    """Print the tables and the limits as TOML."""
     document = _build_client(arguments).get_tables()
     print(format_desired_state(document), end="")
     return EXIT_OK
@@ -61,7 +69,7 @@
 
 @register_command("apply_tables")
 def run_apply_tables(arguments: argparse.Namespace) -> int:
-    """Replace both tables and the limits with the content of a file."""
+    """Replace the tables and the limits with the content of a file."""
     document = read_desired_state(arguments.file)
     if arguments.version is not None:
         document["version"] = arguments.version
@@ -92,11 +100,17 @@
 def format_desired_state(document: dict[str, Any]) -> str:
     """Return a desired state as TOML."""
     blocks = [f"version = {document['version']}\n"]
+    organisations = document.get(ORGANISATIONS)
+    if organisations == []:
+        # Without rows there is no block that shows that organisations are in force.
+        blocks.append(f"{ORGANISATIONS} = []\n")
     limits = document.get("limits", {})
     if limits:
         lines = [f"{name} = {json.dumps(value)}" for name, value in limits.items()]
         blocks.append("\n".join(["[limits]", *lines]) + "\n")
     blocks += [format_table(name, document[name]) for name in TABLE_NAMES]
+    if organisations:
+        blocks.append(format_table(ORGANISATIONS, organisations))
     return "\n".join(blocks)
 
 
@@ -107,14 +121,11 @@
     tables: dict[str, list[dict[str, Any]]] = {}
     for path in arguments.files:
         for name, rows in read_tables(path).items():
-            try:
-                check_table(name, rows)
+            found = _find_problems(name, rows)
+            problems += [FieldError(f"{path}: {p.field}", p.reason) for p in found]
+            if not found:
                 tables[name] = rows
-            except InvalidTableError as error:
-                problems += [
-                    FieldError(f"{path}: {p.field}", p.reason) for p in error.exceptions
-                ]
-    if len(tables) == len(TABLE_NAMES):
+    if all(name in tables for name in TABLE_NAMES):
         try:
             check_references(*({r["name"]: r for r in tables[n]} for n in TABLE_NAMES))
         except InvalidTableError as error:
@@ -145,6 +156,24 @@
     return EXIT_OK
 
 
+@register_command("organisations_list")
+def run_organisations_list(arguments: argparse.Namespace) -> int:
+    """Print the organisations and their requests at each of the given instances."""
+    is_complete = True
+    for address in arguments.admin.split(","):
+        try:
+            document = _build_client(arguments, address).get_organisations()
+        except AdminRequestError as error:
+            is_complete = False
+            print(f"{address}: {error}")
+            continue
+        if arguments.format == "json":
+            print(json.dumps(document, indent=2))
+        else:
+            print("\n".join(format_organisations(document)))
+    return EXIT_OK if is_complete else EXIT_FAILED
+
+
 @register_command("versions")
 def run_versions(arguments: argparse.Namespace) -> int:
     """Print which code each of the given instances runs."""
@@ -184,9 +213,9 @@
     except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
         raise InvalidTableError("invalid file", [FieldError(path, str(error))]) from error
     unknown = [
-        FieldError(f"{path}: {name}", "unknown table; expected routes or pools")
+        FieldError(f"{path}: {name}", "unknown table; expected routes, pools or organisations")
         for name in document
-        if name not in TABLE_NAMES
+        if name not in (*TABLE_NAMES, ORGANISATIONS)
     ]
     if unknown:
         raise InvalidTableError("invalid file", unknown)
@@ -195,6 +224,12 @@
     return document
 
 
+def _find_problems(name: str, rows: Any) -> list[FieldError]:
+    if name == ORGANISATIONS:
+        return find_organisation_problems(rows)
+    return find_table_problems(name, rows)
+
+
 def read_table(path: str, name: str) -> Any:
     """Read the rows of one table from a TOML file."""
     tables = read_tables(path)
@@ -229,6 +264,12 @@
             f"  {name}: version {table['version']}, {table['rows']} rows, "
             f"changed by {table['changed_by'] or '-'}"
         )
+    organisations = status.get("organisations")
+    if organisations:
+        service = (
+            "served" if organisations["serves_keys"] else "refused: the tables are too old"
+        )
+        lines.append(f"organisations: requests with keys are {service}")
     control = status.get("control")
     if control:
         lines.append(
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -117,6 +117,8 @@
         address = ["--admin", site.instance.admin_server.address]
         assert main(["pools", "get", *address]) == EXIT_FAILED
         assert "401" in capsys.readouterr().err
+        assert main(["organisations", "list", *address]) == EXIT_FAILED
+        assert "401" in capsys.readouterr().out
         assert (
             main(["pools", "get", *address, "--operator-token-file", str(token_file)])
             == EXIT_OK
--- a/tests/test_tables_admin.py
+++ b/tests/test_tables_admin.py
@@ -128,3 +128,41 @@
     assert main([*apply, "--version", str(version)]) == EXIT_CONFLICT
     assert main(apply) == EXIT_FAILED
     assert "version" in capsys.readouterr().err
+
+
+@pytest.mark.parametrize(
+    "organisations",
+    ["organisations = []\n", '[[organisations]]\nname = "acme"\nkeys = ["k1", "k2"]\n'],
+)
+def test_the_command_line_applies_and_prints_organisations(
+    call, site, tmp_path, capsys, organisations
+):
+    """An empty table that is not printed would be lost by the next apply."""
+    address = ["--admin", site.instance.admin_server.address]
+    routes = '[[routes]]\nname = "r"\npool = "p"\npublic = true\n[[pools]]\nname = "p"\n'
+    path = tmp_path / "tables.toml"
+    path.write_text(organisations + routes)
+    version = get_version(call) + 1
+    assert main(["tables", "apply", str(path), *address, "--version", str(version)]) == EXIT_OK
+    capsys.readouterr()
+    assert main(["tables", "get", *address]) == EXIT_OK
+    printed = tomllib.loads(capsys.readouterr().out)
+    assert printed == {"version": version, **tomllib.loads(organisations + routes)}
+    document = json.loads(call("GET", "/v1/tables").data)
+    assert document["organisations"] == printed["organisations"]
+    assert call("PUT", "/v1/organisations", {"organisations": []}).status == 405
+    path.write_text(organisations + routes)
+    assert main(["check", str(path)]) == EXIT_OK
+    without = build_document(version + 1)
+    assert call("PUT", "/v1/tables", without).status == 200
+    assert json.loads(call("GET", "/v1/tables").data) == without
+    assert json.loads(call("GET", "/v1/organisations").data)["in_force"] is False
+
+
+def test_a_file_with_an_invalid_key_is_refused_without_showing_it(tmp_path, capsys):
+    path = tmp_path / "organisations.toml"
+    path.write_text('[[organisations]]\nname = "a"\nkeys = ["my secret"]\n')
+    assert main(["check", str(path)]) == EXIT_FAILED
+    error = capsys.readouterr().err
+    assert "organisations[0].keys[0]" in error
+    assert "my secret" not in error
