--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -119,3 +119,25 @@
     port = settings.metrics_listen.rpartition(":")[2]
     for role in deploy["roles"].values():
         assert role["metrics"] == f"{port}/metrics"
+
+
+@pytest.mark.parametrize(
+    ("bounds", "revocation_s"),
+    [
+        ({}, 0.0),
+        ({"revoke_ms": 4000}, 0.0),
+        ({"revoke_ms": 4000, "fail_closed": False}, 0.0),
+        ({"revoke_ms": 4500, "fail_closed": True}, 4.5),
+    ],
+)
+def test_keys_are_revoked_in_time_only_where_the_platform_fails_closed(
+    main, bounds, revocation_s
+):
+    config = {**CONFIG, "bounds": {**CONFIG["bounds"], **bounds}}
+    assert read_settings(main, "entry", config).revocation_s == revocation_s
+
+
+def test_the_platform_names_the_headers_of_organisations(dialect):
+    assert (dialect.key_header, dialect.organisation_header) == ("Api-Key", "X-Tenant")
+    for kind in (ErrorKind.KEY_MISSING, ErrorKind.KEY_UNKNOWN_CALLER):
+        assert dialect.get_status(kind, Outcome.NOT_RUN) == 401
