--- a/src/foxtaildrum/requests/callers.py
+++ b/src/foxtaildrum/requests/callers.py
@@ -7,7 +7,8 @@
 from typing import Any
 
 from ..clock import read_clock
-from ..records import Route
+from ..organisations.keys import KeyTable
+from ..records import Organisation, Route
 from .forwards import Forward
 from .transport import OutgoingRequest
 
@@ -36,6 +37,10 @@
         Statement of the instance that forwarded the request; None if a caller sent it.
     route : Route or None
         Route of the request, once it is known.
+    organisation : Organisation or None
+        Organisation whose key the caller sent, without its keys; None if there is none.
+    key_table : KeyTable or None
+        Organisations in force when the request was recognised; None without any.
     """
 
     __slots__ = (
@@ -43,7 +48,9 @@
         "environ",
         "forward",
         "host",
+        "key_table",
         "method",
+        "organisation",
         "path",
         "request_id",
         "route",
@@ -60,6 +67,16 @@
         self.host = authority or environ.get("HTTP_HOST", "")
         self.request_id = read_request_id(environ.get("HTTP_X_REQUEST_ID", ""))
         self.route: Route | None = None
+        self.organisation: Organisation | None = None
+        self.key_table: KeyTable | None = None
+
+    @property
+    def priority(self) -> int:
+        """Priority of the organisation if it has one, else that of the route."""
+        organisation = self.organisation
+        if organisation is None or organisation.priority is None:
+            return self.route.priority
+        return organisation.priority
 
     def build_outgoing(self, replaced_headers: frozenset[str]) -> OutgoingRequest:
         """Return the request to send to upstreams, without the headers that are replaced."""
