--- /dev/null
+++ b/src/foxtaildrum/control/orders.py
@@ -0,0 +1,274 @@
+"""Passes orders on evacuations to the leader until they are committed, without I/O.
+
+An order is sent again while its reply is missing, to whichever instance leads by then. Each
+copy names the number of orders that the log may have before it, so that a copy that arrives
+after a later order has no effect: an acknowledged order is never undone by an earlier one.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from ..events import ProposalCompleted, Send
+from ..records import EvacuationReply, EvacuationRequest
+from .consensus import Consensus
+from .evacuations import EvacuationOrder
+from .group import Role
+from .table_follower import EVACUATION, TableState
+
+ORDER_TIMEOUT_S = 3.0
+RETRY_S = 0.3
+MAX_HOPS = 3  # further instances that are asked before the next retry
+MAX_PENDING_ENTRIES = 1024
+MAX_WAITING = 1024
+UNKNOWN_COUNT = -1
+TOKEN_PREFIX = "order "  # of the tokens of entries in the log, which proposals share
+
+# Instance that an order came from, empty for this one, and the token of the order there.
+Origin = tuple[str, str]
+
+
+@dataclass(slots=True)
+class OrderCompleted:
+    """An order given at this instance was committed, or was not committed in time."""
+
+    token: str
+    committed: bool
+
+
+class _PendingOrder:
+    """An order given at this instance.
+
+    Attributes
+    ----------
+    order_count : int
+        Number of orders that the log may have before this one.
+    leader : str
+        Instance that leads according to another one; empty if none has named it.
+    hops : int
+        Instances asked since the last retry.
+    committed_count : int
+        Number of orders including this one, once it is committed; otherwise 0.
+    """
+
+    __slots__ = (
+        "committed_count",
+        "deadline",
+        "hops",
+        "leader",
+        "order",
+        "order_count",
+        "retry_at",
+    )
+
+    def __init__(self, now: float, order: EvacuationOrder, order_count: int) -> None:
+        self.order = order
+        self.deadline = now + ORDER_TIMEOUT_S
+        self.retry_at = now
+        self.order_count = order_count
+        self.leader = ""
+        self.hops = 0
+        self.committed_count = 0
+
+
+class _AppendedOrder:
+    """The order that this instance, as the leader, has appended to the log.
+
+    Attributes
+    ----------
+    log_token : str
+        Token of the entry.
+    origins : set
+        Who gave this order, or the same one while it was being committed.
+    """
+
+    __slots__ = ("log_token", "order", "origins")
+
+    def __init__(self, log_token: str, order: EvacuationOrder, origin: Origin) -> None:
+        self.log_token = log_token
+        self.order = order
+        self.origins = {origin}
+
+    def is_same(self, order: EvacuationOrder) -> bool:
+        """Return whether another order says the same."""
+        return (order.zone, order.evacuated) == (self.order.zone, self.order.evacuated)
+
+
+class OrderProposer:
+    """Gets orders on evacuations committed and reports the end of each.
+
+    Parameters
+    ----------
+    instance_id : str
+        Identifier of this instance.
+    state : TableState
+        Replicated state here.
+    consensus : Consensus or None
+        Replicated log; None on an instance outside the control group.
+    pick_control_instance : callable
+        Returns the control instance to send requests to; empty when none is known.
+    submit : callable
+        Appends an entry to the log; only called while this instance leads.
+    """
+
+    def __init__(
+        self,
+        instance_id: str,
+        state: TableState,
+        consensus: Consensus | None,
+        pick_control_instance: Callable[[float], str],
+        submit: Callable[[float, str, str, dict], None],
+    ) -> None:
+        self._instance_id = instance_id
+        self._state = state
+        self._consensus = consensus
+        self._pick_control_instance = pick_control_instance
+        self._submit = submit
+        self._orders: dict[str, _PendingOrder] = {}
+        self._appended: _AppendedOrder | None = None
+        self._waiting: set[Origin] = set()
+        self._actions: list[Send | OrderCompleted] = []
+
+    def propose(self, now: float, token: str, order: EvacuationOrder) -> None:
+        """Propose an order; :class:`OrderCompleted` with this token reports its end."""
+        order_count = self._state.tables.evacuations.order_count
+        self._orders[token] = _PendingOrder(now, order, order_count)
+        self._send(now, token)
+
+    def tick(self, now: float) -> None:
+        """Send the orders without a reply again, and give up those whose time is over."""
+        for token, pending in list(self._orders.items()):
+            if now >= pending.deadline:
+                self._complete(token, pending.committed_count > 0)
+            elif now >= pending.retry_at and not pending.committed_count:
+                pending.leader, pending.hops = "", 0
+                self._send(now, token)
+
+    def pop_actions(self) -> list[Send | OrderCompleted]:
+        """Return and clear the messages and results that are due.
+
+        An operator who lists the zones here after the result must see the order.
+        """
+        order_count = self._state.tables.evacuations.order_count
+        for token, pending in list(self._orders.items()):
+            if 0 < pending.committed_count <= order_count:
+                self._complete(token, True)
+        actions, self._actions = self._actions, []
+        return actions
+
+    def handle_request(self, now: float, peer: str, message: EvacuationRequest) -> None:
+        """Append the order of another instance, or name the leader."""
+        if not self._is_leader():
+            leader = self._consensus.leader_id if self._consensus is not None else ""
+            self._reply(peer, message.token, UNKNOWN_COUNT, leader)
+            return
+        order = EvacuationOrder(message.zone, message.evacuated, message.at)
+        self._append(now, (peer, message.token), order, message.order_count)
+
+    def handle_reply(self, now: float, peer: str, message: EvacuationReply) -> None:
+        """Handle the reply to an order that was passed on."""
+        pending = self._orders.get(message.token)
+        if pending is None or pending.committed_count:
+            return
+        if message.committed:
+            pending.committed_count = message.order_count
+            return
+        self._follow_reply(now, message.token, message.order_count, message.leader)
+
+    def handle_completed(self, now: float, action: ProposalCompleted) -> None:
+        """Handle the result of an entry that this instance appended."""
+        appended = self._appended
+        if appended is None or action.token != appended.log_token:
+            return
+        self._appended = None
+        waiting, self._waiting = self._waiting, set()
+        if not isinstance(action.result, int):
+            # This instance has ceased to lead; the orders are sent again at their next retry.
+            return
+        for peer, token in sorted(appended.origins):
+            if peer:
+                self._reply(peer, token, action.result, "", committed=True)
+            elif token in self._orders:
+                self._orders[token].committed_count = action.result
+        for origin in sorted(waiting):
+            self._reply_count(now, origin)
+
+    def _send(self, now: float, token: str) -> None:
+        pending = self._orders[token]
+        pending.retry_at = now + RETRY_S
+        if self._is_leader():
+            self._append(now, ("", token), pending.order, pending.order_count)
+            return
+        target = pending.leader or self._pick_control_instance(now)
+        if not target or target == self._instance_id:
+            return
+        order = pending.order
+        message = EvacuationRequest(
+            token=token,
+            zone=order.zone,
+            evacuated=order.evacuated,
+            at=order.at,
+            order_count=pending.order_count,
+        )
+        self._actions.append(Send(target, message))
+
+    def _append(
+        self, now: float, origin: Origin, order: EvacuationOrder, order_count: int
+    ) -> None:
+        """Append an order, unless another one is being committed.
+
+        So the count that a reply names only includes committed orders.
+        """
+        if self._appended is not None:
+            if self._appended.is_same(order):
+                self._appended.origins.add(origin)
+            elif len(self._waiting) < MAX_WAITING:
+                self._waiting.add(origin)
+            return
+        consensus = self._consensus
+        is_busy = consensus.count_pending() >= MAX_PENDING_ENTRIES
+        if is_busy or not consensus.can_accept_changes():
+            return
+        if order_count != self._state.tables.evacuations.order_count:
+            self._reply_count(now, origin)
+            return
+        log_token = f"{TOKEN_PREFIX}{consensus.term} {consensus.log.last_index + 1}"
+        self._appended = _AppendedOrder(log_token, order, origin)
+        self._submit(now, log_token, EVACUATION, order.to_wire())
+
+    def _reply_count(self, now: float, origin: Origin) -> None:
+        """Tell who gave an order how many orders the log has."""
+        peer, token = origin
+        order_count = self._state.tables.evacuations.order_count
+        if peer:
+            self._reply(peer, token, order_count, "")
+        elif token in self._orders:
+            self._follow_reply(now, token, order_count, "")
+
+    def _follow_reply(self, now: float, token: str, order_count: int, leader: str) -> None:
+        """Send an order again at once if a reply tells how; otherwise at the next retry."""
+        pending = self._orders[token]
+        if order_count >= 0:
+            pending.order_count = order_count
+        elif not leader:
+            return
+        pending.leader = leader or pending.leader
+        pending.hops += 1
+        if pending.hops <= MAX_HOPS:
+            self._send(now, token)
+
+    def _reply(
+        self, peer: str, token: str, order_count: int, leader: str, committed: bool = False
+    ) -> None:
+        message = EvacuationReply(
+            token=token, committed=committed, order_count=order_count, leader=leader
+        )
+        self._actions.append(Send(peer, message))
+
+    def _complete(self, token: str, committed: bool) -> None:
+        del self._orders[token]
+        self._actions.append(OrderCompleted(token, committed))
+
+    def _is_leader(self) -> bool:
+        return self._consensus is not None and self._consensus.role is Role.LEADER
--- a/src/foxtaildrum/control/table_follower.py
+++ b/src/foxtaildrum/control/table_follower.py
@@ -13,6 +13,7 @@
 from ..records import FollowEntries, FollowPiece, FollowRequest
 from ..sizes import measure_record, split_batches
 from .desired import DesiredPatch, apply_patch
+from .evacuations import EvacuationOrder
 from .snapshots import pack_snapshot, unpack_snapshot
 from .tables import Patch, Tables
 from .windows import WINDOW_BYTES, EntryWindow
@@ -24,10 +25,11 @@
 # Kinds of log entries.
 CHANGE = "change"
 DESIRED = "desired"
+EVACUATION = "evacuation"
 
 
 class TableState:
-    """Replicated state: both tables and the identifier of the control group.
+    """Replicated state: tables, evacuated zones and the identifier of the control group.
 
     Only control instances store the answers to past changes; a copy for other instances is
     captured with ``with_answers`` false.
@@ -40,11 +42,13 @@
         self.tables = Tables()
 
     def apply(self, kind: str, payload: Any) -> Any:
-        """Apply one entry and return the result of a change."""
+        """Apply one entry and return the result of a change or an order."""
         if kind == CHANGE:
             return self.tables.apply_patch(Patch.from_wire(payload))
         if kind == DESIRED:
             return apply_patch(self.tables, DesiredPatch.from_wire(payload))
+        if kind == EVACUATION:
+            return self.tables.evacuations.apply(EvacuationOrder.from_wire(payload))
         # A leader elected before the first entry was applied appends a second group_id;
         # only the first one counts.
         if payload and not self.group_id:
--- a/src/foxtaildrum/control/tables.py
+++ b/src/foxtaildrum/control/tables.py
@@ -11,10 +11,12 @@
 from ..exceptions import FieldError, InvalidTableError
 from ..records import Pool, Route, Share
 from ..validation import find_problems
+from .evacuations import Evacuations
 
 TABLE_NAMES = ("routes", "pools")
 REMEMBERED_CHANGES = 4096
 MAX_REMEMBERED_PROBLEMS = 20
+EVACUATIONS_FIELD = 3  # position among the fields of the captured state
 
 _RECORDS = {"routes": "Route", "pools": "Pool"}
 _TYPES = {"routes": Route, "pools": Pool}
@@ -175,14 +177,22 @@
 
 
 class Tables:
-    """Both tables and the answers to past changes.
+    """Both tables, the answers to past changes, and the evacuated zones.
 
     Deterministic: equal sequences of patches give equal states on every replica.
     """
 
-    __slots__ = ("desired_digest", "desired_number", "limits", "remembered_answers", "tables")
+    __slots__ = (
+        "desired_digest",
+        "desired_number",
+        "evacuations",
+        "limits",
+        "remembered_answers",
+        "tables",
+    )
 
     def __init__(self) -> None:
+        self.evacuations = Evacuations()
         self.desired_number = 0
         self.desired_digest = ""
         self.limits: dict[str, Any] = {}
@@ -240,6 +250,8 @@
     def to_wire(self, with_answers: bool) -> list[Any]:
         """Return the state as a list that msgpack can encode.
 
+        Builds that don't know evacuations read the first three fields only.
+
         Parameters
         ----------
         with_answers : bool
@@ -247,22 +259,28 @@
         """
         tables = [[n, t.list_rows(), t.version, t.changed_by] for n, t in self.tables.items()]
         desired = [self.desired_number, self.desired_digest, self.limits]
+        evacuations = self.evacuations.to_wire()
         if not with_answers:
-            return [tables, [], desired]
+            return [tables, [], desired, evacuations]
         remembered_answers = [
             [i, d, r.to_wire()] for i, (d, r) in self.remembered_answers.items()
         ]
-        return [tables, remembered_answers, desired]
+        return [tables, remembered_answers, desired, evacuations]
 
     @classmethod
     def from_wire(cls, fields: list[Any]) -> Tables:
-        """Build the state from the list made by :meth:`to_wire`."""
+        """Build the state from the list made by :meth:`to_wire`.
+
+        A list of a build that doesn't know evacuations has none.
+        """
         state = cls()
         for name, rows, version, changed_by in fields[0]:
             state.tables[name] = Table({r["name"]: r for r in rows}, version, changed_by)
         for change_id, digest, result in fields[1]:
             state.remembered_answers[change_id] = (digest, ChangeResult(*result))
         state.desired_number, state.desired_digest, state.limits = fields[2]
+        if len(fields) > EVACUATIONS_FIELD:
+            state.evacuations = Evacuations.from_wire(fields[EVACUATIONS_FIELD])
         return state
 
     def _answer_repeat(
--- a/src/foxtaildrum/fleet/actions.py
+++ b/src/foxtaildrum/fleet/actions.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from ..control.claimer import ClaimCompleted
+from ..control.orders import OrderCompleted
 from ..control.proposals import ChangeCompleted
 from ..control.reads import ReadCompleted
 from ..events import Rewrite, Send
@@ -117,6 +118,7 @@
     | ChangeCompleted
     | ClaimCompleted
     | ReadCompleted
+    | OrderCompleted
     | ReceiptsCompleted
     | Reconnect
     | UpstreamsLost
--- a/src/foxtaildrum/fleet/node.py
+++ b/src/foxtaildrum/fleet/node.py
@@ -16,8 +16,10 @@
 from ..control.consensus import Consensus
 from ..control.desired import DesiredState
 from ..control.entries import SavedState
+from ..control.evacuations import EvacuationOrder
 from ..control.group import ControlDirectory, Role
 from ..control.holder import ClaimHolder
+from ..control.orders import OrderProposer
 from ..control.proposals import Proposer
 from ..control.reads import Reader
 from ..control.table_follower import TableFollower, TableState
@@ -157,6 +159,13 @@
             self._submit,
             rng,
         )
+        self.orders = OrderProposer(
+            me.instance_id,
+            self.state,
+            self.consensus,
+            self.proposer.pick_control_instance,
+            self._submit,
+        )
         self.reader = Reader(
             self._is_leader,
             self.proposer.pick_control_instance,
@@ -201,6 +210,8 @@
         handlers: dict[type, Handler] = {
             r.ProposeRequest: self.proposer.handle_request,
             r.ProposeReply: lambda now, peer, message: self.proposer.handle_reply(now, message),
+            r.EvacuationRequest: self.orders.handle_request,
+            r.EvacuationReply: self.orders.handle_reply,
             r.ReadRequest: self.reader.handle_request,
             r.ReadReply: lambda now, peer, message: self.reader.handle_reply(message),
         }
@@ -246,6 +257,7 @@
         self._crashes.tick(now)
         self._claims.tick(now)
         self.proposer.tick(now)
+        self.orders.tick(now)
         self.reader.tick(now)
         self._upstreams.process_receipts(now)
         self.currency.tick(now)
@@ -307,6 +319,11 @@
         self.proposer.propose(now, token, change)
         return self._pop_actions(now)
 
+    def order_evacuation(self, now: float, token: str, order: EvacuationOrder) -> list[Action]:
+        """Propose an order on a zone; :class:`OrderCompleted` tells whether it is committed."""
+        self.orders.propose(now, token, order)
+        return self._pop_actions(now)
+
     def read(self, now: float, token: str) -> list[Action]:
         """Check that the tables here include every accepted change.
 
@@ -494,10 +511,11 @@
         self._crashes.push_updates(now)
         self._gossip.push_updates(now)
         self._actions.extend(self.proposer.pop_actions(now))
+        self._actions.extend(self.orders.pop_actions())
         self._actions.extend(self.reader.pop_actions())
         return self._actions.pop_all()
 
-    def _submit(self, now: float, token: str, kind: str, payload: list[Any]) -> None:
+    def _submit(self, now: float, token: str, kind: str, payload: Any) -> None:
         self._run_consensus(now, Proposed(token, kind, payload))
 
     def _submit_read(self, now: float, token: str) -> None:
@@ -531,6 +549,7 @@
                 self._actions.add(build_rewrite(LOG_STREAM, action))
             elif isinstance(action, ProposalCompleted):
                 self.proposer.handle_completed(action)
+                self.orders.handle_completed(now, action)
             elif isinstance(action, ReadIndexResolved):
                 self.reader.handle_read_index(action)
             elif isinstance(action, Committed):
--- a/src/foxtaildrum/fleet/runtime.py
+++ b/src/foxtaildrum/fleet/runtime.py
@@ -17,6 +17,8 @@
 from ..clock import read_clock
 from ..control.claimer import ClaimCompleted
 from ..control.desired import DesiredState
+from ..control.evacuations import EvacuationOrder
+from ..control.orders import OrderCompleted
 from ..control.reads import ReadCompleted
 from ..control.state_log import StateChangeLogger
 from ..control.storage import WriteCompleted
@@ -118,6 +120,13 @@
         now = read_clock()
         self._perform(now, self._node.propose(now, self._register_future(future), change))
 
+    @isolated
+    def order_evacuation(self, order: EvacuationOrder, future: pykka.Future) -> None:
+        """Propose an order on a zone; ``future`` is set to whether it was committed."""
+        now = read_clock()
+        token = self._register_future(future)
+        self._perform(now, self._node.order_evacuation(now, token, order))
+
     @isolated
     def read_tables(self, future: pykka.Future) -> None:
         """Set ``future`` to whether the tables here include every accepted change."""
@@ -287,6 +296,7 @@
 _RESULT_GETTERS: dict[type, Callable[[Any], Any]] = {
     ChangeCompleted: attrgetter("answer"),
     ClaimCompleted: attrgetter("outcome"),
+    OrderCompleted: attrgetter("committed"),
     ReadCompleted: attrgetter("succeeded"),
     ReceiptsCompleted: attrgetter("stored"),
 }
--- a/src/foxtaildrum/records.py
+++ b/src/foxtaildrum/records.py
@@ -1155,6 +1155,58 @@
     """
 
 
+@dataclass(kw_only=True, slots=True)
+class EvacuationRequest:
+    """
+    Passes an order to evacuate or restore an availability zone on to the leader.
+    """
+
+    token: str
+    """
+    Identifier of the order.
+    """
+    zone: str
+    """
+    Availability zone.
+    """
+    evacuated: bool
+    """
+    Whether the zone is to be evacuated.
+    """
+    at: float
+    """
+    Unix time of the order, in seconds.
+    """
+    order_count: int
+    """
+    Number of orders in the log that the order may directly follow.
+    """
+
+
+@dataclass(kw_only=True, slots=True)
+class EvacuationReply:
+    """
+    Replies to an order to evacuate or restore an availability zone.
+    """
+
+    token: str
+    """
+    Identifier of the order.
+    """
+    committed: bool
+    """
+    Whether a quorum has stored the order.
+    """
+    order_count: int
+    """
+    Number of orders in the log; -1 when it is not known.
+    """
+    leader: str
+    """
+    Instance to send the order to; empty when none is known.
+    """
+
+
 @dataclass(kw_only=True, slots=True)
 class PermitReturn:
     """
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -17,8 +17,10 @@
 from foxtaildrum.control.claimer import ClaimCompleted
 from foxtaildrum.control.claims import ClaimOutcome, Verdict
 from foxtaildrum.control.desired import DesiredState
+from foxtaildrum.control.evacuations import EvacuationOrder
 from foxtaildrum.control.group import Role
 from foxtaildrum.control.journal import Journal
+from foxtaildrum.control.orders import OrderCompleted
 from foxtaildrum.control.proposals import ChangeCompleted
 from foxtaildrum.control.reads import ReadCompleted
 from foxtaildrum.control.storage import JournalWriter, WriteCompleted
@@ -208,6 +210,7 @@
         self.seeds = [f"c{n + 1}" for n in range(seeds)]
         self.tolerated_losses = tolerated_losses
         self.reads: dict[str, bool] = {}
+        self.orders: dict[str, bool] = {}
         self.receipts: dict[str, bool] = {}
         self.now = 1000.0
         self.rng = random.Random(seed)
@@ -334,6 +337,8 @@
                 self.claims[action.token] = action.outcome
             elif isinstance(action, ReadCompleted):
                 self.reads[action.token] = action.succeeded
+            elif isinstance(action, OrderCompleted):
+                self.orders[action.token] = action.committed
             elif isinstance(action, ReceiptsCompleted):
                 self.receipts[action.token] = action.stored
         self.check(host)
@@ -504,6 +509,41 @@
             return None
         return host.node.state.tables.desired_number
 
+    def order(self, name: str, zone: str, evacuated: bool = True) -> str:
+        """Order to evacuate or to restore a zone; return the token of the order."""
+        host = self.hosts[name]
+        self.event_count += 1
+        token = f"order-{zone}@{name}-{self.event_count}"
+        order = EvacuationOrder(zone, evacuated, self.now)
+        self.perform(host, host.node.order_evacuation(host.read_clock(), token, order))
+        return token
+
+    def order_until_committed(self, zone: str, evacuated: bool = True) -> None:
+        """Send an order to the running control instances in turn until it is acknowledged."""
+        self._order_through(self.control, zone, evacuated)
+
+    def order_until_committed_by(self, name: str, zone: str) -> None:
+        """Send an order to one instance until it is acknowledged."""
+        self._order_through([name], zone, True)
+
+    def _order_through(self, names: list[str], zone: str, evacuated: bool) -> None:
+        for attempt in range(60):
+            running = [n for n in names if self.hosts[n].node is not None]
+            token = self.order(running[attempt % len(running)], zone, evacuated)
+            self.run_until(lambda t=token: t in self.orders, 5.0)
+            if self.orders.get(token):
+                return
+            self.run(0.3)
+        raise AssertionError("the order was not acknowledged\n" + self.describe())
+
+    def list_evacuated(self) -> dict[str, set[str]]:
+        """Return the zones that each running instance knows to be evacuated."""
+        return {
+            name: set(host.node.state.tables.evacuations.zones)
+            for name, host in self.hosts.items()
+            if host.node is not None
+        }
+
     def announce(self, name: str, upstream_id: str, incarnation: int = 1, **fields: Any) -> str:
         host = self.hosts[name]
         values = {"pool": "p", "address": "127.0.0.1:1", "lease_s": 6.0, **fields}
