Ejection of upstreams moves out of the balancer

Change: balancing/ejections.py records the result of an attempt; nothing else changes. Run: pytest tests/test_balancer.py tests/test_rest.py tests/test_leaving.py tests/test_samples.py.

--- a/src/foxtaildrum/balancing/balancer.py
+++ b/src/foxtaildrum/balancing/balancer.py
@@ -13,22 +13,16 @@
 from ..requests.steps import AttemptResult
 from .budget import Budget
 from .candidates import RAMP_S, PoolLoad, UpstreamLoad
+from .ejections import record_result
 from .loads import LoadReport
 from .policies import get_policy
 from .ratelimits import ExpiredPermits, PlannedRequest, RateLimits
 from .sampling import SampleBudget, is_calm, is_slow
 from .tickets import Ticket
 
-EJECT_AFTER_FAILURES = 5
-EJECT_BASE_S = 1.0
-EJECT_MAX_S = 30.0
 MAX_EJECTED_RATIO = 0.5
-MAX_FAILURE_LEVEL = 16.0
-SHED_EJECT_BASE_S = 0.05
-SHED_EJECT_MAX_S = 2.0
 # Weights of a new value in exponential moving averages.
 POOL_MEAN_WEIGHT = 0.05
-SERVICE_TIME_WEIGHT = 0.2
 SMOOTHED_PACE_WEIGHT = 0.2
 DEADLINE_MARGIN_SERVICE_TIMES = 2.0
 # Cost of one probe in the measuring budget, which is counted in seconds of service time.
@@ -184,7 +178,8 @@
         interval_s = min(now - self._released_at, self.load.mean_service_s)
         self._release_interval_s += (interval_s - self._release_interval_s) * POOL_MEAN_WEIGHT
         self._released_at = now
-        self._record_result(now, upstream, result, held_s)
+        sends_checks = bool(self._samples.size)
+        record_result(now, upstream, self.load, result, held_s, sends_checks)
         return self.serve_queue(now)
 
     def record_load(self, now: float, upstream: UpstreamLoad, report: LoadReport) -> None:
@@ -481,35 +476,6 @@
             start + DEADLINE_MARGIN_SERVICE_TIMES * self.load.mean_service_s > ticket.deadline
         )
 
-    def _record_result(
-        self, now: float, upstream: UpstreamLoad, result: AttemptResult, held_s: float
-    ) -> None:
-        if result is AttemptResult.OK:
-            upstream.failures = 0
-            upstream.sheds = 0
-            upstream.unanswered_checks = 0
-            upstream.ejections = 0
-            upstream.failure_level *= 0.5
-            upstream.service_s += (held_s - upstream.service_s) * SERVICE_TIME_WEIGHT
-            self.load.record_service_time(held_s)
-            return
-        if result is AttemptResult.CANCELLED:
-            return
-        if result is AttemptResult.SHED:
-            pause_s = min(SHED_EJECT_MAX_S, SHED_EJECT_BASE_S * 2**upstream.sheds)
-            upstream.sheds += 1
-            upstream.ejected_until = max(upstream.ejected_until, now + pause_s)
-            return
-        upstream.failures += 1
-        upstream.failure_level = min(MAX_FAILURE_LEVEL, upstream.failure_level + 1.0)
-        upstream.failed_at = now
-        if result is AttemptResult.UNREACHABLE or upstream.failures >= EJECT_AFTER_FAILURES:
-            upstream.ejections += 1
-            if result is AttemptResult.UNREACHABLE and self._samples.size:
-                upstream.unanswered_checks += 1
-            pause_s = min(EJECT_MAX_S, EJECT_BASE_S * 2 ** (upstream.ejections - 1))
-            upstream.ejected_until = now + pause_s
-
 
 def _get_reported_at(upstream: UpstreamLoad) -> float:
     return upstream.reported_at
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -8,9 +8,10 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from foxtaildrum.balancing.balancer import EJECT_AFTER_FAILURES, PROBE_COST_S, Balancer
+from foxtaildrum.balancing.balancer import PROBE_COST_S, Balancer
 from foxtaildrum.balancing.budget import Budget
 from foxtaildrum.balancing.candidates import RAMP_S
+from foxtaildrum.balancing.ejections import EJECT_AFTER_FAILURES
 from foxtaildrum.balancing.loads import (
     LoadReport,
     parse_load_figures,
