Upstreams in evacuated zones are left out, gradually; admin interface and command

Cause: orders to evacuate a zone were committed, but nobody gave or followed them. PUT and DELETE /v1/zones/{zone}/evacuation, GET /v1/zones, foxtaildrum zones; status, metrics, log events; the platform's settings.

--- a/src/foxtaildrum/admin/access.py
+++ b/src/foxtaildrum/admin/access.py
@@ -8,10 +8,12 @@
 
 import pykka
 
+from ..balancing.evacuation import EvacuationPlan
 from ..balancing.permits import PermitClient
 from ..clock import read_clock
 from ..control.claims import ClaimOutcome, Verdict, compute_claim_key
 from ..control.desired import DesiredState, describe_desired
+from ..control.evacuations import EvacuationOrder
 from ..control.tables import Change
 from ..exceptions import NotConfirmedError
 from ..fleet.node import Node
@@ -23,9 +25,15 @@
 from ..requests.relays import ErrorResponse, UpstreamResponse
 from ..versions import get_running_code
 from .exposition import MetricsSnapshot
-from .gauges import build_code_gauge, list_node_gauges, list_pool_gauges
+from .gauges import (
+    build_code_gauge,
+    list_evacuation_gauges,
+    list_node_gauges,
+    list_pool_gauges,
+)
 from .metrics import Meter
-from .status import describe_node, describe_pool
+from .status import describe_evacuations, describe_node, describe_pool
+from .zones import describe_zones, list_known_zones
 
 NODE_REPLY_TIMEOUT_S = 10.0
 CLAIM_REPLY_TIMEOUT_S = 3.0
@@ -158,10 +166,19 @@
         Counters of the instance.
     proxy : Proxy
         Proxy whose current view has the pools.
+    evacuations : EvacuationPlan
+        Evacuated zones as this instance applies them.
     """
 
-    def __init__(self, node: pykka.ActorProxy, meter: Meter, proxy: Proxy) -> None:
+    def __init__(
+        self,
+        node: pykka.ActorProxy,
+        meter: Meter,
+        proxy: Proxy,
+        evacuations: EvacuationPlan,
+    ) -> None:
         self._node = node
+        self._evacuations = evacuations
         self._meter = meter
         self._proxy = proxy
 
@@ -177,6 +194,7 @@
         document["code"] = {"version": code.version, "digest": code.digest}
         document["counters"] = self._meter.describe_counters()
         document["latency_ms"] = self._meter.describe_latencies(now)
+        document["evacuations"] = describe_evacuations(now, self._evacuations)
         document["pools"] = [
             describe_pool(now, pool) for pool in self._proxy.view.pools.values()
         ]
@@ -194,6 +212,7 @@
         pools = self._proxy.view.pools
         snapshot.pool_latencies = {name: pool.hold_times for name, pool in pools.items()}
         snapshot.gauges = self._read(list_node_gauges) + list_pool_gauges(pools)
+        snapshot.gauges += list_evacuation_gauges(read_clock(), self._evacuations, pools)
         snapshot.gauges.append(build_code_gauge(get_running_code()))
         return snapshot
 
@@ -203,15 +222,35 @@
 
     def read_desired_state(self) -> dict[str, Any] | None:
         """Return the desired state with every accepted change; None if it may be stale."""
+        if not self.confirm_tables():
+            return None
+        return self._read(lambda node, now: describe_desired(node.state.tables))
+
+    def confirm_tables(self) -> bool:
+        """Return whether the state here is known to include every accepted change and order."""
         current_future = pykka.ThreadingFuture()
         self._node.read_tables.defer(current_future)
         try:
-            current = current_future.get(timeout=NODE_REPLY_TIMEOUT_S)
+            return current_future.get(timeout=NODE_REPLY_TIMEOUT_S)
         except pykka.Timeout:
-            return None
-        if not current:
-            return None
-        return self._read(lambda node, now: describe_desired(node.state.tables))
+            return False
+
+    def knows_zone(self, zone: str) -> bool:
+        """Return whether a member or an upstream is in a zone, or the zone is evacuated."""
+        return self._read(lambda node, now: zone in list_known_zones(node))
+
+    def describe_zones(self, configured: frozenset[str]) -> list[dict[str, Any]]:
+        """Return a document for each zone that is configured or known."""
+        return self._read(lambda node, now: describe_zones(node, configured))
+
+    def order_evacuation(self, order: EvacuationOrder) -> bool:
+        """Propose an order on a zone; return whether it is known to be committed."""
+        future = pykka.ThreadingFuture()
+        self._node.order_evacuation.defer(order, future)
+        try:
+            return future.get(timeout=NODE_REPLY_TIMEOUT_S)
+        except pykka.Timeout:
+            return False
 
     def change_table(self, change: Change | DesiredState) -> ChangeAnswer:
         """Propose a change and wait for its result."""
--- a/src/foxtaildrum/admin/admin.py
+++ b/src/foxtaildrum/admin/admin.py
@@ -36,12 +36,15 @@
 Handler = Callable[["Admin", dict[str, Any], str], AdminResponse]
 
 _HANDLERS: dict[tuple[str, str], Handler] = {}
+# Stands for a part in the middle of a path.
+_ANY = "{}"
 
 
 def register_handler(method: str, path: str) -> Callable[[Handler], Handler]:
     """Register the decorated function as the handler of a method and a path.
 
-    A path that ends with ``/`` matches any one further segment.
+    A path that ends with ``/`` matches any one further segment. One with ``{}`` matches
+    anything in its place, also nothing, so that the handler can tell what is wrong with it.
     """
 
     def register(function: Handler) -> Handler:
@@ -64,6 +67,8 @@
         Lease of an announcement that names none, in seconds.
     required_fields : tuple of str
         Fields that an announcement must have in addition to those the schema requires.
+    availability_zones : frozenset of str
+        Availability zones of the deployment; empty when they are not known.
     """
 
     def __init__(
@@ -72,8 +77,10 @@
         operator_token: bytes,
         lease_s: float = DEFAULT_LEASE_S,
         required_fields: tuple[str, ...] = (),
+        availability_zones: frozenset[str] = frozenset(),
     ) -> None:
         self.node = node
+        self.availability_zones = availability_zones
         self.lease_s = lease_s
         self.required_fields = required_fields
         self._token = operator_token
@@ -103,13 +110,13 @@
     def _handle(self, environ: dict[str, Any]) -> AdminResponse:
         method = environ["REQUEST_METHOD"]
         path = environ.get("PATH_INFO") or "/"
-        prefix, _, segment = path.rpartition("/")
-        handler = _HANDLERS.get((method, path))
-        if handler is None and segment:
-            handler = _HANDLERS.get((method, prefix + "/"))
-        if handler is not None:
-            return handler(self, environ, segment)
-        allowed_methods = [m for m, p in _HANDLERS if p in (path, prefix + "/")]
+        matches = _list_matches(path)
+        for registered_path, segment in matches:
+            handler = _HANDLERS.get((method, registered_path))
+            if handler is not None:
+                return handler(self, environ, segment)
+        registered_paths = [registered_path for registered_path, _ in matches]
+        allowed_methods = [m for m, p in _HANDLERS if p in registered_paths]
         if allowed_methods:
             raise AdminError(
                 http.client.METHOD_NOT_ALLOWED, f"Use one of {sorted(allowed_methods)}"
@@ -117,6 +124,20 @@
         raise AdminError(http.client.NOT_FOUND, "No such page")
 
 
+def _list_matches(path: str) -> list[tuple[str, str]]:
+    """Return the registered paths that match a path, each with the segment in its place."""
+    prefix, _, segment = path.rpartition("/")
+    matches = [] if _ANY in path else [(path, segment)]
+    if segment:
+        matches.append((prefix + "/", segment))
+    for registered_path in dict.fromkeys(p for _, p in _HANDLERS if _ANY in p):
+        start, _, end = registered_path.partition(_ANY)
+        is_long_enough = len(path) >= len(start) + len(end)
+        if is_long_enough and path.startswith(start) and path.endswith(end):
+            matches.append((registered_path, path[len(start) : len(path) - len(end)]))
+    return matches
+
+
 class MetricsPage:
     """Serves only the metrics, on the separate metrics address.
 
--- a/src/foxtaildrum/admin/client.py
+++ b/src/foxtaildrum/admin/client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import urllib.parse
 from typing import Any
 
 import urllib3
@@ -98,6 +99,18 @@
         result = _read_document(response)
         return result["verdict"], result["version"]
 
+    def get_zones(self) -> list[dict[str, Any]]:
+        """Return the availability zones, including every order accepted so far."""
+        return _read_document(self._request("GET", "/v1/zones"))["zones"]
+
+    def evacuate_zone(self, zone: str) -> None:
+        """Order that nothing more be sent to the upstreams in a zone."""
+        _read_document(self._request("PUT", _format_evacuation_path(zone)))
+
+    def restore_zone(self, zone: str) -> None:
+        """Withdraw the order to evacuate a zone."""
+        _read_document(self._request("DELETE", _format_evacuation_path(zone)))
+
     def announce(self, upstream_id: str, announcement: dict[str, Any]) -> None:
         """Announce an upstream, or renew its announcement."""
         _read_document(self._request("PUT", f"/v1/upstreams/{upstream_id}", announcement))
@@ -140,6 +153,10 @@
             raise AdminRequestError(0, f"no response from {self._base}: {error}") from error
 
 
+def _format_evacuation_path(zone: str) -> str:
+    return f"/v1/zones/{urllib.parse.quote(zone, safe='')}/evacuation"
+
+
 def _read_document(response: urllib3.BaseHTTPResponse) -> Any:
     try:
         document = json.loads(response.data)
--- a/src/foxtaildrum/admin/gauges.py
+++ b/src/foxtaildrum/admin/gauges.py
@@ -4,6 +4,7 @@
 
 import math
 
+from ..balancing.evacuation import EvacuationPlan
 from ..balancing.pools import UpstreamPool
 from ..control.group import Role
 from ..fleet.node import Node
@@ -84,3 +85,19 @@
         Gauge(name, help_text, {n: float(read(b)) for n, b in balancers.items()}, "pool")
         for name, help_text, read in pool_gauges
     ]
+
+
+def list_evacuation_gauges(
+    now: float, evacuations: EvacuationPlan, pools: dict[str, UpstreamPool]
+) -> list[Gauge]:
+    """Return the gauges of evacuated zones and of the upstreams that are left out for them."""
+    withheld = {name: float(pool.count_evacuated(now)) for name, pool in pools.items()}
+    return [
+        Gauge("evacuated_zones", "Evacuated zones.", {"": float(len(evacuations.zones))}),
+        Gauge(
+            "pool_evacuated_upstreams",
+            "Upstreams that get nothing as their availability zone is evacuated.",
+            withheld,
+            "pool",
+        ),
+    ]
--- a/src/foxtaildrum/admin/status.py
+++ b/src/foxtaildrum/admin/status.py
@@ -4,6 +4,7 @@
 
 from typing import Any
 
+from ..balancing.evacuation import EvacuationPlan
 from ..balancing.pools import UpstreamPool
 from ..fleet.node import Node
 
@@ -72,6 +73,14 @@
     }
 
 
+def describe_evacuations(now: float, evacuations: EvacuationPlan) -> list[dict[str, Any]]:
+    """Return the part of the status document about the evacuated zones."""
+    return [
+        {"zone": e.zone, "since": e.since, "applied": e.ends_at <= now}
+        for e in sorted(evacuations.zones.values(), key=lambda e: e.zone)
+    ]
+
+
 def describe_pool(now: float, pool: UpstreamPool) -> dict[str, Any]:
     """Return the part of the status document about one pool."""
     balancer = pool.balancer
@@ -87,6 +96,7 @@
                 "in_flight": u.in_flight,
                 "slots": u.slots,
                 "ejected": u.ejected_until > now,
+                "evacuated": u.evacuated_at <= now,
             }
             for u in list(balancer.upstreams.values())
         ],
--- a/src/foxtaildrum/balancing/balancer.py
+++ b/src/foxtaildrum/balancing/balancer.py
@@ -14,6 +14,7 @@
 from .budget import Budget
 from .candidates import RAMP_S, PoolLoad, UpstreamLoad
 from .ejections import record_result
+from .evacuation import EvacuationPlan
 from .loads import LoadReport
 from .policies import get_policy
 from .ratelimits import ExpiredPermits, PlannedRequest, RateLimits
@@ -56,6 +57,8 @@
         Source of random choices.
     instance_id : str
         Identifier of this instance, which determines its subset of the upstreams.
+    evacuations : EvacuationPlan or None
+        Evacuated zones, whose upstreams are left out; None for no evacuations.
 
     Attributes
     ----------
@@ -71,8 +74,10 @@
         queue_limit: int,
         rng: random.Random,
         instance_id: str = "",
+        evacuations: EvacuationPlan | None = None,
     ) -> None:
         self.availability_zone = availability_zone
+        self.evacuations = evacuations or EvacuationPlan()
         self.queue_limit = queue_limit
         self.rng = rng
         self.load = PoolLoad()
@@ -111,7 +116,8 @@
             self._update_member(now, entry, is_first_update)
         for upstream_id in set(self.upstreams) - seen:
             self.rate_limits.forget(self.upstreams.pop(upstream_id))
-        self._samples.subset.update(self.upstreams.values())
+        usable = self.evacuations.select_usable(now, self.upstreams.values())
+        self._samples.subset.update(usable)
         return self.serve_queue(now)
 
     def request_slot(self, now: float, ticket: Ticket, may_wait: bool) -> None:
@@ -130,7 +136,10 @@
 
     def plan_permits(self, now: float) -> list[PlannedRequest | ExpiredPermits]:
         """Return what to send to issuers of permits for a request that has just arrived."""
-        return self.rate_limits.plan_requests(now, self._samples.select_subset(self.upstreams))
+        usable = self._samples.select_subset(self.upstreams)
+        if self.evacuations.zones:
+            usable = self.evacuations.select_usable(now, usable)
+        return self.rate_limits.plan_requests(now, usable)
 
     def _enqueue(self, ticket: Ticket) -> None:
         """Queue a ticket behind those of the same or a more urgent priority."""
@@ -266,9 +275,9 @@
         """Eject an upstream because another upstream answered at its address."""
         upstream.ejected_until = max(upstream.ejected_until, now + MOVED_EJECT_S)
 
-    def list_addresses(self) -> list[str]:
-        """Return the addresses of the upstreams in state ready."""
-        return [u.address for u in self.upstreams.values() if u.state == READY]
+    def list_addresses(self, now: float) -> list[str]:
+        """Return the addresses of the upstreams in state ready that may get anything."""
+        return [u.address for u in self._list_ready(now)]
 
     def forget_failures(self) -> None:
         """Forget the failures of all upstreams: they were caused by links of this instance."""
@@ -301,6 +310,8 @@
                 ticket.refused = ErrorKind.DEADLINE_UNREACHABLE
             elif not self.upstreams:
                 ticket.refused = ErrorKind.NO_UPSTREAM
+            elif self.evacuations.covers(now, self.upstreams.values()):
+                ticket.refused = ErrorKind.ZONES_EVACUATED
             else:
                 self._try_grant(now, ticket)
             if not ticket.completed and self._rests_too_long(now, ticket):
@@ -314,8 +325,8 @@
         return completed
 
     def count_slots(self, now: float) -> int:
-        """Return the number of slots of all upstreams in state ready."""
-        return sum(u.slots for u in self.upstreams.values() if u.state == READY)
+        """Return the number of slots of all upstreams in state ready that are not left out."""
+        return sum(u.slots for u in self._list_ready(now))
 
     def spend_hedge(self) -> bool:
         """Spend the budget for one hedge; return whether it sufficed.
@@ -377,6 +388,10 @@
         upstream.slots = announcement.slots or self.pool.slots_per_upstream
         zone = announcement.availability_zone
         upstream.remote = bool(zone) and zone != self.availability_zone
+        if self.evacuations.mark(upstream, zone):
+            # The zone of the upstream is no longer evacuated: this is the place to presume
+            # that the upstream is cold.
+            upstream.ramp_until = now + RAMP_S
         self.rate_limits.set_fleet_limit(upstream, entry.rate_limit_per_s)
 
     def _try_grant(self, now: float, ticket: Ticket) -> None:
@@ -430,12 +445,22 @@
         return [u for u in healthy if u.has_free_slot(now)]
 
     def _list_awake(self, now: float) -> list[UpstreamLoad]:
-        """Return the upstreams in state ready that have not asked for no requests."""
-        return [u for u in self.upstreams.values() if u.state == READY and u.rests_until <= now]
+        """Return the upstreams in state ready that have not asked for no requests.
+
+        Those in evacuated zones are left out.
+        """
+        upstreams = self.upstreams.values()
+        awake = [u for u in upstreams if u.state == READY and u.rests_until <= now]
+        return self.evacuations.select_usable(now, awake) if self.evacuations.zones else awake
+
+    def _list_ready(self, now: float) -> list[UpstreamLoad]:
+        """Return the upstreams in state ready, except for those in evacuated zones."""
+        ready = [u for u in self.upstreams.values() if u.state == READY]
+        return self.evacuations.select_usable(now, ready) if self.evacuations.zones else ready
 
     def _rests_too_long(self, now: float, ticket: Ticket) -> bool:
         """Return whether every upstream rests for longer than the request may wait."""
-        ends = [u.rests_until for u in self.upstreams.values() if u.state == READY]
+        ends = [u.rests_until for u in self._list_ready(now)]
         if not ends or min(ends) <= max(now, ticket.queue_deadline):
             return False
         ticket.retry_after_s = max(MIN_RETRY_AFTER_S, min(ends) - now)
@@ -444,7 +469,8 @@
     def _find_refusal(self, now: float, ticket: Ticket, may_wait: bool) -> ErrorKind | None:
         slots = self.count_slots(now)
         if not slots:
-            return ErrorKind.NO_UPSTREAM
+            is_evacuated = self.evacuations.covers(now, self.upstreams.values())
+            return ErrorKind.ZONES_EVACUATED if is_evacuated else ErrorKind.NO_UPSTREAM
         if self._rests_too_long(now, ticket):
             return ErrorKind.UPSTREAMS_RESTING
         if not may_wait:
@@ -462,7 +488,7 @@
         """Return whether no upstream may get the request in time because of its rate limit."""
         if not self.rate_limits.any_limited:
             return False
-        ready = [u for u in self.upstreams.values() if u.state == READY]
+        ready = self._list_ready(now)
         wait_s = self.rate_limits.compute_refusal_wait(now, ticket.queue_deadline, ahead, ready)
         if wait_s is None:
             return False
--- a/src/foxtaildrum/balancing/candidates.py
+++ b/src/foxtaildrum/balancing/candidates.py
@@ -60,12 +60,16 @@
         Consecutive ejections for failures; each doubles the duration of the next.
     ramp_until : float
         Time until which the upstream may use only part of its slots, in seconds.
+    evacuated_at : float
+        Time from which the upstream is left out, as its availability zone is evacuated, in
+        seconds; infinite if it is not.
     """
 
     __slots__ = (
         "address",
         "ejected_until",
         "ejections",
+        "evacuated_at",
         "failed_at",
         "failure_level",
         "failures",
@@ -118,6 +122,11 @@
         self.rests_until = float("-inf")
         self.ejections = 0
         self.ramp_until = float("-inf")
+        self.evacuated_at = float("inf")
+
+    def is_unwanted(self, now: float) -> bool:
+        """Return whether the upstream may get nothing: neither requests nor status checks."""
+        return now < self.rests_until or now >= self.evacuated_at
 
     def compute_ramp(self, now: float) -> float:
         """Return the share of its slots that the upstream may use after a start."""
--- a/src/foxtaildrum/balancing/pools.py
+++ b/src/foxtaildrum/balancing/pools.py
@@ -16,6 +16,7 @@
 from ..requests.transport import Adapter
 from .balancer import Balancer
 from .candidates import UpstreamLoad
+from .evacuation import EvacuationPlan
 from .latency import BucketCounts, RecentLatency
 from .loads import LoadReport
 from .permits import PermitClient
@@ -49,6 +50,8 @@
         Identifier of this instance.
     permit_client : PermitClient
         Reports rate limits and requests permits.
+    evacuations : EvacuationPlan or None
+        Evacuated zones, whose upstreams are left out; None for no evacuations.
     """
 
     def __init__(
@@ -61,11 +64,14 @@
         rng: random.Random,
         instance_id: str = "",
         permit_client: PermitClient | None = None,
+        evacuations: EvacuationPlan | None = None,
     ) -> None:
         self._permit_client = permit_client or PermitClient()
         self.name = pool.name
         self._lock = threading.Lock()
-        self._balancer = Balancer(pool, availability_zone, queue_limit, rng, instance_id)
+        self._balancer = Balancer(
+            pool, availability_zone, queue_limit, rng, instance_id, evacuations
+        )
         self._open_connection = open_connection
         self._connections: dict[str, ConnectionPool] = {}
         self._notify_draining = notify_draining
@@ -291,10 +297,18 @@
         with self._lock:
             self._balancer.record_moved(now, upstream)
 
-    def list_addresses(self) -> list[str]:
-        """Return the addresses of the upstreams in state ready."""
+    def list_addresses(self, now: float) -> list[str]:
+        """Return the addresses of the upstreams in state ready that may get anything."""
+        with self._lock:
+            return self._balancer.list_addresses(now)
+
+    def count_evacuated(self, now: float) -> int:
+        """Return the number of upstreams left out because their zones are evacuated."""
         with self._lock:
-            return self._balancer.list_addresses()
+            upstreams = self._balancer.upstreams.values()
+            return len(upstreams) - len(
+                self._balancer.evacuations.select_usable(now, upstreams)
+            )
 
     def forget_failures(self) -> None:
         """Forget the failures of all upstreams: they were caused by links of this instance."""
--- a/src/foxtaildrum/balancing/probes.py
+++ b/src/foxtaildrum/balancing/probes.py
@@ -89,6 +89,9 @@
 ) -> LoadReport | None:
     connections = pool.get_connections(upstream)
     connection = connections.acquire(read_clock(), PROBE_TIMEOUT_S, idempotent=True)
+    if upstream.is_unwanted(read_clock()):
+        connections.release(read_clock(), connection)
+        return None
     request = OutgoingRequest("GET", pool.load_path, {"Host": upstream.address}, None, 0, "")
     try:
         connection.send(request, PROBE_TIMEOUT_S)
--- a/src/foxtaildrum/balancing/samples.py
+++ b/src/foxtaildrum/balancing/samples.py
@@ -113,7 +113,7 @@
         """
         now = read_clock()
         self.was_silent = False
-        if now < upstream.rests_until or not self._pool.spend_status_check(now):
+        if upstream.is_unwanted(now) or not self._pool.spend_status_check(now):
             return False
         others = self._pool.choose_samples(now, frozenset({upstream.upstream_id}), 0.0)
         result = self._check([upstream, *others])
@@ -154,8 +154,8 @@
                 result.answered = True
                 self._pool.record_unanswered_check(read_clock(), upstream)
             return None
-        if read_clock() < upstream.rests_until:
-            # A late response that was read first has asked for that.
+        if upstream.is_unwanted(read_clock()):
+            # A late response that was read first has asked for that, or its zone is evacuated.
             result.answered = True
             connections.release(read_clock(), connection)
             return None
--- a/src/foxtaildrum/commands.py
+++ b/src/foxtaildrum/commands.py
@@ -88,6 +88,7 @@
     for name in TABLE_NAMES:
         _add_table_commands(commands, name)
     _add_desired_commands(commands)
+    _add_zone_commands(commands)
     check = _add_command(
         commands,
         "check",
@@ -189,6 +190,27 @@
     apply.set_defaults(run=_COMMANDS["apply_tables"])
 
 
+def _add_zone_commands(commands: Any) -> None:
+    zones = commands.add_parser("zones", help="list, evacuate or restore availability zones")
+    actions = zones.add_subparsers(metavar="ACTION", required=True)
+    listing = _add_command(
+        actions,
+        "list",
+        "show the availability zones, which are evacuated, and their upstreams",
+        "foxtaildrum zones list",
+    )
+    _add_admin_flags(listing)
+    listing.set_defaults(run=_COMMANDS["list_zones"])
+    for name, summary in (
+        ("evacuate", "order that nothing more be sent to the upstreams in a zone"),
+        ("restore", "withdraw the order to evacuate a zone"),
+    ):
+        order = _add_command(actions, name, summary, f"foxtaildrum zones {name} zone-a")
+        order.add_argument("zone", metavar="ZONE")
+        _add_admin_flags(order)
+        order.set_defaults(run=_COMMANDS[f"{name}_zone"])
+
+
 def _add_table_commands(commands: Any, name: str) -> None:
     table = commands.add_parser(name, help=f"read or replace the {name} table")
     actions = table.add_subparsers(metavar="ACTION", required=True)
--- a/src/foxtaildrum/fleet/node_api.py
+++ b/src/foxtaildrum/fleet/node_api.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING, Any, Protocol
 
 from ..control.desired import DesiredState
+from ..control.evacuations import EvacuationOrder
 from ..control.tables import Change
 from ..records import Announcement
 
@@ -76,6 +77,18 @@
     def change_table(self, change: Change | DesiredState) -> ChangeAnswer:
         """Propose a change and wait for its answer."""
 
+    def confirm_tables(self) -> bool:
+        """Return whether the state here is known to include every accepted change and order."""
+
+    def knows_zone(self, zone: str) -> bool:
+        """Return whether a member or an upstream is in a zone, or the zone is evacuated."""
+
+    def describe_zones(self, configured: frozenset[str]) -> list[dict[str, Any]]:
+        """Return a document for each zone that is configured or known."""
+
+    def order_evacuation(self, order: EvacuationOrder) -> bool:
+        """Propose an order on a zone; return whether it is known to be committed."""
+
     def announce(self, upstream_id: str, announcement: Announcement) -> str:
         """Record an announcement; return the reason of a refusal, or an empty string.
 
--- a/src/foxtaildrum/fleet/views.py
+++ b/src/foxtaildrum/fleet/views.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from ..admin.metrics import Meter
+from ..balancing.evacuation import EvacuationPlan
 from ..balancing.permits import PermitClient
 from ..balancing.pools import UpstreamPool
 from ..balancing.splits import PoolChooser
@@ -16,6 +17,7 @@
 from ..requests.routing import Router
 from ..requests.transport import Adapter, get_adapter
 from .actions import PermitsAnswered
+from .currency import START_MAX_TABLE_AGE_S
 from .node import Node
 
 
@@ -43,6 +45,8 @@
         Reports the rate limits of upstreams and requests permits for the pools.
     open_connection : Adapter
         Opens connections to upstreams.
+    evacuations : EvacuationPlan
+        Evacuated zones, whose upstreams the pools leave out.
     """
 
     def __init__(
@@ -61,6 +65,8 @@
         self.apply_limits: Callable[[dict[str, Any]], None] = _ignore
         self.permit_client = PermitClient()
         self.open_connection: Adapter = get_adapter("http")
+        self.evacuations = EvacuationPlan(settings.instance_id, settings.evacuation_s)
+        self._opened_at: float | None = None
         self._entry_count = 0
         self._member_changes = -1
         self._crashes_version = 0
@@ -68,6 +74,7 @@
     def publish(self, now: float, node: Node) -> None:
         """Update the view if the node's state has changed."""
         changed = node.upstreams.pop_changed_pools()
+        is_regrouped = self._publish_evacuations(now, node)
         if node.follower.generation != self._generation:
             self._generation = node.follower.generation
             changed |= self._publish_tables(node)
@@ -75,9 +82,44 @@
         self._publish_peers(node)
         pools = self._proxy.view.pools
         self._share_budgets(node, pools)
-        for name in changed & pools.keys():
+        for name in pools.keys() if is_regrouped else changed & pools.keys():
             pools[name].update_members(now, node.upstreams.list_members(name))
 
+    def _publish_evacuations(self, now: float, node: Node) -> bool:
+        """Apply the orders to evacuate zones; return whether each pool has to be updated.
+
+        An instance that serves no callers, or has just begun to, leaves the upstreams at once:
+        the others may have begun to withdraw long ago. It begins to serve with tables that may
+        lack the orders of the last seconds.
+        """
+        orders = node.state.tables.evacuations.zones
+        opened_at, self._opened_at = self._opened_at, self._find_opening(now, node)
+        if not orders and not self.evacuations.zones:
+            return False
+        has_news = self.evacuations.has_news(orders)
+        if has_news:
+            at_once = opened_at is None or now - opened_at < START_MAX_TABLE_AGE_S
+            heard, withdrawn = self.evacuations.update(now, orders, at_once)
+            for evacuation in heard:
+                log_event(
+                    "evacuation_heard",
+                    zone=evacuation.zone,
+                    since=evacuation.since,
+                    applied_in_s=round(evacuation.ends_at - now, 3),
+                )
+            for evacuation in withdrawn:
+                log_event("evacuation_withdrawn", zone=evacuation.zone)
+        applied = self.evacuations.pop_applied(now)
+        for evacuation in applied:
+            log_event("evacuation_applied", zone=evacuation.zone, since=evacuation.since)
+        return has_news or bool(applied)
+
+    def _find_opening(self, now: float, node: Node) -> float | None:
+        """Return when this instance began to serve callers; None while it doesn't."""
+        if not node.is_open(now):
+            return None
+        return now if self._opened_at is None else self._opened_at
+
     def _publish_crashes(self, node: Node) -> None:
         if node.crashes.version == self._crashes_version:
             return
@@ -155,6 +197,7 @@
                     self._rng or random.Random(),
                     self._settings.instance_id,
                     self.permit_client,
+                    self.evacuations,
                 )
             pool.configure(record, busy_limit)
             pool.set_default_retry_ratio(self._settings.retry_budget_ratio)
--- a/src/foxtaildrum/instance.py
+++ b/src/foxtaildrum/instance.py
@@ -106,7 +106,9 @@
         reports = NodeReports(self._node_proxy)
         self.publisher.permit_client = reports
         self.publisher.apply_limits = self._apply_limits
-        self.node_access = NodeAccess(self._node_proxy, self.meter, self.proxy)
+        self.node_access = NodeAccess(
+            self._node_proxy, self.meter, self.proxy, self.publisher.evacuations
+        )
         self.proxy.claims = NodeClaims(self._node_proxy)
         self.proxy.crash_reporter = reports
         self._open = False
@@ -358,8 +360,9 @@
     def _choose_check_targets(self, select_pools: PoolFilter) -> CheckTargets:
         upstreams = {}
         pools = self.proxy.view.pools
+        now = read_clock()
         for name in select_pools(pools):
-            addresses = pools[name].list_addresses()
+            addresses = pools[name].list_addresses(now)
             count = min(CHECKED_UPSTREAMS, len(addresses))
             upstreams[name] = self._rng.sample(addresses, count)
         peers = self.proxy.forwarder.list_addresses()
@@ -380,6 +383,7 @@
             read_secret(settings.operator_token_file),
             settings.announcement_lease_s,
             self._dialect.announcement_fields,
+            frozenset(filter(None, settings.availability_zones.split(","))),
         )
         return HttpServer(
             self._admin,
@@ -426,6 +430,8 @@
         for name, pool in self.proxy.view.pools.items():
             balancer = pool.balancer
             gauges[f"pool.{name}.waiting"] = len(balancer.queue)
+            if self.publisher.evacuations.zones:
+                gauges[f"pool.{name}.evacuated"] = pool.count_evacuated(now)
             gauges[f"pool.{name}.in_flight"] = sum(
                 u.in_flight for u in list(balancer.upstreams.values())
             )
--- a/src/foxtaildrum/kinds.py
+++ b/src/foxtaildrum/kinds.py
@@ -31,6 +31,7 @@
     NO_UPSTREAM = "no_upstream"
     UPSTREAMS_UNREACHABLE = "upstreams_unreachable"
     UPSTREAMS_RESTING = "upstreams_resting"
+    ZONES_EVACUATED = "zones_evacuated"
     OVERLOADED = "overloaded"
     RATE_LIMITED = "rate_limited"
     CRASHES_UPSTREAMS = "crashes_upstreams"
@@ -100,6 +101,12 @@
         Retry.ALWAYS,
         "Every upstream of the pool asked for no requests for a time",
     ),
+    ErrorKind.ZONES_EVACUATED: ErrorSpec(
+        503,
+        _NOT_RUN,
+        Retry.NEVER,
+        "Every upstream of the pool is in an evacuated availability zone",
+    ),
     ErrorKind.OVERLOADED: ErrorSpec(
         503, _NOT_RUN, Retry.NEVER, "The queue of the pool is full"
     ),
--- a/src/foxtaildrum/operations.py
+++ b/src/foxtaildrum/operations.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import argparse
+import datetime
 import json
 import tomllib
 import uuid
@@ -100,6 +101,37 @@
     return "\n".join(blocks)
 
 
+@register_command("list_zones")
+def run_list_zones(arguments: argparse.Namespace) -> int:
+    """Print the availability zones."""
+    zones = _build_client(arguments).get_zones()
+    print("\n".join(map(format_zone, zones)))
+    return EXIT_OK
+
+
+@register_command("evacuate_zone")
+def run_evacuate_zone(arguments: argparse.Namespace) -> int:
+    """Order that nothing more be sent to the upstreams in a zone."""
+    _build_client(arguments).evacuate_zone(arguments.zone)
+    return EXIT_OK
+
+
+@register_command("restore_zone")
+def run_restore_zone(arguments: argparse.Namespace) -> int:
+    """Withdraw the order to evacuate a zone."""
+    _build_client(arguments).restore_zone(arguments.zone)
+    return EXIT_OK
+
+
+def format_zone(zone: dict[str, Any]) -> str:
+    """Return a zone as a line of text."""
+    state = "in use"
+    if zone["evacuated"]:
+        since = datetime.datetime.fromtimestamp(zone["since"], datetime.UTC)
+        state = f"evacuated since {since:%Y-%m-%dT%H:%M:%SZ}"
+    return f"{zone['zone']}: {state}; upstreams: {', '.join(zone['upstreams']) or '-'}"
+
+
 @register_command("check")
 def run_check(arguments: argparse.Namespace) -> int:
     """Validate table files; with both tables, also the references between them."""
@@ -238,6 +270,10 @@
             f"{control['claims']} claims"
             f"{'' if control['claims_recovered'] else ', not recovered'}"
         )
+    lines += [
+        f"zone {e['zone']}: evacuated, {'applied' if e['applied'] else 'being applied'} here"
+        for e in status.get("evacuations", [])
+    ]
     lines.append("members:")
     lines += [
         f"  {m['instance']}: {m['state']}, {m['role']}, zone {m['availability_zone']}"
@@ -249,7 +285,8 @@
             f"mean service {pool['mean_service_ms']:.1f} ms"
         )
         lines += [
-            f"  {u['upstream']}: {u['state']}{', ejected' if u['ejected'] else ''}, "
+            f"  {u['upstream']}: {u['state']}{', ejected' if u['ejected'] else ''}"
+            f"{', evacuated' if u.get('evacuated') else ''}, "
             f"{u['in_flight']}/{u['slots']} slots"
             for u in pool["upstreams"]
         ]
--- a/src/foxtaildrum/requests/attempts.py
+++ b/src/foxtaildrum/requests/attempts.py
@@ -76,7 +76,7 @@
         raise NotImplementedError
 
     def is_unwanted(self, now: float) -> bool:
-        """Return whether the target has asked for no requests since the slot was granted."""
+        """Return whether the target may no longer get the request, though it granted a slot."""
         return False
 
     def prepare(self, request: OutgoingRequest, dialect: Dialect) -> None:
@@ -126,8 +126,8 @@
         return self._pool.get_connections(self.upstream)
 
     def is_unwanted(self, now: float) -> bool:
-        """Return whether the upstream has asked for no requests since the slot was granted."""
-        return now < self.upstream.rests_until
+        """Return whether the upstream has asked for no requests, or its zone is evacuated."""
+        return self.upstream.is_unwanted(now)
 
     def prepare(self, request: OutgoingRequest, dialect: Dialect) -> None:
         """Name the attempt and the upstream."""
--- a/src/foxtaildrum/requests/problem.py
+++ b/src/foxtaildrum/requests/problem.py
@@ -16,6 +16,7 @@
     ErrorKind.NOT_READY: 0.8,
     ErrorKind.NO_UPSTREAM: 0.5,
     ErrorKind.UPSTREAMS_UNREACHABLE: 0.5,
+    ErrorKind.ZONES_EVACUATED: 0.5,
     ErrorKind.SHED: 0.02,
     ErrorKind.STOPPING: 0.02,
     ErrorKind.OVERLOADED: 0.1,
--- a/src/foxtaildrum/requests/steps.py
+++ b/src/foxtaildrum/requests/steps.py
@@ -70,7 +70,10 @@
 
 @dataclass(slots=True)
 class SlotWithdrawn:
-    """The upstream asked for no requests after it had granted the slot; nothing was sent."""
+    """The upstream may get no request after it had granted the slot; nothing was sent.
+
+    It has asked for that, or its availability zone is evacuated.
+    """
 
     attempt: int
 
