--- a/src/foxtaildrum/balancing/balancer.py
+++ b/src/foxtaildrum/balancing/balancer.py
@@ -282,11 +282,7 @@
     def forget_failures(self) -> None:
         """Forget the failures of all upstreams: they were caused by links of this instance."""
         for upstream in self.upstreams.values():
-            upstream.failures = 0
-            upstream.ejections = 0
-            upstream.unanswered_checks = 0
-            upstream.failure_level = 0.0
-            upstream.ejected_until = float("-inf")
+            upstream.forget_failures()
 
     def choose_probe(self, now: float) -> UpstreamLoad | None:
         """Return the upstream with the oldest load report, to be probed.
@@ -389,9 +385,10 @@
         zone = announcement.availability_zone
         upstream.remote = bool(zone) and zone != self.availability_zone
         if self.evacuations.mark(upstream, zone):
-            # The zone of the upstream is no longer evacuated: this is the place to presume
-            # that the upstream is cold.
-            upstream.ramp_until = now + RAMP_S
+            # The zone is no longer evacuated, and what was known of the upstream is outdated.
+            # This is also the place to presume that it is cold.
+            upstream.forget_failures()
+        upstream.ramp_until = now + RAMP_S
         self.rate_limits.set_fleet_limit(upstream, entry.rate_limit_per_s)
 
     def _try_grant(self, now: float, ticket: Ticket) -> None:
--- a/src/foxtaildrum/balancing/candidates.py
+++ b/src/foxtaildrum/balancing/candidates.py
@@ -128,6 +128,14 @@
         """Return whether the upstream may get nothing: neither requests nor status checks."""
         return now < self.rests_until or now >= self.evacuated_at
 
+    def forget_failures(self) -> None:
+        """Forget the failures and the ejections for them."""
+        self.failures = 0
+        self.ejections = 0
+        self.unanswered_checks = 0
+        self.failure_level = 0.0
+        self.ejected_until = float("-inf")
+
     def compute_ramp(self, now: float) -> float:
         """Return the share of its slots that the upstream may use after a start."""
         if now >= self.ramp_until:
--- a/src/foxtaildrum/control/orders.py
+++ b/src/foxtaildrum/control/orders.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -159,6 +160,8 @@
 
     def handle_request(self, now: float, peer: str, message: EvacuationRequest) -> None:
         """Append the order of another instance, or name the leader."""
+        if not math.isfinite(message.at) or message.order_count < 0:
+            raise ValueError(f"invalid order: {message!r}")
         if not self._is_leader():
             leader = self._consensus.leader_id if self._consensus is not None else ""
             self._reply(peer, message.token, UNKNOWN_COUNT, leader)
@@ -168,6 +171,8 @@
 
     def handle_reply(self, now: float, peer: str, message: EvacuationReply) -> None:
         """Handle the reply to an order that was passed on."""
+        if message.order_count < (1 if message.committed else UNKNOWN_COUNT):
+            raise ValueError(f"invalid reply to an order: {message!r}")
         pending = self._orders.get(message.token)
         if pending is None or pending.committed_count:
             return
--- a/src/foxtaildrum/fleet/currency.py
+++ b/src/foxtaildrum/fleet/currency.py
@@ -28,6 +28,8 @@
         Whether this instance is outside the control group and only replicates its tables.
     now : float
         Current time in seconds.
+    start_max_age_s : float
+        Highest age of the tables with which a start is complete, in seconds.
 
     Attributes
     ----------
@@ -42,13 +44,20 @@
         "_highest_index",
         "_last_ack_sent_at",
         "_members",
+        "_start_max_age_s",
         "_started_at",
         "started",
     )
 
     def __init__(
-        self, follower: TableFollower, members: Membership, fetches_entries: bool, now: float
+        self,
+        follower: TableFollower,
+        members: Membership,
+        fetches_entries: bool,
+        now: float,
+        start_max_age_s: float = START_MAX_TABLE_AGE_S,
     ) -> None:
+        self._start_max_age_s = start_max_age_s
         self._follower = follower
         self._members = members
         self._fetches_entries = fetches_entries
@@ -75,14 +84,14 @@
         """Set ``started`` if this instance's tables are recent enough to serve from.
 
         The start is complete once the tables include every change accepted up to
-        ``START_MAX_TABLE_AGE_S`` ago. An instance outside the control group may also start
+        ``start_max_age_s`` ago. An instance outside the control group may also start
         without a quorum: after ``START_WITHOUT_QUORUM_AFTER_S``, if a majority of the
         fleet is reachable and the tables include the highest index that a peer reported.
         """
         if self.started:
             return
         age_s = self._follower.compute_age(now)
-        if age_s is not None and age_s <= START_MAX_TABLE_AGE_S:
+        if age_s is not None and age_s <= self._start_max_age_s:
             self.started = True
             return
         waited = now - self._started_at >= START_WITHOUT_QUORUM_AFTER_S
--- a/src/foxtaildrum/fleet/node.py
+++ b/src/foxtaildrum/fleet/node.py
@@ -55,7 +55,7 @@
 from .comparing import ListComparison
 from .crashes import CrashList
 from .crashing import CrashPart
-from .currency import Currency
+from .currency import START_MAX_TABLE_AGE_S, Currency
 from .gossip import GossipPart
 from .limiting import LimitPart
 from .membership import Member, Membership, MemberState
@@ -112,6 +112,8 @@
         Current time in seconds.
     join_options : JoinOptions or None
         How the instance joins the fleet; None to form a group with ``control``.
+    start_max_age_s : float
+        Highest age of the tables with which a start is complete, in seconds.
     """
 
     def __init__(
@@ -123,6 +125,7 @@
         rng: random.Random,
         now: float,
         join_options: JoinOptions | None = None,
+        start_max_age_s: float = START_MAX_TABLE_AGE_S,
     ) -> None:
         self.instance_id = me.instance_id
         self.control = sorted(control)
@@ -172,7 +175,9 @@
             self._get_applied_index,
             self._submit_read,
         )
-        self.currency = Currency(self.follower, self.members, saved is None, now)
+        self.currency = Currency(
+            self.follower, self.members, saved is None, now, start_max_age_s
+        )
         self._actions = ActionQueue()
         self._claims = ClaimPart(me.instance_id, self.control, holder, self._actions)
         list_voters = self._list_voters if saved is not None else None
--- a/src/foxtaildrum/instance.py
+++ b/src/foxtaildrum/instance.py
@@ -28,6 +28,7 @@
 from .events import Received
 from .exceptions import CorruptJournalError
 from .fleet.actions import CLAIM_STREAM, LOG_STREAM, UPSTREAM_STREAM, Write
+from .fleet.currency import START_MAX_TABLE_AGE_S
 from .fleet.membership import Member, MemberState
 from .fleet.node import JoinOptions, Node
 from .fleet.peers import PeerNetwork
@@ -315,8 +316,18 @@
             join_options.bootstrap = join_options.bootstrap and not saved.replaces_damaged
             claim_records = _unpack(journals[CLAIM_STREAM].load())
         rng = random.Random()
+        # An instance that begins to serve may lack the orders to evacuate zones only while they
+        # need not be in force yet.
+        start_max_age_s = min(START_MAX_TABLE_AGE_S, settings.evacuation_s)
         node = Node(
-            own_member, control_instances, saved, claim_records, rng, read_clock(), join_options
+            own_member,
+            control_instances,
+            saved,
+            claim_records,
+            rng,
+            read_clock(),
+            join_options,
+            start_max_age_s,
         )
         if has_log:
             saved_upstreams = load_upstreams(journals[UPSTREAM_STREAM], self.meter)
--- a/tests/test_evacuation_orders.py
+++ b/tests/test_evacuation_orders.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from typing import Any
 
@@ -15,6 +16,7 @@
 from foxtaildrum.control.orders import ORDER_TIMEOUT_S
 from foxtaildrum.control.snapshots import pack_snapshot, unpack_snapshot
 from foxtaildrum.control.table_follower import EVACUATION, TableState
+from foxtaildrum.exceptions import FrameError
 
 from .fleet import Fleet, form_fleet, form_joined_fleet
 from .test_fleet_matrix import CONVERGENCE_LIMIT_S, FAULT_S, FAULTS
@@ -93,6 +95,16 @@
     assert newer.tables.evacuations.zones == {}
 
 
+# Guards against an entry of a later build that stops the log of this one; earlier builds handle
+# the entry of an evacuation in the same way.
+def test_an_entry_of_an_unknown_kind_changes_nothing():
+    state = TableState()
+    state.apply(group.ADMIT, {"group_id": "g", "voters": {}})
+    before = state.capture()
+    assert state.apply("later", EvacuationOrder(ZONE, True, 5.0).to_wire()) is None
+    assert state.capture() == before
+
+
 # Guards against versions of the tables that an order changes: operators compare them.
 def test_an_order_changes_no_version():
     fleet = form_fleet()
@@ -154,6 +166,22 @@
     assert not fleet.orders[token]
 
 
+# Guards against messages that would make the state or the answers of others invalid.
+@pytest.mark.parametrize(
+    "message",
+    [
+        r.EvacuationRequest(token="t", zone=ZONE, evacuated=True, at=math.inf, order_count=0),
+        r.EvacuationRequest(token="t", zone=ZONE, evacuated=True, at=1.0, order_count=-1),
+        r.EvacuationReply(token="t", committed=True, order_count=0, leader=""),
+        r.EvacuationReply(token="t", committed=False, order_count=-2, leader=""),
+    ],
+)
+def test_a_message_with_values_out_of_range_is_refused(message):
+    fleet = form_fleet()
+    with pytest.raises(FrameError):
+        fleet.hosts["c1"].node.receive(fleet.now, "c2", message)
+
+
 # Guards against a copy of an order that arrives late and undoes an acknowledged later order.
 def test_a_late_copy_of_an_order_does_not_undo_a_later_one():
     fleet = form_joined_fleet()
