--- a/src/foxtaildrum/instance.py
+++ b/src/foxtaildrum/instance.py
@@ -438,10 +438,13 @@
             "members": len(node.members.members),
             "ready": float(not node.list_unready_reasons(now)),
         }
+        evacuated_zones = self.publisher.evacuations.zones
+        if evacuated_zones:
+            gauges["zones_evacuated"] = len(evacuated_zones)
         for name, pool in self.proxy.view.pools.items():
             balancer = pool.balancer
             gauges[f"pool.{name}.waiting"] = len(balancer.queue)
-            if self.publisher.evacuations.zones:
+            if evacuated_zones:
                 gauges[f"pool.{name}.evacuated"] = pool.count_evacuated(now)
             gauges[f"pool.{name}.in_flight"] = sum(
                 u.in_flight for u in list(balancer.upstreams.values())
--- a/tests/test_evacuation_load.py
+++ b/tests/test_evacuation_load.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from foxtaildrum.balancing.evacuation import WITHDRAWAL_SHARE
 from foxtaildrum.kinds import ErrorKind
 from foxtaildrum.records import Settings
 
@@ -49,6 +50,8 @@
     return Counter(kind for at, _, kind in fleet.refused_at if start <= at < end)
 
 
+# Guards against requests that reach the zone too late, a load that moves at one moment, callers
+# that are refused meanwhile, and instances in the zone that no longer serve theirs.
 @pytest.mark.parametrize("entry", [16, 142])
 def test_an_evacuation_at_peak_load_is_in_force_in_time_and_refuses_few(entry):
     fleet = form(entry)
@@ -66,6 +69,9 @@
     refused = count_refused(fleet, committed_at, fleet.now)
     assert refused[ErrorKind.ZONES_EVACUATED] == 0
     assert refused.total() <= 0.01 * REQUESTS_PER_S * (EVACUATION_S + 3.0)
+    in_zone = {name for name in fleet.entries if fleet.hosts[name].zone == ZONE}
+    serving = {sender for u in fleet.upstreams.values() for _, sender in u.arrivals[-400:]}
+    assert in_zone <= serving
     withdrawn_at = order(fleet, evacuated=False)
     fleet.run(EVACUATION_S)
     # All upstreams of the zone are used again.
@@ -86,6 +92,23 @@
     assert list_arrivals(fleet, committed_at + EVACUATION_S) == []
 
 
+# Guards against a withdrawal that starts late: tables at a start may lack an order of the last
+# seconds, which the other instances have begun to follow.
+def test_an_order_heard_shortly_after_the_start_is_followed_at_once():
+    fleet = form(6, 100.0)
+    fleet.restart("e1")
+    host = fleet.hosts["e1"]
+    fleet.run_until(lambda: host.node.is_open(host.read_clock()))
+    fleet.run(1.0)
+    order(fleet)
+    fleet.run(2.0)
+    spreads = {}
+    for name in ("e1", "e2"):
+        evacuation = fleet.serving[name].publisher.evacuations.zones[ZONE]
+        spreads[name] = evacuation.ends_at - evacuation.starts_at
+    assert spreads == {"e1": 0.0, "e2": pytest.approx(WITHDRAWAL_SHARE * EVACUATION_S)}
+
+
 @pytest.mark.parametrize("fault", ["leader", "partition", "loss"])
 def test_faults_during_an_evacuation_do_not_delay_instances_in_contact(fault):
     fleet = form(9, 100.0)
@@ -107,7 +130,7 @@
     assert list_arrivals(fleet, healed_at) == []
 
 
-# Guards against callers of instances in an evacuated zone that are no longer served.
+# Guards against orders that act without having been given.
 def test_a_fleet_without_orders_never_leaves_an_upstream_out():
     fleet = form(6, 100.0)
     fleet.run(3.0)
--- a/tests/test_evacuation_orders.py
+++ b/tests/test_evacuation_orders.py
@@ -166,6 +166,45 @@
     assert not fleet.orders[token]
 
 
+# Guards against an acknowledgement before a quorum has the order.
+def test_an_order_without_a_quorum_is_not_acknowledged():
+    fleet = form_joined_fleet()
+    leader, follower = fleet.find_leader(), find_follower(fleet)
+    fleet.cut([leader, follower])
+    token = fleet.order(follower, ZONE)
+    assert fleet.run_until(lambda: token in fleet.orders, 5.0)
+    assert not fleet.orders[token]
+
+
+# Guards against an acknowledgement of what no disk has taken yet.
+@pytest.mark.parametrize("state", ["slow", "full"])
+def test_an_order_is_not_acknowledged_while_the_disks_are_slow_or_full(state):
+    fleet = form_joined_fleet()
+    follower = find_follower(fleet)
+    for name in fleet.control:
+        if state == "full":
+            fleet.hosts[name].disk.failing = True
+        else:
+            fleet.hosts[name].sync_s = 30.0
+    token = fleet.order(follower, ZONE)
+    assert fleet.run_until(lambda: token in fleet.orders, 5.0)
+    assert not fleet.orders[token]
+
+
+# Guards against an order whose only message was lost, or went to a leader that is gone.
+@pytest.mark.parametrize("fault", ["crash", "cut-link", "loss"])
+def test_one_order_is_acknowledged_once_messages_arrive_again(fault):
+    fleet = form_joined_fleet()
+    leader, follower = fleet.find_leader(), find_follower(fleet)
+    FAULTS[fault](fleet, leader, follower)
+    token = fleet.order(follower, ZONE)
+    if fault == "cut-link":
+        fleet.run(0.5)
+        fleet.heal()
+    assert fleet.run_until(lambda: token in fleet.orders, 5.0)
+    assert fleet.orders[token]
+
+
 # Guards against messages that would make the state or the answers of others invalid.
 @pytest.mark.parametrize(
     "message",
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -76,6 +76,16 @@
     assert settings.tolerated_losses == 2
 
 
+def test_the_zones_of_the_platform_and_the_time_of_an_evacuation_are_settings(main):
+    bounds = {**CONFIG["bounds"], "evac_ms": 2500}
+    zones = {"zone-a": ["10.1.0.18"], "zone-b": []}
+    settings = read_settings(main, "entry", {**CONFIG, "bounds": bounds, "zones": zones})
+    assert settings.availability_zones == "zone-a,zone-b"
+    assert settings.evacuation_s == 2.5
+    settings = read_settings(main, "entry", CONFIG)
+    assert (settings.availability_zones, settings.evacuation_s) == ("", 5)
+
+
 @pytest.mark.parametrize("kind", list(ErrorKind))
 @pytest.mark.parametrize("outcome", list(Outcome))
 def test_only_a_request_that_was_not_run_gets_a_not_run_status(dialect, kind, outcome):
