Upstreams don't ramp with each update of their pool

Cause: when the ramp of restored upstreams was removed, a line that starts a ramp at each update of any upstream stayed; six tests of test_balancer.py and two of test_rest.py found it in the suite. Change: the line is gone. The test of an evacuated zone waits for what was sent before the order.

--- a/src/foxtaildrum/balancing/balancer.py
+++ b/src/foxtaildrum/balancing/balancer.py
@@ -388,7 +388,6 @@
             # The zone is no longer evacuated, and what was known of the upstream is outdated.
             # This is also the place to presume that it is cold.
             upstream.forget_failures()
-        upstream.ramp_until = now + RAMP_S
         self.rate_limits.set_fleet_limit(upstream, entry.rate_limit_per_s)
 
     def _try_grant(self, now: float, ticket: Ticket) -> None:
--- a/tests/test_zones_admin.py
+++ b/tests/test_zones_admin.py
@@ -150,6 +150,10 @@
         send_all(site)
         site.client.evacuate_zone("a")
         assert wait_until(lambda: is_applied(site))
+        # What was sent before goes on.
+        assert wait_until(
+            lambda: not any(upstreams.describe(u)["busy"] for u in upstreams.ports)
+        )
         before = {u: upstreams.describe(u) for u in upstreams.ports}
         assert send_all(site) == {200}
         after = {u: upstreams.describe(u) for u in upstreams.ports}
