Evacuated upstreams add nothing to the budget for status checks

Cause: the budget counts the upstreams of the pool, so with a third of them evacuated the others would get up to half as many checks again, above the bound for each upstream. Change: only upstreams that are not left out are counted.

--- a/src/foxtaildrum/balancing/balancer.py
+++ b/src/foxtaildrum/balancing/balancer.py
@@ -223,8 +223,9 @@
         if not self._samples.size:
             return []
         candidates = self._list_candidates(now, excluded, for_status_check=True)
+        count = self._count_checked(now)
         chosen = self._samples.choose(
-            now, candidates, len(self.upstreams), response_bytes, self.rng, round_number
+            now, candidates, count, response_bytes, self.rng, round_number
         )
         # A permit is valid for a short time, so its upstream is compared first.
         permitted = [u for u in candidates if u.permits is not None]
@@ -234,7 +235,13 @@
 
     def spend_status_check(self, now: float) -> bool:
         """Spend the budget for one status check; return whether it sufficed."""
-        return self._samples.spend_check(now, len(self.upstreams))
+        return self._samples.spend_check(now, self._count_checked(now))
+
+    def _count_checked(self, now: float) -> int:
+        """Return how many upstreams share the budget for status checks."""
+        if not self.evacuations.zones:
+            return len(self.upstreams)
+        return len(self.evacuations.select_usable(now, self.upstreams.values()))
 
     def has_calm_upstream(self, now: float, excluded: frozenset[str]) -> bool:
         """Return whether a candidate has a free slot and its normal pace, by a fresh report."""
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -85,6 +85,22 @@
     assert balancer.count_slots(later) == 6
 
 
+# Guards against status checks of evacuated upstreams that the others get in addition.
+def test_the_budget_for_status_checks_shrinks_with_the_upstreams():
+    checks = {}
+    for zones in ((), ("a",)):
+        site = Site({f"{zone}{n}": zone for zone in "ab" for n in range(10)})
+        site.balancer.set_status_check_rate(1.0, 3)
+        site.order(0.0, *zones, at_once=True)
+        start, count = NOW, 0
+        for step in range(1000):
+            moment = start + step / 10
+            count += len(site.balancer.choose_samples(moment, frozenset()))
+            count += site.balancer.spend_status_check(moment)
+        checks[zones] = count
+    assert checks["a",] == pytest.approx(checks[()] / 2, rel=0.1)
+
+
 # Guards against a withdrawal of all instances, or from all upstreams, at one moment.
 def test_the_withdrawal_is_spread_over_instances_and_upstreams():
     zones = {f"u{n}": "a" for n in range(20)}
