--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -9,14 +9,19 @@
 from hypothesis import strategies as st
 
 from foxtaildrum.balancing.balancer import Balancer
+from foxtaildrum.balancing.candidates import UpstreamLoad
 from foxtaildrum.balancing.evacuation import WITHDRAWAL_SHARE, EvacuationPlan
 from foxtaildrum.balancing.loads import LoadReport
 from foxtaildrum.balancing.pools import UpstreamPool
+from foxtaildrum.balancing.probes import _request_load
+from foxtaildrum.balancing.samples import Sampler
 from foxtaildrum.balancing.tickets import Ticket
 from foxtaildrum.kinds import ErrorKind
 from foxtaildrum.records import Pool
 from foxtaildrum.requests.attempts import UpstreamAttempt
+from foxtaildrum.requests.dialects import Dialect
 from foxtaildrum.requests.steps import AttemptResult
+from foxtaildrum.requests.transport import TransportError
 
 from .test_balancer import build_entry
 
@@ -180,6 +185,61 @@
     assert attempt.is_unwanted(NOW + SPREAD_S)
 
 
+class ConnectionsStub:
+    """A pool of one upstream, whose zone is evacuated while a connection to it is opened."""
+
+    health_path = load_path = "/load"
+
+    def __init__(self, upstream: UpstreamLoad) -> None:
+        self.upstream = upstream
+        self.sent = 0
+        self.released = 0
+
+    def choose_samples(self, now, excluded, response_bytes, round_number):
+        return [] if round_number else [self.upstream]
+
+    def has_calm_upstream(self, now, excluded):
+        return True
+
+    def get_connections(self, upstream):
+        return self
+
+    def acquire(self, *arguments, **options):
+        self.upstream.evacuated_at = float("-inf")
+        return self
+
+    def send(self, *arguments):
+        self.sent += 1
+        raise TransportError(ErrorKind.ANSWER_LOST)
+
+    def release(self, now, connection):
+        self.released += 1
+
+    def close(self):
+        pass
+
+
+# Guards against a status check or a probe that is sent because it was chosen before.
+@pytest.mark.parametrize("kind", ["status check", "probe"])
+def test_a_check_that_is_not_sent_yet_is_given_up(kind):
+    pool = ConnectionsStub(UpstreamLoad("a1"))
+    if kind == "probe":
+        assert _request_load(pool, pool.upstream, Dialect()) is None
+    else:
+        Sampler(pool, Dialect()).sample(frozenset(), 0.0)
+    assert (pool.sent, pool.released) == (0, 1)
+
+
+# Guards against permits that issuers grant for upstreams that are left out.
+def test_no_permits_are_requested_for_upstreams_that_are_left_out():
+    site = Site({"a1": "a", "b1": "b"})
+    for upstream in site.balancer.upstreams.values():
+        site.balancer.rate_limits.record_response(NOW, upstream, 2.0, True)
+    site.order(NOW, "a", at_once=True)
+    planned = site.balancer.plan_permits(NOW)
+    assert [item.upstream_id for item in planned] == ["b1"]
+
+
 # Guards against rest and rate limits of upstreams that are left out anyway.
 def test_upstreams_that_are_left_out_do_not_decide_about_refusals():
     site = Site({"a1": "a", "b1": "b"})
--- a/tests/test_evacuation_load.py
+++ b/tests/test_evacuation_load.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import logging
 from collections import Counter
 
 import pytest
 
 from foxtaildrum.balancing.evacuation import WITHDRAWAL_SHARE
 from foxtaildrum.kinds import ErrorKind
+from foxtaildrum.logs import LOGGER_NAME
 from foxtaildrum.records import Settings
 
 from .serving_fleet import ServingFleet
@@ -130,6 +132,18 @@
     assert list_arrivals(fleet, healed_at) == []
 
 
+# Guards against lines that are missing, or repeated with each order or update.
+def test_each_instance_logs_an_evacuation_once(caplog):
+    caplog.set_level(logging.INFO, LOGGER_NAME)
+    fleet = form(6, 100.0)
+    for evacuated in (True, True, False, False):
+        order(fleet, evacuated)
+        fleet.run(EVACUATION_S)
+    lines = Counter(record.message for record in caplog.records)
+    events = ("evacuation_heard", "evacuation_applied", "evacuation_withdrawn")
+    assert [lines[event] for event in events] == [6, 6, 6]
+
+
 # Guards against orders that act without having been given.
 def test_a_fleet_without_orders_never_leaves_an_upstream_out():
     fleet = form(6, 100.0)
