--- a/src/foxtaildrum/balancing/balancer.py
+++ b/src/foxtaildrum/balancing/balancer.py
@@ -13,22 +13,17 @@
 from ..requests.steps import AttemptResult
 from .budget import Budget
 from .candidates import RAMP_S, PoolLoad, UpstreamLoad
+from .ejections import record_result
+from .evacuation import EvacuationPlan
 from .loads import LoadReport
 from .policies import get_policy
 from .ratelimits import ExpiredPermits, PlannedRequest, RateLimits
 from .sampling import SampleBudget, is_calm, is_slow
 from .tickets import Ticket
 
-EJECT_AFTER_FAILURES = 5
-EJECT_BASE_S = 1.0
-EJECT_MAX_S = 30.0
 MAX_EJECTED_RATIO = 0.5
-MAX_FAILURE_LEVEL = 16.0
-SHED_EJECT_BASE_S = 0.05
-SHED_EJECT_MAX_S = 2.0
 # Weights of a new value in exponential moving averages.
 POOL_MEAN_WEIGHT = 0.05
-SERVICE_TIME_WEIGHT = 0.2
 SMOOTHED_PACE_WEIGHT = 0.2
 DEADLINE_MARGIN_SERVICE_TIMES = 2.0
 # Cost of one probe in the measuring budget, which is counted in seconds of service time.
@@ -62,6 +57,8 @@
         Source of random choices.
     instance_id : str
         Identifier of this instance, which determines its subset of the upstreams.
+    evacuations : EvacuationPlan or None
+        Evacuated zones, whose upstreams are left out; None for no evacuations.
 
     Attributes
     ----------
@@ -77,8 +74,10 @@
         queue_limit: int,
         rng: random.Random,
         instance_id: str = "",
+        evacuations: EvacuationPlan | None = None,
     ) -> None:
         self.availability_zone = availability_zone
+        self.evacuations = evacuations or EvacuationPlan()
         self.queue_limit = queue_limit
         self.rng = rng
         self.load = PoolLoad()
@@ -117,7 +116,8 @@
             self._update_member(now, entry, is_first_update)
         for upstream_id in set(self.upstreams) - seen:
             self.rate_limits.forget(self.upstreams.pop(upstream_id))
-        self._samples.subset.update(self.upstreams.values())
+        usable = self.evacuations.select_usable(now, self.upstreams.values())
+        self._samples.subset.update(usable)
         return self.serve_queue(now)
 
     def request_slot(self, now: float, ticket: Ticket, may_wait: bool) -> None:
@@ -136,7 +136,10 @@
 
     def plan_permits(self, now: float) -> list[PlannedRequest | ExpiredPermits]:
         """Return what to send to issuers of permits for a request that has just arrived."""
-        return self.rate_limits.plan_requests(now, self._samples.select_subset(self.upstreams))
+        usable = self._samples.select_subset(self.upstreams)
+        if self.evacuations.zones:
+            usable = self.evacuations.select_usable(now, usable)
+        return self.rate_limits.plan_requests(now, usable)
 
     def _enqueue(self, ticket: Ticket) -> None:
         """Queue a ticket behind those of the same or a more urgent priority."""
@@ -184,7 +187,8 @@
         interval_s = min(now - self._released_at, self.load.mean_service_s)
         self._release_interval_s += (interval_s - self._release_interval_s) * POOL_MEAN_WEIGHT
         self._released_at = now
-        self._record_result(now, upstream, result, held_s)
+        sends_checks = bool(self._samples.size)
+        record_result(now, upstream, self.load, result, held_s, sends_checks)
         return self.serve_queue(now)
 
     def record_load(self, now: float, upstream: UpstreamLoad, report: LoadReport) -> None:
@@ -219,8 +223,9 @@
         if not self._samples.size:
             return []
         candidates = self._list_candidates(now, excluded, for_status_check=True)
+        count = self._count_checked(now)
         chosen = self._samples.choose(
-            now, candidates, len(self.upstreams), response_bytes, self.rng, round_number
+            now, candidates, count, response_bytes, self.rng, round_number
         )
         # A permit is valid for a short time, so its upstream is compared first.
         permitted = [u for u in candidates if u.permits is not None]
@@ -230,7 +235,13 @@
 
     def spend_status_check(self, now: float) -> bool:
         """Spend the budget for one status check; return whether it sufficed."""
-        return self._samples.spend_check(now, len(self.upstreams))
+        return self._samples.spend_check(now, self._count_checked(now))
+
+    def _count_checked(self, now: float) -> int:
+        """Return how many upstreams share the budget for status checks."""
+        if not self.evacuations.zones:
+            return len(self.upstreams)
+        return len(self.evacuations.select_usable(now, self.upstreams.values()))
 
     def has_calm_upstream(self, now: float, excluded: frozenset[str]) -> bool:
         """Return whether a candidate has a free slot and its normal pace, by a fresh report."""
@@ -271,18 +282,14 @@
         """Eject an upstream because another upstream answered at its address."""
         upstream.ejected_until = max(upstream.ejected_until, now + MOVED_EJECT_S)
 
-    def list_addresses(self) -> list[str]:
-        """Return the addresses of the upstreams in state ready."""
-        return [u.address for u in self.upstreams.values() if u.state == READY]
+    def list_addresses(self, now: float) -> list[str]:
+        """Return the addresses of the upstreams in state ready that may get anything."""
+        return [u.address for u in self._list_ready(now)]
 
     def forget_failures(self) -> None:
         """Forget the failures of all upstreams: they were caused by links of this instance."""
         for upstream in self.upstreams.values():
-            upstream.failures = 0
-            upstream.ejections = 0
-            upstream.unanswered_checks = 0
-            upstream.failure_level = 0.0
-            upstream.ejected_until = float("-inf")
+            upstream.forget_failures()
 
     def choose_probe(self, now: float) -> UpstreamLoad | None:
         """Return the upstream with the oldest load report, to be probed.
@@ -306,6 +313,8 @@
                 ticket.refused = ErrorKind.DEADLINE_UNREACHABLE
             elif not self.upstreams:
                 ticket.refused = ErrorKind.NO_UPSTREAM
+            elif self.evacuations.covers(now, self.upstreams.values()):
+                ticket.refused = ErrorKind.ZONES_EVACUATED
             else:
                 self._try_grant(now, ticket)
             if not ticket.completed and self._rests_too_long(now, ticket):
@@ -319,8 +328,8 @@
         return completed
 
     def count_slots(self, now: float) -> int:
-        """Return the number of slots of all upstreams in state ready."""
-        return sum(u.slots for u in self.upstreams.values() if u.state == READY)
+        """Return the number of slots of all upstreams in state ready that are not left out."""
+        return sum(u.slots for u in self._list_ready(now))
 
     def spend_hedge(self) -> bool:
         """Spend the budget for one hedge; return whether it sufficed.
@@ -382,6 +391,10 @@
         upstream.slots = announcement.slots or self.pool.slots_per_upstream
         zone = announcement.availability_zone
         upstream.remote = bool(zone) and zone != self.availability_zone
+        if self.evacuations.mark(upstream, zone):
+            # The zone is no longer evacuated, and what was known of the upstream is outdated.
+            # This is also the place to presume that it is cold.
+            upstream.forget_failures()
         self.rate_limits.set_fleet_limit(upstream, entry.rate_limit_per_s)
 
     def _try_grant(self, now: float, ticket: Ticket) -> None:
@@ -435,12 +448,22 @@
         return [u for u in healthy if u.has_free_slot(now)]
 
     def _list_awake(self, now: float) -> list[UpstreamLoad]:
-        """Return the upstreams in state ready that have not asked for no requests."""
-        return [u for u in self.upstreams.values() if u.state == READY and u.rests_until <= now]
+        """Return the upstreams in state ready that have not asked for no requests.
+
+        Those in evacuated zones are left out.
+        """
+        upstreams = self.upstreams.values()
+        awake = [u for u in upstreams if u.state == READY and u.rests_until <= now]
+        return self.evacuations.select_usable(now, awake) if self.evacuations.zones else awake
+
+    def _list_ready(self, now: float) -> list[UpstreamLoad]:
+        """Return the upstreams in state ready, except for those in evacuated zones."""
+        ready = [u for u in self.upstreams.values() if u.state == READY]
+        return self.evacuations.select_usable(now, ready) if self.evacuations.zones else ready
 
     def _rests_too_long(self, now: float, ticket: Ticket) -> bool:
         """Return whether every upstream rests for longer than the request may wait."""
-        ends = [u.rests_until for u in self.upstreams.values() if u.state == READY]
+        ends = [u.rests_until for u in self._list_ready(now)]
         if not ends or min(ends) <= max(now, ticket.queue_deadline):
             return False
         ticket.retry_after_s = max(MIN_RETRY_AFTER_S, min(ends) - now)
@@ -449,7 +472,8 @@
     def _find_refusal(self, now: float, ticket: Ticket, may_wait: bool) -> ErrorKind | None:
         slots = self.count_slots(now)
         if not slots:
-            return ErrorKind.NO_UPSTREAM
+            is_evacuated = self.evacuations.covers(now, self.upstreams.values())
+            return ErrorKind.ZONES_EVACUATED if is_evacuated else ErrorKind.NO_UPSTREAM
         if self._rests_too_long(now, ticket):
             return ErrorKind.UPSTREAMS_RESTING
         if not may_wait:
@@ -467,7 +491,7 @@
         """Return whether no upstream may get the request in time because of its rate limit."""
         if not self.rate_limits.any_limited:
             return False
-        ready = [u for u in self.upstreams.values() if u.state == READY]
+        ready = self._list_ready(now)
         wait_s = self.rate_limits.compute_refusal_wait(now, ticket.queue_deadline, ahead, ready)
         if wait_s is None:
             return False
@@ -481,35 +505,6 @@
             start + DEADLINE_MARGIN_SERVICE_TIMES * self.load.mean_service_s > ticket.deadline
         )
 
-    def _record_result(
-        self, now: float, upstream: UpstreamLoad, result: AttemptResult, held_s: float
-    ) -> None:
-        if result is AttemptResult.OK:
-            upstream.failures = 0
-            upstream.sheds = 0
-            upstream.unanswered_checks = 0
-            upstream.ejections = 0
-            upstream.failure_level *= 0.5
-            upstream.service_s += (held_s - upstream.service_s) * SERVICE_TIME_WEIGHT
-            self.load.record_service_time(held_s)
-            return
-        if result is AttemptResult.CANCELLED:
-            return
-        if result is AttemptResult.SHED:
-            pause_s = min(SHED_EJECT_MAX_S, SHED_EJECT_BASE_S * 2**upstream.sheds)
-            upstream.sheds += 1
-            upstream.ejected_until = max(upstream.ejected_until, now + pause_s)
-            return
-        upstream.failures += 1
-        upstream.failure_level = min(MAX_FAILURE_LEVEL, upstream.failure_level + 1.0)
-        upstream.failed_at = now
-        if result is AttemptResult.UNREACHABLE or upstream.failures >= EJECT_AFTER_FAILURES:
-            upstream.ejections += 1
-            if result is AttemptResult.UNREACHABLE and self._samples.size:
-                upstream.unanswered_checks += 1
-            pause_s = min(EJECT_MAX_S, EJECT_BASE_S * 2 ** (upstream.ejections - 1))
-            upstream.ejected_until = now + pause_s
-
 
 def _get_reported_at(upstream: UpstreamLoad) -> float:
     return upstream.reported_at
--- a/src/foxtaildrum/fleet/node.py
+++ b/src/foxtaildrum/fleet/node.py
@@ -16,8 +16,10 @@
 from ..control.consensus import Consensus
 from ..control.desired import DesiredState
 from ..control.entries import SavedState
+from ..control.evacuations import EvacuationOrder
 from ..control.group import ControlDirectory, Role
 from ..control.holder import ClaimHolder
+from ..control.orders import OrderProposer
 from ..control.proposals import Proposer
 from ..control.reads import Reader
 from ..control.table_follower import TableFollower, TableState
@@ -53,7 +55,7 @@
 from .comparing import ListComparison
 from .crashes import CrashList
 from .crashing import CrashPart
-from .currency import Currency
+from .currency import START_MAX_TABLE_AGE_S, Currency
 from .gossip import GossipPart
 from .limiting import LimitPart
 from .membership import Member, Membership, MemberState
@@ -110,6 +112,8 @@
         Current time in seconds.
     join_options : JoinOptions or None
         How the instance joins the fleet; None to form a group with ``control``.
+    start_max_age_s : float
+        Highest age of the tables with which a start is complete, in seconds.
     """
 
     def __init__(
@@ -121,6 +125,7 @@
         rng: random.Random,
         now: float,
         join_options: JoinOptions | None = None,
+        start_max_age_s: float = START_MAX_TABLE_AGE_S,
     ) -> None:
         self.instance_id = me.instance_id
         self.control = sorted(control)
@@ -157,13 +162,22 @@
             self._submit,
             rng,
         )
+        self.orders = OrderProposer(
+            me.instance_id,
+            self.state,
+            self.consensus,
+            self.proposer.pick_control_instance,
+            self._submit,
+        )
         self.reader = Reader(
             self._is_leader,
             self.proposer.pick_control_instance,
             self._get_applied_index,
             self._submit_read,
         )
-        self.currency = Currency(self.follower, self.members, saved is None, now)
+        self.currency = Currency(
+            self.follower, self.members, saved is None, now, start_max_age_s
+        )
         self._actions = ActionQueue()
         self._claims = ClaimPart(me.instance_id, self.control, holder, self._actions)
         list_voters = self._list_voters if saved is not None else None
@@ -201,6 +215,8 @@
         handlers: dict[type, Handler] = {
             r.ProposeRequest: self.proposer.handle_request,
             r.ProposeReply: lambda now, peer, message: self.proposer.handle_reply(now, message),
+            r.EvacuationRequest: self.orders.handle_request,
+            r.EvacuationReply: self.orders.handle_reply,
             r.ReadRequest: self.reader.handle_request,
             r.ReadReply: lambda now, peer, message: self.reader.handle_reply(message),
         }
@@ -246,6 +262,7 @@
         self._crashes.tick(now)
         self._claims.tick(now)
         self.proposer.tick(now)
+        self.orders.tick(now)
         self.reader.tick(now)
         self._upstreams.process_receipts(now)
         self.currency.tick(now)
@@ -307,6 +324,11 @@
         self.proposer.propose(now, token, change)
         return self._pop_actions(now)
 
+    def order_evacuation(self, now: float, token: str, order: EvacuationOrder) -> list[Action]:
+        """Propose an order on a zone; :class:`OrderCompleted` tells whether it is committed."""
+        self.orders.propose(now, token, order)
+        return self._pop_actions(now)
+
     def read(self, now: float, token: str) -> list[Action]:
         """Check that the tables here include every accepted change.
 
@@ -494,10 +516,11 @@
         self._crashes.push_updates(now)
         self._gossip.push_updates(now)
         self._actions.extend(self.proposer.pop_actions(now))
+        self._actions.extend(self.orders.pop_actions())
         self._actions.extend(self.reader.pop_actions())
         return self._actions.pop_all()
 
-    def _submit(self, now: float, token: str, kind: str, payload: list[Any]) -> None:
+    def _submit(self, now: float, token: str, kind: str, payload: Any) -> None:
         self._run_consensus(now, Proposed(token, kind, payload))
 
     def _submit_read(self, now: float, token: str) -> None:
@@ -531,6 +554,7 @@
                 self._actions.add(build_rewrite(LOG_STREAM, action))
             elif isinstance(action, ProposalCompleted):
                 self.proposer.handle_completed(action)
+                self.orders.handle_completed(now, action)
             elif isinstance(action, ReadIndexResolved):
                 self.reader.handle_read_index(action)
             elif isinstance(action, Committed):
--- a/src/foxtaildrum/instance.py
+++ b/src/foxtaildrum/instance.py
@@ -28,6 +28,7 @@
 from .events import Received
 from .exceptions import CorruptJournalError
 from .fleet.actions import CLAIM_STREAM, LOG_STREAM, UPSTREAM_STREAM, Write
+from .fleet.currency import START_MAX_TABLE_AGE_S
 from .fleet.membership import Member, MemberState
 from .fleet.node import JoinOptions, Node
 from .fleet.peers import PeerNetwork
@@ -106,7 +107,9 @@
         reports = NodeReports(self._node_proxy)
         self.publisher.permit_client = reports
         self.publisher.apply_limits = self._apply_limits
-        self.node_access = NodeAccess(self._node_proxy, self.meter, self.proxy)
+        self.node_access = NodeAccess(
+            self._node_proxy, self.meter, self.proxy, self.publisher.evacuations
+        )
         self.proxy.claims = NodeClaims(self._node_proxy)
         self.proxy.crash_reporter = reports
         self._open = False
@@ -313,8 +316,18 @@
             join_options.bootstrap = join_options.bootstrap and not saved.replaces_damaged
             claim_records = _unpack(journals[CLAIM_STREAM].load())
         rng = random.Random()
+        # An instance that begins to serve may lack the orders to evacuate zones only while they
+        # need not be in force yet.
+        start_max_age_s = min(START_MAX_TABLE_AGE_S, settings.evacuation_s)
         node = Node(
-            own_member, control_instances, saved, claim_records, rng, read_clock(), join_options
+            own_member,
+            control_instances,
+            saved,
+            claim_records,
+            rng,
+            read_clock(),
+            join_options,
+            start_max_age_s,
         )
         if has_log:
             saved_upstreams = load_upstreams(journals[UPSTREAM_STREAM], self.meter)
@@ -358,8 +371,9 @@
     def _choose_check_targets(self, select_pools: PoolFilter) -> CheckTargets:
         upstreams = {}
         pools = self.proxy.view.pools
+        now = read_clock()
         for name in select_pools(pools):
-            addresses = pools[name].list_addresses()
+            addresses = pools[name].list_addresses(now)
             count = min(CHECKED_UPSTREAMS, len(addresses))
             upstreams[name] = self._rng.sample(addresses, count)
         peers = self.proxy.forwarder.list_addresses()
@@ -380,6 +394,7 @@
             read_secret(settings.operator_token_file),
             settings.announcement_lease_s,
             self._dialect.announcement_fields,
+            frozenset(filter(None, settings.availability_zones.split(","))),
         )
         return HttpServer(
             self._admin,
@@ -423,9 +438,14 @@
             "members": len(node.members.members),
             "ready": float(not node.list_unready_reasons(now)),
         }
+        evacuated_zones = self.publisher.evacuations.zones
+        if evacuated_zones:
+            gauges["zones_evacuated"] = len(evacuated_zones)
         for name, pool in self.proxy.view.pools.items():
             balancer = pool.balancer
             gauges[f"pool.{name}.waiting"] = len(balancer.queue)
+            if evacuated_zones:
+                gauges[f"pool.{name}.evacuated"] = pool.count_evacuated(now)
             gauges[f"pool.{name}.in_flight"] = sum(
                 u.in_flight for u in list(balancer.upstreams.values())
             )
