--- a/src/foxtaildrum/balancing/loads.py
+++ b/src/foxtaildrum/balancing/loads.py
@@ -9,6 +9,7 @@
 MAX_REPORTED_PACE = 1e3
 MAX_RATE_LIMIT_PER_S = 1e6
 MAX_REST_S = 600.0
+MAX_WARMUP_S = 3600.0
 MAX_QUOTED_CHARS = 40
 
 
@@ -99,3 +100,15 @@
     if not 0 < rest_s < math.inf:
         return None
     return min(rest_s, MAX_REST_S)
+
+
+def parse_warmup(value: str | None) -> float | None:
+    """Return the seconds for which an upstream stays cold, from a header in milliseconds.
+
+    None if the header is missing or invalid.
+    """
+    try:
+        left_s = _parse_number(value or "") / 1000
+    except ValueError:
+        return None
+    return min(left_s, MAX_WARMUP_S) if left_s >= 0 else None
--- a/src/foxtaildrum/kinds.py
+++ b/src/foxtaildrum/kinds.py
@@ -31,6 +31,7 @@
     NO_UPSTREAM = "no_upstream"
     UPSTREAMS_UNREACHABLE = "upstreams_unreachable"
     UPSTREAMS_RESTING = "upstreams_resting"
+    UPSTREAMS_WARMING_UP = "upstreams_warming_up"
     OVERLOADED = "overloaded"
     RATE_LIMITED = "rate_limited"
     CRASHES_UPSTREAMS = "crashes_upstreams"
@@ -100,6 +101,12 @@
         Retry.ALWAYS,
         "Every upstream of the pool asked for no requests for a time",
     ),
+    ErrorKind.UPSTREAMS_WARMING_UP: ErrorSpec(
+        503,
+        _NOT_RUN,
+        Retry.ALWAYS,
+        "Every usable upstream of the pool is cold and takes no request of this instance now",
+    ),
     ErrorKind.OVERLOADED: ErrorSpec(
         503, _NOT_RUN, Retry.NEVER, "The queue of the pool is full"
     ),
--- a/src/foxtaildrum/records.py
+++ b/src/foxtaildrum/records.py
@@ -177,9 +177,9 @@
     """
     Unix time of the upstream's start, in milliseconds; used as the incarnation when none is given.
     """
-    warmup_left_ms: float = 0
+    warmup_left_ms: float | None = None
     """
-    Remaining time for which the upstream is slow after its start, in milliseconds.
+    Remaining time for which the upstream is cold, in milliseconds; if it is missing, a new start is cold for warmup_s of its pool.
     """
     version: str = ""
     """
@@ -1171,6 +1171,26 @@
     """
 
 
+@dataclass(kw_only=True, slots=True)
+class WarmupReport:
+    """
+    Reports to the owner of its lease that an upstream is cold.
+    """
+
+    upstream_id: str
+    """
+    Upstream that is cold.
+    """
+    incarnation: int
+    """
+    Incarnation of the upstream.
+    """
+    left_s: float
+    """
+    Remaining time for which it is cold, in seconds.
+    """
+
+
 @dataclass(kw_only=True, slots=True)
 class Route:
     """
--- a/src/foxtaildrum/requests/dialects.py
+++ b/src/foxtaildrum/requests/dialects.py
@@ -10,7 +10,13 @@
 import math
 from collections.abc import Callable, Mapping
 
-from ..balancing.loads import LoadReport, parse_load_metrics, parse_rate_limit, parse_rest
+from ..balancing.loads import (
+    LoadReport,
+    parse_load_metrics,
+    parse_rate_limit,
+    parse_rest,
+    parse_warmup,
+)
 from ..kinds import ERROR_RESPONSES, ErrorKind, Outcome
 
 Headers = Mapping[str, str]
@@ -83,6 +89,13 @@
         """Return the requests per second that the upstream takes from the fleet, or None."""
         return parse_rate_limit(headers.get("X-Upstream-Rate-Limit"))
 
+    def read_warmup_left(self, headers: Headers) -> float | None:
+        """Return for how many seconds the upstream stays cold, or None if it does not say.
+
+        Only responses to status checks state it.
+        """
+        return parse_warmup(headers.get("X-Upstream-Warmup-Ms"))
+
     def read_rest(self, status: int, headers: Headers) -> float | None:
         """Return for how many seconds the upstream wants no request from this instance.
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -119,3 +119,18 @@
     port = settings.metrics_listen.rpartition(":")[2]
     for role in deploy["roles"].values():
         assert role["metrics"] == f"{port}/metrics"
+
+
+@pytest.mark.parametrize(("value", "left_s"), [("2500", 2.5), ("0", 0.0), (None, None)])
+def test_a_status_check_states_the_rest_of_the_cold_time(dialect, value, left_s):
+    headers = {} if value is None else {"X-Warmup-Ms": value}
+    assert dialect.read_warmup_left({"X-Upstream-Warmup-Ms": "9", **headers}) == left_s
+
+
+def test_the_bounds_for_cold_upstreams_are_taken_over(main):
+    # The product's defaults apply where the configuration names none.
+    settings = read_settings(main, "entry", CONFIG)
+    assert (settings.warmup_overshoot, settings.warmup_slack) == (1.0, 0)
+    bounds = {**CONFIG["bounds"], "warmup_overshoot": 1.5, "warmup_slack": 8}
+    settings = read_settings(main, "entry", {**CONFIG, "bounds": bounds})
+    assert (settings.warmup_overshoot, settings.warmup_slack) == (1.5, 8)
