Upstream list: the time until which an upstream is cold

The owner of a lease records it from announcements and from reports of instances, only in pools that set warmup_per_s. It follows the rate limit on the wire as remaining seconds, and is left out where nothing is known, so that other entries stay as they were.

--- a/src/foxtaildrum/admin/access.py
+++ b/src/foxtaildrum/admin/access.py
@@ -136,6 +136,10 @@
         """Return permits that were not used."""
         self._apply(lambda node, now: node.return_permits(now, upstream_id, count))
 
+    def report_warmup(self, upstream_id: str, incarnation: int, left_s: float) -> None:
+        """Report that an upstream is cold for some seconds."""
+        self._apply(lambda node, now: node.report_warmup(now, upstream_id, incarnation, left_s))
+
     def report_crash(self, fingerprint: str, upstream_id: str, incarnation: int) -> None:
         """Report that an upstream ended while it ran a request."""
         self._apply(
--- a/src/foxtaildrum/balancing/permits.py
+++ b/src/foxtaildrum/balancing/permits.py
@@ -20,7 +20,7 @@
 
 
 class PermitClient:
-    """Sends what this instance reports and requests to the issuer of an upstream.
+    """Sends what this instance reports and requests to the owner of an upstream's lease.
 
     This class sends nothing; ``NodeReports`` implements the methods.
     """
@@ -38,6 +38,9 @@
     def return_permits(self, upstream_id: str, count: int) -> None:
         """Return permits that were not used."""
 
+    def report_warmup(self, upstream_id: str, incarnation: int, left_s: float) -> None:
+        """Report that an upstream is cold for some seconds, which the list does not state."""
+
 
 class Permits:
     """Permits of this instance for one upstream.
--- a/src/foxtaildrum/fleet/announcing.py
+++ b/src/foxtaildrum/fleet/announcing.py
@@ -48,6 +48,9 @@
         Receives the actions.
     now : float
         Current time in seconds.
+    find_warmup_s : callable
+        Returns the time for which a new start in a pool is cold, in seconds; None where no
+        cold periods are recorded.
     """
 
     def __init__(
@@ -57,6 +60,7 @@
         list_control_instances: Callable[[], list[str]],
         actions: ActionQueue,
         now: float,
+        find_warmup_s: Callable[[str], float | None],
     ) -> None:
         instance_id = members.me.instance_id
         self.upstreams = UpstreamList(instance_id)
@@ -71,6 +75,7 @@
         self._deliveries = Deliveries()
         self._relayed: dict[str, tuple[str, str]] = {}
         self._lease_check_at = now
+        self._find_warmup_s = find_warmup_s
 
     def tick(self, now: float) -> None:
         """Save the list, expire leases, and repeat the news that are not confirmed."""
@@ -94,7 +99,11 @@
         """Record an announcement; return the reason of a refusal."""
         try:
             owner = self.upstreams.announce(
-                now, upstream_id, announcement, self._members.is_usable
+                now,
+                upstream_id,
+                announcement,
+                self._members.is_usable,
+                self._find_warmup_s(announcement.pool),
             )
         except StaleAnnouncementError as error:
             return str(error)
--- a/src/foxtaildrum/fleet/node.py
+++ b/src/foxtaildrum/fleet/node.py
@@ -60,6 +60,7 @@
 from .parts import Handler
 from .relaying import TablePart
 from .upstreams import UpstreamList
+from .warmups import WarmupPart, WarmupTimes
 
 CONTROL_TICK_S = 0.1
 ENTRY_TICK_S = 0.25
@@ -168,7 +169,12 @@
         self._claims = ClaimPart(me.instance_id, self.control, holder, self._actions)
         list_voters = self._list_voters if saved is not None else None
         self._upstreams = UpstreamPart(
-            self.members, list_voters, self.list_control_instances, self._actions, now
+            self.members,
+            list_voters,
+            self.list_control_instances,
+            self._actions,
+            now,
+            WarmupTimes(self.follower, self.is_starting).find,
         )
         self._comparison = ListComparison(
             me.instance_id,
@@ -179,6 +185,7 @@
         )
         self._crashes = CrashPart(self.members, self._actions, now)
         self._limits = LimitPart(self.upstreams, self._actions, now)
+        self._warmups = WarmupPart(self.upstreams, self._actions)
         self._tables = TablePart(self.follower, self.members, self._actions)
         self._gossip = GossipPart(
             self.members,
@@ -208,6 +215,7 @@
             self._claims,
             self._upstreams,
             self._limits,
+            self._warmups,
             self._crashes,
             self._tables,
             self._gossip,
@@ -353,11 +361,22 @@
         """
         if self._entry_count_version != self.members.change_count:
             self._entry_count_version = self.members.change_count
-            members = self.members.members.values()
-            present = (m for m in members if m.state is not MemberState.LEFT)
-            self._entry_count = max(1, sum(m.role != "control" for m in present))
+            self._entry_count = max(1, len(self.list_entry_zones()))
         return self._entry_count
 
+    def list_entry_zones(self) -> dict[str, str]:
+        """Return the availability zones of the instances that serve callers and have not left.
+
+        Suspect and dead members are included, so that a partition does not change which
+        instances use a cold upstream.
+        """
+        members = self.members.members.values()
+        return {
+            m.instance_id: m.availability_zone
+            for m in members
+            if m.role != "control" and m.state is not MemberState.LEFT
+        }
+
     def list_forward_addresses(self) -> dict[str, str]:
         """Return the addresses of the other instances that take forwarded requests."""
         members = self.members.members.values()
@@ -415,6 +434,13 @@
         self._limits.give_back(now, upstream_id, count)
         return self._pop_actions(now)
 
+    def report_warmup(
+        self, now: float, upstream_id: str, incarnation: int, left_s: float
+    ) -> list[Action]:
+        """Report that an upstream is cold for some seconds, which the list does not state."""
+        self._warmups.report(now, upstream_id, incarnation, left_s)
+        return self._pop_actions(now)
+
     def report_crash(
         self, now: float, fingerprint: str, upstream_id: str, incarnation: int
     ) -> list[Action]:
--- a/src/foxtaildrum/fleet/upstreams.py
+++ b/src/foxtaildrum/fleet/upstreams.py
@@ -13,10 +13,12 @@
 
 import msgspec
 
-from ..balancing.loads import MAX_RATE_LIMIT_PER_S
+from ..balancing.loads import MAX_RATE_LIMIT_PER_S, MAX_WARMUP_S
+from ..balancing.warmup import extends_period
 from ..exceptions import StaleAnnouncementError
 from ..records import Announcement
 from ..validation import MAX_REASON_CHARS, find_invalid_fields, is_identifier
+from .coldness import find_cold_end
 from .digest import BucketDigest, find_bucket
 
 READY = "ready"
@@ -35,7 +37,8 @@
 
 
 # Identifier, pool, address, availability zone, slots, incarnation, state, owner, sequence,
-# whether the lease expired, and remaining time in seconds; a rate limit may follow.
+# whether the lease expired, and remaining time in seconds. A rate limit and the rest of a cold
+# period may follow.
 _WireEntry = tuple[str, str, str, str, int | None, int, str, str, int, bool, float]
 WIRE_FIELD_COUNT = 11
 
@@ -60,10 +63,14 @@
     rate_limit_per_s : float or None
         Requests per second that the upstream takes from the whole fleet, as its responses
         name it; None for no limit. Only the owner changes it.
+    cold_until : float or None
+        Local time until which the upstream is cold, in seconds; None if nothing is known of a
+        cold period.
     """
 
     __slots__ = (
         "announcement",
+        "cold_until",
         "expires_at",
         "lost",
         "owner",
@@ -83,6 +90,7 @@
         lost: bool,
         expires_at: float,
         rate_limit_per_s: float | None = None,
+        cold_until: float | None = None,
     ) -> None:
         self.upstream_id = upstream_id
         self.announcement = announcement
@@ -92,6 +100,7 @@
         self.lost = lost
         self.expires_at = expires_at
         self.rate_limit_per_s = rate_limit_per_s
+        self.cold_until = cold_until
 
     @property
     def is_tombstone(self) -> bool:
@@ -109,6 +118,7 @@
             False,
             self.expires_at,
             self.rate_limit_per_s,
+            self.cold_until,
         )
 
     def rank(self) -> tuple[int, int, int, str, bool]:
@@ -128,13 +138,14 @@
             a.slots,
             a.incarnation,
             self.rate_limit_per_s,
+            self.cold_until,
         )
 
     def to_wire(self, now: float) -> list[Any]:
         """Return the entry as a list that msgpack can encode."""
         a = self.announcement
         remaining_s = max(0.0, self.expires_at - now) if self.is_tombstone else a.lease_s
-        return [
+        fields = [
             self.upstream_id,
             a.pool,
             a.address,
@@ -148,6 +159,9 @@
             round(remaining_s, 3),
             self.rate_limit_per_s,
         ]
+        if self.cold_until is not None:
+            fields.append(round(max(0.0, self.cold_until - now), 3))
+        return fields
 
     @classmethod
     def from_wire(cls, now: float, fields: list[Any]) -> Entry:
@@ -164,12 +178,13 @@
             incarnation=incarnation,
             lease_s=remaining_s,
         )
-        # A list that an earlier release saved has no rate limits.
-        rate_limit_per_s = msgspec.convert(
-            fields[WIRE_FIELD_COUNT] if len(fields) > WIRE_FIELD_COUNT else None, float | None
-        )
+        # Lists of earlier releases have no rate limits or no cold periods.
+        rate_limit_per_s = _read_optional(fields, WIRE_FIELD_COUNT)
         if rate_limit_per_s is not None and not 0 <= rate_limit_per_s < MAX_RATE_LIMIT_PER_S:
             raise ValueError(f"invalid rate limit {rate_limit_per_s!r}")
+        cold_s = _read_optional(fields, WIRE_FIELD_COUNT + 1)
+        if cold_s is not None and not 0 <= cold_s <= MAX_WARMUP_S:
+            raise ValueError(f"invalid cold period {cold_s!r}")
         expires_at = now + remaining_s
         return cls(
             upstream_id,
@@ -180,6 +195,7 @@
             lost,
             expires_at,
             rate_limit_per_s,
+            None if cold_s is None else now + cold_s,
         )
 
 
@@ -189,6 +205,11 @@
         raise ValueError(f"invalid time {lease_s!r}")
 
 
+def _read_optional(fields: list[Any], index: int) -> float | None:
+    """Return a field that builds before it leave out."""
+    return msgspec.convert(fields[index] if len(fields) > index else None, float | None)
+
+
 def _check_wire_entry(known: _WireEntry) -> None:
     upstream_id, pool, address, zone, slots, incarnation, state = known[:7]
     owner, sequence, lost, remaining_s = known[7:]
@@ -248,11 +269,15 @@
         upstream_id: str,
         announcement: Announcement,
         is_usable: Callable[[str], bool],
+        warmup_s: float | None = None,
     ) -> str:
         """Record an announcement made to this instance.
 
         Parameters
         ----------
+        warmup_s : float or None
+            Time for which a new incarnation is cold if it does not say, in seconds; None to
+            record no cold periods.
         is_usable : callable
             Returns whether an instance is alive.
 
@@ -270,6 +295,11 @@
         """
         known = self.entries.get(upstream_id)
         entry = self._build_entry(now, upstream_id, announcement, announcement.state, known)
+        if warmup_s is not None:
+            is_new = known is None or announcement.incarnation > known.announcement.incarnation
+            entry.cold_until = find_cold_end(
+                now, announcement, entry.cold_until, warmup_s if is_new else None
+            )
         if known is None:
             self._store(entry, spread=True)
             return ""
@@ -369,6 +399,22 @@
         changed.rate_limit_per_s = limit_per_s
         self._store(changed, spread=True)
 
+    def set_cold_end(self, upstream_id: str, incarnation: int, until: float) -> None:
+        """Set the end of the cold period of an upstream that this instance owns.
+
+        Others are ignored, and an end that is not notably later than the known one.
+        """
+        known = self.entries.get(upstream_id)
+        if known is None or known.owner != self.instance_id or known.is_tombstone:
+            return
+        if known.announcement.incarnation != incarnation:
+            return
+        if not extends_period(known.cold_until, until):
+            return
+        changed = known.build_successor()
+        changed.cold_until = until
+        self._store(changed, spread=True)
+
     def merge(self, now: float, entry: Entry) -> bool:
         """Merge an entry from another instance; return whether it was stored."""
         known = self.entries.get(entry.upstream_id)
@@ -542,6 +588,7 @@
             False,
             now + lease_s,
             known.rate_limit_per_s if same_start else None,
+            known.cold_until if same_start else None,
         )
 
 
