Balancer: a cold upstream gets at most its share from each instance

Cold upstreams crash under many requests, and every instance sent them as many as others. Each instance now computes its share by rendezvous hashing over the entry members and leaves the upstream out beyond it; requests are refused at once with upstreams_warming_up if none becomes usable within their queue wait. A request counts from its grant until one window after it was sent, also after a slow connection. Status checks show and end coldness; what the list lacks is reported to the owner. Pools without warmup_per_s record nothing.

--- a/src/foxtaildrum/balancing/balancer.py
+++ b/src/foxtaildrum/balancing/balancer.py
@@ -13,6 +13,7 @@
 from ..requests.steps import AttemptResult
 from .budget import Budget
 from .candidates import RAMP_S, PoolLoad, UpstreamLoad
+from .coldness import ColdUpstreams
 from .loads import LoadReport
 from .policies import get_policy
 from .ratelimits import ExpiredPermits, PlannedRequest, RateLimits
@@ -92,6 +93,7 @@
         self.shares_retry_budget = False
         self._samples = SampleBudget(instance_id)
         self.rate_limits = RateLimits(rng)
+        self.cold = ColdUpstreams(instance_id)
         self._displaced: list[Ticket] = []
         self.default_retry_ratio = DEFAULT_RETRY_RATIO
         self.retry_budget = Budget(
@@ -107,16 +109,20 @@
         own_ratio = pool.retry_budget_ratio
         self.retry_budget.ratio = self.default_retry_ratio if own_ratio is None else own_ratio
         self.measuring_budget.ratio = pool.measuring_budget_ratio
+        self.cold.configure(pool)
 
     def update_members(self, now: float, entries: Iterable[Entry]) -> list[Ticket]:
         """Apply the current upstreams of the pool; return the tickets that were completed."""
         seen = set()
         is_first_update = not self.upstreams
+        self.cold.refresh(now)
         for entry in entries:
             seen.add(entry.upstream_id)
             self._update_member(now, entry, is_first_update)
         for upstream_id in set(self.upstreams) - seen:
-            self.rate_limits.forget(self.upstreams.pop(upstream_id))
+            gone = self.upstreams.pop(upstream_id)
+            self.rate_limits.forget(gone)
+            self.cold.forget(gone)
         self._samples.subset.update(self.upstreams.values())
         return self.serve_queue(now)
 
@@ -267,6 +273,14 @@
         """Record that an upstream wants no request from this instance for some seconds."""
         upstream.rests_until = max(upstream.rests_until, now + rest_s)
 
+    def presume_cold(self, now: float, zone: str) -> None:
+        """Count the upstreams of a zone as cold until news says otherwise.
+
+        It is called when the evacuation of the zone ends: they may have become cold in it.
+        """
+        found = [u for u in self.upstreams.values() if u.availability_zone == zone]
+        self.cold.presume(now, found)
+
     def record_moved(self, now: float, upstream: UpstreamLoad) -> None:
         """Eject an upstream because another upstream answered at its address."""
         upstream.ejected_until = max(upstream.ejected_until, now + MOVED_EJECT_S)
@@ -310,6 +324,8 @@
                 self._try_grant(now, ticket)
             if not ticket.completed and self._rests_too_long(now, ticket):
                 ticket.refused = ErrorKind.UPSTREAMS_RESTING
+            if not ticket.completed and self._warms_up_too_long(now, ticket, 0):
+                ticket.refused = ErrorKind.UPSTREAMS_WARMING_UP
             if not ticket.completed and self._exceeds_rate_limits(now, ticket, 0):
                 ticket.refused = ErrorKind.RATE_LIMITED
             if not ticket.completed:
@@ -367,7 +383,8 @@
         upstream = self.upstreams.get(entry.upstream_id)
         if upstream is None:
             upstream = self.upstreams[entry.upstream_id] = UpstreamLoad(entry.upstream_id)
-        if announcement.incarnation > upstream.incarnation and not is_first_update:
+        is_new_start = announcement.incarnation > upstream.incarnation and not is_first_update
+        if is_new_start:
             upstream.ramp_until = now + RAMP_S
             upstream.failures = 0
             upstream.unanswered_checks = 0
@@ -380,9 +397,10 @@
         upstream.address = announcement.address
         upstream.state = DRAINING if upstream.leaves and entry.state == READY else entry.state
         upstream.slots = announcement.slots or self.pool.slots_per_upstream
-        zone = announcement.availability_zone
+        upstream.availability_zone = zone = announcement.availability_zone
         upstream.remote = bool(zone) and zone != self.availability_zone
         self.rate_limits.set_fleet_limit(upstream, entry.rate_limit_per_s)
+        self.cold.apply_entry(now, upstream, entry.cold_until, is_new_start)
 
     def _try_grant(self, now: float, ticket: Ticket) -> None:
         candidates = self._list_candidates(now, ticket.excluded)
@@ -395,6 +413,9 @@
         if chosen.permits is not None:
             chosen.permits.take()
             ticket.took_permit = True
+        if chosen.warmup is not None:
+            ticket.warmup = chosen.warmup
+            ticket.warmup.reserve()
         chosen.in_flight += 1
         self.in_flight += 1
         self.grant_count += 1
@@ -417,7 +438,7 @@
         An upstream that did not answer its last status check gets no request until it
         answers one: its load report decays, so it would soon look idle.
         """
-        ready = self._list_awake(now)
+        ready = self._list_awake(now, for_status_check)
         healthy = [
             u
             for u in ready
@@ -434,9 +455,14 @@
             )
         return [u for u in healthy if u.has_free_slot(now)]
 
-    def _list_awake(self, now: float) -> list[UpstreamLoad]:
-        """Return the upstreams in state ready that have not asked for no requests."""
-        return [u for u in self.upstreams.values() if u.state == READY and u.rests_until <= now]
+    def _list_awake(self, now: float, for_status_check: bool = False) -> list[UpstreamLoad]:
+        """Return the ready upstreams that neither rest nor are too cold for a request."""
+        awake = [
+            u for u in self.upstreams.values() if u.state == READY and u.rests_until <= now
+        ]
+        if not self.cold.any_cold:
+            return awake
+        return self.cold.select_usable(now, awake, for_status_check)
 
     def _rests_too_long(self, now: float, ticket: Ticket) -> bool:
         """Return whether every upstream rests for longer than the request may wait."""
@@ -452,6 +478,8 @@
             return ErrorKind.NO_UPSTREAM
         if self._rests_too_long(now, ticket):
             return ErrorKind.UPSTREAMS_RESTING
+        if self._warms_up_too_long(now, ticket, len(self.queue)):
+            return ErrorKind.UPSTREAMS_WARMING_UP
         if not may_wait:
             return ErrorKind.OVERLOADED
         if self._exceeds_rate_limits(now, ticket, len(self.queue)):
@@ -468,12 +496,26 @@
         if not self.rate_limits.any_limited:
             return False
         ready = [u for u in self.upstreams.values() if u.state == READY]
+        if self.cold.any_cold:
+            ready = self.cold.select_due(now, ticket.queue_deadline, ready)
         wait_s = self.rate_limits.compute_refusal_wait(now, ticket.queue_deadline, ahead, ready)
         if wait_s is None:
             return False
         ticket.retry_after_s = max(MIN_RETRY_AFTER_S, wait_s)
         return True
 
+    def _warms_up_too_long(self, now: float, ticket: Ticket, ahead: int) -> bool:
+        """Return whether no upstream may get the request in time because they are cold."""
+        if not self.cold.any_cold:
+            return False
+        wait_s = self.cold.compute_refusal_wait(
+            now, ticket.queue_deadline, ahead, self.upstreams.values()
+        )
+        if wait_s is None:
+            return False
+        ticket.retry_after_s = max(MIN_RETRY_AFTER_S, wait_s)
+        return True
+
     def _misses_deadline(self, start: float, ticket: Ticket) -> bool:
         # Refuse a request that would probably exceed its deadline before it is sent, while
         # the outcome is still known to be "not run".
--- a/src/foxtaildrum/balancing/candidates.py
+++ b/src/foxtaildrum/balancing/candidates.py
@@ -6,6 +6,7 @@
 
 from ..fleet.upstreams import READY
 from .permits import Permits
+from .warmup import Warmup
 
 RAMP_S = 5.0
 MIN_RAMP_SHARE = 0.1
@@ -19,6 +20,8 @@
 
     Attributes
     ----------
+    availability_zone : str
+        Availability zone of the upstream; empty if it announces none.
     remote : bool
         Whether the upstream is in another availability zone than this instance.
     in_flight : int
@@ -39,6 +42,12 @@
         Rate limit that the fleet knows; None for no limit.
     limit_reported_at : float
         Time of the last report of a rate limit to the fleet, in seconds.
+    warmup : Warmup or None
+        Cold period of the upstream; None while it is warm and in pools without a limit.
+    listed_cold_until : float or None
+        Time until which the upstream list last had it as cold, in seconds.
+    warmup_reported_at : float
+        Time of the last report of a cold period to the fleet, in seconds.
     service_s : float
         Moving average of the time that requests of this instance held a slot, in seconds.
     sheds : int
@@ -64,6 +73,7 @@
 
     __slots__ = (
         "address",
+        "availability_zone",
         "ejected_until",
         "ejections",
         "failed_at",
@@ -75,6 +85,7 @@
         "last_grant",
         "leaves",
         "limit_reported_at",
+        "listed_cold_until",
         "pace",
         "permits",
         "ramp_until",
@@ -89,11 +100,14 @@
         "state",
         "unanswered_checks",
         "upstream_id",
+        "warmup",
+        "warmup_reported_at",
     )
 
     def __init__(self, upstream_id: str) -> None:
         self.upstream_id = upstream_id
         self.address = ""
+        self.availability_zone = ""
         self.state = READY
         self.slots = 1
         self.incarnation = -1
@@ -107,6 +121,9 @@
         self.permits: Permits | None = None
         self.fleet_limit_per_s: float | None = None
         self.limit_reported_at = float("-inf")
+        self.warmup: Warmup | None = None
+        self.listed_cold_until: float | None = None
+        self.warmup_reported_at = float("-inf")
         self.service_s = 0.0
         self.sheds = 0
         self.unanswered_checks = 0
--- a/src/foxtaildrum/balancing/pools.py
+++ b/src/foxtaildrum/balancing/pools.py
@@ -21,6 +21,7 @@
 from .permits import PermitClient
 from .ratelimits import ExpiredPermits
 from .tickets import Ticket
+from .warmupgate import WarmupGate
 
 HEDGE_PERCENTILE = 95.0
 HEDGE_MIN_SAMPLES = 50
@@ -48,7 +49,12 @@
     instance_id : str
         Identifier of this instance.
     permit_client : PermitClient
-        Reports rate limits and requests permits.
+        Reports rate limits and cold upstreams, and requests permits.
+
+    Attributes
+    ----------
+    warmups : WarmupGate
+        Cold upstreams of the pool.
     """
 
     def __init__(
@@ -66,6 +72,9 @@
         self.name = pool.name
         self._lock = threading.Lock()
         self._balancer = Balancer(pool, availability_zone, queue_limit, rng, instance_id)
+        self.warmups = WarmupGate(
+            self._balancer, self._lock, self.serve_queue, self._permit_client
+        )
         self._open_connection = open_connection
         self._connections: dict[str, ConnectionPool] = {}
         self._notify_draining = notify_draining
@@ -119,6 +128,7 @@
             gone = set(self._connections) - addresses
             closing = [self._connections.pop(address) for address in gone]
         _wake_waiters(completed)
+        self.warmups.handle_changes(now)
         for connections in closing:
             connections.close()
 
--- a/src/foxtaildrum/balancing/samples.py
+++ b/src/foxtaildrum/balancing/samples.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import http.client
 import select
 from functools import partial
 
@@ -214,6 +215,7 @@
             self._pool.record_moved(now, check.upstream)
             return
         self._record_rest(now, check.upstream, head)
+        self._record_warmup(now, check.upstream, head)
         limit_per_s = self._dialect.read_rate_limit(head.all_headers)
         if limit_per_s is not None:
             self._pool.record_rate_limit(now, check.upstream, limit_per_s, took_permit=False)
@@ -226,6 +228,16 @@
         if rest_s is not None:
             self._pool.record_rest(now, upstream, rest_s)
 
+    def _record_warmup(self, now: float, upstream: UpstreamLoad, head: Head) -> None:
+        """Record the rest of the cold period; a response without it shows a warm upstream."""
+        warmups = self._pool.warmups
+        if not warmups.is_limited:
+            return
+        left_s = self._dialect.read_warmup_left(head.all_headers)
+        # An error response may come from something in front of the upstream.
+        if left_s is not None or head.status < http.client.INTERNAL_SERVER_ERROR:
+            warmups.record_check(now, upstream, left_s)
+
     def _handle_late_head(
         self, upstream: UpstreamLoad, connection: Connection, head: Head
     ) -> None:
--- a/src/foxtaildrum/balancing/tickets.py
+++ b/src/foxtaildrum/balancing/tickets.py
@@ -4,6 +4,7 @@
 
 from ..kinds import ErrorKind
 from .candidates import UpstreamLoad
+from .warmup import Warmup
 
 
 class Ticket:
@@ -30,6 +31,8 @@
         Reason for the refusal.
     took_permit : bool
         Whether the upstream limited its rate when the slot was granted.
+    warmup : Warmup or None
+        Cold period in which the request holds a reservation; None if it needs none.
     retry_after_s : float or None
         Time after which a refused request may succeed, in seconds; None if unknown.
     queue_deadline : float
@@ -50,6 +53,7 @@
         "retry_after_s",
         "took_permit",
         "wake",
+        "warmup",
     )
 
     def __init__(
@@ -69,6 +73,7 @@
         self.granted: UpstreamLoad | None = None
         self.refused: ErrorKind | None = None
         self.took_permit = False
+        self.warmup: Warmup | None = None
         self.retry_after_s: float | None = None
         self.wake = None
 
--- a/src/foxtaildrum/fleet/views.py
+++ b/src/foxtaildrum/fleet/views.py
@@ -63,6 +63,8 @@
         self.open_connection: Adapter = get_adapter("http")
         self._entry_count = 0
         self._member_changes = -1
+        self._zone_changes = -1
+        self._entry_zones: dict[str, str] = {}
         self._crashes_version = 0
 
     def publish(self, now: float, node: Node) -> None:
@@ -70,13 +72,16 @@
         changed = node.upstreams.pop_changed_pools()
         if node.follower.generation != self._generation:
             self._generation = node.follower.generation
-            changed |= self._publish_tables(node)
+            changed |= self._publish_tables(now, node)
         self._publish_crashes(node)
         self._publish_peers(node)
         pools = self._proxy.view.pools
         self._share_budgets(node, pools)
+        self._publish_zones(now, node, pools)
         for name in changed & pools.keys():
             pools[name].update_members(now, node.upstreams.list_members(name))
+        for pool in pools.values():
+            pool.warmups.expire(now)
 
     def _publish_crashes(self, node: Node) -> None:
         if node.crashes.version == self._crashes_version:
@@ -95,6 +100,15 @@
         self._member_changes = node.members.change_count
         forwarder.update_peers(node.list_forward_addresses())
 
+    def _publish_zones(self, now: float, node: Node, pools: dict[str, UpstreamPool]) -> None:
+        """Pass changed entry instances on to the pools."""
+        if node.members.change_count == self._zone_changes:
+            return
+        self._zone_changes = node.members.change_count
+        self._entry_zones = node.list_entry_zones()
+        for pool in pools.values():
+            pool.warmups.set_zones(now, self._entry_zones)
+
     def deliver_permits(self, now: float, answer: PermitsAnswered) -> None:
         """Pass the reply of an issuer on to the pool of the upstream."""
         pool = self._proxy.view.pools.get(answer.pool)
@@ -121,7 +135,7 @@
             settings.probes_per_s / self._entry_count, settings.sample_size
         )
 
-    def _publish_tables(self, node: Node) -> set[str]:
+    def _publish_tables(self, now: float, node: Node) -> set[str]:
         """Publish the tables; return the names of the pools that are new or changed."""
         tables = node.state.tables
         versions = {f"{n}_version": t.version for n, t in tables.tables.items()}
@@ -156,6 +170,10 @@
                     self._settings.instance_id,
                     self.permit_client,
                 )
+                pool.warmups.set_bounds(
+                    self._settings.warmup_overshoot, self._settings.warmup_slack
+                )
+                pool.warmups.set_zones(now, self._entry_zones)
             pool.configure(record, busy_limit)
             pool.set_default_retry_ratio(self._settings.retry_budget_ratio)
             self._set_budgets(pool)
--- a/src/foxtaildrum/requests/attempts.py
+++ b/src/foxtaildrum/requests/attempts.py
@@ -10,6 +10,7 @@
 from ..balancing.forwarding import Peer
 from ..balancing.loads import parse_rest
 from ..balancing.pools import UpstreamPool
+from ..balancing.warmup import Warmup
 from ..kinds import ErrorKind, Outcome
 from .connections import ConnectionPool
 from .dialects import Dialect
@@ -36,6 +37,8 @@
     ----------
     is_sent : bool
         Whether the whole request was sent.
+    warmup : Warmup or None
+        Cold period of the upstream in which the attempt holds a reservation.
     body : file, bytes or None
         Complete body, or None if it is relayed as ``chunks`` while it arrives.
     """
@@ -49,12 +52,14 @@
         "is_sent",
         "number",
         "released",
+        "warmup",
     )
 
     def __init__(self, number: int, granted_at: float) -> None:
         self.number = number
         self.granted_at = granted_at
         self.released = False
+        self.warmup: Warmup | None = None
         self.is_sent = False
         self.connection: Connection | None = None
         self.head: Head | None = None
@@ -75,9 +80,12 @@
         """Return the connections to use."""
         raise NotImplementedError
 
-    def is_unwanted(self, now: float) -> bool:
-        """Return whether the target has asked for no requests since the slot was granted."""
-        return False
+    def find_withdrawal(self, now: float) -> ErrorKind | None:
+        """Return why the target takes no request any more since the slot was granted."""
+        return None
+
+    def record_sent(self, now: float) -> None:
+        """Count the request at a cold upstream."""
 
     def prepare(self, request: OutgoingRequest, dialect: Dialect) -> None:
         """Set the headers that depend on the attempt."""
@@ -99,7 +107,7 @@
 class UpstreamAttempt(AttemptState):
     """Attempt at an upstream of the pool."""
 
-    __slots__ = ("_load_at_grant", "_pool", "_took_permit", "upstream")
+    __slots__ = ("_load_at_grant", "_pool", "_took_permit", "_was_prepared", "upstream")
 
     def __init__(
         self,
@@ -108,9 +116,12 @@
         pool: UpstreamPool,
         upstream: UpstreamLoad,
         took_permit: bool,
+        warmup: Warmup | None = None,
     ) -> None:
         super().__init__(number, granted_at)
+        self.warmup = warmup
         self._pool = pool
+        self._was_prepared = False
         self.upstream = upstream
         self._took_permit = took_permit
         # ``upstream`` is updated by later reports.
@@ -125,12 +136,24 @@
         """Return the connections to the upstream."""
         return self._pool.get_connections(self.upstream)
 
-    def is_unwanted(self, now: float) -> bool:
-        """Return whether the upstream has asked for no requests since the slot was granted."""
-        return now < self.upstream.rests_until
+    def find_withdrawal(self, now: float) -> ErrorKind | None:
+        """Return why the upstream takes no request any more since the slot was granted."""
+        if now < self.upstream.rests_until:
+            return ErrorKind.UPSTREAMS_RESTING
+        if self.upstream.warmup is self.warmup:
+            return None
+        admitted, self.warmup = self._pool.warmups.admit(now, self.upstream, self.warmup)
+        return None if admitted else ErrorKind.UPSTREAMS_WARMING_UP
+
+    def record_sent(self, now: float) -> None:
+        """Count the request at a cold upstream."""
+        if self.warmup is not None:
+            self._pool.warmups.record_sent(now, self.warmup)
+            self.warmup = None
 
     def prepare(self, request: OutgoingRequest, dialect: Dialect) -> None:
         """Name the attempt and the upstream."""
+        self._was_prepared = True
         request.headers.pop(FORWARD_HEADER, None)
         if dialect.attempt_header:
             request.headers[dialect.attempt_header] = format_attempt_id(request, self.number)
@@ -156,6 +179,11 @@
 
     def release(self, now: float, result: AttemptResult, held_s: float) -> None:
         """Release the slot of the upstream."""
+        if self.warmup is not None and self._was_prepared:
+            # Part of the request may have been sent.
+            self.record_sent(now)
+        elif self.warmup is not None:
+            self._pool.warmups.cancel(self.warmup)
         self._pool.release(now, self.upstream, result, held_s)
 
     def describe_load(self) -> dict[str, object]:
--- a/src/foxtaildrum/requests/dispatch.py
+++ b/src/foxtaildrum/requests/dispatch.py
@@ -183,7 +183,12 @@
             return steps.SlotRefused(action.attempt, ticket.refused, ticket.retry_after_s)
         upstream = ticket.granted
         self._attempt_states[action.attempt] = UpstreamAttempt(
-            action.attempt, read_clock(), self._pool, upstream, ticket.took_permit
+            action.attempt,
+            read_clock(),
+            self._pool,
+            upstream,
+            ticket.took_permit,
+            ticket.warmup,
         )
         return steps.SlotGranted(action.attempt, upstream.upstream_id)
 
@@ -255,8 +260,9 @@
             if isinstance(attempt, UpstreamAttempt):
                 self._confirm_unreachable()
             return steps.ConnectFailed(action.attempt)
-        if attempt.is_unwanted(read_clock()):
-            return steps.SlotWithdrawn(action.attempt)
+        withdrawal = attempt.find_withdrawal(read_clock())
+        if withdrawal is not None:
+            return steps.SlotWithdrawn(action.attempt, withdrawal)
         return steps.Connected(action.attempt)
 
     def _send(self, action: steps.SendRequest) -> steps.Event:
@@ -270,6 +276,8 @@
         except TransportError as error:
             return steps.AttemptFailed(action.attempt, error.kind)
         attempt.is_sent = True
+        if attempt.warmup is not None:
+            attempt.record_sent(read_clock())
         return steps.RequestSent(action.attempt)
 
     def _check_upstream(self, action: steps.CheckUpstream) -> steps.Event:
--- a/src/foxtaildrum/requests/exchange.py
+++ b/src/foxtaildrum/requests/exchange.py
@@ -49,7 +49,13 @@
 MAX_FORWARDS = 6
 MISDIRECTED_STATUS = 421
 RETRYABLE_STATUSES = frozenset({500, 502, 503, 504})
-_UNSENT_KINDS = frozenset({ErrorKind.CONNECT_FAILED, ErrorKind.UPSTREAMS_RESTING})
+_UNSENT_KINDS = frozenset(
+    {
+        ErrorKind.CONNECT_FAILED,
+        ErrorKind.UPSTREAMS_RESTING,
+        ErrorKind.UPSTREAMS_WARMING_UP,
+    }
+)
 
 
 class AttemptBudget:
@@ -232,7 +238,7 @@
         attempt = self._attempts[event.attempt]
         return [
             self._end_attempt(attempt, AttemptResult.SHED),
-            *self._retry_or_finish(now, ErrorKind.UPSTREAMS_RESTING),
+            *self._retry_or_finish(now, event.kind),
         ]
 
     def _handle_connected(self, now: float, event: Connected) -> list[Action]:
--- a/src/foxtaildrum/requests/steps.py
+++ b/src/foxtaildrum/requests/steps.py
@@ -70,9 +70,10 @@
 
 @dataclass(slots=True)
 class SlotWithdrawn:
-    """The upstream asked for no requests after it had granted the slot; nothing was sent."""
+    """The upstream takes no request any more since it granted the slot; nothing was sent."""
 
     attempt: int
+    kind: ErrorKind = ErrorKind.UPSTREAMS_RESTING
 
 
 @dataclass(slots=True)
