--- a/src/foxtaildrum/admin/gauges.py
+++ b/src/foxtaildrum/admin/gauges.py
@@ -80,7 +80,12 @@
             lambda b: b.retry_budget.tokens,
         ),
     )
-    return [
+    gauges = [
         Gauge(name, help_text, {n: float(read(b)) for n, b in balancers.items()}, "pool")
         for name, help_text, read in pool_gauges
     ]
+    cold = {n: float(b.cold.count) for n, b in balancers.items() if b.cold.limit is not None}
+    if cold:
+        help_text = "Cold upstreams of a pool that limits requests to them."
+        gauges.append(Gauge("pool_cold_upstreams", help_text, cold, "pool"))
+    return gauges
--- a/src/foxtaildrum/admin/status.py
+++ b/src/foxtaildrum/admin/status.py
@@ -6,6 +6,7 @@
 
 from ..balancing.pools import UpstreamPool
 from ..fleet.node import Node
+from ..fleet.upstreams import Entry
 
 
 def describe_node(node: Node, now: float) -> dict[str, Any]:
@@ -46,6 +47,7 @@
                 "owner": e.owner,
                 "incarnation": e.announcement.incarnation,
                 "rate_limit_per_s": e.rate_limit_per_s,
+                **_describe_cold_period(e, now),
             }
             for e in sorted(node.upstreams.entries.values(), key=lambda e: e.upstream_id)
         ],
@@ -55,6 +57,13 @@
     return document
 
 
+def _describe_cold_period(entry: Entry, now: float) -> dict[str, float]:
+    """Return the rest of the cold period, for an entry that has one."""
+    if entry.cold_until is None:
+        return {}
+    return {"warmup_left_s": round(max(0.0, entry.cold_until - now), 3)}
+
+
 def _describe_control(node: Node) -> dict[str, Any]:
     consensus = node.consensus
     return {
@@ -75,7 +84,7 @@
 def describe_pool(now: float, pool: UpstreamPool) -> dict[str, Any]:
     """Return the part of the status document about one pool."""
     balancer = pool.balancer
-    return {
+    document = {
         "pool": pool.name,
         "policy": balancer.pool.policy,
         "waiting": len(balancer.queue),
@@ -91,3 +100,6 @@
             for u in list(balancer.upstreams.values())
         ],
     }
+    if pool.warmups.is_limited:
+        document["cold_upstreams"] = pool.warmups.describe(now)
+    return document
