--- a/tests/serving_fleet.py
+++ b/tests/serving_fleet.py
@@ -51,6 +51,8 @@
         Whether the upstream accepts connections.
     incarnation : int
         Number that increases with each start.
+    cold_until : float
+        Time until which it is cold.
     """
 
     def __init__(self, name: str, zone: str) -> None:
@@ -61,6 +63,7 @@
         self.running: dict[int, SimulatedRequest] = {}
         self.up = True
         self.incarnation = 1
+        self.cold_until = 0.0
 
     def count_arrivals(self, start: float, end: float) -> int:
         return sum(start <= t < end for t, _ in self.arrivals)
@@ -111,7 +114,12 @@
 
     def __init__(self, fleet: ServingFleet, host: Host) -> None:
         self.generation = host.generation
-        settings = Settings(role="entry", instance_id=host.instance_id, access_log=False)
+        settings = Settings(
+            role="entry",
+            instance_id=host.instance_id,
+            access_log=False,
+            **fleet.settings,
+        )
         meter = Meter()
         self.proxy = Proxy(meter, False)
         rng = random.Random(f"{fleet.seed}-{host.instance_id}-{host.generation}-pools")
@@ -134,6 +142,10 @@
         Mean time that an upstream takes for a request, in seconds.
     start_delays : dict or None
         Delay in seconds before the first start of each host; 0 for those not listed.
+    pool_fields : dict or None
+        Further fields of the row of the pool.
+    settings : dict or None
+        Further settings of the entry instances.
     """
 
     def __init__(
@@ -144,7 +156,11 @@
         seed: int,
         service_s: float = 0.15,
         start_delays: dict[str, float] | None = None,
+        pool_fields: dict[str, Any] | None = None,
+        settings: dict[str, Any] | None = None,
     ) -> None:
+        self.settings = settings or {}
+        self.tables = {**TABLES, "pools": [{"name": POOL, **(pool_fields or {})}]}
         self.serving: dict[str, ServingInstance] = {}
         self.served_at: list[float] = []
         self.request_count = 0
@@ -165,7 +181,7 @@
         """Form the control group, apply the tables and start the upstreams and callers."""
         assert self.run_until(lambda: is_full(self), 60.0), self.describe()
         leader = self.hosts[self.find_leader()]
-        state = DesiredState(1, TABLES, {})
+        state = DesiredState(1, self.tables, {})
         self.perform(leader, leader.node.propose(leader.read_clock(), "tables", state))
         for name in self.upstreams:
             self.schedule(self.rng.random() * ANNOUNCE_PERIOD_S, "announce", name)
@@ -213,6 +229,7 @@
                 availability_zone=upstream.zone,
                 slots=6,
                 lease_s=LEASE_S,
+                warmup_left_ms=max(0.0, upstream.cold_until - self.now) * 1000,
             )
 
     def _schedule_arrival(self, name: str) -> None:
@@ -300,10 +317,15 @@
         if not upstream.up:
             pool = self._get_request_pool(request)
             now = self.hosts[request.name].read_clock()
+            if ticket.warmup is not None:
+                pool.warmups.cancel(ticket.warmup)
             pool.release(now, ticket.granted, AttemptResult.UNREACHABLE, 0.0)
             self._retry(request, upstream)
             return
         upstream.arrivals.append((self.now, request.name))
+        if ticket.warmup is not None:
+            pool = self._get_request_pool(request)
+            pool.warmups.record_sent(self.hosts[request.name].read_clock(), ticket.warmup)
         self.sent.append((self.now, request.name, request.fingerprint))
         upstream.running[id(ticket)] = request
         held_s = self.service_s * self.rng.uniform(0.7, 1.3)
