Merge limits of cold upstreams

The upstreams of a zone whose evacuation is withdrawn are presumed cold, and those in evacuated zones don't count when a request is refused because all usable upstreams are cold.

--- a/src/foxtaildrum/admin/status.py
+++ b/src/foxtaildrum/admin/status.py
@@ -7,6 +7,7 @@
 from ..balancing.evacuation import EvacuationPlan
 from ..balancing.pools import UpstreamPool
 from ..fleet.node import Node
+from ..fleet.upstreams import Entry
 
 
 def describe_node(node: Node, now: float) -> dict[str, Any]:
@@ -47,6 +48,7 @@
                 "owner": e.owner,
                 "incarnation": e.announcement.incarnation,
                 "rate_limit_per_s": e.rate_limit_per_s,
+                **_describe_cold_period(e, now),
             }
             for e in sorted(node.upstreams.entries.values(), key=lambda e: e.upstream_id)
         ],
@@ -56,6 +58,13 @@
     return document
 
 
+def _describe_cold_period(entry: Entry, now: float) -> dict[str, float]:
+    """Return the rest of the cold period, for an entry that has one."""
+    if entry.cold_until is None:
+        return {}
+    return {"warmup_left_s": round(max(0.0, entry.cold_until - now), 3)}
+
+
 def _describe_control(node: Node) -> dict[str, Any]:
     consensus = node.consensus
     return {
@@ -84,7 +93,7 @@
 def describe_pool(now: float, pool: UpstreamPool) -> dict[str, Any]:
     """Return the part of the status document about one pool."""
     balancer = pool.balancer
-    return {
+    document = {
         "pool": pool.name,
         "policy": balancer.pool.policy,
         "waiting": len(balancer.queue),
@@ -101,3 +110,6 @@
             for u in list(balancer.upstreams.values())
         ],
     }
+    if pool.warmups.is_limited:
+        document["cold_upstreams"] = pool.warmups.describe(now)
+    return document
--- a/src/foxtaildrum/balancing/pools.py
+++ b/src/foxtaildrum/balancing/pools.py
@@ -22,6 +22,7 @@
 from .permits import PermitClient
 from .ratelimits import ExpiredPermits
 from .tickets import Ticket
+from .warmupgate import WarmupGate
 
 HEDGE_PERCENTILE = 95.0
 HEDGE_MIN_SAMPLES = 50
@@ -49,9 +50,14 @@
     instance_id : str
         Identifier of this instance.
     permit_client : PermitClient
-        Reports rate limits and requests permits.
+        Reports rate limits and cold upstreams, and requests permits.
     evacuations : EvacuationPlan or None
         Evacuated zones, whose upstreams are left out; None for no evacuations.
+
+    Attributes
+    ----------
+    warmups : WarmupGate
+        Cold upstreams of the pool.
     """
 
     def __init__(
@@ -72,6 +78,9 @@
         self._balancer = Balancer(
             pool, availability_zone, queue_limit, rng, instance_id, evacuations
         )
+        self.warmups = WarmupGate(
+            self._balancer, self._lock, self.serve_queue, self._permit_client
+        )
         self._open_connection = open_connection
         self._connections: dict[str, ConnectionPool] = {}
         self._notify_draining = notify_draining
@@ -125,6 +134,7 @@
             gone = set(self._connections) - addresses
             closing = [self._connections.pop(address) for address in gone]
         _wake_waiters(completed)
+        self.warmups.handle_changes(now)
         for connections in closing:
             connections.close()
 
--- a/src/foxtaildrum/kinds.py
+++ b/src/foxtaildrum/kinds.py
@@ -32,6 +32,7 @@
     UPSTREAMS_UNREACHABLE = "upstreams_unreachable"
     UPSTREAMS_RESTING = "upstreams_resting"
     ZONES_EVACUATED = "zones_evacuated"
+    UPSTREAMS_WARMING_UP = "upstreams_warming_up"
     OVERLOADED = "overloaded"
     RATE_LIMITED = "rate_limited"
     CRASHES_UPSTREAMS = "crashes_upstreams"
@@ -109,6 +110,12 @@
         Retry.NEVER,
         "Every upstream of the pool is in an evacuated availability zone",
     ),
+    ErrorKind.UPSTREAMS_WARMING_UP: ErrorSpec(
+        503,
+        _NOT_RUN,
+        Retry.ALWAYS,
+        "Every usable upstream of the pool is cold and takes no request of this instance now",
+    ),
     ErrorKind.OVERLOADED: ErrorSpec(
         503, _NOT_RUN, Retry.NEVER, "The queue of the pool is full"
     ),
--- a/src/foxtaildrum/requests/steps.py
+++ b/src/foxtaildrum/requests/steps.py
@@ -76,6 +76,7 @@
     """
 
     attempt: int
+    kind: ErrorKind = ErrorKind.UPSTREAMS_RESTING
 
 
 @dataclass(slots=True)
