Tests: a withdrawn slot names its reason

After the merge of cold upstreams and evacuations, an attempt returns why its upstream is withdrawn in place of a flag. The test asserts the reason at the same times as before.

--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -181,8 +181,8 @@
     upstream = site.balancer.upstreams["a1"]
     attempt = UpstreamAttempt(1, NOW, pool, upstream, False)
     site.order(NOW, "a")
-    assert not attempt.is_unwanted(NOW - 0.001)
-    assert attempt.is_unwanted(NOW + SPREAD_S)
+    assert attempt.find_withdrawal(NOW - 0.001) is None
+    assert attempt.find_withdrawal(NOW + SPREAD_S) is ErrorKind.UPSTREAMS_RESTING
 
 
 class ConnectionsStub:
