Permits: a package of their own

Permits of organisations will share the package with those of upstreams, and entry points of fleet may import it but not the other way round.

Moved without a change: balancing/permits.py to permits/upstreams.py, balancing/ratelimits.py to permits/ratelimits.py, PermitIssuer of fleet/limiting.py to permits/spacing.py, and differs_notably of fleet/upstreams.py to balancing/loads.py, so that permits imports nothing of fleet.

--- a/src/foxtaildrum/admin/access.py
+++ b/src/foxtaildrum/admin/access.py
@@ -8,7 +8,6 @@
 
 import pykka
 
-from ..balancing.permits import PermitClient
 from ..clock import read_clock
 from ..control.claims import ClaimOutcome, Verdict, compute_claim_key
 from ..control.desired import DesiredState, describe_desired
@@ -17,6 +16,7 @@
 from ..fleet.node import Node
 from ..fleet.node_api import ChangeAnswer
 from ..logs import count_left_out_lines, log_event
+from ..permits.upstreams import PermitClient
 from ..records import Announcement, ClaimFinish
 from ..requests.idempotency import StoredResponse
 from ..requests.proxy import Proxy
--- a/src/foxtaildrum/balancing/balancer.py
+++ b/src/foxtaildrum/balancing/balancer.py
@@ -9,13 +9,13 @@
 
 from ..fleet.upstreams import DRAINING, READY, Entry
 from ..kinds import ErrorKind
+from ..permits.ratelimits import ExpiredPermits, PlannedRequest, RateLimits
 from ..records import Pool
 from ..requests.steps import AttemptResult
 from .budget import Budget
 from .candidates import RAMP_S, PoolLoad, UpstreamLoad
 from .loads import LoadReport
 from .policies import get_policy
-from .ratelimits import ExpiredPermits, PlannedRequest, RateLimits
 from .sampling import SampleBudget, is_calm, is_slow
 from .tickets import Ticket
 
--- a/src/foxtaildrum/balancing/candidates.py
+++ b/src/foxtaildrum/balancing/candidates.py
@@ -5,7 +5,7 @@
 import math
 
 from ..fleet.upstreams import READY
-from .permits import Permits
+from ..permits.upstreams import Permits
 
 RAMP_S = 5.0
 MIN_RAMP_SHARE = 0.1
--- a/src/foxtaildrum/balancing/loads.py
+++ b/src/foxtaildrum/balancing/loads.py
@@ -8,6 +8,7 @@
 MAX_REPORTED_SLOTS = 1e6
 MAX_REPORTED_PACE = 1e3
 MAX_RATE_LIMIT_PER_S = 1e6
+RATE_LIMIT_TOLERANCE_RATIO = 0.05
 MAX_REST_S = 600.0
 MAX_QUOTED_CHARS = 40
 
@@ -99,3 +100,10 @@
     if not 0 < rest_s < math.inf:
         return None
     return min(rest_s, MAX_REST_S)
+
+
+def differs_notably(known: float | None, limit_per_s: float | None) -> bool:
+    """Return whether a rate limit differs from the known one by more than a small ratio."""
+    if known is None or limit_per_s is None:
+        return known is not limit_per_s
+    return abs(limit_per_s - known) > RATE_LIMIT_TOLERANCE_RATIO * known
--- a/src/foxtaildrum/balancing/pools.py
+++ b/src/foxtaildrum/balancing/pools.py
@@ -9,6 +9,8 @@
 from ..fleet.upstreams import Entry
 from ..kinds import ErrorKind
 from ..logs import log_event
+from ..permits.ratelimits import ExpiredPermits
+from ..permits.upstreams import PermitClient
 from ..records import PermitReply, Pool
 from ..requests.connections import ConnectionPool
 from ..requests.exchange import AttemptBudget
@@ -18,8 +20,6 @@
 from .candidates import UpstreamLoad
 from .latency import BucketCounts, RecentLatency
 from .loads import LoadReport
-from .permits import PermitClient
-from .ratelimits import ExpiredPermits
 from .tickets import Ticket
 
 HEDGE_PERCENTILE = 95.0
--- a/src/foxtaildrum/fleet/upstreams.py
+++ b/src/foxtaildrum/fleet/upstreams.py
@@ -13,7 +13,7 @@
 
 import msgspec
 
-from ..balancing.loads import MAX_RATE_LIMIT_PER_S
+from ..balancing.loads import MAX_RATE_LIMIT_PER_S, differs_notably
 from ..exceptions import StaleAnnouncementError
 from ..records import Announcement
 from ..validation import MAX_REASON_CHARS, find_invalid_fields, is_identifier
@@ -27,7 +27,6 @@
 MAX_LEASE_S = 3600.0
 # Leaves room to count further in a 64-bit number.
 MAX_COUNTER = 2**62
-RATE_LIMIT_TOLERANCE_RATIO = 0.05
 UNKNOWN_POOL = "-"
 UNKNOWN_ADDRESS = "0.0.0.0:0"
 
@@ -545,13 +544,6 @@
         )
 
 
-def differs_notably(known: float | None, limit_per_s: float | None) -> bool:
-    """Return whether a rate limit differs from the known one by more than a small ratio."""
-    if known is None or limit_per_s is None:
-        return known is not limit_per_s
-    return abs(limit_per_s - known) > RATE_LIMIT_TOLERANCE_RATIO * known
-
-
 def _describe_rank(entry: Entry) -> str:
     incarnation, state, sequence, owner, lost = entry.rank()
     return f"{incarnation}.{state}.{sequence}.{owner}.{lost:d}"
--- a/src/foxtaildrum/fleet/views.py
+++ b/src/foxtaildrum/fleet/views.py
@@ -7,10 +7,10 @@
 from typing import Any
 
 from ..admin.metrics import Meter
-from ..balancing.permits import PermitClient
 from ..balancing.pools import UpstreamPool
 from ..balancing.splits import PoolChooser
 from ..logs import log_event
+from ..permits.upstreams import PermitClient
 from ..records import Settings
 from ..requests.proxy import Proxy, View
 from ..requests.routing import Router
--- /dev/null
+++ b/src/foxtaildrum/permits/__init__.py
@@ -0,0 +1,1 @@
+"""Permits for requests to subjects whose rate is limited over all instances."""
--- a/src/foxtaildrum/balancing/ratelimits.py
+++ b/src/foxtaildrum/permits/ratelimits.py
@@ -6,9 +6,9 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from ..fleet.upstreams import differs_notably
-from .candidates import UpstreamLoad
-from .permits import Permits
+from ..balancing.candidates import UpstreamLoad
+from ..balancing.loads import differs_notably
+from .upstreams import Permits
 
 REPORT_INTERVAL_S = 0.25
 # Issuers that are asked for one request, which needs one permit.
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -8,10 +8,10 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from foxtaildrum.balancing.permits import PERMIT_VALID_S, REPLY_TIMEOUT_S, Permits
 from foxtaildrum.exceptions import FrameError
-from foxtaildrum.fleet.limiting import BURST_PERMITS, MAX_RESERVATION_S, PermitIssuer
 from foxtaildrum.fleet.upstreams import Entry, UpstreamList
+from foxtaildrum.permits.spacing import BURST_PERMITS, MAX_RESERVATION_S, PermitIssuer
+from foxtaildrum.permits.upstreams import PERMIT_VALID_S, REPLY_TIMEOUT_S, Permits
 from foxtaildrum.records import Announcement, PermitReply, PermitRequest, RateLimitReport
 
 from .fleet import form_fleet
