Permits of organisations: bound, issuer and holder without I/O

An organisation has a limit over all instances. The leader of the control group holds a token bucket for each of them and issues permits in batches; an instance keeps them while they are valid, returns what it does not use, keeps the answer of an empty bucket, and uses a share without replies.

The leader issues only while a quorum confirmed it within 0.5 s and 0.5 s after it began to lead. The second rule covers what the shortest election does not: handovers, and voters that restart and vote at once. Tokens and valid permits together stay below a ceiling, since permits that are held, returned and issued again would otherwise add up without end.

--- a/src/foxtaildrum/control/leadership.py
+++ b/src/foxtaildrum/control/leadership.py
@@ -20,6 +20,11 @@
 class Leadership(Election):
     """Replicates the log, commits entries, confirms reads and changes the set of voters."""
 
+    @property
+    def leader_since(self) -> float:
+        """Time at which this instance became the leader, in seconds."""
+        return self._leader_since
+
     def compute_confirmed_at(self, now: float) -> float | None:
         """Return the time up to which a quorum has confirmed this leader, or None.
 
--- a/src/foxtaildrum/fleet/actions.py
+++ b/src/foxtaildrum/fleet/actions.py
@@ -10,7 +10,7 @@
 from ..control.proposals import ChangeCompleted
 from ..control.reads import ReadCompleted
 from ..events import Rewrite, Send
-from ..records import PermitReply
+from ..records import PermitReply, QuotaReply
 from .receipts import ReceiptsCompleted
 
 # Journals that an action can write to.
@@ -86,6 +86,14 @@
     reply: PermitReply
 
 
+@dataclass(slots=True)
+class QuotasAnswered:
+    """An instance replied to a request for permits of organisations."""
+
+    peer_id: str
+    reply: QuotaReply
+
+
 @dataclass(slots=True)
 class RecordSkipped:
     """A record of another instance or on disk was left out, as it cannot be used.
@@ -124,6 +132,7 @@
     | UpstreamLeaving
     | MemberChanged
     | PermitsAnswered
+    | QuotasAnswered
     | RecordSkipped
 )
 
--- a/src/foxtaildrum/fleet/node.py
+++ b/src/foxtaildrum/fleet/node.py
@@ -39,6 +39,9 @@
     Tick,
 )
 from ..exceptions import FrameError
+from ..permits.bounds import QuotaBounds
+from ..permits.holder import QuotaPlan
+from ..permits.quota import ReturnedPermits
 from .actions import (
     CLAIM_STREAM,
     LOG_STREAM,
@@ -58,6 +61,7 @@
 from .limiting import LimitPart
 from .membership import Member, Membership, MemberState
 from .parts import Handler
+from .quotas import QuotaPart
 from .relaying import TablePart
 from .upstreams import UpstreamList
 
@@ -179,6 +183,14 @@
         )
         self._crashes = CrashPart(self.members, self._actions, now)
         self._limits = LimitPart(self.upstreams, self._actions, now)
+        self._quotas = QuotaPart(
+            me.instance_id,
+            self.consensus,
+            self.list_control_instances,
+            self.members.is_usable,
+            rng,
+            self._actions,
+        )
         self._tables = TablePart(self.follower, self.members, self._actions)
         self._gossip = GossipPart(
             self.members,
@@ -208,6 +220,7 @@
             self._claims,
             self._upstreams,
             self._limits,
+            self._quotas,
             self._crashes,
             self._tables,
             self._gossip,
@@ -243,6 +256,7 @@
         self._gossip.tick(now)
         self._upstreams.tick(now)
         self._limits.tick(now)
+        self._quotas.tick(now)
         self._crashes.tick(now)
         self._claims.tick(now)
         self.proposer.tick(now)
@@ -415,6 +429,30 @@
         self._limits.give_back(now, upstream_id, count)
         return self._pop_actions(now)
 
+    def set_organisations(self, organisations: list[r.Organisation]) -> None:
+        """Apply the limits of the organisations in force."""
+        self._quotas.limits.replace(organisations)
+
+    def set_quota_bounds(self, bounds: QuotaBounds) -> None:
+        """Apply the bound on the requests of organisations."""
+        self._quotas.set_bounds(bounds)
+
+    def request_quotas(self, now: float, plan: QuotaPlan) -> list[Action]:
+        """Request permits of organisations; :class:`QuotasAnswered` carries the reply."""
+        self._quotas.request(now, plan)
+        return self._pop_actions(now)
+
+    def return_quotas(self, now: float, returns: list[ReturnedPermits]) -> list[Action]:
+        """Return permits of organisations that were not used."""
+        self._quotas.give_back(now, returns)
+        return self._pop_actions(now)
+
+    def list_entry_instances(self) -> list[str]:
+        """Return the instances that serve callers; see :meth:`count_entry_instances`."""
+        members = self.members.members.values()
+        present = (m for m in members if m.state is not MemberState.LEFT)
+        return [m.instance_id for m in present if m.role != "control"]
+
     def report_crash(
         self, now: float, fingerprint: str, upstream_id: str, incarnation: int
     ) -> list[Action]:
--- a/src/foxtaildrum/logevents.py
+++ b/src/foxtaildrum/logevents.py
@@ -41,6 +41,7 @@
     "message_refused": ("peer", "reason"),
     "message_too_large": ("peer", "reason"),
     "part_failed": ("part", "reason"),
+    "organisation_limited": ("organisation", "rate_per_s", "state", "refused"),
     "record_skipped": ("subject", "source", "reason"),
     "refused_request": (
         "request_id",
--- a/src/foxtaildrum/records.py
+++ b/src/foxtaildrum/records.py
@@ -1171,6 +1171,58 @@
     """
 
 
+@dataclass(kw_only=True, slots=True)
+class QuotaRequest:
+    """
+    Requests permits for requests of organisations from the leader of the control group.
+    """
+
+    requested_at: float
+    """
+    Time of the request at its sender, in seconds, which the reply repeats.
+    """
+    items: list[Any]
+    """
+    Name, permits wanted and permits in advance of each organisation, as a list.
+    """
+
+
+@dataclass(kw_only=True, slots=True)
+class QuotaReply:
+    """
+    Grants permits for requests of organisations, or names the leader.
+    """
+
+    requested_at: float
+    """
+    Time in the request, in seconds.
+    """
+    issued_at: float
+    """
+    Time of the reply at its sender, in seconds, by which permits are returned.
+    """
+    leader: str
+    """
+    Leader of the control group as its sender knows it; empty when unknown.
+    """
+    grants: list[Any]
+    """
+    Name, permits granted, time before the next request and validity in seconds of each organisation, as a list; none if the sender may not issue permits.
+    """
+
+
+@dataclass(kw_only=True, slots=True)
+class QuotaReturn:
+    """
+    Returns permits for requests of organisations that were not used.
+    """
+
+    items: list[Any]
+    """
+    Name, time of issue and permits of that time returned so far, of each organisation, as a list.
+    """
+
+
 @dataclass(kw_only=True, slots=True)
 class Route:
     """
