Quotas: request threads take permits of organisations

Request threads wait at most 0.1 s for the issuer and then are refused with 503 or use the share without replies. New error kind organisation_rate_limited (429, with Retry-After), status field organisation_limits, gauges foxtaildrum_organisation_limit_* and event organisation_limited. All of them appear only if an organisation with a limit was asked for.

The table of organisations is not there yet: it calls ViewPublisher.apply_organisations when it changes.

--- a/src/foxtaildrum/admin/access.py
+++ b/src/foxtaildrum/admin/access.py
@@ -16,14 +16,22 @@
 from ..fleet.node import Node
 from ..fleet.node_api import ChangeAnswer
 from ..logs import count_left_out_lines, log_event
+from ..permits.holder import QuotaPlan
+from ..permits.quota import ReturnedPermits
 from ..permits.upstreams import PermitClient
 from ..records import Announcement, ClaimFinish
 from ..requests.idempotency import StoredResponse
 from ..requests.proxy import Proxy
+from ..requests.quotas import QuotaClient
 from ..requests.relays import ErrorResponse, UpstreamResponse
 from ..versions import get_running_code
 from .exposition import MetricsSnapshot
-from .gauges import build_code_gauge, list_node_gauges, list_pool_gauges
+from .gauges import (
+    build_code_gauge,
+    list_node_gauges,
+    list_pool_gauges,
+    list_quota_gauges,
+)
 from .metrics import Meter
 from .status import describe_node, describe_pool
 
@@ -98,7 +106,7 @@
             log_event("claim_not_stored", claim=self._claim_id)
 
 
-class NodeReports(PermitClient):
+class NodeReports(PermitClient, QuotaClient):
     """Passes what request threads learn and request on to the node; no call waits.
 
     Implements ``CrashReporter`` as well.
@@ -136,6 +144,14 @@
         """Return permits that were not used."""
         self._apply(lambda node, now: node.return_permits(now, upstream_id, count))
 
+    def request_quotas(self, plan: QuotaPlan) -> None:
+        """Request permits for requests of organisations."""
+        self._apply(lambda node, now: node.request_quotas(now, plan))
+
+    def return_quotas(self, returns: list[ReturnedPermits]) -> None:
+        """Return permits of organisations that were not used."""
+        self._apply(lambda node, now: node.return_quotas(now, returns))
+
     def report_crash(self, fingerprint: str, upstream_id: str, incarnation: int) -> None:
         """Report that an upstream ended while it ran a request."""
         self._apply(
@@ -180,6 +196,9 @@
         document["pools"] = [
             describe_pool(now, pool) for pool in self._proxy.view.pools.values()
         ]
+        organisations = self._proxy.quotas.describe()
+        if organisations:
+            document["organisation_limits"] = organisations
         return document
 
     def describe_service_levels(self) -> list[dict[str, Any]]:
@@ -194,6 +213,7 @@
         pools = self._proxy.view.pools
         snapshot.pool_latencies = {name: pool.hold_times for name, pool in pools.items()}
         snapshot.gauges = self._read(list_node_gauges) + list_pool_gauges(pools)
+        snapshot.gauges += list_quota_gauges(self._proxy.quotas.describe())
         snapshot.gauges.append(build_code_gauge(get_running_code()))
         return snapshot
 
--- a/src/foxtaildrum/admin/gauges.py
+++ b/src/foxtaildrum/admin/gauges.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from typing import Any
 
 from ..balancing.pools import UpstreamPool
 from ..control.group import Role
@@ -62,6 +63,34 @@
     return Gauge("code", help_text, {f"{code.version}-{code.digest}": 1.0}, "code")
 
 
+def list_quota_gauges(organisations: list[dict[str, Any]]) -> list[Gauge]:
+    """Return the limit and the use of each limited organisation; none if there is none.
+
+    Parameters
+    ----------
+    organisations : list of dict
+        What ``Quotas.describe`` returns.
+    """
+    if not organisations:
+        return []
+    help_texts = {
+        "rate_per_s": "Limit of the organisation over all instances, in requests per second.",
+        "used": "Requests of the organisation that took a permit here since the start.",
+        "refused": "Requests refused here since the organisation reached its limit.",
+        "unanswered": "Requests refused here since no issuer replied.",
+        "limited": "Whether the organisation is limited here.",
+    }
+    return [
+        Gauge(
+            f"organisation_limit_{field}",
+            help_text,
+            {o["organisation"]: float(o[field]) for o in organisations},
+            "organisation",
+        )
+        for field, help_text in help_texts.items()
+    ]
+
+
 def list_pool_gauges(pools: dict[str, UpstreamPool]) -> list[Gauge]:
     """Return the gauges of the load and the retry budget of each pool."""
     balancers = {name: pool.balancer for name, pool in pools.items()}
--- a/src/foxtaildrum/fleet/runtime.py
+++ b/src/foxtaildrum/fleet/runtime.py
@@ -31,6 +31,7 @@
     ChangeCompleted,
     MemberChanged,
     PermitsAnswered,
+    QuotasAnswered,
     Reconnect,
     RecordSkipped,
     UpstreamLeaving,
@@ -108,6 +109,7 @@
             self._handle_received(now, message)
         elif isinstance(message, TimePassed):
             self._perform(now, self._node.tick(now))
+            self._publisher.tick(now, self._node)
             self._changes.log_changes(now, self._node)
         elif isinstance(message, WriteCompleted):
             self._handle_written(now, message)
@@ -247,6 +249,8 @@
                 self._storage(action)
             elif isinstance(action, PermitsAnswered):
                 self._publisher.deliver_permits(now, action)
+            elif isinstance(action, QuotasAnswered):
+                self._publisher.deliver_quotas(now, action)
             elif isinstance(action, RecordSkipped):
                 self._record_skipped(action)
             elif isinstance(action, _LoggedAction):
--- a/src/foxtaildrum/fleet/views.py
+++ b/src/foxtaildrum/fleet/views.py
@@ -11,12 +11,13 @@
 from ..balancing.splits import PoolChooser
 from ..logs import log_event
 from ..permits.upstreams import PermitClient
-from ..records import Settings
+from ..records import Organisation, Settings
 from ..requests.proxy import Proxy, View
 from ..requests.routing import Router
 from ..requests.transport import Adapter, get_adapter
-from .actions import PermitsAnswered
+from .actions import PermitsAnswered, QuotasAnswered
 from .node import Node
+from .quotas import parse_grants
 
 
 class ViewPublisher:
@@ -101,6 +102,22 @@
         if pool is not None:
             pool.handle_permits(now, answer.reply)
 
+    def deliver_quotas(self, now: float, answer: QuotasAnswered) -> None:
+        """Pass the reply to a request for permits of organisations on."""
+        reply = answer.reply
+        self._proxy.quotas.handle_reply(
+            now, reply.requested_at, answer.peer_id, reply.issued_at, parse_grants(reply)
+        )
+
+    def apply_organisations(self, node: Node, organisations: list[Organisation]) -> None:
+        """Apply the limits of the organisations in force; to be called when they change."""
+        node.set_organisations(organisations)
+        self._proxy.quotas.retain(organisations)
+
+    def tick(self, now: float, node: Node) -> None:
+        """Perform what is due for the permits of organisations."""
+        self._proxy.quotas.tick(now, node.list_entry_instances)
+
     def _share_budgets(self, node: Node, pools: dict[str, UpstreamPool]) -> None:
         """Divide the fleet-wide probe and retry budgets by the number of entry instances."""
         entry_count = node.count_entry_instances()
--- a/src/foxtaildrum/instance.py
+++ b/src/foxtaildrum/instance.py
@@ -36,10 +36,13 @@
 from .fleet.views import ViewPublisher
 from .isolation import run_isolated
 from .logs import LOGGER_NAME, log_event
+from .permits.bounds import QuotaBounds
+from .permits.holder import QuotaHolder
 from .records import Limits, Settings
 from .requests.dialects import get_dialect
 from .requests.forwards import Forwarder
 from .requests.proxy import Proxy
+from .requests.quotas import Quotas
 from .requests.server import HttpServer
 from .requests.stops import StopPlan
 from .resources import check_resources, open_data_folder
@@ -109,6 +112,10 @@
         self.node_access = NodeAccess(self._node_proxy, self.meter, self.proxy)
         self.proxy.claims = NodeClaims(self._node_proxy)
         self.proxy.crash_reporter = reports
+        if settings.role != "control":
+            bounds = QuotaBounds.from_settings(settings)
+            holder = QuotaHolder(read_clock(), settings.instance_id, bounds, random.Random())
+            self.proxy.quotas = Quotas(holder, reports)
         self._open = False
         self.proxy.is_open = self._is_open
         self.proxy.is_starting = node.is_starting
@@ -316,6 +323,7 @@
         node = Node(
             own_member, control_instances, saved, claim_records, rng, read_clock(), join_options
         )
+        node.set_quota_bounds(QuotaBounds.from_settings(settings))
         if has_log:
             saved_upstreams = load_upstreams(journals[UPSTREAM_STREAM], self.meter)
             node.restore_upstreams(read_clock(), saved_upstreams)
--- a/src/foxtaildrum/kinds.py
+++ b/src/foxtaildrum/kinds.py
@@ -33,6 +33,7 @@
     UPSTREAMS_RESTING = "upstreams_resting"
     OVERLOADED = "overloaded"
     RATE_LIMITED = "rate_limited"
+    ORGANISATION_RATE_LIMITED = "organisation_rate_limited"
     CRASHES_UPSTREAMS = "crashes_upstreams"
     DEADLINE_UNREACHABLE = "deadline_unreachable"
     DEADLINE_BEFORE_SEND = "deadline_before_send"
@@ -106,6 +107,9 @@
     ErrorKind.RATE_LIMITED: ErrorSpec(
         503, _NOT_RUN, Retry.NEVER, "The upstreams of the pool have reached their rate limits"
     ),
+    ErrorKind.ORGANISATION_RATE_LIMITED: ErrorSpec(
+        429, _NOT_RUN, Retry.NEVER, "The organisation has reached its rate limit"
+    ),
     ErrorKind.CRASHES_UPSTREAMS: ErrorSpec(
         503, _NOT_RUN, Retry.NEVER, "Several upstreams have crashed while they ran this request"
     ),
--- a/src/foxtaildrum/requests/problem.py
+++ b/src/foxtaildrum/requests/problem.py
@@ -21,6 +21,7 @@
     ErrorKind.OVERLOADED: 0.1,
 }
 OUTCOME_HEADER = "Foxtaildrum-Outcome"
+_RETRYABLE_STATUSES = (http.client.SERVICE_UNAVAILABLE, http.client.TOO_MANY_REQUESTS)
 
 StartResponse = Callable[[str, list[tuple[str, str]]], object]
 Problem = tuple[str, list[tuple[str, str]], bytes]
@@ -83,7 +84,7 @@
         (OUTCOME_HEADER, outcome.value),
         ("X-Request-Id", request_id),
     ]
-    if status == http.client.SERVICE_UNAVAILABLE:
+    if status in _RETRYABLE_STATUSES:
         wait_s = retry_after_s
         if wait_s is None:
             wait_s = RETRY_AFTER_BY_KIND_S.get(kind, DEFAULT_RETRY_AFTER_S)
--- a/src/foxtaildrum/requests/proxy.py
+++ b/src/foxtaildrum/requests/proxy.py
@@ -36,6 +36,7 @@
     format_status,
     send_problem,
 )
+from .quotas import Quotas
 from .relays import ErrorResponse, TruncatedResponseError, UpstreamResponse
 from .routing import Router, is_idempotent
 from .stops import StopPlan
@@ -135,6 +136,7 @@
         self.is_starting: Callable[[], bool] = _never
         self.list_unready_reasons: Callable[[], list[str]] = list
         self.claims: ClaimService | None = None
+        self.quotas = Quotas()
         self.forwarder: Forwarder | None = None
         self.crash_view = CrashView()
         self.crash_reporter: CrashReporter | None = None
