Proxy: requests of organisations take a permit

Only a request with an organisation, which the caller sent to this instance, takes a permit; every other one pays for one comparison. The permit is taken after the claim of an idempotency key, so that a stored answer costs none, but a request that is refused at once makes no claim. It is given back if no upstream may have run the request.

pytest tests/test_quotas.py tests/test_organisation_limits.py: 31 passed.

--- a/src/foxtaildrum/requests/callers.py
+++ b/src/foxtaildrum/requests/callers.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from ..clock import read_clock
-from ..records import Route
+from ..records import Organisation, Route
 from .forwards import Forward
 from .transport import OutgoingRequest
 
@@ -36,6 +36,8 @@
         Statement of the instance that forwarded the request; None if a caller sent it.
     route : Route or None
         Route of the request, once it is known.
+    organisation : Organisation or None
+        Organisation of the caller, if it is known.
     """
 
     __slots__ = (
@@ -44,6 +46,7 @@
         "forward",
         "host",
         "method",
+        "organisation",
         "path",
         "request_id",
         "route",
@@ -60,6 +63,7 @@
         self.host = authority or environ.get("HTTP_HOST", "")
         self.request_id = read_request_id(environ.get("HTTP_X_REQUEST_ID", ""))
         self.route: Route | None = None
+        self.organisation: Organisation | None = None
 
     def build_outgoing(self, replaced_headers: frozenset[str]) -> OutgoingRequest:
         """Return the request to send to upstreams, without the headers that are replaced."""
--- a/src/foxtaildrum/requests/proxy.py
+++ b/src/foxtaildrum/requests/proxy.py
@@ -294,6 +294,13 @@
         timeout_s: float,
         key: str,
     ) -> Iterable[bytes]:
+        if request.organisation is not None:
+            # A claim costs a write on a quorum's disks.
+            refusal = self.quotas.refuse(read_clock(), request.organisation)
+            if refusal is not None:
+                return self._send_error(
+                    request, start_response, refusal.kind, retry_after_s=refusal.wait_s
+                )
         digest = compute_request_digest(
             request.method, request.target, request.environ["wsgi.input"]
         )
@@ -331,6 +338,17 @@
     ) -> Iterable[bytes]:
         environ = request.environ
         forward = request.forward
+        # The instance that the caller is connected to takes the permit.
+        permit = None
+        if request.organisation is not None and forward is None:
+            deadline = request.arrived_at + timeout_s
+            permit = self.quotas.admit(read_clock(), request.organisation, deadline)
+            if permit.kind is not None:
+                if granted_claim is not None:
+                    granted_claim.complete(ErrorResponse(permit.kind, Outcome.NOT_RUN))
+                return self._send_error(
+                    request, start_response, permit.kind, retry_after_s=permit.wait_s
+                )
         max_attempts = request.route.max_attempts
         if forward is not None:
             max_attempts = min(max_attempts, forward.attempts_left)
@@ -367,6 +385,8 @@
             self._meter.count("hedges", dispatch.hedges)
         if granted_claim is not None:
             granted_claim.complete(result)
+        if permit is not None and not exchange.may_have_run:
+            self.quotas.give_back(read_clock(), permit)
         if isinstance(result, ErrorResponse):
             return self._send_error(
                 request,
