Permits: a new issuer begins with a part of the excess, and lost leaders are left at once

Load at 140 instances: an organisation within its limit was refused for seconds after the leader was lost, since an empty bucket has no tokens for its burst, and single requests got 503 after the election, since an instance that had not asked meanwhile spent its whole wait on the dead leader.

A new issuer now begins with a fifth of the excess of the bound, but only if the term before it lasted longer than a window, so that changes don't add up. A request for permits without a reply goes to another control instance after 50 ms.

--- a/src/foxtaildrum/fleet/quotas.py
+++ b/src/foxtaildrum/fleet/quotas.py
@@ -24,6 +24,8 @@
 # In force until the settings are applied.
 DEFAULT_BOUNDS = QuotaBounds(window_s=5.0, overshoot=0.1, slack=20.0)
 EXPIRE_PERIOD_S = 1.0
+# A leader is known to the others so long after it began to lead, and issues so long after it.
+MARGIN_S = 1.0
 # A control instance that did not reply is not asked for so long, unless there is no other or it
 # replies late.
 AVOIDED_S = 0.5
@@ -76,13 +78,17 @@
         self._open: dict[float, tuple[str, r.QuotaRequest, bool]] = {}
         self._avoided_until: dict[str, float] = {}
         self._expire_at = -math.inf
+        # Term and time of the leader known now, and of the one before it.
+        self._seen_term: tuple[int, float] = (-1, math.inf)
+        self._former_term: tuple[int, float] = (-1, math.inf)
 
     def set_bounds(self, bounds: QuotaBounds) -> None:
         """Apply the settings of the bound."""
         self._issuer.bounds = bounds
 
     def tick(self, now: float) -> None:
-        """Drop the buckets of organisations without a limit."""
+        """Note the leader, and drop the buckets of organisations without a limit."""
+        self._note_leader(now)
         if now >= self._expire_at:
             self._expire_at = now + EXPIRE_PERIOD_S
             self._issuer.drop_unlimited()
@@ -157,9 +163,21 @@
             return False
         if not may_issue(now, consensus.leader_since, consensus.compute_confirmed_at(now)):
             return False
-        self._issuer.begin_term(consensus.term, consensus.leader_since)
+        self._note_leader(now)
+        term, since = self._former_term
+        # No other instance led between two terms that follow each other.
+        is_long = consensus.leader_since - since > self._issuer.bounds.window_s + MARGIN_S
+        follows_long_term = term + 1 == consensus.term and is_long
+        self._issuer.begin_term(consensus.term, consensus.leader_since, follows_long_term)
         return True
 
+    def _note_leader(self, now: float) -> None:
+        consensus = self._consensus
+        if consensus is None or not consensus.leader_id:
+            return
+        if consensus.term != self._seen_term[0]:
+            self._former_term, self._seen_term = self._seen_term, (consensus.term, now)
+
     def _find_target(self, now: float) -> str:
         if self._consensus is not None and self._consensus.role is Role.LEADER:
             return self._instance_id
--- a/src/foxtaildrum/permits/bounds.py
+++ b/src/foxtaildrum/permits/bounds.py
@@ -2,8 +2,8 @@
 
 Beyond the rate and the burst, the bound allows an excess in each window. It is divided: part
 of it covers permits that were issued and may still be used, part lets the bucket of the issuer
-hold more than the burst, so that permits that wait unused at instances refuse nobody, and the
-rest is used by instances that the issuer does not reply to.
+hold more than the burst, so that permits that wait unused at instances refuse nobody, part is
+in the buckets of a new issuer, and the rest is used by instances that get no reply.
 """
 
 from __future__ import annotations
@@ -14,8 +14,9 @@
 
 # Shares of the excess; together they are at most 1.
 ISSUED_RATIO = 0.5
-RESERVE_RATIO = 0.25
-UNANSWERED_RATIO = 0.25
+RESERVE_RATIO = 0.1
+INITIAL_RATIO = 0.2
+UNANSWERED_RATIO = 0.2
 MIN_VALID_S = 0.25
 MAX_VALID_S = 2.0
 
@@ -89,6 +90,14 @@
         """Return the permits that a full bucket holds, at least one."""
         return max(1.0, limit.burst + RESERVE_RATIO * self.compute_excess(limit))
 
+    def compute_initial(self, limit: OrganisationLimit) -> float:
+        """Return the permits in the bucket of a new issuer, if its predecessor is long known.
+
+        With an empty bucket, an organisation within its limit would be refused until tokens
+        for its burst have accrued.
+        """
+        return INITIAL_RATIO * self.compute_excess(limit)
+
     def compute_ceiling(self, limit: OrganisationLimit) -> float:
         """Return the most permits in the bucket and in valid permits together.
 
--- a/src/foxtaildrum/permits/holder.py
+++ b/src/foxtaildrum/permits/holder.py
@@ -16,11 +16,9 @@
 # Longest time that a request waits for a permit.
 MAX_ADMIT_S = 0.1
 # Time after which another control instance is asked, so that a request that waits gets a permit
-# if only the leader it knew is gone. A reply usually takes 3 ms.
+# if only the leader it knew is gone. A reply usually takes 3 ms. While no issuer replies, an
+# instance asks so often at most.
 REPLY_TIMEOUT_S = 0.05
-# Time between requests for permits while no issuer replies; it doubles up to the maximum.
-MIN_PAUSE_S = 0.05
-MAX_PAUSE_S = 0.1
 # Spreads the requests of instances that were refused at the same time.
 RETRY_SPREAD_RATIO = 0.25
 # Retry-After of a request that is refused since the issuer does not reply.
@@ -98,7 +96,6 @@
         "_bounds",
         "_due",
         "_instance_id",
-        "_pause_s",
         "_quotas",
         "_resume_at",
         "_rng",
@@ -117,7 +114,6 @@
         self._quotas: dict[str, Quota] = {}
         self._due: set[str] = set()
         self._silent = False
-        self._pause_s = MIN_PAUSE_S
         self._resume_at = -math.inf
         self.instances: Sequence[str] = (instance_id,)
 
@@ -217,8 +213,7 @@
             return None
         is_repeated = self._silent
         if self._silent:
-            self._pause_s = min(MAX_PAUSE_S, 2 * self._pause_s)
-            self._resume_at = now + self._pause_s
+            self._resume_at = now + REPLY_TIMEOUT_S
         return QuotaPlan(now, items, is_repeated)
 
     def handle_reply(
@@ -239,7 +234,6 @@
             Time at the issuer, in seconds, by which permits are returned.
         """
         self._silent = False
-        self._pause_s = MIN_PAUSE_S
         self._resume_at = -math.inf
         for grant in grants:
             quota = self._quotas.get(grant.name)
--- a/src/foxtaildrum/permits/issuer.py
+++ b/src/foxtaildrum/permits/issuer.py
@@ -76,7 +76,7 @@
 
 
 class Bucket:
-    """Token bucket of one organisation, empty at first.
+    """Token bucket of one organisation.
 
     The tokens and the valid permits together never exceed the ceiling of the bound. Without
     it, permits that are held, returned and issued again would add up beyond the burst.
@@ -89,6 +89,8 @@
         Limit of the organisation.
     bounds : QuotaBounds
         Bound on the requests in a window.
+    level : float
+        Tokens at first.
     """
 
     __slots__ = (
@@ -104,14 +106,17 @@
         "valid_s",
     )
 
-    def __init__(self, now: float, limit: OrganisationLimit, bounds: QuotaBounds) -> None:
+    def __init__(
+        self, now: float, limit: OrganisationLimit, bounds: QuotaBounds, level: float = 0.0
+    ) -> None:
         self._bounds = bounds
-        self._level = 0.0
+        self._level = level
         self._updated_at = now
         self._promised_at = now
         self._lots: deque[IssuedLot] = deque()
         self._outstanding = 0
         self._apply(limit)
+        self._level = min(self._level, self._compute_room())
 
     def set_limit(self, now: float, limit: OrganisationLimit) -> None:
         """Apply a changed limit from now on."""
@@ -215,7 +220,7 @@
         Bound on the requests of an organisation in a window.
     """
 
-    __slots__ = ("_buckets", "_limits", "_since", "_term", "bounds")
+    __slots__ = ("_buckets", "_follows_long_term", "_limits", "_since", "_term", "bounds")
 
     def __init__(self, limits: OrganisationLimits, bounds: QuotaBounds) -> None:
         self._limits = limits
@@ -223,17 +228,27 @@
         self._buckets: dict[str, Bucket] = {}
         self._term = -1
         self._since = 0.0
+        self._follows_long_term = False
 
-    def begin_term(self, term: int, leader_since: float) -> None:
-        """Begin with empty buckets if the term is another one than before.
+    def begin_term(
+        self, term: int, leader_since: float, follows_long_term: bool = False
+    ) -> None:
+        """Begin with new buckets if the term is another one than before.
 
         A leader that was confirmed again in the same term had no successor meanwhile, so its
         buckets still count everything that was issued. Tokens accrue from the time at which no
         former leader issues any more, also before the first request.
+
+        Parameters
+        ----------
+        follows_long_term : bool
+            Whether the term before it lasted longer than a window. The buckets are empty
+            otherwise, so that several changes in a window don't add up.
         """
         if term != self._term:
             self._term = term
             self._since = leader_since + TAKEOVER_S
+            self._follows_long_term = follows_long_term
             self._buckets.clear()
 
     def issue(self, now: float, peer: str, name: str, wanted: int, ahead: int) -> QuotaGrant:
@@ -264,7 +279,8 @@
         bucket = self._buckets.get(name)
         if bucket is None:
             # Tokens accrue since the begin of the term: nobody has used any since then.
-            bucket = self._buckets[name] = Bucket(self._since, limit, self.bounds)
+            level = self.bounds.compute_initial(limit) if self._follows_long_term else 0.0
+            bucket = self._buckets[name] = Bucket(self._since, limit, self.bounds, level)
         elif bucket.limit != limit:
             bucket.set_limit(now, limit)
         return bucket
--- a/tests/standins/slopes.py
+++ b/tests/standins/slopes.py
@@ -4,6 +4,7 @@
 
 import functools
 import gc
+import itertools
 import random
 import time
 import tracemalloc
@@ -24,6 +25,10 @@
 from foxtaildrum.fleet.frames import FrameWriter, derive_key
 from foxtaildrum.fleet.membership import LocalSummary, Member, Membership, MemberState
 from foxtaildrum.fleet.upstreams import Entry, UpstreamList
+from foxtaildrum.permits.bounds import OrganisationLimits, QuotaBounds
+from foxtaildrum.permits.holder import QuotaHolder
+from foxtaildrum.permits.issuer import QuotaIssuer
+from foxtaildrum.requests.quotas import Quotas
 from foxtaildrum.requests.routing import Router
 from foxtaildrum.requests.steps import AttemptResult
 
@@ -285,6 +290,48 @@
         )
 
 
+def print_quotas() -> None:
+    """Print what a request of an organisation costs with and without a limit."""
+    print("\npermits of organisations: bytes per frame")
+    for items in (1, 3, 20):
+        request = r.QuotaRequest(
+            requested_at=1000.1, items=[[f"organisation-{n}", 1, 0] for n in range(items)]
+        )
+        reply = r.QuotaReply(
+            requested_at=1000.1,
+            issued_at=2000.2,
+            leader="control-1",
+            grants=[[f"organisation-{n}", 1, 0.0, 0.37] for n in range(items)],
+        )
+        back = r.QuotaReturn(items=[[f"organisation-{n}", 1000.1, 1] for n in range(items)])
+        sizes = "".join(f"{len(pack(m)):>6}" for m in (request, reply, back))
+        cost = sum(time_call(lambda m=m: pack(m), 500) for m in (request, reply))
+        print(f"{items:>7}{sizes}{cost * 1e6:>9.1f} us to pack the request and the reply")
+    bounds = QuotaBounds(5.0, 0.1, 20.0)
+    limited = r.Organisation(name="organisation-1", rate_per_s=1e6, burst=1e6)
+    limits = OrganisationLimits()
+    limits.replace([limited])
+    issuer = QuotaIssuer(limits, bounds)
+    issuer.begin_term(1, 0.0)
+    holder = QuotaHolder(0.0, "e1", bounds, random.Random(1))
+    clock = itertools.count(1000)
+
+    def admit_once() -> None:
+        now = next(clock) / 1000
+        holder.admit(now, limited)
+        plan = holder.plan_request(now)
+        grants = [issuer.issue(now, "e1", i.name, i.wanted, i.ahead) for i in plan.items]
+        holder.handle_reply(now, plan.requested_at, "c1", now, grants)
+        holder.tick(now + 1.0)
+
+    unlimited = r.Organisation(name="organisation-2")
+    quotas = Quotas(holder, None)
+    cost = time_call(admit_once, 2000)
+    print(f"a request that asks for its permit: {cost * 1e6:.1f} us without the messages")
+    cost = time_call(lambda: quotas.admit(0.0, unlimited, 1.0), 2000)
+    print(f"a request of an organisation without a limit: {cost * 1e6:.2f} us")
+
+
 def print_follower_memory() -> None:
     follower = measure_memory(lambda: TableFollower(TableState(), 0, True))
     print(f"\nan empty follower holds {follower} bytes")
@@ -298,6 +345,7 @@
     print_tables()
     print_crashes()
     print_messages()
+    print_quotas()
     print_follower_memory()
 
 
