Permits: a new leader issues the initial part at once

After a leader was lost, an organisation of some requests a second was refused for 0.5 s beyond the election, although the bound covers the initial permits of the new leader beside all that its predecessor issues.

A leader that follows a long term issues these as soon as a quorum confirms it; tokens accrue from 0.5 s after its election as before.

--- a/src/foxtaildrum/fleet/quotas.py
+++ b/src/foxtaildrum/fleet/quotas.py
@@ -24,7 +24,7 @@
 # In force until the settings are applied.
 DEFAULT_BOUNDS = QuotaBounds(window_s=5.0, overshoot=0.1, slack=20.0)
 EXPIRE_PERIOD_S = 1.0
-# A leader is known to the others so long after it began to lead, and issues so long after it.
+# An instance may hear of a leader so long after it began to lead.
 MARGIN_S = 1.0
 # A control instance that did not reply is not asked for so long, unless there is no other or it
 # replies late.
@@ -161,14 +161,16 @@
         consensus = self._consensus
         if consensus is None or consensus.role is not Role.LEADER:
             return False
-        if not may_issue(now, consensus.leader_since, consensus.compute_confirmed_at(now)):
-            return False
         self._note_leader(now)
-        term, since = self._former_term
+        term, term_since = self._former_term
+        since = consensus.leader_since
         # No other instance led between two terms that follow each other.
-        is_long = consensus.leader_since - since > self._issuer.bounds.window_s + MARGIN_S
+        is_long = since - term_since > self._issuer.bounds.window_s + MARGIN_S
         follows_long_term = term + 1 == consensus.term and is_long
-        self._issuer.begin_term(consensus.term, consensus.leader_since, follows_long_term)
+        confirmed_at = consensus.compute_confirmed_at(now)
+        if not may_issue(now, since, confirmed_at, follows_long_term):
+            return False
+        self._issuer.begin_term(consensus.term, since, follows_long_term)
         return True
 
     def _note_leader(self, now: float) -> None:
--- a/src/foxtaildrum/permits/issuer.py
+++ b/src/foxtaildrum/permits/issuer.py
@@ -1,7 +1,8 @@
 """Issuer of the permits of organisations, without I/O.
 
 The leader of the control group issues them. It may only do so while a quorum has confirmed its
-leadership recently, and after a pause at the begin of its term, so two never issue at once.
+leadership recently, and tokens accrue only after a pause at the begin of its term, so those of
+two leaders never accrue at once.
 """
 
 from __future__ import annotations
@@ -27,17 +28,29 @@
 ADVANCE_RATIO = 0.5
 
 
-def may_issue(now: float, leader_since: float, confirmed_at: float | None) -> bool:
+def may_issue(
+    now: float,
+    leader_since: float,
+    confirmed_at: float | None,
+    follows_long_term: bool = False,
+) -> bool:
     """Return whether a leader may issue permits.
 
+    One that follows a long term may issue what is in its buckets at first, which the bound
+    covers beside all that its predecessor issues; tokens accrue after the pause.
+
     Parameters
     ----------
     leader_since : float
         Time since which the instance leads, in seconds.
     confirmed_at : float or None
         Time up to which a quorum confirmed it, or None; see ``compute_confirmed_at``.
+    follows_long_term : bool
+        Whether the term before it lasted longer than a window.
     """
-    if confirmed_at is None or now - leader_since < TAKEOVER_S:
+    if confirmed_at is None:
+        return False
+    if now - leader_since < TAKEOVER_S and not follows_long_term:
         return False
     return now - confirmed_at <= CONFIRMED_S
 
