Merge rate limits of organisations

The limits come from the organisations table at every instance, also at control instances, of which the leader issues the permits. The platform's bounds of the quota window are taken over.

--- a/src/foxtaildrum/admin/access.py
+++ b/src/foxtaildrum/admin/access.py
@@ -9,7 +9,6 @@
 import pykka
 
 from ..balancing.evacuation import EvacuationPlan
-from ..balancing.permits import PermitClient
 from ..clock import read_clock
 from ..control.claims import ClaimOutcome, Verdict, compute_claim_key
 from ..control.desired import DesiredState, describe_desired
@@ -19,9 +18,13 @@
 from ..fleet.node import Node
 from ..fleet.node_api import ChangeAnswer
 from ..logs import count_left_out_lines, log_event
+from ..permits.holder import QuotaPlan
+from ..permits.quota import ReturnedPermits
+from ..permits.upstreams import PermitClient
 from ..records import Announcement, ClaimFinish
 from ..requests.idempotency import StoredResponse
 from ..requests.proxy import Proxy
+from ..requests.quotas import QuotaClient
 from ..requests.relays import ErrorResponse, UpstreamResponse
 from ..versions import get_running_code
 from . import organisations
@@ -31,6 +34,7 @@
     list_evacuation_gauges,
     list_node_gauges,
     list_pool_gauges,
+    list_quota_gauges,
 )
 from .metrics import Meter
 from .status import describe_evacuations, describe_node, describe_pool
@@ -107,7 +111,7 @@
             log_event("claim_not_stored", claim=self._claim_id)
 
 
-class NodeReports(PermitClient):
+class NodeReports(PermitClient, QuotaClient):
     """Passes what request threads learn and request on to the node; no call waits.
 
     Implements ``CrashReporter`` as well.
@@ -149,6 +153,14 @@
         """Report that an upstream is cold for some seconds."""
         self._apply(lambda node, now: node.report_warmup(now, upstream_id, incarnation, left_s))
 
+    def request_quotas(self, plan: QuotaPlan) -> None:
+        """Request permits for requests of organisations."""
+        self._apply(lambda node, now: node.request_quotas(now, plan))
+
+    def return_quotas(self, returns: list[ReturnedPermits]) -> None:
+        """Return permits of organisations that were not used."""
+        self._apply(lambda node, now: node.return_quotas(now, returns))
+
     def report_crash(self, fingerprint: str, upstream_id: str, incarnation: int) -> None:
         """Report that an upstream ended while it ran a request."""
         self._apply(
@@ -205,6 +217,9 @@
         ]
         if self._proxy.view.key_table is not None:
             document["organisations"] = organisations.describe_recognition(now, self._proxy)
+        limits = self._proxy.quotas.describe()
+        if limits:
+            document["organisation_limits"] = limits
         return document
 
     def describe_service_levels(self) -> list[dict[str, Any]]:
@@ -220,6 +235,7 @@
         snapshot.pool_latencies = {name: pool.hold_times for name, pool in pools.items()}
         snapshot.gauges = self._read(list_node_gauges) + list_pool_gauges(pools)
         snapshot.gauges += list_evacuation_gauges(read_clock(), self._evacuations, pools)
+        snapshot.gauges += list_quota_gauges(self._proxy.quotas.describe())
         snapshot.gauges.append(build_code_gauge(get_running_code()))
         snapshot.organisation_requests = self._proxy.recogniser.counts.list_by_result()
         return snapshot
--- a/src/foxtaildrum/balancing/balancer.py
+++ b/src/foxtaildrum/balancing/balancer.py
@@ -9,6 +9,7 @@
 
 from ..fleet.upstreams import DRAINING, READY, Entry
 from ..kinds import ErrorKind
+from ..permits.ratelimits import ExpiredPermits, PlannedRequest, RateLimits
 from ..records import Pool
 from ..requests.steps import AttemptResult
 from .budget import Budget
@@ -18,7 +19,6 @@
 from .evacuation import EvacuationPlan
 from .loads import LoadReport
 from .policies import get_policy
-from .ratelimits import ExpiredPermits, PlannedRequest, RateLimits
 from .sampling import SampleBudget, is_calm, is_slow
 from .tickets import Ticket
 
--- a/src/foxtaildrum/balancing/candidates.py
+++ b/src/foxtaildrum/balancing/candidates.py
@@ -5,7 +5,7 @@
 import math
 
 from ..fleet.upstreams import READY
-from .permits import Permits
+from ..permits.upstreams import Permits
 from .warmup import Warmup
 
 RAMP_S = 5.0
--- a/src/foxtaildrum/balancing/loads.py
+++ b/src/foxtaildrum/balancing/loads.py
@@ -8,6 +8,7 @@
 MAX_REPORTED_SLOTS = 1e6
 MAX_REPORTED_PACE = 1e3
 MAX_RATE_LIMIT_PER_S = 1e6
+RATE_LIMIT_TOLERANCE_RATIO = 0.05
 MAX_REST_S = 600.0
 MAX_WARMUP_S = 3600.0
 MAX_QUOTED_CHARS = 40
@@ -112,3 +113,10 @@
     except ValueError:
         return None
     return min(left_s, MAX_WARMUP_S) if left_s >= 0 else None
+
+
+def differs_notably(known: float | None, limit_per_s: float | None) -> bool:
+    """Return whether a rate limit differs from the known one by more than a small ratio."""
+    if known is None or limit_per_s is None:
+        return known is not limit_per_s
+    return abs(limit_per_s - known) > RATE_LIMIT_TOLERANCE_RATIO * known
--- a/src/foxtaildrum/balancing/pools.py
+++ b/src/foxtaildrum/balancing/pools.py
@@ -9,6 +9,8 @@
 from ..fleet.upstreams import Entry
 from ..kinds import ErrorKind
 from ..logs import log_event
+from ..permits.ratelimits import ExpiredPermits
+from ..permits.upstreams import PermitClient
 from ..records import PermitReply, Pool
 from ..requests.connections import ConnectionPool
 from ..requests.exchange import AttemptBudget
@@ -19,8 +21,6 @@
 from .evacuation import EvacuationPlan
 from .latency import BucketCounts, RecentLatency
 from .loads import LoadReport
-from .permits import PermitClient
-from .ratelimits import ExpiredPermits
 from .tickets import Ticket
 from .warmupgate import WarmupGate
 
--- a/src/foxtaildrum/balancing/warmupgate.py
+++ b/src/foxtaildrum/balancing/warmupgate.py
@@ -7,9 +7,9 @@
 from typing import Any
 
 from ..logs import log_event
+from ..permits.upstreams import PermitClient
 from .balancer import Balancer
 from .candidates import UpstreamLoad
-from .permits import PermitClient
 from .warmup import Warmup
 
 
--- a/src/foxtaildrum/control/tables.py
+++ b/src/foxtaildrum/control/tables.py
@@ -9,7 +9,7 @@
 
 from ..balancing.policies import list_policies
 from ..exceptions import FieldError, InvalidTableError
-from ..records import Pool, Route, Share
+from ..records import Organisation, Pool, Route, Share
 from ..validation import find_problems
 from .evacuations import Evacuations
 
@@ -260,6 +260,12 @@
         """Return the organisations table; None while organisations are not in force."""
         return self.tables.get(ORGANISATIONS)
 
+    def list_organisations(self) -> list[Organisation]:
+        """Return the organisations in force, without their keys; empty if none are."""
+        table = self.get_organisations()
+        rows = [] if table is None else table.list_rows()
+        return [Organisation(**{**row, "keys": []}) for row in rows]
+
     def to_wire(self, with_answers: bool) -> list[Any]:
         """Return the state as a list that msgpack can encode.
 
--- a/src/foxtaildrum/fleet/actions.py
+++ b/src/foxtaildrum/fleet/actions.py
@@ -11,7 +11,7 @@
 from ..control.proposals import ChangeCompleted
 from ..control.reads import ReadCompleted
 from ..events import Rewrite, Send
-from ..records import PermitReply
+from ..records import PermitReply, QuotaReply
 from .receipts import ReceiptsCompleted
 
 # Journals that an action can write to.
@@ -87,6 +87,14 @@
     reply: PermitReply
 
 
+@dataclass(slots=True)
+class QuotasAnswered:
+    """An instance replied to a request for permits of organisations."""
+
+    peer_id: str
+    reply: QuotaReply
+
+
 @dataclass(slots=True)
 class RecordSkipped:
     """A record of another instance or on disk was left out, as it cannot be used.
@@ -126,6 +134,7 @@
     | UpstreamLeaving
     | MemberChanged
     | PermitsAnswered
+    | QuotasAnswered
     | RecordSkipped
 )
 
--- a/src/foxtaildrum/requests/problem.py
+++ b/src/foxtaildrum/requests/problem.py
@@ -23,6 +23,7 @@
     ErrorKind.OVERLOADED: 0.1,
 }
 OUTCOME_HEADER = "Foxtaildrum-Outcome"
+_RETRYABLE_STATUSES = (http.client.SERVICE_UNAVAILABLE, http.client.TOO_MANY_REQUESTS)
 
 _HEADER_LINE = re.compile(r'header line ".*"', re.DOTALL)
 
@@ -90,7 +91,7 @@
     ]
     if status == http.client.UNAUTHORIZED:
         headers.append(("WWW-Authenticate", f'Key header="{dialect.key_header}"'))
-    if status == http.client.SERVICE_UNAVAILABLE:
+    if status in _RETRYABLE_STATUSES:
         wait_s = retry_after_s
         if wait_s is None:
             wait_s = RETRY_AFTER_BY_KIND_S.get(kind, DEFAULT_RETRY_AFTER_S)
--- a/src/foxtaildrum/requests/proxy.py
+++ b/src/foxtaildrum/requests/proxy.py
@@ -37,6 +37,8 @@
     format_status,
     send_problem,
 )
+from .quotas import Decision as QuotaDecision
+from .quotas import Quotas
 from .recognising import RETRY_AFTER_TABLES_S, Recogniser
 from .relays import ErrorResponse, TruncatedResponseError, UpstreamResponse
 from .routing import Router, is_idempotent
@@ -162,6 +164,7 @@
         self.is_starting: Callable[[], bool] = _never
         self.list_unready_reasons: Callable[[], list[str]] = list
         self.claims: ClaimService | None = None
+        self.quotas = Quotas()
         self.forwarder: Forwarder | None = None
         self.crash_view = CrashView()
         self.crash_reporter: CrashReporter | None = None
@@ -291,8 +294,6 @@
             return self._send_error(
                 request, start_response, ErrorKind.BAD_REQUEST, reason=reason
             )
-        # An organisation's rate limit is checked here: after its recognition, and before the
-        # pool is chosen.
         pool = view.pools.get(_choose_pool(view, request))
         if pool is None:
             return self._send_error(request, start_response, ErrorKind.NO_UPSTREAM)
@@ -339,6 +340,13 @@
         timeout_s: float,
         key: str,
     ) -> Iterable[bytes]:
+        if request.organisation is not None:
+            # A claim costs a write on a quorum's disks.
+            refusal = self.quotas.refuse(read_clock(), request.organisation)
+            if refusal is not None:
+                return self._send_error(
+                    request, start_response, refusal.kind, retry_after_s=refusal.wait_s
+                )
         digest = compute_request_digest(
             request.method, request.target, request.environ["wsgi.input"]
         )
@@ -376,6 +384,34 @@
         timeout_s: float,
         idempotent: bool,
         granted_claim: GrantedClaim | None,
+    ) -> Iterable[bytes]:
+        """Serve a request; one of an organisation needs a permit.
+
+        The instance that the caller is connected to takes the permit.
+        """
+        permit = None
+        if request.organisation is not None and request.forward is None:
+            deadline = request.arrived_at + timeout_s
+            permit = self.quotas.admit(read_clock(), request.organisation, deadline)
+            if permit.kind is not None:
+                if granted_claim is not None:
+                    granted_claim.complete(ErrorResponse(permit.kind, Outcome.NOT_RUN))
+                return self._send_error(
+                    request, start_response, permit.kind, retry_after_s=permit.wait_s
+                )
+        return self._dispatch_admitted(
+            request, start_response, pool, timeout_s, idempotent, granted_claim, permit
+        )
+
+    def _dispatch_admitted(
+        self,
+        request: CallerRequest,
+        start_response: StartResponse,
+        pool: UpstreamPool,
+        timeout_s: float,
+        idempotent: bool,
+        granted_claim: GrantedClaim | None,
+        permit: QuotaDecision | None,
     ) -> Iterable[bytes]:
         environ = request.environ
         forward = request.forward
@@ -420,6 +456,8 @@
             self._meter.count("hedges", dispatch.hedges)
         if granted_claim is not None:
             granted_claim.complete(result)
+        if permit is not None and not exchange.may_have_run:
+            self.quotas.give_back(read_clock(), permit)
         if isinstance(result, ErrorResponse):
             return self._send_error(
                 request,
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -166,3 +166,21 @@
     bounds = {**CONFIG["bounds"], "warmup_overshoot": 1.5, "warmup_slack": 8}
     settings = read_settings(main, "entry", {**CONFIG, "bounds": bounds})
     assert (settings.warmup_overshoot, settings.warmup_slack) == (1.5, 8)
+
+
+def test_the_bounds_for_rate_limits_of_organisations_are_taken_over(main):
+    # The product's defaults apply where the configuration names none.
+    settings = read_settings(main, "entry", CONFIG)
+    assert (settings.quota_window_s, settings.quota_overshoot, settings.quota_slack) == (
+        5,
+        0.1,
+        20,
+    )
+    bounds = {"quota_window_s": 4, "quota_overshoot": 0.2, "quota_slack": 7}
+    config = {**CONFIG, "bounds": {**CONFIG["bounds"], **bounds}}
+    settings = read_settings(main, "entry", config)
+    assert (settings.quota_window_s, settings.quota_overshoot, settings.quota_slack) == (
+        4,
+        0.2,
+        7,
+    )
