What callers hold is bounded, and limits in time apply

Cause: unfinished bodies held temporary files and descriptors without a bound and for as long as the callers stayed; header_timeout_ms had no effect; callers that only connected kept others out. Change: one account tracks what all callers hold (unfinished heads and bodies, waiting pipelined requests, early and unsent responses, files of bodies). Beyond max_held_bytes a body is refused as not run, before it is read if its length is announced. Content of chunks that arrive together is stored at once. Counters callers.limited.*, gauge callers_held_bytes, event callers_limited.

--- a/src/foxtaildrum/admin/access.py
+++ b/src/foxtaildrum/admin/access.py
@@ -18,12 +18,13 @@
 from ..fleet.node_api import ChangeAnswer
 from ..logs import count_left_out_lines, log_event
 from ..records import Announcement, ClaimFinish
+from ..requests.account import CallerAccount
 from ..requests.idempotency import StoredResponse
 from ..requests.proxy import Proxy
 from ..requests.relays import ErrorResponse, UpstreamResponse
 from ..versions import get_running_code
 from .exposition import MetricsSnapshot
-from .gauges import build_code_gauge, list_node_gauges, list_pool_gauges
+from .gauges import build_account_gauge, build_code_gauge, list_node_gauges, list_pool_gauges
 from .metrics import Meter
 from .status import describe_node, describe_pool
 
@@ -158,10 +159,15 @@
         Counters of the instance.
     proxy : Proxy
         Proxy whose current view has the pools.
+    account : CallerAccount
+        What the callers hold.
     """
 
-    def __init__(self, node: pykka.ActorProxy, meter: Meter, proxy: Proxy) -> None:
+    def __init__(
+        self, node: pykka.ActorProxy, meter: Meter, proxy: Proxy, account: CallerAccount
+    ) -> None:
         self._node = node
+        self._account = account
         self._meter = meter
         self._proxy = proxy
 
@@ -195,6 +201,7 @@
         snapshot.pool_latencies = {name: pool.hold_times for name, pool in pools.items()}
         snapshot.gauges = self._read(list_node_gauges) + list_pool_gauges(pools)
         snapshot.gauges.append(build_code_gauge(get_running_code()))
+        snapshot.gauges.append(build_account_gauge(self._account))
         return snapshot
 
     def get_table(self, name: str) -> tuple[list[dict[str, Any]], int, bool]:
--- a/src/foxtaildrum/admin/gauges.py
+++ b/src/foxtaildrum/admin/gauges.py
@@ -7,6 +7,7 @@
 from ..balancing.pools import UpstreamPool
 from ..control.group import Role
 from ..fleet.node import Node
+from ..requests.account import CallerAccount
 from ..versions import RunningCode
 from .exposition import Gauge
 
@@ -62,6 +63,12 @@
     return Gauge("code", help_text, {f"{code.version}-{code.digest}": 1.0}, "code")
 
 
+def build_account_gauge(account: CallerAccount) -> Gauge:
+    """Return the gauge of what the callers hold."""
+    help_text = "Size of unfinished requests and unsent responses of callers."
+    return Gauge("callers_held_bytes", help_text, {"": account.held_bytes})
+
+
 def list_pool_gauges(pools: dict[str, UpstreamPool]) -> list[Gauge]:
     """Return the gauges of the load and the retry budget of each pool."""
     balancers = {name: pool.balancer for name, pool in pools.items()}
--- a/src/foxtaildrum/instance.py
+++ b/src/foxtaildrum/instance.py
@@ -37,6 +37,7 @@
 from .isolation import run_isolated
 from .logs import LOGGER_NAME, log_event
 from .records import Limits, Settings
+from .requests.account import CallerAccount
 from .requests.dialects import get_dialect
 from .requests.forwards import Forwarder
 from .requests.pipelines import Pipelining
@@ -107,7 +108,10 @@
         reports = NodeReports(self._node_proxy)
         self.publisher.permit_client = reports
         self.publisher.apply_limits = self._apply_limits
-        self.node_access = NodeAccess(self._node_proxy, self.meter, self.proxy)
+        self.caller_account = CallerAccount.from_settings(settings, self.meter)
+        self.node_access = NodeAccess(
+            self._node_proxy, self.meter, self.proxy, self.caller_account
+        )
         self.proxy.claims = NodeClaims(self._node_proxy)
         self.proxy.crash_reporter = reports
         self._open = False
@@ -337,6 +341,8 @@
             max_header_bytes=settings.max_header_bytes,
             max_body_bytes=settings.max_body_bytes,
             pipelining=Pipelining.from_settings(settings, self.proxy.is_repeatable),
+            account=self.caller_account,
+            body_stall_s=settings.body_stall_s,
             connection_limit=settings.max_connections,
             channel_timeout=CONNECTION_TIMEOUT_S,
         )
@@ -424,6 +430,7 @@
             "table_index": node.follower.index,
             "members": len(node.members.members),
             "ready": float(not node.list_unready_reasons(now)),
+            "callers.held_bytes": self.caller_account.held_bytes,
         }
         for name, pool in self.proxy.view.pools.items():
             balancer = pool.balancer
--- a/src/foxtaildrum/logevents.py
+++ b/src/foxtaildrum/logevents.py
@@ -42,6 +42,7 @@
     "message_too_large": ("peer", "reason"),
     "part_failed": ("part", "reason"),
     "record_skipped": ("subject", "source", "reason"),
+    "callers_limited": ("limit", "callers", "held_bytes", "max_held_bytes"),
     "refused_request": (
         "request_id",
         "kind",
--- a/src/foxtaildrum/requests/early.py
+++ b/src/foxtaildrum/requests/early.py
@@ -211,7 +211,8 @@
 
     def _free_chunks(self) -> None:
         self._chunks = []
-        self.channel.early_bytes -= self._held_bytes
+        if self._held_bytes:
+            self.channel.free(self._held_bytes)
         self._held_bytes = 0
         self.channel.early_changed.notify_all()
 
--- a/src/foxtaildrum/requests/parsing.py
+++ b/src/foxtaildrum/requests/parsing.py
@@ -11,9 +11,16 @@
 
 from waitress.adjustments import Adjustments
 from waitress.parser import HTTPRequestParser
-from waitress.utilities import BadRequest, RequestEntityTooLarge, RequestHeaderFieldsTooLarge
+from waitress.receiver import ChunkedReceiver
+from waitress.utilities import (
+    BadRequest,
+    Error,
+    RequestEntityTooLarge,
+    RequestHeaderFieldsTooLarge,
+)
 
 from ..clock import read_clock
+from .account import MAX_HELD_BYTES_LIMIT, OPEN_FILES_LIMIT, CallerAccount
 
 REQUEST_LINE_BYTES = 8192
 # Longest framing of a body's chunks, as a ratio of the content, beside that of one chunk.
@@ -32,10 +39,13 @@
         Maximum size of a header section, in bytes.
     max_content_bytes : int
         Maximum size of the content of a body, in bytes.
+    account : CallerAccount or None
+        Bounds what all callers hold together; None sets no bound.
     """
 
     max_section_bytes = 0
     max_content_bytes = 0
+    account: CallerAccount | None = None
 
     def limit_sizes(self, header_bytes: int, body_bytes: int) -> None:
         """Set the limits on the sizes of requests."""
@@ -47,11 +57,40 @@
         self.max_request_body_size = body_bytes + 1
 
 
+class AccountFullError(Error):
+    """Refuses a request because callers hold too much."""
+
+    code = 503
+    reason = "Service Unavailable"
+
+
+class _ChunkReceiver(ChunkedReceiver):
+    """Receiver that stores the content of many small chunks at once.
+
+    Each write to a file that is also read costs several system calls.
+    """
+
+    def received(self, s: bytes) -> int:
+        buf = self.buf
+        parts: list[bytes] = []
+        self.buf = parts
+        try:
+            return super().received(s)
+        finally:
+            self.buf = buf
+            if parts:
+                buf.append(b"".join(parts))
+
+
 class RequestParser(HTTPRequestParser):
     """Reads one request of a caller.
 
     Attributes
     ----------
+    held_bytes : int
+        Size of what the account holds for this request, in bytes.
+    begun_at : float or None
+        Time at which the head was first seen unfinished, in seconds.
     request_id : str
         Identifier that the caller gave to a request that is refused, if it could be read.
     arrived_at : float or None
@@ -63,6 +102,10 @@
     """
 
     request_id = ""
+    held_bytes = 0
+    _held_head_bytes = 0
+    _holds_file = False
+    begun_at: float | None = None
     arrived_at: float | None = None
     queued_at: float | None = None
     may_overlap: bool | None = None
@@ -76,6 +119,10 @@
             consumed = super().received(data)
         if head and self.headers_finished and not self.empty and not self.error:
             self._check_section(head)
+        if self.adj.account is not None and (self.body_rcv is not None or not self.completed):
+            self._hold()
+        elif self.empty:
+            self._release()
         if self.error or self.body_rcv is None:
             # Nothing follows that the caller could be told to send.
             self.expect_continue = False
@@ -85,6 +132,73 @@
             self.arrived_at = read_clock()
         return consumed
 
+    def parse_header(self, header_plus: bytes) -> None:
+        """Parse a head; choose the receiver of the body."""
+        super().parse_header(header_plus)
+        if self.chunked:
+            self.body_rcv = _ChunkReceiver(self.body_rcv.buf)
+
+    def close(self) -> None:
+        """Discard the body and take the request off the account."""
+        super().close()
+        self._release()
+
+    def hold_head(self) -> None:
+        """Add the head of a request that waits for its turn to the account."""
+        if self.adj.account is not None and not self._held_head_bytes:
+            self._held_head_bytes = self.header_bytes_received
+            self.adj.account.change(self._held_head_bytes)
+
+    def _hold(self) -> None:
+        """Add what has arrived to the account; refuse the request if that is full."""
+        account = self.adj.account
+        if self.error:
+            self._discard()
+            return
+        is_head = self.body_rcv is None
+        size = len(self.header_plus if is_head else self.body_rcv)
+        added = size - self.held_bytes
+        if added > 0:
+            admitted = account.hold(added, self.held_bytes)
+        else:
+            if added:
+                account.change(added)
+            self.held_bytes = size
+            # A body that doesn't fit is refused before it is read.
+            admitted = is_head or size > 0 or account.admits(self.content_length)
+        if not admitted:
+            self._refuse(account, MAX_HELD_BYTES_LIMIT)
+            return
+        self.held_bytes = size
+        if not is_head and self.body_rcv.buf.overflowed and not self._holds_file:
+            self._holds_file = account.hold_file()
+            if not self._holds_file:
+                self._refuse(account, OPEN_FILES_LIMIT)
+
+    def _refuse(self, account: CallerAccount, limit: str) -> None:
+        if self.body_rcv is None:
+            # The task that responds needs a version.
+            self.parse_header(b"GET / HTTP/1.0\r\n")
+            self.header_plus = b""
+        self.error = AccountFullError("the callers of the instance hold too much")
+        self.completed = True
+        self._discard()
+        account.report(read_clock(), limit)
+
+    def _discard(self) -> None:
+        if self.body_rcv is not None:
+            self.body_rcv.getbuf().close()
+        self._release()
+
+    def _release(self) -> None:
+        size = self.held_bytes + self._held_head_bytes
+        if size:
+            self.held_bytes = self._held_head_bytes = 0
+            self.adj.account.change(-size)
+        if self._holds_file:
+            self._holds_file = False
+            self.adj.account.release_file()
+
     def _check_section(self, head: bytes) -> None:
         """Refuse a header section that is too large."""
         lines = head[: self.header_bytes_received].lstrip()
--- a/src/foxtaildrum/requests/pipelines.py
+++ b/src/foxtaildrum/requests/pipelines.py
@@ -106,21 +106,31 @@
     early_bytes = 0
     early_changed: Any = None
     _turn_due = False
+    # Number of times that the next request was handed to a thread.
+    _handovers = 0
 
     def received(self, data: bytes) -> bool:
         """Read bytes that have arrived; start the requests that need not wait."""
         result = super().received(data)
         if len(self.requests) > 1 and self.server.pipelining is not None:
             with self.requests_lock:
+                for request in self.requests[1:]:
+                    if not isinstance(request, EarlyResponse):
+                        request.hold_head()
                 self._start_ahead()
         return result
 
     def service(self) -> None:
         """Serve the first request; pass the turn on to those that run already."""
+        handovers = self._handovers
         super().service()
-        if self.requests and self.server.pipelining is not None:
+        if self.requests:
             with self.requests_lock:
-                self._start_ahead()
+                if not self.connected and self._handovers == handovers:
+                    # Nobody else serves what is left of a closed connection.
+                    self._drop_requests()
+                elif self.server.pipelining is not None:
+                    self._start_ahead()
         if self._turn_due:
             self._turn_due = False
             self._pass_turns()
@@ -130,6 +140,7 @@
 
         Called with ``requests_lock`` held.
         """
+        self._handovers += 1
         head = self.requests[0]
         if isinstance(head, EarlyResponse):
             self._turn_due = True
@@ -150,8 +161,10 @@
         return False
 
     def handle_close(self) -> None:
-        """Close the connection and cancel the requests that run ahead of their turn."""
+        """Close the connection; discard what has arrived and cancel what runs ahead."""
         super().handle_close()
+        if self.request is not None:
+            self.request.close()
         for request in list(self.requests):
             if isinstance(request, EarlyResponse):
                 request.close()
@@ -163,9 +176,18 @@
         """
         if self.early_bytes + size > self.server.pipelining.buffer_bytes:
             return False
+        account = self.adj.account
+        if account is not None and not account.hold(size, self.early_bytes):
+            return False
         self.early_bytes += size
         return True
 
+    def free(self, size: int) -> None:
+        """Give back room that :meth:`hold` reserved."""
+        self.early_bytes -= size
+        if self.adj.account is not None:
+            self.adj.account.change(-size)
+
     def settle_head(self, task: Task, head: bytes) -> bytes:
         """Return the head of a response that closes the connection.
 
@@ -211,14 +233,11 @@
         with self.requests_lock:
             closes = self.closing and not self._has_early_behind()
             if early.is_cut or closes or not self.connected:
-                ended, self.requests = self.requests, []
+                self._drop_requests()
                 self.lingers_on_close = not early.is_cut
                 self.close_when_flushed = True
             else:
-                ended = self.requests[:1]
-                self.requests = self.requests[1:]
-            for request in ended:
-                request.close()
+                self.requests.pop(0).close()
             is_next_early = False
             if self.requests:
                 is_next_early = isinstance(self.requests[0], EarlyResponse)
@@ -233,6 +252,11 @@
         self.server.pull_trigger()
         return is_next_early
 
+    def _drop_requests(self) -> None:
+        dropped, self.requests = self.requests, []
+        for request in dropped:
+            request.close()
+
     def _awaits_continue(self) -> bool:
         request = self.request
         return (
--- a/src/foxtaildrum/requests/server.py
+++ b/src/foxtaildrum/requests/server.py
@@ -13,33 +13,43 @@
 from waitress import wasyncore
 from waitress.channel import ClientDisconnected
 from waitress.server import TcpWSGIServer
-from waitress.task import ErrorTask, ThreadedTaskDispatcher, WSGITask
+from waitress.task import ErrorTask, WSGITask
 
+from ..clock import read_clock
 from ..kinds import ErrorKind
 from ..records import Limits
 from ..settings import parse_address
+from .account import (
+    BODY_STALL_LIMIT,
+    CONNECTIONS_LIMIT,
+    HEADER_TIMEOUT_LIMIT,
+    WRITE_DEADLINE_LIMIT,
+    CallerAccount,
+)
 from .callers import ARRIVAL_TIME_KEY, QUEUED_TIME_KEY, read_request_id
 from .parsing import ParserSettings, RequestParser
-from .pipelines import EarlyResponse, PipelinedChannel, Pipelining
+from .pipelines import PipelinedChannel, Pipelining
 from .problem import Problem, Refusal, refuse_request
 from .relays import TruncatedResponseError
+from .threads import ThreadPool
 from .transport import has_input
 
 MAX_HEADER_BYTES = 262_144
 MAX_BODY_BYTES = 1_073_741_824
 OUTPUT_BUFFER_BYTES = 262_144
 LINGER_S = 2.0
-INITIAL_THREADS = 4
-THREAD_STEP = 2
-MIN_GROW_INTERVAL_S = 0.01
-MIN_SHRINK_INTERVAL_S = 2.0
 LOOP_TIMEOUT_S = 1.0
 CLOSE_POLL_S = 0.02
+SWEEP_PERIOD_S = 1
+IDLE_SWEEP_PERIOD_S = 30
+# While no connection is left, a caller that has sent nothing for this time is disconnected.
+SILENCE_S = 2.0
 
 _ERROR_KIND_BY_STATUS = {
     400: ErrorKind.BAD_REQUEST,
     413: ErrorKind.BODY_TOO_LARGE,
     431: ErrorKind.HEADER_TOO_LARGE,
+    503: ErrorKind.OVERLOADED,
 }
 
 
@@ -93,8 +103,18 @@
     parser_class = RequestParser
     lingers_on_close = False
     discard_until = 0.0
+    # Size of the unsent responses that the account holds for this connection.
+    held_unsent_bytes = 0
 
     def handle_write(self) -> None:
+        self._write_unsent()
+        if self.held_unsent_bytes and self.outbuf_lock.acquire(False):
+            try:
+                self._settle_unsent()
+            finally:
+                self.outbuf_lock.release()
+
+    def _write_unsent(self) -> None:
         if self.lingers_on_close and self.close_when_flushed:
             self._flush_exception(self._flush_some)
             if not self.total_outbufs_len and not self.will_close:
@@ -104,6 +124,49 @@
             self.will_close = True
         super().handle_write()
 
+    def handle_close(self) -> None:
+        super().handle_close()
+        with self.outbuf_lock:
+            self._settle_unsent()
+
+    def find_exceeded_limit(self, now: float) -> str:
+        """Return the limit in time that the caller exceeds; empty if there is none.
+
+        Parameters
+        ----------
+        now : float
+            Present time of the clock of waitress, in seconds.
+        """
+        idle_s = now - self.last_activity
+        if self.total_outbufs_len and idle_s > self.server.write_deadline_s:
+            return WRITE_DEADLINE_LIMIT
+        request = self.request
+        if request is None:
+            return ""
+        if not self.readable():
+            # The caller can't send more at present.
+            request.begun_at = None
+        elif request.headers_finished:
+            if idle_s > self.server.body_stall_s:
+                return BODY_STALL_LIMIT
+        elif request.begun_at is None:
+            request.begun_at = now
+        elif now - request.begun_at > self.server.header_timeout_s:
+            return HEADER_TIMEOUT_LIMIT
+        return ""
+
+    def is_silent(self, now: float) -> bool:
+        """Return whether the caller has sent nothing since it connected."""
+        is_unused = self.last_activity == self.creation_time
+        return is_unused and now - self.creation_time > SILENCE_S
+
+    def _settle_unsent(self) -> None:
+        """Bring the account up to date; called with ``outbuf_lock`` held."""
+        added = self.total_outbufs_len - self.held_unsent_bytes
+        if added and self.adj.account is not None:
+            self.held_unsent_bytes += added
+            self.adj.account.change(added)
+
     def readable(self) -> bool:
         return bool(self.discard_until) or super().readable()
 
@@ -128,6 +191,11 @@
 
     def _flush_outbufs_below_high_watermark(self) -> None:
         max_buffered_bytes = self.adj.outbuf_high_watermark
+        if self.total_outbufs_len != self.held_unsent_bytes:
+            with self.outbuf_lock:
+                self._settle_unsent()
+        if self.total_outbufs_len and self.adj.account is not None and self.adj.account.is_full:
+            max_buffered_bytes = 0
         if self.total_outbufs_len <= max_buffered_bytes:
             return
         with self.outbuf_lock:
@@ -140,6 +208,7 @@
                     bytes_left = self.total_outbufs_len
                     stall_deadline = time.monotonic() + self.server.write_deadline_s
                 elif time.monotonic() >= stall_deadline:
+                    self.server.report_limit(WRITE_DEADLINE_LIMIT)
                     self.will_close = True
                     self.server.pull_trigger()
                     raise ClientDisconnected
@@ -153,59 +222,34 @@
     write_deadline_s = 30.0
     refuse: Callable[[Refusal], Problem] = staticmethod(refuse_request)
     pipelining: Pipelining | None = None
+    header_timeout_s = math.inf
+    body_stall_s = math.inf
+    _idle_swept_at = 0.0
+
+    def maintenance(self, now: float) -> None:
+        if now - self._idle_swept_at >= IDLE_SWEEP_PERIOD_S:
+            self._idle_swept_at = now
+            super().maintenance(now)
+        if self.adj.account is None:
+            return
+        for channel in self.active_channels.values():
+            limit = "" if channel.will_close else channel.find_exceeded_limit(now)
+            if not limit and self.in_connection_overflow and channel.is_silent(now):
+                limit = CONNECTIONS_LIMIT
+            if limit:
+                self.report_limit(limit)
+                channel.will_close = True
+
+    def report_limit(self, limit: str) -> None:
+        """Report that a limit was applied to a caller, if there is an account."""
+        if self.adj.account is not None:
+            self.adj.account.report(read_clock(), limit)
 
     def add_task(self, task: _Channel) -> None:
         if not task.defers_turn():
             super().add_task(task)
 
 
-class _Dispatcher(ThreadedTaskDispatcher):
-    """Thread pool that grows and shrinks with the number of requests in progress.
-
-    A few busy threads cost less than many threads that switch often. The pool grows
-    slowly, because a short-lived queue means that the CPU is busy, and more threads would
-    only slow it down. Threads that stay idle are stopped.
-    """
-
-    def __init__(self, max_threads: int) -> None:
-        super().__init__()
-        self._max_threads = max_threads
-        self._grown_at = float("-inf")
-        self._shrunk_at = time.monotonic()
-        self.set_thread_count(min(max_threads, INITIAL_THREADS))
-
-    def add_task(self, task: _Channel) -> None:
-        self._adjust(time.monotonic(), *self._queue(task))
-
-    def add_early(self, task: EarlyResponse) -> None:
-        """Queue a request that runs ahead of its turn, with a thread for each that waits.
-
-        Pipelined requests arrive in bursts. A pool that grows slowly would serve them one
-        after the other. Their number is bounded.
-        """
-        running, idle, waiting = self._queue(task)
-        if waiting > idle:
-            self.set_thread_count(min(self._max_threads, running + waiting - idle))
-
-    def _queue(self, task: _Channel | EarlyResponse) -> tuple[int, int, int]:
-        """Queue a task; return the numbers of running and idle threads and waiting tasks."""
-        with self.lock:
-            self.queue.append(task)
-            self.queue_cv.notify()
-            running = len(self.threads) - self.stop_count
-            return running, running - self.active_count, len(self.queue)
-
-    def _adjust(self, now: float, running: int, idle: int, waiting: int) -> None:
-        if waiting > idle and now - self._grown_at >= MIN_GROW_INTERVAL_S:
-            self._grown_at = self._shrunk_at = now
-            self.set_thread_count(min(self._max_threads, running + THREAD_STEP))
-        elif now - self._shrunk_at >= MIN_SHRINK_INTERVAL_S:
-            self._shrunk_at = now
-            self.set_thread_count(
-                max(min(self._max_threads, INITIAL_THREADS), running - idle // 2)
-            )
-
-
 class HttpServer:
     """HTTP server on one listening address, with its threads.
 
@@ -227,6 +271,10 @@
         Maximum sizes of the header section and of the body of a request, in bytes.
     pipelining : Pipelining or None
         Bounds on pipelined requests; None serves them one after the other.
+    account : CallerAccount or None
+        Bounds what all callers hold; None sets no bound and no limits in time on requests.
+    body_stall_s : float
+        Time after which a caller that sends no byte of a body is disconnected, in seconds.
     adjustments : dict
         Further settings of waitress.
     """
@@ -242,6 +290,8 @@
         max_header_bytes: int = MAX_HEADER_BYTES,
         max_body_bytes: int = MAX_BODY_BYTES,
         pipelining: Pipelining | None = None,
+        account: CallerAccount | None = None,
+        body_stall_s: float = math.inf,
         **adjustments: Any,
     ) -> None:
         host, port = parse_address(address)
@@ -254,20 +304,24 @@
             channel_request_lookahead=pipelining.per_connection if pipelining else 1,
             outbuf_high_watermark=OUTPUT_BUFFER_BYTES,
             asyncore_use_poll=True,
+            cleanup_interval=SWEEP_PERIOD_S,
             **adjustments,
         )
         settings.limit_sizes(max_header_bytes, max_body_bytes)
+        settings.account = account
         self._socket_map: dict[int, Any] = {}
         self._server = _Server(
             application,
             map=self._socket_map,
             _sock=listener,
             bind_socket=listener is None,
-            dispatcher=_Dispatcher(threads),
+            dispatcher=ThreadPool(threads),
             adj=settings,
             sockinfo=settings.listen[0],
         )
         self._server.write_deadline_s = write_deadline_s
+        self._server.body_stall_s = body_stall_s
+        self._server.header_timeout_s = Limits().header_timeout_ms / 1000
         self._server.refuse = refuse
         self._server.pipelining = self.pipelining = pipelining
         self._thread = threading.Thread(target=self._run, name=f"http-{port}", daemon=True)
@@ -283,10 +337,11 @@
         return list(self._server.active_channels.values())
 
     def apply_limits(self, limits: Limits) -> None:
-        """Apply limits on the size of requests and on idle connections."""
+        """Apply limits on requests and on idle connections."""
         settings = self._server.adj
         settings.limit_sizes(limits.max_header_bytes, limits.max_body_bytes)
         settings.channel_timeout = math.ceil(limits.idle_timeout_ms / 1000)
+        self._server.header_timeout_s = limits.header_timeout_ms / 1000
 
     def start(self) -> None:
         """Start serving in a background thread."""
--- a/tests/test_caller_limits.py
+++ b/tests/test_caller_limits.py
@@ -21,6 +21,10 @@
 MAX_BODY_BYTES = 2 * MIB
 MAX_HELD_BYTES = 6 * MIB
 BODY_STALL_S = 2
+WRITE_DEADLINE_S = 2
+MAX_CONNECTIONS = 40
+# More than the buffers of a connection take.
+UNREAD_BYTES = 30 * MIB
 CALLERS = 12
 # Just short of the limit on one body; all together three times what may be held.
 UNFINISHED_BYTES = 3 * MIB // 2
@@ -44,6 +48,8 @@
             max_body_bytes=str(MAX_BODY_BYTES),
             max_held_bytes=str(MAX_HELD_BYTES),
             body_stall_s=str(BODY_STALL_S),
+            write_deadline_s=str(WRITE_DEADLINE_S),
+            max_connections=str(MAX_CONNECTIONS),
             shutdown_grace_s="4",
         )
         self.instance.wait_ready()
@@ -176,6 +182,28 @@
         assert site.is_serving()
 
 
+# Guards against callers that only connect, and so keep all others out.
+def test_silent_connections_do_not_keep_others_out(site):
+    with contextlib.ExitStack() as stack:
+        for _ in range(MAX_CONNECTIONS + DESCRIPTOR_SLACK):
+            stack.enter_context(site.connect())
+        assert site.is_serving()
+        limit = site.base_descriptors + MAX_CONNECTIONS + DESCRIPTOR_SLACK
+        assert site.count_descriptors() <= limit
+
+
+# Guards against responses that wait for callers that never read them.
+def test_callers_that_read_nothing_hold_no_more_than_the_bound(site):
+    request = b"GET /document/%d HTTP/1.1\r\nHost: x\r\n\r\n" % UNREAD_BYTES
+    with open_callers(site, request):
+        # The upstream has fewer slots than there are callers; these end with the limit.
+        limit = site.base_descriptors + DESCRIPTOR_SLACK
+        assert wait_until(lambda: site.count_descriptors() <= limit, GONE_TIMEOUT_S)
+        assert site.measure_memory() <= site.base_memory + MAX_HELD_BYTES + MEMORY_SLACK_BYTES
+        # The slots of the upstream become free a little later.
+        assert wait_until(site.is_serving, GONE_TIMEOUT_S)
+
+
 # Guards against a bound that refuses the largest request that the limits allow.
 def test_a_single_request_at_the_limit_is_served(site):
     caller = urllib3.PoolManager(retries=False, timeout=30)
--- a/tests/test_pipelines.py
+++ b/tests/test_pipelines.py
@@ -59,7 +59,9 @@
 
 def is_quiet(site: Site) -> bool:
     """Return whether nothing is left of earlier requests."""
-    return site.instance.caller_server.pipelining.ahead == 0 and count_busy(site) == 0
+    instance = site.instance
+    is_held = instance.caller_server.pipelining.ahead or instance.caller_account.held_bytes
+    return not is_held and count_busy(site) == 0
 
 
 def count_busy(site: Site) -> int:
