--- a/src/foxtaildrum/admin/access.py
+++ b/src/foxtaildrum/admin/access.py
@@ -22,6 +22,7 @@
 from ..permits.quota import ReturnedPermits
 from ..permits.upstreams import PermitClient
 from ..records import Announcement, ClaimFinish
+from ..requests.account import CallerAccount
 from ..requests.idempotency import StoredResponse
 from ..requests.proxy import Proxy
 from ..requests.quotas import QuotaClient
@@ -30,6 +31,7 @@
 from . import organisations
 from .exposition import MetricsSnapshot
 from .gauges import (
+    build_account_gauge,
     build_code_gauge,
     list_evacuation_gauges,
     list_node_gauges,
@@ -185,6 +187,8 @@
         Proxy whose current view has the pools.
     evacuations : EvacuationPlan
         Evacuated zones as this instance applies them.
+    account : CallerAccount
+        What the callers hold.
     """
 
     def __init__(
@@ -193,9 +197,11 @@
         meter: Meter,
         proxy: Proxy,
         evacuations: EvacuationPlan,
+        account: CallerAccount,
     ) -> None:
         self._node = node
         self._evacuations = evacuations
+        self._account = account
         self._meter = meter
         self._proxy = proxy
 
@@ -238,6 +244,7 @@
         snapshot.gauges += list_quota_gauges(self._proxy.quotas.describe())
         snapshot.gauges.append(build_code_gauge(get_running_code()))
         snapshot.organisation_requests = self._proxy.recogniser.counts.list_by_result()
+        snapshot.gauges.append(build_account_gauge(self._account))
         return snapshot
 
     def get_table(self, name: str) -> tuple[list[dict[str, Any]], int, bool]:
--- a/src/foxtaildrum/instance.py
+++ b/src/foxtaildrum/instance.py
@@ -40,8 +40,10 @@
 from .permits.bounds import QuotaBounds
 from .permits.holder import QuotaHolder
 from .records import Limits, Settings
+from .requests.account import CallerAccount
 from .requests.dialects import get_dialect
 from .requests.forwards import Forwarder
+from .requests.pipelines import Pipelining
 from .requests.proxy import Proxy
 from .requests.quotas import Quotas
 from .requests.server import HttpServer
@@ -110,8 +112,13 @@
         reports = NodeReports(self._node_proxy)
         self.publisher.permit_client = reports
         self.publisher.apply_limits = self._apply_limits
+        self.caller_account = CallerAccount.from_settings(settings, self.meter)
         self.node_access = NodeAccess(
-            self._node_proxy, self.meter, self.proxy, self.publisher.evacuations
+            self._node_proxy,
+            self.meter,
+            self.proxy,
+            self.publisher.evacuations,
+            self.caller_account,
         )
         self.proxy.claims = NodeClaims(self._node_proxy)
         self.proxy.crash_reporter = reports
@@ -356,6 +363,9 @@
             self.proxy.refuse,
             max_header_bytes=settings.max_header_bytes,
             max_body_bytes=settings.max_body_bytes,
+            pipelining=Pipelining.from_settings(settings, self.proxy.is_repeatable),
+            account=self.caller_account,
+            body_stall_s=settings.body_stall_s,
             connection_limit=settings.max_connections,
             channel_timeout=CONNECTION_TIMEOUT_S,
         )
@@ -445,6 +455,7 @@
             "table_index": node.follower.index,
             "members": len(node.members.members),
             "ready": float(not node.list_unready_reasons(now)),
+            "callers.held_bytes": self.caller_account.held_bytes,
         }
         evacuated_zones = self.publisher.evacuations.zones
         if evacuated_zones:
--- a/src/foxtaildrum/logevents.py
+++ b/src/foxtaildrum/logevents.py
@@ -47,6 +47,7 @@
     "part_failed": ("part", "reason"),
     "organisation_limited": ("organisation", "rate_per_s", "state", "refused"),
     "record_skipped": ("subject", "source", "reason"),
+    "callers_limited": ("limit", "callers", "held_bytes", "max_held_bytes"),
     "refused_request": (
         "request_id",
         "kind",
