Tests: the failing publication takes the time, as the publisher passes it now

The merge of cold upstreams gave the method one more argument; the test's substitute failed with a TypeError in place of the fault that it stands for.

--- a/tests/test_revocation.py
+++ b/tests/test_revocation.py
@@ -289,7 +289,7 @@
     _, proxy, publisher = fleet.get_proxy(host)
     view = proxy.view
 
-    def fail(node: object) -> set[str]:
+    def fail(now: float, node: object) -> set[str]:
         raise ValueError("rows that this build can't read")
 
     def publish_isolated(now: float, node: object) -> None:
