Quotas: the share without replies needs the number of instances

The instances that divide the share were set by the tick after the first request of an organisation. An instance whose first request found no issuer took itself for the only one and could use the share of all.

The publisher now sets them whenever the members change, and a holder that does not know them uses no share.

--- a/src/foxtaildrum/fleet/views.py
+++ b/src/foxtaildrum/fleet/views.py
@@ -77,6 +77,7 @@
         self._member_changes = -1
         self._zone_changes = -1
         self._entry_zones: dict[str, str] = {}
+        self._quota_members = -1
         self._crashes_version = 0
 
     def publish(self, now: float, node: Node) -> None:
@@ -181,7 +182,12 @@
 
     def tick(self, now: float, node: Node) -> None:
         """Perform what is due for the permits of organisations."""
-        self._proxy.quotas.tick(now, node.list_entry_instances)
+        quotas = self._proxy.quotas
+        if node.members.change_count != self._quota_members:
+            # Also before the first request: its issuer may not reply.
+            self._quota_members = node.members.change_count
+            quotas.set_instances(node.list_entry_instances())
+        quotas.tick(now)
 
     def _share_budgets(self, node: Node, pools: dict[str, UpstreamPool]) -> None:
         """Divide the fleet-wide probe and retry budgets by the number of entry instances."""
--- a/src/foxtaildrum/permits/holder.py
+++ b/src/foxtaildrum/permits/holder.py
@@ -89,7 +89,8 @@
     Attributes
     ----------
     instances : sequence of str
-        Instances that serve callers, also suspect and dead ones.
+        Instances that serve callers, also suspect and dead ones; empty while they are not
+        known, which leaves no share without replies.
     """
 
     __slots__ = (
@@ -116,7 +117,7 @@
         self._due: dict[str, None] = {}
         self._silent = False
         self._resume_at = -math.inf
-        self.instances: Sequence[str] = (instance_id,)
+        self.instances: Sequence[str] = ()
 
     @property
     def quotas(self) -> dict[str, Quota]:
@@ -161,6 +162,7 @@
         window_s = self._bounds.window_s
         may_use = (
             self._silent
+            and bool(self.instances)
             and now - self._started_at >= window_s + SEND_MARGIN_S
             and self._is_chosen(name, chosen)
             and quota.use_unanswered(now, window_s, uses)
--- a/src/foxtaildrum/requests/quotas.py
+++ b/src/foxtaildrum/requests/quotas.py
@@ -154,18 +154,17 @@
             self._send_due(now)
             self._answered.notify_all()
 
-    def tick(self, now: float, list_instances: Callable[[], Sequence[str]]) -> None:
-        """Return permits that end soon, and log which organisations are limited.
-
-        Parameters
-        ----------
-        list_instances : callable
-            Returns the instances that serve callers; called only if it is of use.
-        """
+    def set_instances(self, instances: Sequence[str]) -> None:
+        """Apply which instances divide the share without replies."""
+        if self._holder is not None:
+            with self._answered:
+                self._holder.instances = instances
+
+    def tick(self, now: float) -> None:
+        """Return permits that end soon, and log which organisations are limited."""
         if self._holder is None or not self._holder.quotas:
             return
         with self._answered:
-            self._holder.instances = list_instances()
             returns, changes = self._holder.tick(now)
             self._send_due(now)
         if returns:
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -130,6 +130,17 @@
     assert quotas.describe() == []
 
 
+def test_an_instance_that_does_not_know_the_others_uses_no_share():
+    # Otherwise each instance whose first request finds no issuer uses the share of all.
+    quotas, _ = build_quotas(window_s=0.05)
+    time.sleep(0.2)
+    now = read_clock()
+    assert quotas.admit(now, LIMITED, now + 5.0).kind is ErrorKind.NOT_READY
+    quotas.set_instances(["e1"])
+    now = read_clock()
+    assert quotas.admit(now, LIMITED, now + 5.0).kind is None
+
+
 def test_a_permit_given_back_is_used_again_while_valid_and_returned_afterwards():
     quotas, client = build_quotas()
     now = 100.0
@@ -282,6 +293,11 @@
     assert [send(site, name).status for _ in range(BURST + 1)] == [200] * BURST + [429]
 
 
+def test_the_share_without_replies_is_divided_among_the_known_instances(site):
+    holder = site.instance.proxy.quotas._holder
+    assert wait_until(lambda: list(holder.instances) == [site.instance.settings.instance_id])
+
+
 def test_a_refused_order_releases_its_key(site, organisation):
     name = organisation.name
     order = {"method": "POST", "headers": {"Idempotency-Key": uuid.uuid4().hex}}
