Unsent responses are held also while nobody writes; waiting for 100 Continue is no stall

Cause: the account learned of the last bytes of a response only with the next write, a caller that pipelines a request with Expect: 100-continue was abandoned although it may not send, and a connection closed while its input was read could leave bytes on the account.

--- a/src/foxtaildrum/requests/pipelines.py
+++ b/src/foxtaildrum/requests/pipelines.py
@@ -112,6 +112,9 @@
     def received(self, data: bytes) -> bool:
         """Read bytes that have arrived; start the requests that need not wait."""
         result = super().received(data)
+        if not self.connected and self.request is not None:
+            # The connection was closed while its input was read.
+            self.request.close()
         if len(self.requests) > 1 and self.server.pipelining is not None:
             with self.requests_lock:
                 for request in self.requests[1:]:
--- a/src/foxtaildrum/requests/server.py
+++ b/src/foxtaildrum/requests/server.py
@@ -108,11 +108,7 @@
 
     def handle_write(self) -> None:
         self._write_unsent()
-        if self.held_unsent_bytes and self.outbuf_lock.acquire(False):
-            try:
-                self._settle_unsent()
-            finally:
-                self.outbuf_lock.release()
+        self.settle_unsent()
 
     def _write_unsent(self) -> None:
         if self.lingers_on_close and self.close_when_flushed:
@@ -147,7 +143,8 @@
             # The caller can't send more at present.
             request.begun_at = None
         elif request.headers_finished:
-            if idle_s > self.server.body_stall_s:
+            # One that waits for "100 Continue" behind other requests may not send yet.
+            if not request.expect_continue and idle_s > self.server.body_stall_s:
                 return BODY_STALL_LIMIT
         elif request.begun_at is None:
             request.begun_at = now
@@ -160,8 +157,15 @@
         is_unused = self.last_activity == self.creation_time
         return is_unused and now - self.creation_time > SILENCE_S
 
+    def settle_unsent(self) -> None:
+        """Bring the account up to date unless a thread is writing, which does so itself."""
+        if self.total_outbufs_len != self.held_unsent_bytes and self.outbuf_lock.acquire(False):
+            try:
+                self._settle_unsent()
+            finally:
+                self.outbuf_lock.release()
+
     def _settle_unsent(self) -> None:
-        """Bring the account up to date; called with ``outbuf_lock`` held."""
         added = self.total_outbufs_len - self.held_unsent_bytes
         if added and self.adj.account is not None:
             self.held_unsent_bytes += added
@@ -232,7 +236,8 @@
             super().maintenance(now)
         if self.adj.account is None:
             return
-        for channel in self.active_channels.values():
+        for channel in list(self.active_channels.values()):
+            channel.settle_unsent()
             limit = "" if channel.will_close else channel.find_exceeded_limit(now)
             if not limit and self.in_connection_overflow and channel.is_silent(now):
                 limit = CONNECTIONS_LIMIT
--- a/tests/test_account.py
+++ b/tests/test_account.py
@@ -21,6 +21,8 @@
 MAX_BYTES = 16 * SMALL_REQUEST_BYTES
 SPARE_BYTES = int(SPARE_RATIO * MAX_BYTES)
 BODY_BYTES = 3 * SMALL_REQUEST_BYTES
+# More than the buffers of a connection take.
+UNREAD_BYTES = 30 * 1024 * 1024
 
 
 def test_large_requests_leave_room_for_small_ones():
@@ -126,3 +128,27 @@
             caller.sendall(data)
             # Each part is read on its own.
             site.send("GET", "/ordinary")
+
+
+# Guards against responses that wait for slow readers outside the account.
+def test_unsent_responses_are_held_until_the_caller_has_gone(site, account):
+    host, port = site.instance.caller_server.address.split(":")
+    with socket.create_connection((host, int(port)), timeout=5) as caller:
+        caller.sendall(build_request(f"/document/{UNREAD_BYTES}"))
+        assert wait_until(lambda: account.held_bytes > 0)
+
+
+# Guards against a caller that is abandoned although it waits to be told to send its body.
+def test_a_caller_that_waits_for_100_continue_is_not_abandoned(tmp_path):
+    with open_site(tmp_path, body_stall_s=0.5) as site:
+        site.apply("pools", [{"name": "p"}])
+        site.apply("routes", [{"name": "p", "path_prefix": "/", "pool": "p"}])
+        site.add_upstreams("p", 1, service_ms=1, fixed=True)
+        with PipeliningCaller(site.instance.caller_server.address) as caller:
+            expecting = build_request("/x", "POST", Content_Length="4", Expect="100-continue")
+            caller.send(build_request("/x", X_Fault="slow=4000"), expecting)
+            assert caller.read_reply().status == 200
+            assert caller.read_line() == "HTTP/1.1 100 Continue"
+            assert caller.read_line() == ""
+            caller.send(b"body")
+            assert caller.read_reply().status == 200
