Pauses after thousands of failures in a row no longer overflow

Callers saw 500 for each request to a pool after about a thousand failures in a row of an upstream: two to the power of the failures outgrew a float before the maximum was applied. The same held for refusals, unanswered status checks and declined forwards. The pause is computed in one place, with a bounded number of doublings.

--- a/src/foxtaildrum/balancing/balancer.py
+++ b/src/foxtaildrum/balancing/balancer.py
@@ -12,6 +12,7 @@
 from ..permits.ratelimits import ExpiredPermits, PlannedRequest, RateLimits
 from ..records import Pool
 from ..requests.steps import AttemptResult
+from .backoff import compute_pause
 from .budget import Budget
 from .candidates import RAMP_S, PoolLoad, UpstreamLoad
 from .coldness import ColdUpstreams
@@ -260,8 +261,8 @@
         """
         upstream.pace = UNANSWERED_PACE
         upstream.reported_at = now
-        pause_s = min(
-            UNANSWERED_EJECT_MAX_S, UNANSWERED_EJECT_BASE_S * 2**upstream.unanswered_checks
+        pause_s = compute_pause(
+            upstream.unanswered_checks, UNANSWERED_EJECT_BASE_S, UNANSWERED_EJECT_MAX_S
         )
         upstream.unanswered_checks += 1
         upstream.ejected_until = max(upstream.ejected_until, now + pause_s)
--- a/src/foxtaildrum/balancing/ejections.py
+++ b/src/foxtaildrum/balancing/ejections.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from ..requests.steps import AttemptResult
+from .backoff import compute_pause
 from .candidates import PoolLoad, UpstreamLoad
 
 EJECT_AFTER_FAILURES = 5
@@ -46,7 +47,7 @@
     if result is AttemptResult.CANCELLED:
         return
     if result is AttemptResult.SHED:
-        pause_s = min(SHED_EJECT_MAX_S, SHED_EJECT_BASE_S * 2**upstream.sheds)
+        pause_s = compute_pause(upstream.sheds, SHED_EJECT_BASE_S, SHED_EJECT_MAX_S)
         upstream.sheds += 1
         upstream.ejected_until = max(upstream.ejected_until, now + pause_s)
         return
@@ -54,8 +55,8 @@
     upstream.failure_level = min(MAX_FAILURE_LEVEL, upstream.failure_level + 1.0)
     upstream.failed_at = now
     if result is AttemptResult.UNREACHABLE or upstream.failures >= EJECT_AFTER_FAILURES:
+        pause_s = compute_pause(upstream.ejections, EJECT_BASE_S, EJECT_MAX_S)
         upstream.ejections += 1
         if result is AttemptResult.UNREACHABLE and sends_checks:
             upstream.unanswered_checks += 1
-        pause_s = min(EJECT_MAX_S, EJECT_BASE_S * 2 ** (upstream.ejections - 1))
         upstream.ejected_until = now + pause_s
--- a/src/foxtaildrum/balancing/forwarding.py
+++ b/src/foxtaildrum/balancing/forwarding.py
@@ -11,6 +11,8 @@
 import random
 from collections.abc import Iterable
 
+from .backoff import compute_pause
+
 DECLINE_BASE_S = 0.25
 DECLINE_MAX_S = 8.0
 # Instances that must decline in turn before a pool counts as down.
@@ -47,7 +49,7 @@
         """Leave the instance out for a time that doubles with each decline in a row."""
         count = self._declines.get(pool, 0)
         self._declines[pool] = count + 1
-        pause_s = min(DECLINE_MAX_S, DECLINE_BASE_S * 2**count)
+        pause_s = compute_pause(count, DECLINE_BASE_S, DECLINE_MAX_S)
         self._declined_until[pool] = now + pause_s
 
     def record_served(self, pool: str) -> None:
