--- a/tests/test_backoff.py
+++ b/tests/test_backoff.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-
 import pytest
 
 from foxtaildrum.balancing.backoff import compute_pause
