--- a/tests/test_backoff.py
+++ b/tests/test_backoff.py
@@ -19,7 +19,7 @@
     assert [compute_pause(n, 0.5, 3.0) for n in range(4)] == [0.5, 1.0, 2.0, 3.0]
 
 
-# Guards against an overflow after about a thousand failures in a row, which failed every request.
+# Guards against an overflow after a thousand failures in a row, which failed every request.
 @pytest.mark.parametrize(
     ("result", "longest_s"),
     [(AttemptResult.SHED, SHED_EJECT_MAX_S), (AttemptResult.UNREACHABLE, EJECT_MAX_S)],
