Cold upstreams: clearer comments and doc comments

The overshoot of a pool's rate is a factor: 1 allows just the rate, which the doc comments described as the excess. Run: test_warmup, test_cold_upstreams, test_cold_attempts and test_balancer.

--- a/src/foxtaildrum/balancing/balancer.py
+++ b/src/foxtaildrum/balancing/balancer.py
@@ -285,9 +285,9 @@
         upstream.rests_until = max(upstream.rests_until, now + rest_s)
 
     def presume_cold(self, now: float, zone: str) -> None:
-        """Count the upstreams of a zone as cold until news says otherwise.
+        """Count the upstreams of a zone as cold until the list or a check says otherwise.
 
-        It is called when the evacuation of the zone ends: they may have become cold in it.
+        They may have become cold while their zone was evacuated.
         """
         found = [u for u in self.upstreams.values() if u.availability_zone == zone]
         self.cold.presume(now, found)
@@ -470,9 +470,10 @@
         return [u for u in healthy if u.has_free_slot(now)]
 
     def _list_awake(self, now: float, for_status_check: bool = False) -> list[UpstreamLoad]:
-        """Return the ready upstreams that neither rest nor are too cold for a request.
+        """Return the upstreams in state ready that may get a request, or a status check.
 
-        Those in evacuated zones are left out.
+        Those that rest, whose zone is evacuated, or that are cold and have used up the share of
+        this instance, are left out.
         """
         upstreams = self.upstreams.values()
         awake = [u for u in upstreams if u.state == READY and u.rests_until <= now]
--- a/src/foxtaildrum/balancing/coldness.py
+++ b/src/foxtaildrum/balancing/coldness.py
@@ -92,7 +92,7 @@
         return list(self._cold.values())
 
     def configure(self, pool: Pool) -> None:
-        """Apply the row of the pool; existing shares follow with the next update."""
+        """Apply the row of the pool; existing shares change with the next :meth:`refresh`."""
         self._pool = pool
         self.limit = WarmupLimit.from_pool(pool, self._overshoot, self._slack)
         self._is_stale = True
@@ -103,7 +103,7 @@
             self._starts_at = None
 
     def set_bounds(self, overshoot: float, slack: float) -> None:
-        """Set the factor and the number of requests by which the rate may be exceeded."""
+        """Set the bound; the parameters are those of :meth:`WarmupLimit.from_pool`."""
         self._overshoot = overshoot
         self._slack = slack
         if self._pool is not None:
@@ -177,7 +177,10 @@
         return True
 
     def presume(self, now: float, upstreams: Iterable[UpstreamLoad]) -> None:
-        """Count upstreams as cold for ``warmup_s`` of the pool, until news says otherwise."""
+        """Count upstreams as cold for ``warmup_s`` of the pool.
+
+        The list or a status check ends or replaces the presumed period.
+        """
         if self.limit is None or not self._pool.warmup_s:
             return
         until = now + self._pool.warmup_s
@@ -246,14 +249,14 @@
         for upstream in upstreams:
             if upstream.state != READY:
                 continue
-            awake_at = max(now, upstream.rests_until)
-            if awake_at > until:
-                upstream_wait_s = awake_at - now
+            usable_at = max(now, upstream.rests_until)
+            if usable_at > until:
+                upstream_wait_s = usable_at - now
             elif upstream.warmup is None:
                 return None
             else:
-                due += upstream.warmup.count_due(awake_at, until)
-                upstream_wait_s = max(awake_at - now, upstream.warmup.compute_wait(now))
+                due += upstream.warmup.count_due(usable_at, until)
+                upstream_wait_s = max(usable_at - now, upstream.warmup.compute_wait(now))
             wait_s = upstream_wait_s if wait_s is None else min(wait_s, upstream_wait_s)
         return None if due > ahead else wait_s
 
@@ -263,7 +266,8 @@
         Parameters
         ----------
         has_sent : bool
-            Whether this instance may have sent the upstream requests in the last window.
+            Whether this instance may have sent the upstream requests in the last window. If so,
+            nothing is sent for one window.
         """
         if upstream.warmup is None:
             self.refresh(now)
--- a/src/foxtaildrum/balancing/warmup.py
+++ b/src/foxtaildrum/balancing/warmup.py
@@ -21,8 +21,8 @@
 WINDOW_S = 1.05
 MIN_OWN_ZONE_RATIO = 0.5
 UNLIMITED = sys.maxsize
-# A cold period that ends later than the known one by less is the same period: heartbeats
-# repeat it with the delay of a message.
+# A period that ends later than the known one by at most this time is the same period: each
+# heartbeat states it anew, and its message takes some time.
 PERIOD_TOLERANCE_S = 0.5
 
 
@@ -50,9 +50,9 @@
         Parameters
         ----------
         overshoot : float
-            Factor by which requests may exceed the rate of the pool.
+            Factor by which the rate of the pool is multiplied; 1 allows just the rate.
         slack : float
-            Requests per second beyond that.
+            Requests per second that are allowed in addition.
         """
         if pool.warmup_per_s <= 0:
             return None
--- a/src/foxtaildrum/balancing/warmupgate.py
+++ b/src/foxtaildrum/balancing/warmupgate.py
@@ -14,7 +14,7 @@
 
 
 class WarmupGate:
-    """Admits requests to cold upstreams, and records which upstreams are cold.
+    """Admits requests to cold upstreams, and records, reports and logs cold periods.
 
     Parameters
     ----------
@@ -48,7 +48,7 @@
         return self._balancer.cold.limit is not None
 
     def set_bounds(self, overshoot: float, slack: float) -> None:
-        """Set the factor and the number of requests by which the rate may be exceeded."""
+        """Set the bound; the parameters are those of :meth:`WarmupLimit.from_pool`."""
         with self._lock:
             self._balancer.cold.set_bounds(overshoot, slack)
 
@@ -68,7 +68,7 @@
             self._client.report_warmup(upstream.upstream_id, upstream.incarnation, left_s)
 
     def presume_cold(self, now: float, zone: str) -> None:
-        """Count the upstreams of a zone as cold until news says otherwise."""
+        """Count the upstreams of a zone as cold until the list or a check says otherwise."""
         with self._lock:
             self._balancer.presume_cold(now, zone)
         self.handle_changes(now)
