Evacuations: clearer comments, doc comments and private names

An order must follow exactly the number of orders that it names; "may have before it" left that open. "Withdrawn" stood for three things: the local names now say which evacuations begin and end. SlotWithdrawn is also reported when an upstream turns cold. Run: test_evacuation, test_evacuation_orders, test_zones_admin, test_exchange, test_cold_attempts and test_quotas.

--- a/src/foxtaildrum/admin/zones.py
+++ b/src/foxtaildrum/admin/zones.py
@@ -66,7 +66,7 @@
 
 
 def _check_zone(admin: Admin, zone: str) -> None:
-    """Refuse a zone that nobody knows; a known one has whatever name its upstreams announced.
+    """Refuse an unknown zone; the name of a known one is as announced and is not checked.
 
     An instance whose state may be old cannot tell that a zone is unknown.
     """
--- a/src/foxtaildrum/balancing/evacuation.py
+++ b/src/foxtaildrum/balancing/evacuation.py
@@ -12,8 +12,8 @@
 from ..fleet.upstreams import READY
 from .candidates import UpstreamLoad
 
-# Share of the time in which an evacuation takes effect over which the withdrawal is spread. The
-# rest is for the way of the order to the instance and for requests that wait for a connection.
+# The withdrawal is spread over this share of the time in which an evacuation takes effect. The
+# rest is for the propagation of the order and for requests that wait for a connection.
 WITHDRAWAL_SHARE = 0.4
 NEVER = float("inf")
 HASH_BYTES = 8
@@ -83,7 +83,7 @@
     def update(
         self, now: float, orders: Mapping[str, float], at_once: bool
     ) -> tuple[list[ZoneEvacuation], list[ZoneEvacuation]]:
-        """Apply the orders in force; return the withdrawals that start and those that end.
+        """Apply the orders in force; return the evacuations that begin and those that end.
 
         Parameters
         ----------
@@ -98,12 +98,12 @@
             zone: self.zones.get(zone) or ZoneEvacuation(zone, since, now, ends_at)
             for zone, since in orders.items()
         }
-        heard = [e for zone, e in zones.items() if zone not in self.zones]
+        begun = [e for zone, e in zones.items() if zone not in self.zones]
         for evacuation in zones.values():
             evacuation.since = orders[evacuation.zone]
-        withdrawn = [e for zone, e in self.zones.items() if zone not in zones]
+        ended = [e for zone, e in self.zones.items() if zone not in zones]
         self.zones = zones
-        return heard, withdrawn
+        return begun, ended
 
     def pop_applied(self, now: float) -> list[ZoneEvacuation]:
         """Return the withdrawals that are complete and were not returned before."""
--- a/src/foxtaildrum/control/evacuations.py
+++ b/src/foxtaildrum/control/evacuations.py
@@ -50,8 +50,8 @@
     Attributes
     ----------
     order_count : int
-        Number of orders applied, with those that changed nothing. An order names the count that
-        it follows, so that a late copy of it can't undo a later order.
+        Number of orders applied, including those that changed nothing. An order names the
+        count that it follows, so that a late copy of it can't undo a later order.
     zones : dict
         Unix time since which each evacuated zone is evacuated, in seconds. Replaced by each
         order that changes it.
--- a/src/foxtaildrum/control/orders.py
+++ b/src/foxtaildrum/control/orders.py
@@ -1,7 +1,7 @@
 """Passes orders on evacuations to the leader until they are committed, without I/O.
 
 An order is sent again while its reply is missing, to whichever instance leads by then. Each
-copy names the number of orders that the log may have before it, so that a copy that arrives
+copy names the number of orders that must precede it in the log, so that a copy that arrives
 after a later order has no effect: an acknowledged order is never undone by an earlier one.
 """
 
@@ -44,7 +44,7 @@
     Attributes
     ----------
     order_count : int
-        Number of orders that the log may have before this one.
+        Number of orders that must precede this one in the log.
     leader : str
         Instance that leads according to another one; empty if none has named it.
     hops : int
@@ -223,7 +223,8 @@
     ) -> None:
         """Append an order, unless another one is being committed.
 
-        So the count that a reply names only includes committed orders.
+        The count that a reply names thus includes committed orders only. An order that can't be
+        appended now gets no reply, so its sender repeats it.
         """
         if self._appended is not None:
             if self._appended.is_same(order):
@@ -243,7 +244,7 @@
         self._submit(now, log_token, EVACUATION, order.to_wire())
 
     def _reply_count(self, now: float, origin: Origin) -> None:
-        """Tell who gave an order how many orders the log has."""
+        """Tell the origin of an order how many orders the log has."""
         peer, token = origin
         order_count = self._state.tables.evacuations.order_count
         if peer:
@@ -252,7 +253,17 @@
             self._follow_reply(now, token, order_count, "")
 
     def _follow_reply(self, now: float, token: str, order_count: int, leader: str) -> None:
-        """Send an order again at once if a reply tells how; otherwise at the next retry."""
+        """Send an order again after a reply that names the order count or the leader.
+
+        It is sent at once, up to ``MAX_HOPS`` times between two retries.
+
+        Parameters
+        ----------
+        order_count : int
+            Number of orders in the log; ``UNKNOWN_COUNT`` if the reply names none.
+        leader : str
+            Instance that leads; empty if the reply names none.
+        """
         pending = self._orders[token]
         if order_count >= 0:
             pending.order_count = order_count
--- a/src/foxtaildrum/fleet/views.py
+++ b/src/foxtaildrum/fleet/views.py
@@ -74,10 +74,10 @@
         self.evacuations = EvacuationPlan(settings.instance_id, settings.evacuation_s)
         self._opened_at: float | None = None
         self._entry_count = 0
-        self._member_changes = -1
-        self._zone_changes = -1
+        self._peers_change_count = -1
+        self._zones_change_count = -1
         self._entry_zones: dict[str, str] = {}
-        self._quota_members = -1
+        self._quotas_change_count = -1
         self._crashes_version = 0
 
     def publish(self, now: float, node: Node) -> None:
@@ -89,7 +89,7 @@
             changed |= self._publish_tables(now, node)
             self._published_generation = self._generation
         if self._published_generation == node.follower.generation:
-            # A view only ever learns up to when its own tables are complete.
+            # The age must be that of the tables in the view, not that of newer or older ones.
             self._proxy.view.complete_up_to = node.follower.complete_up_to
         self._publish_crashes(node)
         self._publish_peers(node)
@@ -102,7 +102,7 @@
             pool.warmups.expire(now)
 
     def _publish_evacuations(self, now: float, node: Node) -> bool:
-        """Apply the orders to evacuate zones; return whether each pool has to be updated.
+        """Apply and log the orders to evacuate zones; return whether to update every pool.
 
         An instance that serves no callers, or has just begun to, leaves the upstreams at once:
         the others may have begun to withdraw long ago. It begins to serve with tables that may
@@ -115,15 +115,15 @@
         has_news = self.evacuations.has_news(orders)
         if has_news:
             at_once = opened_at is None or now - opened_at < START_MAX_TABLE_AGE_S
-            heard, withdrawn = self.evacuations.update(now, orders, at_once)
-            for evacuation in heard:
+            begun, ended = self.evacuations.update(now, orders, at_once)
+            for evacuation in begun:
                 log_event(
                     "evacuation_heard",
                     zone=evacuation.zone,
                     since=evacuation.since,
                     applied_in_s=round(evacuation.ends_at - now, 3),
                 )
-            for evacuation in withdrawn:
+            for evacuation in ended:
                 log_event("evacuation_withdrawn", zone=evacuation.zone)
         applied = self.evacuations.pop_applied(now)
         for evacuation in applied:
@@ -148,16 +148,16 @@
 
     def _publish_peers(self, node: Node) -> None:
         forwarder = self._proxy.forwarder
-        if forwarder is None or node.members.change_count == self._member_changes:
+        if forwarder is None or node.members.change_count == self._peers_change_count:
             return
-        self._member_changes = node.members.change_count
+        self._peers_change_count = node.members.change_count
         forwarder.update_peers(node.list_forward_addresses())
 
     def _publish_zones(self, now: float, node: Node, pools: dict[str, UpstreamPool]) -> None:
         """Pass changed entry instances on to the pools."""
-        if node.members.change_count == self._zone_changes:
+        if node.members.change_count == self._zones_change_count:
             return
-        self._zone_changes = node.members.change_count
+        self._zones_change_count = node.members.change_count
         self._entry_zones = node.list_entry_zones()
         for pool in pools.values():
             pool.warmups.set_zones(now, self._entry_zones)
@@ -181,11 +181,11 @@
         self._proxy.quotas.retain(organisations)
 
     def tick(self, now: float, node: Node) -> None:
-        """Perform what is due for the permits of organisations."""
+        """Apply changed entry instances to the quotas, and do what is due for the permits."""
         quotas = self._proxy.quotas
-        if node.members.change_count != self._quota_members:
-            # Also before the first request: its issuer may not reply.
-            self._quota_members = node.members.change_count
+        if node.members.change_count != self._quotas_change_count:
+            # The first request needs them already: its issuer may not reply.
+            self._quotas_change_count = node.members.change_count
             quotas.set_instances(node.list_entry_instances())
         quotas.tick(now)
 
--- a/src/foxtaildrum/instance.py
+++ b/src/foxtaildrum/instance.py
@@ -330,8 +330,8 @@
             join_options.bootstrap = join_options.bootstrap and not saved.replaces_damaged
             claim_records = _unpack(journals[CLAIM_STREAM].load())
         rng = random.Random()
-        # An instance that begins to serve may lack the orders to evacuate zones only while they
-        # need not be in force yet.
+        # An instance that begins to serve may lack recent orders to evacuate zones, but none
+        # that must be in force already.
         start_max_age_s = min(START_MAX_TABLE_AGE_S, settings.evacuation_s)
         node = Node(
             own_member,
--- a/src/foxtaildrum/requests/attempts.py
+++ b/src/foxtaildrum/requests/attempts.py
@@ -81,7 +81,7 @@
         raise NotImplementedError
 
     def find_withdrawal(self, now: float) -> ErrorKind | None:
-        """Return why the target takes no request any more since the slot was granted."""
+        """Return why the target may get no request any more; None if it still may."""
         return None
 
     def record_sent(self, now: float) -> None:
@@ -137,7 +137,10 @@
         return self._pool.get_connections(self.upstream)
 
     def find_withdrawal(self, now: float) -> ErrorKind | None:
-        """Return why the upstream takes no request any more since the slot was granted."""
+        """Return why the upstream may get no request any more; None if it still may.
+
+        A reservation at an upstream that has become cold since the grant is made here.
+        """
         if self.upstream.is_unwanted(now):
             return ErrorKind.UPSTREAMS_RESTING
         if self.upstream.warmup is self.warmup:
--- a/src/foxtaildrum/requests/steps.py
+++ b/src/foxtaildrum/requests/steps.py
@@ -70,9 +70,14 @@
 
 @dataclass(slots=True)
 class SlotWithdrawn:
-    """The upstream may get no request after it had granted the slot; nothing was sent.
+    """The upstream may get no request any more although the slot was granted; nothing was sent.
 
-    It has asked for that, or its availability zone is evacuated.
+    It has asked for no requests, its availability zone is evacuated, or it has become cold.
+
+    Parameters
+    ----------
+    kind : ErrorKind
+        Error of the request if no other upstream takes it.
     """
 
     attempt: int
