Permits of organisations: clearer comments and doc comments

"Since" stood for "because" and could be read as a time; "used so long before it ends" described the margin of a permit wrongly, and Quota.used also counts the share without replies. The margin of a term has a name that says what it covers. Run: test_quotas, test_organisation_limits.

--- a/src/foxtaildrum/fleet/quotas.py
+++ b/src/foxtaildrum/fleet/quotas.py
@@ -21,13 +21,13 @@
 from .actions import ActionQueue, QuotasAnswered
 from .parts import Part, handles
 
-# In force until the settings are applied.
+# Used until :meth:`QuotaPart.set_bounds` applies the settings.
 DEFAULT_BOUNDS = QuotaBounds(window_s=5.0, overshoot=0.1, slack=20.0)
 EXPIRE_PERIOD_S = 1.0
-# An instance may hear of a leader so long after it began to lead.
-MARGIN_S = 1.0
-# A control instance that did not reply is not asked for so long, unless there is no other or it
-# replies late.
+# An instance may hear of a leader up to this time after it began to lead.
+LEADER_HEARD_MARGIN_S = 1.0
+# A control instance that did not reply is not asked for this time, unless there is no other or
+# it replies late.
 AVOIDED_S = 0.5
 
 
@@ -73,13 +73,14 @@
         self.limits = OrganisationLimits()
         self._issuer = QuotaIssuer(self.limits, DEFAULT_BOUNDS)
         self._leader = ""
-        # Requests without a reply by their time: whom they were sent to, and whether they
-        # were passed on to the leader that another instance named.
+        # Requests without a reply, by the time of the request: the instance that was asked, the
+        # message, and whether it was passed on to the leader that another instance named.
         self._open: dict[float, tuple[str, r.QuotaRequest, bool]] = {}
         self._avoided_until: dict[str, float] = {}
         self._expire_at = -math.inf
-        # Term and time of the leader known now, and of the one before it.
-        self._seen_term: tuple[int, float] = (-1, math.inf)
+        # Term of the present leader and when this instance heard of it, and those of the leader
+        # before it.
+        self._present_term: tuple[int, float] = (-1, math.inf)
         self._former_term: tuple[int, float] = (-1, math.inf)
 
     def set_bounds(self, bounds: QuotaBounds) -> None:
@@ -133,7 +134,7 @@
     @handles(r.QuotaReply)
     def handle_reply(self, now: float, peer: str, message: r.QuotaReply) -> None:
         """Pass a reply on, or pass the request on to the leader that the reply names."""
-        parse_grants(message)
+        parse_grants(message)  # refuses a malformed reply before any state changes
         asked = self._open.pop(message.requested_at, None)
         self._avoided_until.pop(peer, None)
         leader = message.leader
@@ -157,15 +158,15 @@
                 self._issuer.take_back(now, peer, name, issued_at, returned)
 
     def _begin_issuing(self, now: float) -> bool:
-        """Return whether this instance may issue; begin a new term if it is one."""
+        """Return whether this instance may issue; if so, begin the term unless it has begun."""
         consensus = self._consensus
         if consensus is None or consensus.role is not Role.LEADER:
             return False
         self._note_leader(now)
         term, term_since = self._former_term
         since = consensus.leader_since
-        # No other instance led between two terms that follow each other.
-        is_long = since - term_since > self._issuer.bounds.window_s + MARGIN_S
+        # No other instance led between two consecutive terms.
+        is_long = since - term_since > self._issuer.bounds.window_s + LEADER_HEARD_MARGIN_S
         follows_long_term = term + 1 == consensus.term and is_long
         confirmed_at = consensus.compute_confirmed_at(now)
         if not may_issue(now, since, confirmed_at, follows_long_term):
@@ -177,8 +178,8 @@
         consensus = self._consensus
         if consensus is None or not consensus.leader_id:
             return
-        if consensus.term != self._seen_term[0]:
-            self._former_term, self._seen_term = self._seen_term, (consensus.term, now)
+        if consensus.term != self._present_term[0]:
+            self._former_term, self._present_term = self._present_term, (consensus.term, now)
 
     def _find_target(self, now: float) -> str:
         if self._consensus is not None and self._consensus.role is Role.LEADER:
--- a/src/foxtaildrum/permits/bounds.py
+++ b/src/foxtaildrum/permits/bounds.py
@@ -12,11 +12,12 @@
 
 from ..records import Organisation, Settings
 
-# Shares of the excess; together they are at most 1.
+# Shares of the excess; together they are at most 1, so that the bound holds.
 ISSUED_RATIO = 0.5
 RESERVE_RATIO = 0.1
 INITIAL_RATIO = 0.2
 UNANSWERED_RATIO = 0.2
+# Limits on the time for which a permit is valid.
 MIN_VALID_S = 0.25
 MAX_VALID_S = 2.0
 
@@ -91,7 +92,7 @@
         return max(1.0, limit.burst + RESERVE_RATIO * self.compute_excess(limit))
 
     def compute_initial(self, limit: OrganisationLimit) -> float:
-        """Return the permits in the bucket of a new issuer, if its predecessor is long known.
+        """Return the permits in the bucket of a new issuer that follows a long term.
 
         With an empty bucket, an organisation within its limit would be refused until tokens
         for its burst have accrued.
@@ -110,12 +111,20 @@
     def divide_unanswered(self, limit: OrganisationLimit, instances: int) -> tuple[int, int]:
         """Divide what instances without replies may use in a window.
 
+        Each chosen instance gets a whole number of requests. With more instances than requests,
+        only some are chosen.
+
+        Parameters
+        ----------
+        instances : int
+            Number of entry instances.
+
         Returns
         -------
         int
-            Number of instances that may use some of it.
+            Number of instances to choose.
         int
-            Requests of each of them in a window.
+            Requests of each chosen instance in a window.
         """
         total = UNANSWERED_RATIO * self.compute_excess(limit)
         uses = max(1, int(total / max(1, instances)))
--- a/src/foxtaildrum/permits/holder.py
+++ b/src/foxtaildrum/permits/holder.py
@@ -17,11 +17,12 @@
 MAX_ADMIT_S = 0.1
 # Time after which another control instance is asked, so that a request that waits gets a permit
 # if only the leader it knew is gone. A reply usually takes 3 ms. While no issuer replies, an
-# instance asks so often at most.
+# instance sends at most one request in this time.
 REPLY_TIMEOUT_S = 0.05
 # Spreads the requests of instances that were refused at the same time.
 RETRY_SPREAD_RATIO = 0.25
-# Retry-After of a request that is refused since the issuer does not reply.
+# Shortest Retry-After of a request that is refused because the issuer does not reply; the
+# longest is twice as long.
 UNANSWERED_RETRY_S = 0.5
 # Names of organisations in one message.
 MAX_ITEMS = 200
@@ -77,7 +78,7 @@
     Parameters
     ----------
     now : float
-        Current time in seconds. The share without replies begins a window later, since the
+        Current time in seconds. The share without replies begins a window later, because the
         instance may have used it just before a restart.
     instance_id : str
         Identifier of this instance.
@@ -121,7 +122,7 @@
 
     @property
     def quotas(self) -> dict[str, Quota]:
-        """State of each organisation with a limit that was asked for here."""
+        """State of each organisation with a limit whose requests reached this instance."""
         return self._quotas
 
     def admit(self, now: float, organisation: Organisation) -> Ticket:
@@ -146,14 +147,18 @@
         return ticket
 
     def may_be_answered(self, now: float, name: str, until: float) -> bool:
-        """Return whether a reply may come before a time, in seconds."""
+        """Return whether a reply may come before ``until``, a time in seconds."""
         requested_at = self._quotas[name].requested_at
         if requested_at is not None and now < requested_at + REPLY_TIMEOUT_S:
             return True
         return max(now, self._resume_at) < until
 
     def withdraw(self, now: float, name: str, ticket: Ticket) -> bool:
-        """End the wait of a request; return whether it may be sent without a permit."""
+        """End the wait of a request; return whether it may be sent without a permit.
+
+        It may if the issuer is silent and the share without replies is not used up. Otherwise
+        the time after which it may come again is set on the ticket.
+        """
         self._note_timeouts(now)
         quota = self._quotas[name]
         quota.tickets.remove(ticket)
@@ -178,7 +183,7 @@
         return None if quota is None else quota.give_back(now, name, lot)
 
     def refuse(self, now: float, name: str) -> float | None:
-        """Refuse a request that would be refused at once.
+        """Refuse a request if a permit is certain to be refused; otherwise do nothing.
 
         Returns
         -------
@@ -251,7 +256,7 @@
                 self._due[grant.name] = None
 
     def handle_no_issuer(self, now: float, requested_at: float) -> None:
-        """Handle a reply of an instance that may not issue; the requests go on waiting."""
+        """Handle a reply of an instance that may not issue; the requests continue to wait."""
         for name, quota in self._quotas.items():
             if quota.requested_at == requested_at:
                 self._note_silence(name, quota)
--- a/src/foxtaildrum/permits/issuer.py
+++ b/src/foxtaildrum/permits/issuer.py
@@ -1,8 +1,8 @@
 """Issuer of the permits of organisations, without I/O.
 
 The leader of the control group issues them. It may only do so while a quorum has confirmed its
-leadership recently, and tokens accrue only after a pause at the begin of its term, so those of
-two leaders never accrue at once.
+leadership recently, and tokens accrue only after a pause at the beginning of its term, so those
+of two leaders never accrue at once.
 """
 
 from __future__ import annotations
@@ -15,9 +15,9 @@
 # A quorum must have confirmed the leadership within this time. It is shorter than the shortest
 # election.
 CONFIRMED_S = 0.5
-# A former leader may issue for so long after the votes for the next one, whose voters no longer
-# confirm it. The pause also covers handovers and voters that restarted: these vote before the
-# shortest election is over.
+# A former leader may issue for at most this time after the votes for the next one, whose voters
+# no longer confirm it. The pause also covers handovers and voters that restarted: these vote
+# before the shortest election is over.
 TAKEOVER_S = CONFIRMED_S
 # Longest time before a refused instance may ask again. It bounds how long an instance refuses
 # after an organisation is back within its limit, and spreads the requests of a fleet.
@@ -36,8 +36,8 @@
 ) -> bool:
     """Return whether a leader may issue permits.
 
-    One that follows a long term may issue what is in its buckets at first, which the bound
-    covers beside all that its predecessor issues; tokens accrue after the pause.
+    One that follows a long term may issue the initial content of its buckets before the pause
+    ends: the bound covers it beside all that its predecessor issues.
 
     Parameters
     ----------
@@ -174,8 +174,8 @@
         Parameters
         ----------
         returned : int
-            Permits of that time that the instance returned so far; a message that arrives
-            twice, or late, thus returns nothing twice.
+            Permits issued at that time that the instance has returned so far, in total, so that
+            a message that arrives twice or late returns nothing twice.
         """
         self.settle(now)
         for lot in self._lots:
@@ -291,7 +291,7 @@
     def _find_bucket(self, now: float, name: str, limit: OrganisationLimit) -> Bucket:
         bucket = self._buckets.get(name)
         if bucket is None:
-            # Tokens accrue since the begin of the term: nobody has used any since then.
+            # Tokens accrue from the beginning of the term: nobody has used any since then.
             level = self.bounds.compute_initial(limit) if self._follows_long_term else 0.0
             bucket = self._buckets[name] = Bucket(self._since, limit, self.bounds, level)
         elif bucket.limit != limit:
--- a/src/foxtaildrum/permits/quota.py
+++ b/src/foxtaildrum/permits/quota.py
@@ -8,19 +8,22 @@
 
 from .bounds import OrganisationLimit
 
-# A permit is used so long before it ends, since a request may wait for a slot afterwards.
+# A permit is not used in the last part of its validity, because the request may still wait for
+# a slot afterwards.
 SEND_MARGIN_S = 0.1
-# Unused permits are returned so long before they may no longer be used; the tick of an entry
+# Unused permits are returned this time before they may no longer be used; the tick of an entry
 # instance is 0.25 s, and a permit that comes back too late is lost.
 RETURN_AHEAD_S = 0.15
+# Time constant of the decaying average of the demand.
 DEMAND_PERIOD_S = 5.0
-# Permits are requested in advance if so many requests are expected while they are valid.
+# Permits are requested in advance if at least this number of requests is expected while they
+# are valid.
 STEADY_DEMAND = 1.0
 MAX_ADVANCE = 100
 MAX_RETRY_AFTER_S = 10.0
-# Multiples of it, taken modulo 1, are spread evenly.
+# Multiples of it, taken modulo 1, are spread evenly over that interval.
 GOLDEN_RATIO = 0.618034
-# An organisation counts as limited until it was not refused for so long.
+# An organisation counts as limited until this time after its last refusal.
 LIMITED_S = 5.0
 
 
@@ -56,7 +59,7 @@
     Parameters
     ----------
     returned : int
-        Permits of the lot that were returned so far, with those of this message.
+        Permits of the lot that were returned so far, including those of this message.
     """
 
     name: str
@@ -71,7 +74,7 @@
     Attributes
     ----------
     is_settled : bool
-        Whether the issuer has answered.
+        Whether the request has its permit, is refused, or no longer waits.
     lot : HeldLot or None
         Lot whose permit the request takes; None if it was refused.
     wait_s : float
@@ -101,13 +104,13 @@
     tickets : deque of Ticket
         Requests that wait.
     used : int
-        Requests that took a permit.
+        Number of requests that took a permit or used the share without replies.
     refused : int
-        Requests refused since the limit was reached.
+        Number of requests refused because the limit was reached.
     unanswered : int
-        Requests refused since the issuer did not reply.
+        Number of requests refused because the issuer did not reply.
     is_limited : bool
-        Whether requests were refused lately since the limit was reached.
+        Whether a request was refused in the last ``LIMITED_S`` because the limit was reached.
     """
 
     __slots__ = (
@@ -194,8 +197,8 @@
     def compute_ahead(self, now: float) -> int:
         """Return how many permits to request in advance: what is expected and not held.
 
-        None are requested for an organisation that is seldom asked for: they would mostly
-        end unused.
+        None are requested for an organisation with few requests here: they would mostly end
+        unused.
         """
         usable_s = self._valid_s - SEND_MARGIN_S - RETURN_AHEAD_S
         expected = self._compute_demand(now) * max(0.0, usable_s)
@@ -205,7 +208,7 @@
         return 0 if held > expected / 2 else min(MAX_ADVANCE, round(expected) - held)
 
     def refuse(self, now: float) -> float | None:
-        """Refuse a request if the issuer's last answer says so.
+        """Refuse a request if the issuer's last reply has set a time that is not over yet.
 
         Returns
         -------
@@ -226,7 +229,7 @@
         return first_s + (later_s + shift_s) % span_s
 
     def settle(self, now: float, lot: HeldLot, valid_s: float, wait_s: float) -> None:
-        """Apply an answer of the issuer: give permits to waiting requests, refuse the rest.
+        """Apply a reply of the issuer: give permits to waiting requests, refuse the rest.
 
         Parameters
         ----------
--- a/src/foxtaildrum/requests/quotas.py
+++ b/src/foxtaildrum/requests/quotas.py
@@ -14,7 +14,7 @@
 from ..permits.quota import HeldLot, ReturnedPermits
 from ..records import Organisation
 
-# Between looks at whether a request for permits is due again, while a request waits.
+# While a request waits, it is checked this often whether a request for permits is due again.
 POLL_S = 0.02
 
 
@@ -117,7 +117,7 @@
         return Decision(name=name, lot=ticket.lot)
 
     def refuse(self, now: float, organisation: Organisation) -> Decision | None:
-        """Refuse a request if it would be refused at once; None if it may be admitted."""
+        """Return the refusal of a request that can get no permit; None if it may get one."""
         if organisation.rate_per_s <= 0 or self._holder is None:
             return None
         with self._answered:
@@ -187,7 +187,7 @@
             self._holder.retain(names)
 
     def describe(self) -> list[dict[str, Any]]:
-        """Return the limit and the use of each limited organisation that was asked for here."""
+        """Return limit and use of each limited organisation with requests at this instance."""
         if self._holder is None:
             return []
         with self._answered:
