Organisations: clearer comments and doc comments

AgeLimits decides by the age of the tables; its doc comments described facts about keys instead. KeyTableBuilder.build promises the identity that Recognition.holds relies on.

--- a/src/foxtaildrum/control/desired.py
+++ b/src/foxtaildrum/control/desired.py
@@ -103,8 +103,8 @@
         Number of the desired state that the patch was built against.
     tables : dict
         For each table the rows to add or replace, the names to remove and the order of
-        the names. The order is None when merging the rows already gives it. A patch without
-        the organisations ends their being in force.
+        the names. The order is None when merging the rows already gives it. Without the
+        organisations, these are no longer in force.
     """
 
     __slots__ = ("base", "digest", "limits", "number", "tables", "versions")
@@ -221,8 +221,8 @@
     table = tables.get_organisations()
     rows = _build_rows({} if table is None else table.rows, changes)
     if table is None or rows is not None:
-        # Counted by the number of the state: a count would begin again, and give a version
-        # to two contents, if the table was left out in between.
+        # The version is the number of the desired state. A count of changes would begin again
+        # after the table was left out, and give two contents the same version.
         tables.tables[ORGANISATIONS] = Table(rows or {}, patch.number, changed_by)
 
 
--- a/src/foxtaildrum/fleet/confirming.py
+++ b/src/foxtaildrum/fleet/confirming.py
@@ -1,4 +1,4 @@
-"""When an instance asks which control instance for a confirmation of its tables.
+"""Decides when to ask a control instance for a confirmation of the tables, and which one.
 
 While organisations are in force, requests with keys are served only from tables that are known
 to be recent. The pings on the ring bring confirmations too seldom for that.
@@ -46,8 +46,8 @@
         confirmed_at : float
             Time of the last confirmation, in seconds.
         leader : str
-            Leader of the control group; empty if it is unknown or this instance is none of
-            the control group.
+            Leader of the control group; empty if it is unknown or this instance is not in the
+            control group.
         control_instances : list of str
             Control instances that may be asked.
         """
--- a/src/foxtaildrum/organisations/keys.py
+++ b/src/foxtaildrum/organisations/keys.py
@@ -75,7 +75,8 @@
     def build(self, rows: dict[str, dict[str, Any]] | None) -> KeyTable | None:
         """Return the key table of the rows by name; None while there are no organisations.
 
-        The same rows give the same key table, which tells that no key has changed.
+        While the rows are the same, the same object is returned, so that callers can compare
+        identities to find out whether a key has changed.
         """
         if rows != self._rows:
             self._rows = rows
--- a/src/foxtaildrum/organisations/recognition.py
+++ b/src/foxtaildrum/organisations/recognition.py
@@ -1,6 +1,6 @@
 """Decides whether a request may be served, and for which organisation.
 
-An instance can't know that its tables lack nothing, only how old they are at most: they include
+An instance can't know that its tables are complete, only how old they are at most: they include
 every change that was accepted longer ago than their age. A key that is unknown here may have
 been added since, and a key that is known may have been removed since.
 """
@@ -35,11 +35,11 @@
         return cls(settings.key_check_s, settings.revocation_s)
 
     def allow_refusal(self, age_s: float | None) -> bool:
-        """Return whether an unknown key is unknown for certain."""
+        """Return whether the tables are recent enough to refuse an unknown key for good."""
         return age_s is not None and age_s <= self.key_check_s
 
     def allow_service(self, age_s: float | None) -> bool:
-        """Return whether a known key has not been removed for too long."""
+        """Return whether the tables are recent enough to serve a known key."""
         return not self.revocation_s or (age_s is not None and age_s <= self.revocation_s)
 
 
@@ -92,8 +92,8 @@
 ) -> Decision:
     """Decide on a request that another instance forwards and has recognised.
 
-    A request that doesn't fit the tables here was recognised by others: it is not refused for
-    good, but may go elsewhere.
+    If the tables here don't know the organisation, the request is not refused for good: the
+    other instance has recognised it, and may forward it elsewhere.
 
     Parameters
     ----------
--- a/src/foxtaildrum/requests/recognising.py
+++ b/src/foxtaildrum/requests/recognising.py
@@ -16,7 +16,8 @@
 from .dialects import Dialect
 from .transport import OutgoingRequest
 
-# The tables of an instance in contact are confirmed more than once a second.
+# Retry-After while the tables are too old. An instance in contact gets a confirmation more than
+# once a second.
 RETRY_AFTER_TABLES_S = 0.4
 
 
@@ -88,7 +89,7 @@
     Attributes
     ----------
     limits : AgeLimits
-        Ages up to which the tables are decided from.
+        Ages of the tables up to which they are used for decisions.
     counts : OrganisationCounts
         Requests by organisation and result.
     """
@@ -108,7 +109,7 @@
     def recognise(self, request: CallerRequest, view: KeyView) -> ErrorKind | None:
         """Set the organisation of a request; return why it is refused, or None.
 
-        Organisations are in force in the view.
+        Only called while organisations are in force in the view. A refused key is logged.
         """
         now = read_clock()
         decision = self.decide(now, request, view, view.key_table)
@@ -121,7 +122,7 @@
     def decide(
         self, now: float, request: CallerRequest, view: KeyView, key_table: KeyTable
     ) -> Decision:
-        """Decide on a request by some organisations in force."""
+        """Decide on a request by the organisations of ``key_table``, of the age of the view."""
         age_s = view.compute_age(now)
         is_public = request.route.public
         if request.forward is not None:
@@ -135,7 +136,7 @@
     ) -> tuple[OutgoingRequest, Recognition]:
         """Return a recognised request as upstreams get it, and what its attempts check.
 
-        The name of the organisation is in the place of the key.
+        It has the name of the organisation instead of the key.
         """
         outgoing = request.build_outgoing(replaced_headers | self._replaced_headers)
         if request.organisation is not None:
