Limits on callers and pipelined requests: clearer comments and doc comments

"Settle" stood for four things; the private method that adds Connection: close says so now, and _is_closing and _remove_response say what they decide and do.

--- a/src/foxtaildrum/requests/account.py
+++ b/src/foxtaildrum/requests/account.py
@@ -12,18 +12,19 @@
 from ..logs import log_event
 from ..records import Settings
 
-# Share of the machine's memory that callers may hold if the settings don't say.
+# Share of the machine's memory that callers may hold if ``max_held_bytes`` is 0.
 MEMORY_RATIO = 0.25
 # Share of the bound that is left to requests of at most SMALL_REQUEST_BYTES, so that large ones
-# never keep ordinary callers out.
+# never keep ordinary callers out. A caller may exceed the bound while all others hold less.
 SPARE_RATIO = 0.125
 SMALL_REQUEST_BYTES = 65_536
 # Share of the descriptors of the process that may be files of large bodies; the rest is left to
 # connections.
 FILE_RATIO = 0.25
+# Shortest time between two log lines about one limit.
 LOG_PERIOD_S = 10.0
 
-# Limits as they are reported: the settings that set them.
+# Names of limits in metrics and log lines: the settings that set them.
 MAX_HELD_BYTES_LIMIT = "max_held_bytes"
 HEADER_TIMEOUT_LIMIT = "header_timeout_ms"
 BODY_STALL_LIMIT = "body_stall_s"
@@ -69,7 +70,7 @@
 
     @classmethod
     def from_settings(cls, settings: Settings, meter: Meter) -> CallerAccount:
-        """Return the account of an instance; its bound may derive from the memory."""
+        """Return the account of an instance; a bound of 0 is derived from the memory."""
         max_bytes = settings.max_held_bytes or int(MEMORY_RATIO * read_memory_bytes())
         max_descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
         return cls(max_bytes, max(1, int(FILE_RATIO * max_descriptors)), meter)
@@ -87,8 +88,8 @@
     def admits(self, size: int, own_bytes: int = 0) -> bool:
         """Return whether a caller may hold more.
 
-        A caller may exceed the bound if the others hold little: a single request is limited
-        by its own limits alone.
+        A caller may exceed the bound if the others hold at most ``SPARE_RATIO`` of it: a single
+        request is limited by its own limits alone.
 
         Parameters
         ----------
@@ -112,7 +113,7 @@
             return admitted
 
     def change(self, size: int) -> None:
-        """Add to what is held, or take a negative size off it."""
+        """Add to what is held without a check; a negative size releases."""
         with self._lock:
             self._held_bytes += size
 
--- a/src/foxtaildrum/requests/early.py
+++ b/src/foxtaildrum/requests/early.py
@@ -15,6 +15,7 @@
 if TYPE_CHECKING:
     from .pipelines import PipelinedChannel
 
+# Interval at which a thread without room checks whether the caller has disconnected.
 DISCONNECT_POLL_S = 0.05
 
 _CLOSE_LINE = b"Connection: close\r\n"
@@ -22,7 +23,7 @@
 
 
 class _LostTask(ErrorTask):
-    """Responds in place of a response that broke off before any of it was sent."""
+    """Sends an error response in place of one that broke off before any of it was sent."""
 
     def execute(self) -> None:
         channel = self.channel
@@ -85,8 +86,8 @@
         self._chunks: list[bytes] = []
         self._held_bytes = 0
         self._has_place = True
-        # The turn is taken first, then the chunks are sent, then the thread that serves the
-        # request writes to the connection itself.
+        # ``_is_taken``: the turn has come and the held chunks are being sent. ``_has_turn``:
+        # they are sent, and the thread that serves the request writes to the connection.
         self._is_taken = False
         self._has_turn = False
         self._is_begun = False
@@ -99,7 +100,10 @@
         return self._is_cancelled or self.channel.check_client_disconnected()
 
     def settle_head(self, task: Task, head: bytes) -> bytes:
-        """Return the head of a response that closes the connection, without saying so."""
+        """Return the head of a response that closes the connection, without stating that.
+
+        Whether the response is the last one is known only at its turn.
+        """
         self._wants_close = True
         task.close_on_finish = False
         return remove_close(head)
@@ -108,6 +112,11 @@
         """Hold a part of the response, or send it if its turn has come.
 
         Waits while the responses that are held on the connection have no room for it.
+
+        Raises
+        ------
+        ClientDisconnected
+            If nobody waits for the response any more.
         """
         changed = self.channel.early_changed
         with changed:
@@ -122,7 +131,7 @@
             if self._is_cancelled:
                 raise ClientDisconnected
             is_head, self._is_begun = not self._is_begun, True
-        return self.channel.write_soon(self._settle(data) if is_head else data)
+        return self.channel.write_soon(self._add_close(data) if is_head else data)
 
     def service(self) -> None:
         """Serve the request; called by a thread of the pool."""
@@ -173,7 +182,7 @@
     def take_turn(self) -> bool:
         """Send what is held; return whether the response is complete.
 
-        If it isn't, the thread that serves the request ends the turn.
+        If it isn't, the thread that serves the request sends the rest and ends the turn.
         """
         changed = self.channel.early_changed
         with changed:
@@ -185,7 +194,7 @@
         is_sent = True
         try:
             if chunks:
-                chunks[0] = self._settle(chunks[0])
+                chunks[0] = self._add_close(chunks[0])
             for chunk in chunks:
                 self.channel.write_soon(chunk)
         except ClientDisconnected:
@@ -198,13 +207,14 @@
             return self._is_finished
 
     def close(self) -> None:
-        """Cancel the request, if it still runs, and discard what is held."""
+        """Cancel the request, if it still runs, and discard its response."""
         with self.channel.early_changed:
             self._is_cancelled = True
             self._free_chunks()
             self._release_place()
 
-    def _settle(self, head: bytes) -> bytes:
+    def _add_close(self, head: bytes) -> bytes:
+        """Return the head with ``Connection: close`` if the connection closes after it."""
         if self.channel.settle_early(self._wants_close):
             return head[: -len(_HEAD_END)] + _CLOSE_LINE + _HEAD_END
         return head
--- a/src/foxtaildrum/requests/parsing.py
+++ b/src/foxtaildrum/requests/parsing.py
@@ -65,7 +65,7 @@
 
 
 class _ChunkReceiver(ChunkedReceiver):
-    """Receiver that stores the content of many small chunks at once.
+    """Receiver that stores the content of all chunks that arrive together at once.
 
     Each write to a file that is also read costs several system calls.
     """
@@ -96,7 +96,8 @@
     arrived_at : float or None
         Time at which the request had arrived, in seconds.
     queued_at : float or None
-        Time at which a pipelined request began to wait for a thread, in seconds.
+        Time at which a pipelined request began to wait for a thread, in seconds; None if it
+        did not wait for others first.
     may_overlap : bool or None
         Whether the request may run beside others of its connection, once it is known.
     """
@@ -150,7 +151,7 @@
             self.adj.account.change(self._held_head_bytes)
 
     def _hold(self) -> None:
-        """Add what has arrived to the account; refuse the request if that is full."""
+        """Add what has arrived to the account; refuse the request if the account is full."""
         account = self.adj.account
         if self.error:
             self._discard()
@@ -177,7 +178,7 @@
 
     def _refuse(self, account: CallerAccount, limit: str) -> None:
         if self.body_rcv is None:
-            # The task that responds needs a version.
+            # The task that responds needs the HTTP version of a parsed head.
             self.parse_header(b"GET / HTTP/1.0\r\n")
             self.header_plus = b""
         self.error = AccountFullError("the callers of the instance hold too much")
--- a/src/foxtaildrum/requests/pipelines.py
+++ b/src/foxtaildrum/requests/pipelines.py
@@ -21,7 +21,8 @@
 from ..records import Settings
 from .early import EarlyResponse, remove_close
 
-# Share of the threads that requests ahead of their turn may use.
+# Share of the threads that requests ahead of their turn may use; the rest is left to requests
+# that are first on their connections.
 MAX_THREAD_RATIO = 0.5
 
 RepeatCheck = Callable[[str, str, str], bool]
@@ -130,7 +131,7 @@
         if self.requests:
             with self.requests_lock:
                 if not self.connected and self._handovers == handovers:
-                    # Nobody else serves what is left of a closed connection.
+                    # No other thread serves what is left of a closed connection.
                     self._drop_requests()
                 elif self.server.pipelining is not None:
                     self._start_ahead()
@@ -139,7 +140,10 @@
             self._pass_turns()
 
     def defers_turn(self) -> bool:
-        """Return whether the next request needs no thread, as it runs already.
+        """Prepare the turn of the next request; return whether it needs no thread.
+
+        One that runs ahead already has a thread. Another gets the time from which its wait for
+        a thread counts.
 
         Called with ``requests_lock`` held.
         """
@@ -149,7 +153,7 @@
             self._turn_due = True
             return True
         if head is not self.request and self.server.pipelining is not None:
-            # It was not read just now but waited for the requests before it.
+            # It waited for the requests before it, and waits for a thread only from now on.
             head.queued_at = read_clock()
         return False
 
@@ -209,7 +213,13 @@
         return remove_close(head)
 
     def settle_early(self, wants_close: bool) -> bool:
-        """Return whether a response that has its turn announces the close."""
+        """Return whether a response that has its turn states ``Connection: close``.
+
+        Parameters
+        ----------
+        wants_close : bool
+            Whether the task of the response closes the connection.
+        """
         with self.requests_lock:
             if wants_close or self.server.stopping:
                 self.closing = True
@@ -217,7 +227,7 @@
 
     def end_turn(self, early: EarlyResponse) -> None:
         """Pass the turn on after a response that ran ahead has been sent."""
-        if self._end_turn(early):
+        if self._remove_response(early):
             self._pass_turns()
 
     def _pass_turns(self) -> None:
@@ -225,13 +235,16 @@
             head = next(iter(self.requests), None)
             if not isinstance(head, EarlyResponse):
                 return
-            if not head.take_turn() or not self._end_turn(head):
+            if not head.take_turn() or not self._remove_response(head):
                 return
 
-    def _end_turn(self, early: EarlyResponse) -> bool:
-        """Remove a response; return whether the turn is that of another early one."""
+    def _remove_response(self, early: EarlyResponse) -> bool:
+        """Remove a response that was sent; return whether the next one runs ahead already.
+
+        Closes the connection if nothing may follow the response.
+        """
         if self.current_outbuf_count > 0:
-            # The next response begins a new buffer, so that this one is released.
+            # The next response begins a new buffer, so that the memory of this one is freed.
             self.current_outbuf_count = self.adj.outbuf_high_watermark
         with self.requests_lock:
             closes = self.closing and not self._has_early_behind()
@@ -247,7 +260,7 @@
                 if not is_next_early:
                     self.server.add_task(self)
                 # Queued behind the first request, so that those ahead of their turn never
-                # hold all threads while they wait for it.
+                # occupy all threads while they wait for it.
                 self._start_ahead()
             elif self._awaits_continue():
                 self.send_continue()
@@ -275,11 +288,14 @@
         return len(self.requests) > 1 and isinstance(self.requests[1], EarlyResponse)
 
     def _start_ahead(self) -> None:
-        """Start the requests that need not wait for those before them."""
+        """Start the requests that need not wait for those before them.
+
+        Called with ``requests_lock`` held.
+        """
         pipelining = self.server.pipelining
         for index, request in enumerate(self.requests[: pipelining.per_connection]):
             if not isinstance(request, EarlyResponse):
-                if self._ends_starts() or not self._may_overlap(request):
+                if self._is_closing() or not self._may_overlap(request):
                     return
                 if index > 0:
                     if not pipelining.acquire():
@@ -298,7 +314,8 @@
         self.requests[index] = early
         self.server.task_dispatcher.add_early(early)
 
-    def _ends_starts(self) -> bool:
+    def _is_closing(self) -> bool:
+        """Return whether no further request of the connection may start."""
         return (
             self.closing
             or self.will_close
--- a/src/foxtaildrum/requests/server.py
+++ b/src/foxtaildrum/requests/server.py
@@ -40,7 +40,9 @@
 LINGER_S = 2.0
 LOOP_TIMEOUT_S = 1.0
 CLOSE_POLL_S = 0.02
+# Time between two checks of the time limits of unfinished requests and unsent responses.
 SWEEP_PERIOD_S = 1
+# Time between two checks for idle connections; the default of waitress.
 IDLE_SWEEP_PERIOD_S = 30
 # While no connection is left, a caller that has sent nothing for this time is disconnected.
 SILENCE_S = 2.0
@@ -126,12 +128,12 @@
             self._settle_unsent()
 
     def find_exceeded_limit(self, now: float) -> str:
-        """Return the limit in time that the caller exceeds; empty if there is none.
+        """Return the time limit that the caller exceeds; empty if there is none.
 
         Parameters
         ----------
         now : float
-            Present time of the clock of waitress, in seconds.
+            Unix time, in seconds, as waitress passes it to ``maintenance``.
         """
         idle_s = now - self.last_activity
         if self.total_outbufs_len and idle_s > self.server.write_deadline_s:
@@ -158,7 +160,7 @@
         return is_unused and now - self.creation_time > SILENCE_S
 
     def settle_unsent(self) -> None:
-        """Bring the account up to date unless a thread is writing, which does so itself."""
+        """Bring the account up to date, unless a thread is writing: it does that itself."""
         if self.total_outbufs_len != self.held_unsent_bytes and self.outbuf_lock.acquire(False):
             try:
                 self._settle_unsent()
@@ -277,7 +279,7 @@
     pipelining : Pipelining or None
         Bounds on pipelined requests; None serves them one after the other.
     account : CallerAccount or None
-        Bounds what all callers hold; None sets no bound and no limits in time on requests.
+        Bounds what all callers hold; None sets no bound and no time limits on requests.
     body_stall_s : float
         Time after which a caller that sends no byte of a body is disconnected, in seconds.
     adjustments : dict
