--- a/src/foxtaildrum/admin/gauges.py
+++ b/src/foxtaildrum/admin/gauges.py
@@ -78,8 +78,8 @@
     help_texts = {
         "rate_per_s": "Limit of the organisation over all instances, in requests per second.",
         "used": "Requests of the organisation that took a permit here since the start.",
-        "refused": "Requests refused here since the organisation reached its limit.",
-        "unanswered": "Requests refused here since no issuer replied.",
+        "refused": "Requests refused here because the organisation had reached its limit.",
+        "unanswered": "Requests refused here because no issuer replied.",
         "limited": "Whether the organisation is limited here.",
     }
     return [
--- a/src/foxtaildrum/records.py
+++ b/src/foxtaildrum/records.py
@@ -335,7 +335,7 @@
     """
     warmup_overshoot: float = 1
     """
-    Factor by which requests to a cold upstream may exceed the rate of its pool.
+    Factor on the rate of its pool up to which a cold upstream gets requests; 1 is the rate itself.
     """
     warmup_slack: float = 0
     """
@@ -363,7 +363,7 @@
     """
     quota_overshoot: float = 0.1
     """
-    Ratio by which an organisation may exceed its rate limit in a period.
+    Share of its rate limit by which an organisation may exceed it in a period; 0.1 is a tenth more.
     """
     quota_slack: float = 20
     """
