Tests of organisations wait until the leader issues permits

On a machine without load two tests got 503 not_ready: their first requests came within the time in which a new leader issues no permits of organisations. The fixture now waits until a request of the organisation is served; the assertions of the tests stay.

--- a/tests/test_organisations.py
+++ b/tests/test_organisations.py
@@ -69,6 +69,9 @@
         for _ in range(WARMING_REQUESTS):
             assert site.send("GET", "/hedged/warm").status == 200
         site.announce("one-1", "one", site.upstreams["one"].ports["one-1"], slots=1)
+        # A new leader issues no permits of organisations at first.
+        put(site, ORGANISATIONS)
+        assert wait_until(lambda: send(site, "/p/x").status == 200)
         yield site
 
 
