One function computes the ranks of rendezvous hashing

It stood four times: for subsets, cold upstreams, withdrawals from zones, and the share without replies. Node.list_entry_instances repeated list_entry_zones, and WarmupGate.presume_cold had no caller. The ranks are the same bytes as before.

--- a/src/foxtaildrum/balancing/evacuation.py
+++ b/src/foxtaildrum/balancing/evacuation.py
@@ -6,18 +6,17 @@
 
 from __future__ import annotations
 
-import hashlib
 from collections.abc import Iterable, Mapping
 
 from ..fleet.upstreams import READY
+from ..ranks import RANK_BYTES, compute_rank
 from .candidates import UpstreamLoad
 
 # The withdrawal is spread over this share of the time in which an evacuation takes effect. The
 # rest is for the propagation of the order and for requests that wait for a connection.
 WITHDRAWAL_SHARE = 0.4
 NEVER = float("inf")
-HASH_BYTES = 8
-HASH_RANGE = 256**HASH_BYTES
+RANK_RANGE = 256**RANK_BYTES
 
 
 class ZoneEvacuation:
@@ -142,6 +141,5 @@
         if evacuation is None:
             return NEVER
         spread_s = evacuation.ends_at - evacuation.starts_at
-        key = f"{self._instance_id} {upstream_id}".encode()
-        number = int.from_bytes(hashlib.blake2b(key, digest_size=HASH_BYTES).digest())
-        return evacuation.starts_at + spread_s * (number / HASH_RANGE)
+        number = int.from_bytes(compute_rank(self._instance_id, upstream_id))
+        return evacuation.starts_at + spread_s * (number / RANK_RANGE)
--- a/src/foxtaildrum/balancing/sampling.py
+++ b/src/foxtaildrum/balancing/sampling.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-import hashlib
 import math
 import random
 from collections.abc import Iterable, Sequence
 
+from ..ranks import compute_rank
 from .candidates import UpstreamLoad
 from .policies import FRESH_REPORT_S, estimate_failure_cost
 
@@ -133,8 +133,7 @@
         return self._ranks[upstream.upstream_id]
 
     def _rank(self, upstream: UpstreamLoad) -> bytes:
-        key = f"{self._instance_id} {upstream.upstream_id}".encode()
-        return hashlib.blake2b(key, digest_size=8).digest()
+        return compute_rank(self._instance_id, upstream.upstream_id)
 
 
 class SampleBudget:
--- a/src/foxtaildrum/balancing/warmup.py
+++ b/src/foxtaildrum/balancing/warmup.py
@@ -6,11 +6,11 @@
 
 from __future__ import annotations
 
-import hashlib
 import sys
 from collections import deque
 from collections.abc import Mapping
 
+from ..ranks import compute_rank
 from ..records import Pool
 
 # Share of the bound that is divided among the instances. The rest covers instances whose lists
@@ -98,12 +98,6 @@
     return frozenset(chosen + others[: count - len(chosen)])
 
 
-def compute_rank(instance_id: str, upstream_id: str) -> bytes:
-    """Return the rank of an instance for an upstream."""
-    key = f"{instance_id} {upstream_id}".encode()
-    return hashlib.blake2b(key, digest_size=8).digest()
-
-
 def extends_period(known: float | None, until: float) -> bool:
     """Return whether a cold period ends notably later than the known one.
 
--- a/src/foxtaildrum/balancing/warmupgate.py
+++ b/src/foxtaildrum/balancing/warmupgate.py
@@ -67,12 +67,6 @@
         if is_news:
             self._client.report_warmup(upstream.upstream_id, upstream.incarnation, left_s)
 
-    def presume_cold(self, now: float, zone: str) -> None:
-        """Count the upstreams of a zone as cold until the list or a check says otherwise."""
-        with self._lock:
-            self._balancer.presume_cold(now, zone)
-        self.handle_changes(now)
-
     def expire(self, now: float) -> None:
         """End the cold periods that are over."""
         if not self._balancer.cold.any_cold:
--- a/src/foxtaildrum/fleet/node.py
+++ b/src/foxtaildrum/fleet/node.py
@@ -497,9 +497,7 @@
 
     def list_entry_instances(self) -> list[str]:
         """Return the instances that serve callers; see :meth:`count_entry_instances`."""
-        members = self.members.members.values()
-        present = (m for m in members if m.state is not MemberState.LEFT)
-        return [m.instance_id for m in present if m.role != "control"]
+        return list(self.list_entry_zones())
 
     def report_crash(
         self, now: float, fingerprint: str, upstream_id: str, incarnation: int
--- a/src/foxtaildrum/permits/holder.py
+++ b/src/foxtaildrum/permits/holder.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-import hashlib
 import math
 import random
 from collections.abc import Sequence
 from dataclasses import dataclass
 
+from ..ranks import compute_rank
 from ..records import Organisation
 from .bounds import OrganisationLimit, QuotaBounds
 from .issuer import MAX_GRANT, QuotaGrant
@@ -310,9 +310,5 @@
         """
         if chosen >= len(self.instances):
             return True
-        own = _rank(name, self._instance_id)
-        return sum(_rank(name, i) < own for i in self.instances) < chosen
-
-
-def _rank(name: str, instance_id: str) -> bytes:
-    return hashlib.blake2b(f"{name} {instance_id}".encode(), digest_size=8).digest()
+        own = compute_rank(name, self._instance_id)
+        return sum(compute_rank(name, i) < own for i in self.instances) < chosen
--- a/tests/test_warmup.py
+++ b/tests/test_warmup.py
@@ -16,10 +16,10 @@
     Warmup,
     WarmupLimit,
     choose_instances,
-    compute_rank,
 )
 from foxtaildrum.fleet.upstreams import READY, Entry
 from foxtaildrum.kinds import ErrorKind
+from foxtaildrum.ranks import compute_rank
 from foxtaildrum.records import Announcement, Pool
 from foxtaildrum.requests.dialects import Dialect
 from foxtaildrum.requests.steps import AttemptResult
