Each 3xx and 4xx is logged with its maker, its proof and the age of the tables

Cause: a 4xx that an upstream made looked the same in the log with and without proof, and a 404 of the instance named the version of its tables, not their age. So the three hypotheses of the incident could not be told apart.

Change: the line of each 3xx and 4xx says who made it, whether a relayed one has the proof that the dialect requires, and how old the tables are; counters sum them. A refused response is logged with its status. Nothing is decided differently.

--- a/src/foxtaildrum/requests/answers.py
+++ b/src/foxtaildrum/requests/answers.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import enum
 import http.client
 
 from ..kinds import ErrorKind
@@ -17,6 +18,14 @@
 NO_PROOF = "no_proof"
 
 
+class Proof(enum.StrEnum):
+    """Whether a response has the header that shows that an upstream made it."""
+
+    PRESENT = "present"
+    MISSING = "missing"
+    NOT_REQUIRED = "not_required"
+
+
 def check_identifier(
     dialect: Dialect, connection: Connection, headers: Headers, expected_id: str
 ) -> None:
@@ -45,6 +54,14 @@
         raise TransportError(ErrorKind.ANSWER_INVALID, reason=NO_IDENTIFIER)
 
 
+def find_proof(dialect: Dialect, headers: Headers) -> Proof:
+    """Return whether a response has the header that the dialect requires; empty, it has not."""
+    required = dialect.required_response_header
+    if not required:
+        return Proof.NOT_REQUIRED
+    return Proof.PRESENT if headers.get(required, "").strip() else Proof.MISSING
+
+
 def check_proof(dialect: Dialect, status: int, headers: Headers) -> None:
     """Refuse a success without the header that the dialect requires.
 
--- a/src/foxtaildrum/requests/attempts.py
+++ b/src/foxtaildrum/requests/attempts.py
@@ -37,6 +37,8 @@
     ----------
     is_sent : bool
         Whether the whole request was sent.
+    status : int
+        Status of the response that was read, also if it was refused; 0 without one.
     warmup : Warmup or None
         Cold period of the upstream in which the attempt holds a reservation.
     body : file, bytes or None
@@ -52,6 +54,7 @@
         "is_sent",
         "number",
         "released",
+        "status",
         "warmup",
     )
 
@@ -61,6 +64,7 @@
         self.released = False
         self.warmup: Warmup | None = None
         self.is_sent = False
+        self.status = 0
         self.connection: Connection | None = None
         self.head: Head | None = None
         self.body: IO[bytes] | bytes | None = None
--- a/src/foxtaildrum/requests/dispatch.py
+++ b/src/foxtaildrum/requests/dispatch.py
@@ -408,6 +408,7 @@
         attempt = self._attempt_states[number]
         try:
             head = attempt.connection.read_head(self._compute_remaining_s())
+            attempt.status = head.status
             not_run = self._dialect.states_not_run(head.status, head.all_headers)
             self._check_response(number, head, not_run)
             attempt.head = head
@@ -448,6 +449,7 @@
             kind=error.kind.value,
             crashed=crashed,
             reason=error.reason,
+            status=attempt.status,
         )
 
     def _report_crash(self, attempt: AttemptState) -> bool:
--- a/src/foxtaildrum/requests/proxy.py
+++ b/src/foxtaildrum/requests/proxy.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import http.client
 import time
 from collections.abc import Callable, Iterable, Iterator
 from typing import Any
@@ -15,6 +16,7 @@
 from ..kinds import ERROR_RESPONSES, ErrorKind, Outcome
 from ..logs import log_event
 from ..organisations.keys import KeyTable
+from .answers import Proof, find_proof
 from .averages import RouteAverages
 from .callers import QUEUED_TIME_KEY, CallerRequest, read_time_limit
 from .dialects import Dialect
@@ -43,7 +45,7 @@
 from .relays import ErrorResponse, TruncatedResponseError, UpstreamResponse
 from .routing import Router, is_idempotent
 from .stops import StopPlan
-from .transport import HOP_BY_HOP_HEADERS
+from .transport import HOP_BY_HOP_HEADERS, Head
 
 MAX_IDEMPOTENCY_KEY_CHARS = 255
 # A request that waited longer than this for a thread is refused as overloaded.
@@ -228,12 +230,15 @@
     def _build_refusal(self, refusal: Refusal, kind: ErrorKind) -> Problem:
         outcome = ERROR_RESPONSES[kind].outcome
         self._meter.count(f"kinds.{kind}")
+        status = self.dialect.get_status(kind, outcome)
+        if status < MIN_SERVER_ERROR_STATUS:
+            self._meter.count("client_errors.instance")
         log_event(
             "refused_request",
             failed=True,
             request_id=refusal.request_id,
             kind=kind.value,
-            status=self.dialect.get_status(kind, outcome),
+            status=status,
             reason=refusal.reason,
             origin=refusal.caller,
             **self._describe_state(),
@@ -243,6 +248,7 @@
     def _describe_state(self) -> dict[str, object]:
         """Return the state of this instance, for the log."""
         view = self.view
+        age_s = view.compute_age(read_clock())
         reasons = self.list_unready_reasons()
         if not view.is_set:
             reasons = [*reasons, "no tables have been set"]
@@ -250,8 +256,18 @@
             "version": view.version,
             "index": view.index,
             "state": "; ".join(reasons) or "ready",
+            "tables_age_s": -1 if age_s is None else round(age_s, 3),
         }
 
+    def _count_refusal(self, head: Head) -> dict[str, object]:
+        """Count a 3xx or 4xx response that is relayed; return who made it, for the log."""
+        if not http.client.MULTIPLE_CHOICES <= head.status < MIN_SERVER_ERROR_STATUS:
+            return {}
+        proof = find_proof(self.dialect, head.all_headers)
+        is_unproved = proof is Proof.MISSING
+        self._meter.count("client_errors.unproved" if is_unproved else "client_errors.upstream")
+        return {"maker": "upstream", "proof": proof.value, **self._describe_state()}
+
     def _decline_unsigned(
         self, request: CallerRequest, start_response: StartResponse
     ) -> Iterable[bytes]:
@@ -509,6 +525,7 @@
         start_response(format_status(head.status, head.reason), headers)
         latency_s = read_clock() - request.arrived_at
         failed = head.status >= MIN_SERVER_ERROR_STATUS
+        refusal = self._count_refusal(head)
         if head.length is not None:
             self.sizes.record(request.route.name, head.length)
 
@@ -523,6 +540,7 @@
                 upstream=dispatch.upstream_id,
                 attempts=dispatch.attempts,
                 kind=kind,
+                **refusal,
             )
 
         return _TrackedBody(response.body, finish)
@@ -544,7 +562,10 @@
         latency_s = read_clock() - request.arrived_at
         failed = status >= MIN_SERVER_ERROR_STATUS
         # Tells a wrong request from one that this instance doesn't know enough to serve.
-        state = {} if failed else {"reason": reason or "-", **self._describe_state()}
+        state: dict[str, object] = {}
+        if not failed:
+            self._meter.count("client_errors.instance")
+            state = {"reason": reason or "-", "maker": "instance", **self._describe_state()}
         self._record(
             request,
             status,
--- a/tests/test_denied.py
+++ b/tests/test_denied.py
@@ -62,6 +62,8 @@
     assert (record.status, record.kind, record.reason) == (404, "no_route", "host other")
     view = site.instance.proxy.view
     assert (record.version, record.index, record.state) == (view.version, view.index, "ready")
+    assert record.maker == "instance"
+    assert record.tables_age_s >= 0
 
 
 @pytest.mark.parametrize(
