A 3xx or 4xx of an upstream counts only with its proof

What callers saw: proper requests ended with a 3xx or 4xx that no upstream had proved. It is final for a caller, which doesn't send the request again, and reads as the system's own.

Cause: the proof was asked of statuses below 400 only, and an empty one counted. So a 4xx of a faulty upstream, or of another process in its place, passed as the upstream's answer: what is unproved was taken as settled.

Change: every response below 500 needs the proof if the dialect names one, unless it states that the request was not run. Without it the attempt has failed as with any invalid answer: it counts against the upstream, a request that may be repeated is tried again, and an order gets 502, outcome unknown. A 5xx promises nothing and needs no proof. Another instance's own error has none; an upstream's response that it relays needs it.

test_late_copies let an upstream refuse with 429 without proof and without the statement that it was not run, which the caller must not get any more. The refusal now has the proof, so that it reaches the caller as before, and the test asks the same of its late copy.

--- a/src/foxtaildrum/requests/answers.py
+++ b/src/foxtaildrum/requests/answers.py
@@ -63,13 +63,17 @@
 
 
 def check_proof(dialect: Dialect, status: int, headers: Headers) -> None:
-    """Refuse a success without the header that the dialect requires.
+    """Refuse a response without the header that the dialect requires.
+
+    A failure (5xx) needs none: it promises nothing, whoever made it. Any other status tells
+    the caller what became of the request, or that the request is wrong.
 
     Raises
     ------
     TransportError
-        If the header is missing.
+        If the header is missing or empty.
     """
-    required = dialect.required_response_header
-    if required and required not in headers and status < http.client.BAD_REQUEST:
+    if status >= http.client.INTERNAL_SERVER_ERROR:
+        return
+    if find_proof(dialect, headers) is Proof.MISSING:
         raise TransportError(ErrorKind.ANSWER_INVALID, reason=NO_PROOF)
--- a/src/foxtaildrum/requests/attempts.py
+++ b/src/foxtaildrum/requests/attempts.py
@@ -95,6 +95,10 @@
         """Set the headers that depend on the attempt."""
         raise NotImplementedError
 
+    def needs_proof(self, head: Head, not_run: bool) -> bool:
+        """Return whether the response must prove that an upstream made it."""
+        return not not_run
+
     def handle_head(self, now: float, head: Head, not_run: bool, dialect: Dialect) -> Event:
         """Record the head of the response, and return the event that it causes."""
         raise NotImplementedError
@@ -245,6 +249,12 @@
         request.headers.pop(dialect.target_header, None)
         request.headers[FORWARD_HEADER] = self._header
 
+    def needs_proof(self, head: Head, not_run: bool) -> bool:
+        """Return whether the instance relays a response of an upstream."""
+        result = ForwardResult.parse(head.all_headers)
+        is_relayed = result is None or result.error_kind is None
+        return is_relayed and super().needs_proof(head, not_run)
+
     def handle_head(self, now: float, head: Head, not_run: bool, dialect: Dialect) -> Event:
         """Record whether the instance took the request."""
         result = ForwardResult.parse(head.all_headers)
--- a/src/foxtaildrum/requests/dialects.py
+++ b/src/foxtaildrum/requests/dialects.py
@@ -42,7 +42,8 @@
         a late copy of another. If not, a late copy is recognized only on a connection with an
         earlier response that has the header.
     required_response_header : str
-        Header that every successful response of an upstream must have; empty for none.
+        Header that proves that an upstream made a response; empty for none. Every response
+        must have it, but for failures (5xx) and those that state that the request was not run.
     idempotency_key_header : str
         Header with the idempotency key; empty for none.
     key_header : str
--- a/src/foxtaildrum/requests/dispatch.py
+++ b/src/foxtaildrum/requests/dispatch.py
@@ -472,9 +472,9 @@
             if dialect.response_id_header == dialect.attempt_header
             else self._request.request_id
         )
-        connection = self._attempt_states[number].connection
-        check_identifier(dialect, connection, head.all_headers, expected_id)
-        if not not_run:
+        attempt = self._attempt_states[number]
+        check_identifier(dialect, attempt.connection, head.all_headers, expected_id)
+        if attempt.needs_proof(head, not_run):
             check_proof(dialect, head.status, head.all_headers)
 
     def _prefetch_body(self, attempt: AttemptState) -> IO[bytes] | bytes | None:
--- a/tests/test_late_copies.py
+++ b/tests/test_late_copies.py
@@ -126,7 +126,8 @@
         run = len(upstream.arrivals)
         answer = build_own(arrival, b"run %d" % run)
         if run == 1 and refused:
-            answer = build_response(429, {"X-Request-Id": arrival.request_id})
+            headers = {"X-Request-Id": arrival.request_id, "X-Response-Signature": "proof"}
+            answer = build_response(429, headers)
         return Script(answer, late=answer)
 
     site, upstream = start(write_script)
--- a/tests/test_unproved.py
+++ b/tests/test_unproved.py
@@ -9,6 +9,14 @@
 
 import pytest
 
+from foxtaildrum.kinds import ErrorKind, Outcome
+from foxtaildrum.requests.answers import check_proof
+from foxtaildrum.requests.attempts import ForwardedAttempt
+from foxtaildrum.requests.dialects import Dialect
+from foxtaildrum.requests.forwards import RESULT_HEADER, ForwardResult
+from foxtaildrum.requests.problem import OUTCOME_HEADER
+from foxtaildrum.requests.transport import Head
+
 from .sites import open_site
 from .standins.scripted import Arrival, Script, ScriptedUpstream, build_response
 from .test_platform import load_module
@@ -143,6 +151,36 @@
     assert reply.status == 502
 
 
+@pytest.mark.parametrize("status", [200, 302, 404, 429])
+def test_a_dialect_without_proofs_refuses_responses_without_one(status):
+    check_proof(Dialect(), status, {})
+
+
+def build_forwarded(result: ForwardResult, status: int) -> tuple[ForwardedAttempt, Head]:
+    head = Head(status, "", 0)
+    head.all_headers = {
+        RESULT_HEADER: result.format(),
+        OUTCOME_HEADER: result.outcome.value,
+    }
+    return ForwardedAttempt(0, 0.0, None, None, None, ""), head
+
+
+# Guards against an upstream's response without proof that passes by way of another instance.
+@pytest.mark.parametrize("leaves", [True, False])
+def test_a_response_of_an_upstream_needs_no_proof_if_another_instance_relays_it(leaves):
+    attempt, head = build_forwarded(ForwardResult("u-1", leaves=leaves), 404)
+    assert attempt.needs_proof(head, not_run=False)
+    attempt, head = build_forwarded(ForwardResult("u-1"), 404)
+    head.all_headers = {}
+    assert attempt.needs_proof(head, not_run=False)
+
+
+@pytest.mark.parametrize("kind", ErrorKind)
+def test_an_error_of_another_instance_needs_a_proof(kind):
+    attempt, head = build_forwarded(ForwardResult("", kind, Outcome.NOT_RUN), 429)
+    assert not attempt.needs_proof(head, not_run=False)
+
+
 def find_log_record(caplog, event: str, request_id: str):
     found = [r for r in caplog.records if r.msg == event and r.request_id == request_id]
     assert len(found) == 1
