404, 405, 413 and 431 need recent tables

What callers could see: an instance that is out of touch with the control group, or has just lost it, refused a request for good because its own tables have no route for it or a lower limit, although the tables in force may have one. Callers don't send such a request again, and would get an answer from any other instance.

Keys have had the rule that an unknown one is refused only by tables of at most key_check_s; routes and limits had it only until the first tables were known.

Change: one function settles each refusal by the tables; by old ones the answer is 503 not_ready, not run. CONNECT and TRACE, which no tables allow, are refused as before.

--- a/src/foxtaildrum/requests/proxy.py
+++ b/src/foxtaildrum/requests/proxy.py
@@ -43,7 +43,7 @@
 from .quotas import Quotas
 from .recognising import RETRY_AFTER_TABLES_S, Recogniser
 from .relays import ErrorResponse, TruncatedResponseError, UpstreamResponse
-from .routing import Router, is_idempotent
+from .routing import REFUSED_METHODS, Router, is_idempotent
 from .stops import StopPlan
 from .transport import HOP_BY_HOP_HEADERS, Head
 
@@ -210,11 +210,20 @@
     def refuse(self, refusal: Refusal) -> Problem:
         """Return the response to a request of a caller that can't be read or is too large."""
         kind = refusal.kind
-        if kind in _SIZE_KINDS and not self._is_serving():
-            # The limits that apply to the request are in tables that are not known yet.
-            kind = ErrorKind.NOT_READY
+        if kind in _SIZE_KINDS:
+            # The limits that apply to the request are in the tables.
+            kind = self._settle_refusal(read_clock(), self.view, kind)
         return self._build_refusal(refusal, kind)
 
+    def _settle_refusal(self, now: float, view: View, kind: ErrorKind) -> ErrorKind:
+        """Return the kind of a refusal by the tables, which is final for a caller.
+
+        Tables that are not known yet, or may have changed since, refuse nothing for good.
+        """
+        age_s = view.compute_age(now)
+        is_known = self._is_serving() and self.recogniser.limits.allow_refusal(age_s)
+        return kind if is_known else ErrorKind.NOT_READY
+
     def refuse_forwarded(self, refusal: Refusal) -> Problem:
         """Return the response to a request of another instance that can't be read here.
 
@@ -292,6 +301,8 @@
         found = view.router.find_route(request.host, request.path, request.method)
         if isinstance(found, ErrorKind):
             reason = f"host {request.host}"
+            if request.method not in REFUSED_METHODS:
+                found = self._settle_refusal(read_clock(), view, found)
             return self._send_error(request, start_response, found, reason=reason)
         request.route = found
         if view.key_table is not None:
