Refusals by the tables take the age with which an instance starts to serve

Change: the bound is that of a start (START_MAX_TABLE_AGE_S, 5 s): who may begin to serve from its tables may refuse by them. Keys keep their own bound.

--- a/src/foxtaildrum/organisations/recognition.py
+++ b/src/foxtaildrum/organisations/recognition.py
@@ -18,7 +18,7 @@
     Parameters
     ----------
     key_check_s : float
-        Age up to which a request without a known key or route is refused for good, in seconds.
+        Age up to which a request without a known key is refused for good, in seconds.
     revocation_s : float
         Age up to which requests with keys are served, in seconds; 0 sets no limit.
     """
@@ -35,7 +35,7 @@
         return cls(settings.key_check_s, settings.revocation_s)
 
     def allow_refusal(self, age_s: float | None) -> bool:
-        """Return whether the tables are recent enough to refuse a request for good."""
+        """Return whether the tables are recent enough to refuse an unknown key for good."""
         return age_s is not None and age_s <= self.key_check_s
 
     def allow_service(self, age_s: float | None) -> bool:
--- a/src/foxtaildrum/records.py
+++ b/src/foxtaildrum/records.py
@@ -351,7 +351,7 @@
     """
     key_check_s: float = 1.5
     """
-    Age of the tables up to which a request that they have no route or key for, or that exceeds their limits, is refused for good, in seconds.
+    Age of the tables up to which an unknown key is refused for good, in seconds.
     """
     revocation_s: float = 0
     """
--- a/src/foxtaildrum/requests/proxy.py
+++ b/src/foxtaildrum/requests/proxy.py
@@ -13,6 +13,7 @@
 from ..clock import read_clock
 from ..control.claims import ClaimOutcome, Verdict
 from ..fleet.crashes import CrashView
+from ..fleet.currency import START_MAX_TABLE_AGE_S
 from ..kinds import ERROR_RESPONSES, ErrorKind, Outcome
 from ..logs import log_event
 from ..organisations.keys import KeyTable
@@ -221,8 +222,8 @@
         Tables that are not known yet, or may have changed since, refuse nothing for good.
         """
         age_s = view.compute_age(now)
-        is_known = self._is_serving() and self.recogniser.limits.allow_refusal(age_s)
-        return kind if is_known else ErrorKind.NOT_READY
+        is_recent = age_s is not None and age_s <= START_MAX_TABLE_AGE_S
+        return kind if is_recent and self._is_serving() else ErrorKind.NOT_READY
 
     def refuse_forwarded(self, refusal: Refusal) -> Problem:
         """Return the response to a request of another instance that can't be read here.
