Two threads of a server no longer send the same bytes of a connection

What callers saw: "100 Continue" twice, then the end of the connection.

Cause: waitress flushes a connection without outbuf_lock on the thread of the server while no request is queued. The thread that has just removed the last request may at that moment send "100 Continue" for the next one. Both read the same bytes from the buffer, send them, and remove them twice.

The flush now takes outbuf_lock, which is reentrant, on every path. Order of the locks: requests_lock, outbuf_lock, early_changed, that of the account. No code acquires an earlier one while it holds a later one, and sends don't block.

--- a/src/foxtaildrum/requests/server.py
+++ b/src/foxtaildrum/requests/server.py
@@ -98,7 +98,11 @@
 
 
 class _Channel(PipelinedChannel):
-    """Connection of a caller that is closed if the caller stops reading."""
+    """Connection of a caller that is closed if the caller stops reading.
+
+    Unsent responses are changed and sent under ``outbuf_lock``. Locks are acquired in the order
+    ``requests_lock``, ``outbuf_lock``, ``early_changed``, and that of the account last.
+    """
 
     task_class = _Task
     error_task_class = _ErrorTask
@@ -195,6 +199,12 @@
         with contextlib.suppress(OSError):
             self.socket.shutdown(socket.SHUT_WR)
 
+    def _flush_some(self, do_close: bool = True) -> bool:
+        # Waitress sends without the lock while no request is queued, but a thread that has
+        # just removed the last one may be sending "100 Continue" for the next.
+        with self.outbuf_lock:
+            return super()._flush_some(do_close)
+
     def _flush_outbufs_below_high_watermark(self) -> None:
         max_buffered_bytes = self.adj.outbuf_high_watermark
         if self.total_outbufs_len != self.held_unsent_bytes:
--- a/tests/test_account.py
+++ b/tests/test_account.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import socket
+import threading
 
 import pytest
 
@@ -13,6 +14,7 @@
     SPARE_RATIO,
     CallerAccount,
 )
+from foxtaildrum.requests.server import _Channel
 
 from .pipelining import PipeliningCaller, build_request
 from .sites import open_site
@@ -23,6 +25,8 @@
 BODY_BYTES = 3 * SMALL_REQUEST_BYTES
 # More than the buffers of a connection take.
 UNREAD_BYTES = 30 * 1024 * 1024
+# Time for which a send waits for a second thread that sends the same bytes.
+SEND_OVERLAP_S = 0.5
 
 
 def test_large_requests_leave_room_for_small_ones():
@@ -152,3 +156,31 @@
             assert caller.read_line() == ""
             caller.send(b"body")
             assert caller.read_reply().status == 200
+
+
+# Guards against two threads that send the same bytes: the caller read "100 Continue" twice, and
+# its connection was closed.
+def test_100_continue_is_sent_once_while_a_send_takes_time(site, monkeypatch):
+    send = _Channel.send
+    is_sending = threading.Event()
+    sent_again = threading.Event()
+
+    def send_slowly(channel, data, do_close=True):
+        if data.startswith(b"HTTP/1.1 100 "):
+            if is_sending.is_set():
+                sent_again.set()
+            is_sending.set()
+            channel.server.pull_trigger()
+            sent_again.wait(SEND_OVERLAP_S)
+        return send(channel, data, do_close)
+
+    monkeypatch.setattr(_Channel, "send", send_slowly)
+    with PipeliningCaller(site.instance.caller_server.address) as caller:
+        expecting = build_request("/x", "POST", Content_Length="4", Expect="100-continue")
+        caller.send(build_request("/x", X_Fault="slow=300"), expecting)
+        assert caller.read_reply().status == 200
+        assert caller.read_line() == "HTTP/1.1 100 Continue"
+        assert caller.read_line() == ""
+        caller.send(b"body")
+        assert caller.read_reply().status == 200
+    assert not sent_again.is_set()
