Callers that read nothing are disconnected after the write deadline

What callers saw: nothing; others saw less room. A caller that read nothing of a response stayed connected, with its descriptor and megabytes in the kernel, for as long as it liked.

Cause: the write deadline only marks a connection as one to close. The loop closes it when its socket can be written to. The send buffer of a caller that reads nothing is full and never becomes writable.

Evidence: three new tests, which all failed before (streamed response, complete ones, in a stop).

--- a/src/foxtaildrum/requests/server.py
+++ b/src/foxtaildrum/requests/server.py
@@ -246,16 +246,23 @@
         if now - self._idle_swept_at >= IDLE_SWEEP_PERIOD_S:
             self._idle_swept_at = now
             super().maintenance(now)
-        if self.adj.account is None:
-            return
         for channel in list(self.active_channels.values()):
-            channel.settle_unsent()
-            limit = "" if channel.will_close else channel.find_exceeded_limit(now)
-            if not limit and self.in_connection_overflow and channel.is_silent(now):
-                limit = CONNECTIONS_LIMIT
-            if limit:
-                self.report_limit(limit)
-                channel.will_close = True
+            # The loop closes connections only once their sockets can be written to, which
+            # that of a caller that reads nothing never can.
+            if channel.will_close:
+                channel.handle_close()
+            elif self.adj.account is not None:
+                self._apply_limits(channel, now)
+
+    def _apply_limits(self, channel: _Channel, now: float) -> None:
+        """Close a connection whose caller exceeds a limit."""
+        channel.settle_unsent()
+        limit = channel.find_exceeded_limit(now)
+        if not limit and self.in_connection_overflow and channel.is_silent(now):
+            limit = CONNECTIONS_LIMIT
+        if limit:
+            self.report_limit(limit)
+            channel.handle_close()
 
     def report_limit(self, limit: str) -> None:
         """Report that a limit was applied to a caller, if there is an account."""
@@ -379,7 +386,8 @@
     def _close_idle_channels(self) -> None:
         for channel in self.list_channels():
             busy = channel.requests or channel.total_outbufs_len or channel.request
-            if not busy and not has_input(channel.socket.fileno()):
+            idle = not busy and not has_input(channel.socket.fileno())
+            if idle or channel.will_close:
                 channel.handle_close()
 
     def wait_closed(self, deadline: float) -> bool:
--- a/tests/test_account.py
+++ b/tests/test_account.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import contextlib
 import socket
 import threading
+import time
 
 import pytest
 
@@ -14,7 +16,7 @@
     SPARE_RATIO,
     CallerAccount,
 )
-from foxtaildrum.requests.server import _Channel
+from foxtaildrum.requests.server import OUTPUT_BUFFER_BYTES, _Channel
 
 from .pipelining import PipeliningCaller, build_request
 from .sites import open_site
@@ -27,6 +29,8 @@
 UNREAD_BYTES = 30 * 1024 * 1024
 # Time for which a send waits for a second thread that sends the same bytes.
 SEND_OVERLAP_S = 0.5
+# Longer than any limit of these tests; only a fault takes so long.
+GONE_TIMEOUT_S = 10.0
 
 
 def test_large_requests_leave_room_for_small_ones():
@@ -184,3 +188,34 @@
         caller.send(b"body")
         assert caller.read_reply().status == 200
     assert not sent_again.is_set()
+
+
+@contextlib.contextmanager
+def open_unread(folder, size: int, count: int):
+    """Yield a server with a caller that reads nothing of the responses to its requests."""
+    with open_site(folder, write_deadline_s=0.5) as site, socket.socket() as caller:
+        site.apply("pools", [{"name": "p"}])
+        site.apply("routes", [{"name": "p", "path_prefix": "/", "pool": "p"}])
+        site.add_upstreams("p", 1, service_ms=1, fixed=True)
+        server = site.instance.caller_server
+        host, port = server.address.split(":")
+        caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        caller.connect((host, int(port)))
+        caller.sendall(build_request(f"/document/{size}") * count)
+        assert wait_until(lambda: any(c.total_outbufs_len for c in server.list_channels()))
+        yield server
+
+
+# Guards against a caller that reads nothing and stays connected: its connection was closed only
+# once more of the response could be sent.
+@pytest.mark.parametrize(("size", "count"), [(UNREAD_BYTES, 1), (OUTPUT_BUFFER_BYTES, 40)])
+def test_a_caller_that_reads_nothing_is_disconnected(tmp_path, size, count):
+    with open_unread(tmp_path, size, count) as server:
+        assert wait_until(lambda: not server.list_channels(), GONE_TIMEOUT_S)
+
+
+# Guards against a stop that waits for such a caller.
+def test_a_caller_that_reads_nothing_is_disconnected_in_a_stop(tmp_path):
+    with open_unread(tmp_path, UNREAD_BYTES, 1) as server:
+        server.stop_accepting()
+        assert server.wait_closed(time.monotonic() + GONE_TIMEOUT_S)
