Responses to HEAD have no content

What callers saw: an error response of the instance's own to HEAD (503, 504, 404, 400, 431, ...) carried its JSON document. On a kept connection the caller read these bytes as the response to its next request. A response of an upstream to HEAD in chunks was followed by a last chunk.

Cause: waitress leaves it to the application to send no content for HEAD, and the error responses are built without a look at the method. RFC 9110, section 9.3.2: a server must not send content in response to HEAD.

All tasks that write a response now leave the content out, in one place, with the header section unchanged. The parser finds out the method of a head that is refused before its end.

--- a/src/foxtaildrum/requests/early.py
+++ b/src/foxtaildrum/requests/early.py
@@ -11,6 +11,7 @@
 from ..kinds import ErrorKind
 from .callers import read_request_id
 from .problem import Refusal
+from .tasks import ContentTask
 
 if TYPE_CHECKING:
     from .pipelines import PipelinedChannel
@@ -22,7 +23,7 @@
 _HEAD_END = b"\r\n"
 
 
-class _LostTask(ErrorTask):
+class _LostTask(ContentTask, ErrorTask):
     """Sends an error response in place of one that broke off before any of it was sent."""
 
     def execute(self) -> None:
--- a/src/foxtaildrum/requests/parsing.py
+++ b/src/foxtaildrum/requests/parsing.py
@@ -87,6 +87,8 @@
 
     Attributes
     ----------
+    command : str
+        Method of the request; empty if it could not be read.
     held_bytes : int
         Size of what the account holds for this request, in bytes.
     begun_at : float or None
@@ -102,6 +104,7 @@
         Whether the request may run beside others of its connection, once it is known.
     """
 
+    command = ""
     request_id = ""
     held_bytes = 0
     _held_head_bytes = 0
@@ -129,6 +132,9 @@
             self.expect_continue = False
         if self.error:
             self.request_id = self._find_request_id(head)
+            if head.lstrip().startswith(b"HEAD "):
+                # The head may be incomplete, or refused before its first line was read.
+                self.command = "HEAD"
         if self.completed:
             self.arrived_at = read_clock()
         return consumed
--- a/src/foxtaildrum/requests/server.py
+++ b/src/foxtaildrum/requests/server.py
@@ -31,6 +31,7 @@
 from .pipelines import PipelinedChannel, Pipelining
 from .problem import Problem, Refusal, refuse_request
 from .relays import TruncatedResponseError
+from .tasks import ContentTask
 from .threads import ThreadPool
 from .transport import has_input
 
@@ -55,7 +56,7 @@
 }
 
 
-class _Task(WSGITask):
+class _Task(ContentTask, WSGITask):
     """Task that sends ``Connection: close`` during a shutdown."""
 
     def build_response_header(self) -> bytes:
@@ -80,7 +81,7 @@
         return environ
 
 
-class _ErrorTask(ErrorTask):
+class _ErrorTask(ContentTask, ErrorTask):
     """Responds with a problem document to a request that the parser rejected."""
 
     def execute(self) -> None:
