Callers that close only their sending side get no error status

What callers saw: a caller with more requests on a connection than are read ahead, which then closed its sending side, got 499 and could read it, sometimes followed by responses to the requests behind.

Cause: while too many requests wait, the connection isn't read. A thread that finds it hung up marks it as one to close, and counts the caller as gone. Until the thread of the server closes it, the connection still takes what is written: the status 499, which is meant for the log.

The thread that finds the connection hung up now ends all writing to it at once. What was ready is sent, unread input is discarded so that it causes no reset, and the connection closes. The status of a caller who left is logged only, whatever finds that it left.

--- a/src/foxtaildrum/requests/pipelines.py
+++ b/src/foxtaildrum/requests/pipelines.py
@@ -162,11 +162,21 @@
         if not self.connected:
             return True
         if len(self.requests) > self.adj.channel_request_lookahead and self._has_hung_up():
-            self.will_close = True
-            self.server.pull_trigger()
+            self._abandon()
             return True
         return False
 
+    def _abandon(self) -> None:
+        """Close the connection of a caller that has left, once what is ready was sent.
+
+        No thread writes to it any more: a caller that has closed only its sending side could
+        still read. Its unread input is discarded, as it would reset the connection.
+        """
+        self.connected = False
+        self.lingers_on_close = True
+        self.close_when_flushed = True
+        self.server.pull_trigger()
+
     def handle_close(self) -> None:
         """Close the connection; discard what has arrived and cancel what runs ahead."""
         super().handle_close()
--- a/src/foxtaildrum/requests/proxy.py
+++ b/src/foxtaildrum/requests/proxy.py
@@ -556,6 +556,9 @@
             no_retry=no_retry_reason or "-",
             **state,
         )
+        if kind is ErrorKind.CALLER_LEFT:
+            # Nothing is sent: the status is for the log alone.
+            raise TruncatedResponseError
         return send_problem(
             start_response, kind, outcome, request.request_id, self.dialect, retry_after_s
         )
