A connection that closes while a thread looks at it has hung up

What callers saw: nothing, as the connection was closed. Found by reading: the exception would end the request as an internal error, with its log line.

Cause: _has_hung_up() reads the socket of the connection on a service thread. The thread of the server sets it to None when it closes the connection, between the check that it is connected and this one.

Evidence: the new test calls it on a closed connection; before, it raised AttributeError.

Measured: the test passes.

--- a/src/foxtaildrum/requests/pipelines.py
+++ b/src/foxtaildrum/requests/pipelines.py
@@ -351,7 +351,9 @@
 
     def _has_hung_up(self) -> bool:
         """Return whether the caller has closed a connection that isn't read at present."""
-        descriptor = self.socket.fileno()
+        caller = self.socket
+        # Another thread may close the connection at any time.
+        descriptor = -1 if caller is None else caller.fileno()
         if descriptor < 0:
             return True
         poll = select.poll()
--- a/tests/test_half_closed.py
+++ b/tests/test_half_closed.py
@@ -75,3 +75,12 @@
     with connect(site) as caller:
         caller.sendall(requests)
         assert read_to_end(caller) == b""
+
+
+# Guards against an internal error of a thread that looks at a connection as it is closed.
+def test_a_connection_that_was_closed_meanwhile_has_hung_up(site):
+    with connect(site):
+        assert wait_until(site.instance.caller_server.list_channels)
+        channel = site.instance.caller_server.list_channels()[0]
+    assert wait_until(lambda: channel.socket is None)
+    assert channel._has_hung_up()
