A connection closes if close is one of several options

What callers saw: the response to a request with "Connection: TE, close" came, but the connection stayed open until the idle limit; a caller that reads to the end waited for so long.

Cause: waitress compares the whole header with "close". RFC 9112, section 9.6: a server that receives the option must close the connection after the response.

Evidence: the four new cases timed out before; found with a list of 44 odd forms of requests.

The parser looks for the option in the list, and the task that builds the head of the response states the close and closes.

Measured: the cases pass, and test_denied as a whole.

--- a/src/foxtaildrum/requests/parsing.py
+++ b/src/foxtaildrum/requests/parsing.py
@@ -142,6 +142,9 @@
     def parse_header(self, header_plus: bytes) -> None:
         """Parse a head; choose the receiver of the body."""
         super().parse_header(header_plus)
+        options = self.headers.get("CONNECTION", "").lower().split(",")
+        if "close" in (option.strip() for option in options):
+            self.connection_close = True
         if self.chunked:
             self.body_rcv = _ChunkReceiver(self.body_rcv.buf)
 
--- a/src/foxtaildrum/requests/server.py
+++ b/src/foxtaildrum/requests/server.py
@@ -57,10 +57,13 @@
 
 
 class _Task(ContentTask, WSGITask):
-    """Task that sends ``Connection: close`` during a shutdown."""
+    """Task that sends ``Connection: close`` if the caller asks for it, or during a shutdown.
+
+    Waitress recognises ``close`` only where the caller names no other option beside it.
+    """
 
     def build_response_header(self) -> bytes:
-        if self.channel.server.stopping:
+        if self.channel.server.stopping or self.request.connection_close:
             self.response_headers.append(("Connection", "close"))
             self.close_on_finish = True
         head = super().build_response_header()
--- a/tests/test_denied.py
+++ b/tests/test_denied.py
@@ -322,6 +322,19 @@
     assert statuses == [413, 200, 200, 200, 200, 431]
 
 
+# Guards against a connection that stays open although its caller waits for the end.
+@pytest.mark.parametrize(
+    "options", [b"Connection: TE, close\r\n", b"Connection: Close,\r\nConnection: TE\r\n"]
+)
+@pytest.mark.parametrize("count", [1, 2])
+def test_a_connection_stays_open_if_close_is_one_of_several_options(site, options, count):
+    plain = b"GET /r/x HTTP/1.1\r\n" + HOST
+    requests = (plain + b"\r\n") * (count - 1) + plain + b"TE: trailers\r\n" + options
+    answer = send_raw(site, requests + b"\r\n")
+    assert list_statuses(answer) == [200] * count
+    assert answer.count(b"\r\nConnection: close\r\n") == 1
+
+
 def build_proper_request(rng: random.Random, number: int, last: bool) -> bytes:
     """Return one request as the protocol allows it, in a random form."""
     method = rng.choice([b"GET", b"HEAD", b"POST", b"PUT", b"PATCH", b"DELETE", b"OPTIONS"])
