--- a/src/foxtaildrum/requests/server.py
+++ b/src/foxtaildrum/requests/server.py
@@ -31,6 +31,7 @@
 from .pipelines import PipelinedChannel, Pipelining
 from .problem import Problem, Refusal, refuse_request
 from .relays import TruncatedResponseError
+from .tasks import ContentTask
 from .threads import ThreadPool
 from .transport import has_input
 
@@ -55,11 +56,14 @@
 }
 
 
-class _Task(WSGITask):
-    """Task that sends ``Connection: close`` during a shutdown."""
+class _Task(ContentTask, WSGITask):
+    """Task that sends ``Connection: close`` if the caller asks for it, or during a shutdown.
+
+    Waitress recognises ``close`` only where the caller names no other option beside it.
+    """
 
     def build_response_header(self) -> bytes:
-        if self.channel.server.stopping:
+        if self.channel.server.stopping or self.request.connection_close:
             self.response_headers.append(("Connection", "close"))
             self.close_on_finish = True
         head = super().build_response_header()
@@ -80,7 +84,7 @@
         return environ
 
 
-class _ErrorTask(ErrorTask):
+class _ErrorTask(ContentTask, ErrorTask):
     """Responds with a problem document to a request that the parser rejected."""
 
     def execute(self) -> None:
@@ -98,7 +102,11 @@
 
 
 class _Channel(PipelinedChannel):
-    """Connection of a caller that is closed if the caller stops reading."""
+    """Connection of a caller that is closed if the caller stops reading.
+
+    Unsent responses are changed and sent under ``outbuf_lock``. Locks are acquired in the order
+    ``requests_lock``, ``outbuf_lock``, ``early_changed``, and that of the account last.
+    """
 
     task_class = _Task
     error_task_class = _ErrorTask
@@ -195,6 +203,12 @@
         with contextlib.suppress(OSError):
             self.socket.shutdown(socket.SHUT_WR)
 
+    def _flush_some(self, do_close: bool = True) -> bool:
+        # Waitress sends without the lock while no request is queued, but a thread that has
+        # just removed the last one may be sending "100 Continue" for the next.
+        with self.outbuf_lock:
+            return super()._flush_some(do_close)
+
     def _flush_outbufs_below_high_watermark(self) -> None:
         max_buffered_bytes = self.adj.outbuf_high_watermark
         if self.total_outbufs_len != self.held_unsent_bytes:
@@ -236,16 +250,23 @@
         if now - self._idle_swept_at >= IDLE_SWEEP_PERIOD_S:
             self._idle_swept_at = now
             super().maintenance(now)
-        if self.adj.account is None:
-            return
         for channel in list(self.active_channels.values()):
-            channel.settle_unsent()
-            limit = "" if channel.will_close else channel.find_exceeded_limit(now)
-            if not limit and self.in_connection_overflow and channel.is_silent(now):
-                limit = CONNECTIONS_LIMIT
-            if limit:
-                self.report_limit(limit)
-                channel.will_close = True
+            # The loop closes connections only once their sockets can be written to, which
+            # that of a caller that reads nothing never can.
+            if channel.will_close:
+                channel.handle_close()
+            elif self.adj.account is not None:
+                self._apply_limits(channel, now)
+
+    def _apply_limits(self, channel: _Channel, now: float) -> None:
+        """Close a connection whose caller exceeds a limit."""
+        channel.settle_unsent()
+        limit = channel.find_exceeded_limit(now)
+        if not limit and self.in_connection_overflow and channel.is_silent(now):
+            limit = CONNECTIONS_LIMIT
+        if limit:
+            self.report_limit(limit)
+            channel.handle_close()
 
     def report_limit(self, limit: str) -> None:
         """Report that a limit was applied to a caller, if there is an account."""
@@ -369,7 +390,8 @@
     def _close_idle_channels(self) -> None:
         for channel in self.list_channels():
             busy = channel.requests or channel.total_outbufs_len or channel.request
-            if not busy and not has_input(channel.socket.fileno()):
+            idle = not busy and not has_input(channel.socket.fileno())
+            if idle or channel.will_close:
                 channel.handle_close()
 
     def wait_closed(self, deadline: float) -> bool:
--- a/tests/test_account.py
+++ b/tests/test_account.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+import contextlib
 import socket
+import threading
+import time
 
 import pytest
 
@@ -13,6 +16,7 @@
     SPARE_RATIO,
     CallerAccount,
 )
+from foxtaildrum.requests.server import OUTPUT_BUFFER_BYTES, _Channel
 
 from .pipelining import PipeliningCaller, build_request
 from .sites import open_site
@@ -23,6 +27,10 @@
 BODY_BYTES = 3 * SMALL_REQUEST_BYTES
 # More than the buffers of a connection take.
 UNREAD_BYTES = 30 * 1024 * 1024
+# Time for which a send waits for a second thread that sends the same bytes.
+SEND_OVERLAP_S = 0.5
+# Longer than any limit of these tests; only a fault takes so long.
+GONE_TIMEOUT_S = 10.0
 
 
 def test_large_requests_leave_room_for_small_ones():
@@ -152,3 +160,62 @@
             assert caller.read_line() == ""
             caller.send(b"body")
             assert caller.read_reply().status == 200
+
+
+# Guards against two threads that send the same bytes: the caller read "100 Continue" twice, and
+# its connection was closed.
+def test_100_continue_is_sent_once_while_a_send_takes_time(site, monkeypatch):
+    send = _Channel.send
+    is_sending = threading.Event()
+    sent_again = threading.Event()
+
+    def send_slowly(channel, data, do_close=True):
+        if data.startswith(b"HTTP/1.1 100 "):
+            if is_sending.is_set():
+                sent_again.set()
+            is_sending.set()
+            channel.server.pull_trigger()
+            sent_again.wait(SEND_OVERLAP_S)
+        return send(channel, data, do_close)
+
+    monkeypatch.setattr(_Channel, "send", send_slowly)
+    with PipeliningCaller(site.instance.caller_server.address) as caller:
+        expecting = build_request("/x", "POST", Content_Length="4", Expect="100-continue")
+        caller.send(build_request("/x", X_Fault="slow=300"), expecting)
+        assert caller.read_reply().status == 200
+        assert caller.read_line() == "HTTP/1.1 100 Continue"
+        assert caller.read_line() == ""
+        caller.send(b"body")
+        assert caller.read_reply().status == 200
+    assert not sent_again.is_set()
+
+
+@contextlib.contextmanager
+def open_unread(folder, size: int, count: int):
+    """Yield a server with a caller that reads nothing of the responses to its requests."""
+    with open_site(folder, write_deadline_s=0.5) as site, socket.socket() as caller:
+        site.apply("pools", [{"name": "p"}])
+        site.apply("routes", [{"name": "p", "path_prefix": "/", "pool": "p"}])
+        site.add_upstreams("p", 1, service_ms=1, fixed=True)
+        server = site.instance.caller_server
+        host, port = server.address.split(":")
+        caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        caller.connect((host, int(port)))
+        caller.sendall(build_request(f"/document/{size}") * count)
+        assert wait_until(lambda: any(c.total_outbufs_len for c in server.list_channels()))
+        yield server
+
+
+# Guards against a caller that reads nothing and stays connected: its connection was closed only
+# once more of the response could be sent.
+@pytest.mark.parametrize(("size", "count"), [(UNREAD_BYTES, 1), (OUTPUT_BUFFER_BYTES, 40)])
+def test_a_caller_that_reads_nothing_is_disconnected(tmp_path, size, count):
+    with open_unread(tmp_path, size, count) as server:
+        assert wait_until(lambda: not server.list_channels(), GONE_TIMEOUT_S)
+
+
+# Guards against a stop that waits for such a caller.
+def test_a_caller_that_reads_nothing_is_disconnected_in_a_stop(tmp_path):
+    with open_unread(tmp_path, UNREAD_BYTES, 1) as server:
+        server.stop_accepting()
+        assert server.wait_closed(time.monotonic() + GONE_TIMEOUT_S)
