A status line that is none is no answer

Callers got statuses that no upstream had stated: 200 for the status lines "2_00", "+200" and "0200", 404 and 503 for "4_04" and "+503", and 600 or 999 as they stood. A carriage return in the reason ended the request with 500 "The instance failed" after the upstream had run it; other control characters (NUL, ESC, DEL) reached the caller's head. Status checks, probes and forwarded requests took load reports, rests and leaves from such heads.

Cause: http.client splits the line at anything that str.split() takes for a space, among them 0x0b, 0x0c, 0x1c to 0x1f, 0x85 and 0xa0, reads the status with int(), accepts 100 to 999, and keeps the reason as it is.

The line is now parsed in one place, requests/heads.py, which has no I/O: HTTP/1 with digits for the minor version (or HTTP/0.9, as before), three ASCII digits from 100 to 599, and a reason of tab, space, visible characters and obs-text. What RFC 9112 lets a reader accept still passes: runs of spaces and tabs, a missing reason with or without its space, a bare LF at the end. Any other line raises MalformedHeadError, which is ANSWER_INVALID with the reason head_malformed in the log. All readers of responses share BoundedResponse, so the rule holds for each of them.

--- /dev/null
+++ b/src/foxtaildrum/requests/heads.py
@@ -0,0 +1,36 @@
+"""Syntax of the head of a response, without I/O.
+
+http.client reads a status line with ``int`` and ``str.split``, which also accept signs,
+underscores and control characters.
+"""
+
+from __future__ import annotations
+
+import http.client
+import re
+
+# RFC 9112, section 4. Lenient as allowed there: runs of spaces and tabs between the parts, no
+# reason, the end of a line without a carriage return.
+_STATUS_LINE = re.compile(
+    rb"(HTTP/(?:1\.[0-9]+|0\.9))[ \t]+([1-5][0-9]{2})(?:[ \t]+([\t -~\x80-\xff]*))?\r?\n"
+)
+MAX_QUOTED_BYTES = 40
+
+
+class MalformedHeadError(http.client.HTTPException):
+    """The head of a response is not one by RFC 9112."""
+
+
+def parse_status_line(line: bytes) -> tuple[str, int, str]:
+    """Return the version, the status and the reason in a status line.
+
+    Raises
+    ------
+    MalformedHeadError
+        If the line is no status line of HTTP/1, or its status is not from 100 to 599.
+    """
+    found = _STATUS_LINE.fullmatch(line)
+    if found is None:
+        raise MalformedHeadError(f"not a status line: {line[:MAX_QUOTED_BYTES]!r}")
+    version, status, reason = found.groups(default=b"")
+    return version.decode("ascii"), int(status), reason.decode("latin-1").strip(" \t")
--- a/src/foxtaildrum/requests/responses.py
+++ b/src/foxtaildrum/requests/responses.py
@@ -11,6 +11,7 @@
 from typing import Any
 
 from ..clock import read_clock
+from .heads import parse_status_line
 
 MAX_HEAD_BYTES = 262_144
 MAX_TRAILER_BYTES = 65_536
@@ -132,6 +133,14 @@
         with self._limit_bytes(MAX_HEAD_BYTES):
             super().begin()
 
+    def _read_status(self) -> tuple[str, int, str]:
+        line = self.fp.readline(MAX_LINE_BYTES + 1)
+        if not line:
+            raise http.client.RemoteDisconnected("the connection ended without a response")
+        if len(line) > MAX_LINE_BYTES:
+            raise ResponseTooLargeError("the status line is too large")
+        return parse_status_line(line)
+
     @property
     def awaits_body(self) -> bool:
         """Whether more of the body is due; a response to HEAD has none."""
--- a/src/foxtaildrum/requests/transport.py
+++ b/src/foxtaildrum/requests/transport.py
@@ -17,6 +17,7 @@
 from ..clock import read_clock
 from ..kinds import ErrorKind
 from ..settings import ADDRESS_ERRORS, parse_address
+from .heads import MalformedHeadError
 from .responses import BoundedResponse
 
 CHUNK_BYTES = 65536
@@ -335,6 +336,8 @@
             self._response = self._connection.getresponse()
         except OSError as error:
             raise TransportError(ErrorKind.ANSWER_LOST) from error
+        except MalformedHeadError as error:
+            raise TransportError(ErrorKind.ANSWER_INVALID, reason=HEAD_MALFORMED) from error
         except _HTTP_ERRORS as error:
             raise TransportError(ErrorKind.ANSWER_INVALID) from error
         return self._build_head(self._response)
