Header lines with control characters make no answer

Callers got headers that an upstream had not sent, and raw control characters. "X-Odd: a", a bare carriage return and "Set-Cookie: forged=1" on one line reached them as two headers; two bare carriage returns ended the head, so that the headers below, among them the length, were lost or the request ended with 500; NUL, ESC, DEL and others were relayed as they stood. A line "From someone" was dropped without a word.

Cause: http.client leaves the header section to the parser of e-mail, which ends lines at a bare carriage return and permits every other control character.

Each line of a header section is now checked as it is read: a name of visible characters and a colon, or the space of a continuation, then tab, space, visible characters and obs-text, then the line end. Any other line is a malformed head, as for the status line. RFC 9110, section 5.5, demands that CR, LF and NUL be refused or replaced; the others are refused as well, as they may reach a terminal or a log of the caller. Continued lines and odd characters in names pass as before. Trailers are not relayed and not checked.

--- a/src/foxtaildrum/requests/heads.py
+++ b/src/foxtaildrum/requests/heads.py
@@ -14,6 +14,9 @@
 _STATUS_LINE = re.compile(
     rb"(HTTP/(?:1\.[0-9]+|0\.9))[ \t]+([1-5][0-9]{2})(?:[ \t]+([\t -~\x80-\xff]*))?\r?\n"
 )
+# RFC 9112, section 5: a header, the continuation of the one before, or the empty line. A name
+# may have any visible character but a colon: servers send more than RFC 9110 allows.
+_FIELD_LINE = re.compile(rb"(?:(?:[!-9;-~]+:|[ \t])[\t -~\x80-\xff]*)?\r?\n")
 MAX_QUOTED_BYTES = 40
 
 
@@ -34,3 +37,18 @@
         raise MalformedHeadError(f"not a status line: {line[:MAX_QUOTED_BYTES]!r}")
     version, status, reason = found.groups(default=b"")
     return version.decode("ascii"), int(status), reason.decode("latin-1").strip(" \t")
+
+
+def check_field_line(line: bytes) -> None:
+    """Refuse a line of a header section that is no header line.
+
+    The parser of http.client ends lines at bare carriage returns as well, so that one header
+    would become two.
+
+    Raises
+    ------
+    MalformedHeadError
+        If the line has no name, or has a control character other than a tab.
+    """
+    if not _FIELD_LINE.fullmatch(line):
+        raise MalformedHeadError(f"not a header line: {line[:MAX_QUOTED_BYTES]!r}")
--- a/src/foxtaildrum/requests/responses.py
+++ b/src/foxtaildrum/requests/responses.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 from ..clock import read_clock
-from .heads import parse_status_line
+from .heads import check_field_line, parse_status_line
 
 MAX_HEAD_BYTES = 262_144
 MAX_TRAILER_BYTES = 65_536
@@ -88,9 +88,15 @@
     """Reads lines that are complete.
 
     http.client takes the end of the connection for the end of the head or the trailer.
+
+    Attributes
+    ----------
+    in_fields : bool
+        Whether the lines belong to the header section, and are checked.
     """
 
     _has_line = False
+    in_fields = False
 
     def readline(self, size: int = -1) -> bytes:
         """Return one line with its end, or the first ``size`` bytes of a longer one."""
@@ -101,6 +107,8 @@
         self._has_line = True
         if not line.endswith(b"\n") and (size < 0 or len(line) < size):
             raise CutOffError(f"the connection ended after {line[-40:]!r}")
+        if self.in_fields and line.endswith(b"\n"):
+            check_field_line(line)
         return line
 
 
@@ -130,15 +138,19 @@
 
     def begin(self) -> None:
         """Read the status line and the headers."""
+        lines = self.fp
         with self._limit_bytes(MAX_HEAD_BYTES):
             super().begin()
+        lines.in_fields = False
 
     def _read_status(self) -> tuple[str, int, str]:
+        self.fp.in_fields = False
         line = self.fp.readline(MAX_LINE_BYTES + 1)
         if not line:
             raise http.client.RemoteDisconnected("the connection ended without a response")
         if len(line) > MAX_LINE_BYTES:
             raise ResponseTooLargeError("the status line is too large")
+        self.fp.in_fields = True
         return parse_status_line(line)
 
     @property
--- /dev/null
+++ b/tests/test_header_lines.py
@@ -0,0 +1,130 @@
+"""Header lines of upstreams that are none, and unusual ones that are."""
+
+from __future__ import annotations
+
+import pytest
+
+from foxtaildrum.kinds import ErrorKind
+from foxtaildrum.requests.transport import (
+    HEAD_MALFORMED,
+    OutgoingRequest,
+    TransportError,
+    open_http,
+)
+
+from .sites import Site, open_site
+from .standins.scripted import Arrival, Script, ScriptedUpstream
+from .test_platform import load_module
+from .test_status_lines import READ_TIMEOUT_S, check_head, describe, send
+
+BODY = b"answer"
+LENGTH = b"Content-Length: 6"
+
+INVALID_LINES = [
+    b"X-Odd: a\rSet-Cookie: forged=1",
+    b"X-Odd: a\r\rforged",
+    b"X-Odd: a\r",
+    b"\rX-Odd: a",
+    b"X-Odd: a\x00b",
+    b"X-Odd: \x01",
+    b"X-Odd: a\x0bb",
+    b"X-Odd: a\x0cb",
+    b"X-Odd: a\x1c\x1d\x1e\x1fb",
+    b"X-Odd: \x1b[2J",
+    b"X-Odd: a\x7f",
+    b"X-Odd: a\r\n b\rSet-Cookie: forged=1",
+    b"X-Odd: a\r\n b\x00",
+    b"X-Odd\x00: a",
+    b"X-Odd\xe9: a",
+    b"X Odd: a",
+    b"X-Odd : a",
+    b": a",
+    b"a line without a colon",
+    b"From someone",
+]
+
+UNUSUAL_LINES = [
+    (b"X-Odd:", b"X-Odd: "),
+    (b"X-Odd:a", b"X-Odd: a"),
+    (b"X-Odd: a\tb", b"X-Odd: a\tb"),
+    (b"X-Odd: Tr\xe8s \xff", b"X-Odd: Tr\xe8s \xff"),
+    (b"x_odd!~: a", b"x_odd!~: a"),
+]
+
+
+def build_answer(lines: list[bytes], body: bytes, arrival: Arrival) -> bytes:
+    """Return a response with the identifier, the proof and further header lines."""
+    head = [
+        b"HTTP/1.1 200 OK",
+        b"X-Request-Id: " + arrival.request_id.encode(),
+        b"X-Response-Signature: proof",
+        *lines,
+    ]
+    return b"\r\n".join([*head, b"", body])
+
+
+@pytest.fixture
+def start(tmp_path):
+    """Return a function that starts an instance and an upstream with one form of response."""
+    load_module("dialect")
+    upstreams = []
+    with open_site(tmp_path, dialect="platform") as site:
+
+        def start(lines: list[bytes], body: bytes = BODY) -> Site:
+            site.apply("pools", [{"name": "p"}])
+            route = {"name": "p", "path_prefix": "/", "pool": "p", "timeout_ms": 3000}
+            site.apply("routes", [route])
+            # An end of the connection would make a body without a length look complete.
+            upstream = ScriptedUpstream(
+                lambda arrival: Script(build_answer(lines, body, arrival), end="fin")
+            )
+            upstreams.append(upstream)
+            fields = {"availability_zone": "", "state": "ready", "sequence": 1}
+            site.announce("u-1", "p", upstream.port, **fields)
+            return site
+
+        yield start
+        for upstream in upstreams:
+            upstream.close()
+
+
+# Guards against bytes that split a head: a carriage return ended a line, so that one header of
+# the upstream became two; NUL, ESC and other control characters reached the caller.
+@pytest.mark.parametrize("line", INVALID_LINES, ids=describe)
+@pytest.mark.parametrize("position", ["first", "last"])
+def test_a_header_line_that_is_none_makes_no_answer(start, line, position):
+    lines = [line, LENGTH] if position == "first" else [LENGTH, line]
+    answer = send(start(lines), "POST")
+    assert answer.startswith(b"HTTP/1.1 502 "), answer
+    assert b"X-Response-Signature" not in answer
+    check_head(answer)
+
+
+# Guards against a log that doesn't tell why an answer was refused.
+@pytest.mark.parametrize("line", INVALID_LINES, ids=describe)
+def test_a_header_line_that_is_none_is_named_in_the_log(line):
+    answer = b"HTTP/1.1 200 OK\r\n" + line + b"\r\nContent-Length: 0\r\n\r\n"
+    upstream = ScriptedUpstream(lambda arrival: Script(answer))
+    connection = open_http(upstream.address, 1.0)
+    connection.send(OutgoingRequest("GET", "/", {"Host": "x"}, None, 0, "id"), 1.0)
+    with pytest.raises(TransportError) as caught:
+        connection.read_head(READ_TIMEOUT_S)
+    connection.close()
+    upstream.close()
+    assert (caught.value.kind, caught.value.reason) == (
+        ErrorKind.ANSWER_INVALID,
+        HEAD_MALFORMED,
+    )
+
+
+# Guards against answers that are lost for lines that RFC 9112 allows, or that servers send.
+@pytest.mark.parametrize(("line", "relayed"), UNUSUAL_LINES, ids=describe)
+@pytest.mark.parametrize("position", ["first", "last"])
+def test_an_unusual_header_line_is_relayed(start, line, relayed, position):
+    lines = [line, LENGTH] if position == "first" else [LENGTH, line]
+    answer = send(start(lines), "POST")
+    assert answer.startswith(b"HTTP/1.1 200 "), answer
+    assert answer.endswith(b"\r\n\r\n" + BODY)
+    head = answer.partition(b"\r\n\r\n")[0].lower().split(b"\r\n")
+    assert relayed.lower() in head
+    check_head(answer)
