Spaces after a header's value are no part of it

An upstream that wrote a space or a tab after "Transfer-Encoding: chunked" gave its callers the framing as content: a complete 200 whose body held the sizes of the chunks. The same came from a continued line or a byte such as 0xa0 there. A Content-Length followed by 0xa0 was read as that number and relayed as it stood. Spaces after other values, which RFC 9110 excludes from the value, were relayed, and after an identifier of a request they made the answer that of another request (502).

Cause: two readers. http.client compares "chunked" with the value including its spaces and then reads a body up to the end of the connection; transport strips the value with str.strip(), which also removes control characters and 0xa0, and takes the same body for chunked.

Header lines now lose the spaces and tabs at their end as they are read, so both see the same value; transport strips only spaces and tabs, and refuses a response that http.client doesn't take for chunked as well (length_unclear).

--- a/src/foxtaildrum/requests/heads.py
+++ b/src/foxtaildrum/requests/heads.py
@@ -39,11 +39,11 @@
     return version.decode("ascii"), int(status), reason.decode("latin-1").strip(" \t")
 
 
-def check_field_line(line: bytes) -> None:
-    """Refuse a line of a header section that is no header line.
+def clean_field_line(line: bytes) -> bytes:
+    """Return a line of a header section without the spaces and tabs at its end.
 
     The parser of http.client ends lines at bare carriage returns as well, so that one header
-    would become two.
+    would become two, and counts the spaces at the end as a part of the value.
 
     Raises
     ------
@@ -52,3 +52,7 @@
     """
     if not _FIELD_LINE.fullmatch(line):
         raise MalformedHeadError(f"not a header line: {line[:MAX_QUOTED_BYTES]!r}")
+    # Without its spaces, an empty continuation would be the end of the section.
+    if line.startswith((b" ", b"\t")):
+        return line
+    return line.rstrip() + b"\r\n"
--- a/src/foxtaildrum/requests/responses.py
+++ b/src/foxtaildrum/requests/responses.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 from ..clock import read_clock
-from .heads import check_field_line, parse_status_line
+from .heads import clean_field_line, parse_status_line
 
 MAX_HEAD_BYTES = 262_144
 MAX_TRAILER_BYTES = 65_536
@@ -108,7 +108,7 @@
         if not line.endswith(b"\n") and (size < 0 or len(line) < size):
             raise CutOffError(f"the connection ended after {line[-40:]!r}")
         if self.in_fields and line.endswith(b"\n"):
-            check_field_line(line)
+            return clean_field_line(line)
         return line
 
 
--- a/src/foxtaildrum/requests/transport.py
+++ b/src/foxtaildrum/requests/transport.py
@@ -458,7 +458,8 @@
         has_no_body = self._method == "HEAD" or response.status in BODYLESS_STATUSES
         transfer_encoding = _join_header_values(response, "Transfer-Encoding").lower()
         content_length = _join_header_values(response, "Content-Length")
-        if transfer_encoding and (transfer_encoding != "chunked" or content_length):
+        is_chunked = transfer_encoding == "chunked" and response.chunked
+        if transfer_encoding and (not is_chunked or content_length):
             raise TransportError(ErrorKind.ANSWER_INVALID, reason=LENGTH_UNCLEAR)
         if "Content-Length" in response.headers and not _is_length(content_length):
             raise TransportError(ErrorKind.ANSWER_INVALID, reason=LENGTH_UNCLEAR)
@@ -492,7 +493,7 @@
 
 
 def _join_header_values(response: BoundedResponse, name: str) -> str:
-    return ", ".join(response.headers.get_all(name, ())).strip()
+    return ", ".join(response.headers.get_all(name, ())).strip(" \t")
 
 
 def _is_length(text: str) -> bool:
--- a/tests/test_header_lines.py
+++ b/tests/test_header_lines.py
@@ -1,4 +1,4 @@
-"""Header lines of upstreams that are none, and unusual ones that are."""
+"""Header lines of upstreams that are none, that are unusual, or that give an odd length."""
 
 from __future__ import annotations
 
@@ -18,7 +18,10 @@
 from .test_status_lines import READ_TIMEOUT_S, check_head, describe, send
 
 BODY = b"answer"
+CHUNKS = b"6\r\nanswer\r\n0\r\n\r\n"
 LENGTH = b"Content-Length: 6"
+OTHER_LENGTH = b"Content-Length: 5"
+CHUNKED = b"Transfer-Encoding: chunked"
 
 INVALID_LINES = [
     b"X-Odd: a\rSet-Cookie: forged=1",
@@ -46,11 +49,57 @@
 UNUSUAL_LINES = [
     (b"X-Odd:", b"X-Odd: "),
     (b"X-Odd:a", b"X-Odd: a"),
+    (b"X-Odd: \t a \t ", b"X-Odd: a"),
     (b"X-Odd: a\tb", b"X-Odd: a\tb"),
     (b"X-Odd: Tr\xe8s \xff", b"X-Odd: Tr\xe8s \xff"),
     (b"x_odd!~: a", b"x_odd!~: a"),
 ]
 
+ODD_LENGTHS = [
+    ([LENGTH, OTHER_LENGTH], BODY),
+    ([OTHER_LENGTH, LENGTH], BODY),
+    ([b"Content-Length: 6, 5"], BODY),
+    ([b"Content-Length: +6"], BODY),
+    ([b"Content-Length: 0_6"], BODY),
+    ([b"Content-Length: -6"], BODY),
+    ([b"Content-Length: 0x6"], BODY),
+    ([b"Content-Length: 6.0"], BODY),
+    ([b"Content-Length: \xb2"], BODY),
+    ([b"Content-Length: 6\xa0"], BODY),
+    ([b"Content-Length: \x856"], BODY),
+    ([b"Content-Length: 6\x0b"], BODY),
+    ([b"Content-Length: 6\r\n 0"], BODY),
+    ([b"Content-Length:"], BODY),
+    ([CHUNKED, LENGTH], CHUNKS),
+    ([CHUNKED, CHUNKED], CHUNKS),
+    ([CHUNKED, b"Transfer-Encoding:"], CHUNKS),
+    ([CHUNKED + b", identity"], CHUNKS),
+    ([b"Transfer-Encoding: xchunked"], CHUNKS),
+    ([CHUNKED + b"\xa0"], CHUNKS),
+    ([CHUNKED + b"\x0b"], CHUNKS),
+    ([CHUNKED + b"\r\n "], CHUNKS),
+    ([b"Transfer-Encoding:\r\n chunked"], CHUNKS),
+    ([CHUNKED], b"+6\r\nanswer\r\n0\r\n\r\n"),
+    ([CHUNKED], b"0x6\r\nanswer\r\n0\r\n\r\n"),
+    ([CHUNKED], b"0_6\r\nanswer\r\n0\r\n\r\n"),
+    ([CHUNKED], b" 6\r\nanswer\r\n0\r\n\r\n"),
+    ([CHUNKED], b"-6\r\nanswer\r\n0\r\n\r\n"),
+    ([CHUNKED], b"6\x0b\r\nanswer\r\n0\r\n\r\n"),
+    ([CHUNKED], b"\xb2\r\nanswer\r\n0\r\n\r\n"),
+    ([CHUNKED], b"\r\nanswer\r\n0\r\n\r\n"),
+    ([CHUNKED], b"00000000000000006\r\nanswer\r\n0\r\n\r\n"),
+]
+
+UNUSUAL_LENGTHS = [
+    ([b"Content-Length:  6 \t"], BODY),
+    ([b"Content-Length: 0006"], BODY),
+    ([b"transfer-encoding: Chunked"], CHUNKS),
+    ([CHUNKED + b" "], CHUNKS),
+    ([CHUNKED + b"\t "], CHUNKS),
+    ([CHUNKED], b"0006;a=b\r\nanswer\r\n000\r\n\r\n"),
+    ([CHUNKED], b"6 \r\nanswer\r\n0\r\nX-Odd: a\x00\r\n\r\n"),
+]
+
 
 def build_answer(lines: list[bytes], body: bytes, arrival: Arrival) -> bytes:
     """Return a response with the identifier, the proof and further header lines."""
@@ -63,6 +112,10 @@
     return b"\r\n".join([*head, b"", body])
 
 
+def describe_case(value: object) -> str:
+    return describe(b"+".join(value) if isinstance(value, list) else value)
+
+
 @pytest.fixture
 def start(tmp_path):
     """Return a function that starts an instance and an upstream with one form of response."""
@@ -128,3 +181,22 @@
     head = answer.partition(b"\r\n\r\n")[0].lower().split(b"\r\n")
     assert relayed.lower() in head
     check_head(answer)
+
+
+# Guards against a length that is read in another way than the caller would read it.
+@pytest.mark.parametrize(("lines", "body"), ODD_LENGTHS, ids=describe_case)
+def test_an_odd_length_makes_no_answer(start, lines, body):
+    answer = send(start(lines, body), "POST")
+    assert answer.startswith(b"HTTP/1.1 502 "), answer
+    check_head(answer)
+
+
+# Guards against framing that is relayed as content: with a space after "chunked", the caller
+# got the sizes of the chunks in the body of a complete answer.
+@pytest.mark.parametrize(("lines", "body"), UNUSUAL_LENGTHS, ids=describe_case)
+def test_an_unusual_length_is_read(start, lines, body):
+    answer = send(start(lines, body), "POST")
+    assert answer.startswith(b"HTTP/1.1 200 "), answer
+    head, _, content = answer.partition(b"\r\n\r\n")
+    assert content == (CHUNKS if b"chunked" in head.lower() else BODY)
+    check_head(answer)
