Numbers in headers of upstreams are decimal numbers

An upstream that stated "inf" or "infinity" as the rest of its cold period counted as cold for an hour, the upper bound. A load report in JSON with "1_0" as a text counted as 10 slots, and digits of other scripts were read there too.

Cause: float() reads words, underscores and other digits. The check before it covered underscores and other digits in some of the headers, and left the words to the bounds, of which that of the cold period cuts infinity to its maximum.

The form of a number that the time limits of callers had is now in decimals.py and serves both: a sign, digits, a fraction, an exponent. Spaces and tabs around it are accepted, since lists have them after commas. A number that is too large for a float is still cut to the bound.

tests/test_odd_responses.py failed before in 6 of its 18 new tests; all pass now.

--- a/src/foxtaildrum/balancing/loads.py
+++ b/src/foxtaildrum/balancing/loads.py
@@ -5,13 +5,16 @@
 import json
 import math
 
+from ..decimals import parse_decimal
+
+# Whitespace that may surround the items of a header, RFC 9110, section 5.6.3.
+_WHITESPACE = " \t"
 MAX_REPORTED_SLOTS = 1e6
 MAX_REPORTED_PACE = 1e3
 MAX_RATE_LIMIT_PER_S = 1e6
 RATE_LIMIT_TOLERANCE_RATIO = 0.05
 MAX_REST_S = 600.0
 MAX_WARMUP_S = 3600.0
-MAX_QUOTED_CHARS = 40
 
 
 class LoadReport:
@@ -34,7 +37,7 @@
 
 def parse_load_metrics(value: str) -> LoadReport | None:
     """Parse the JSON or TEXT form of ``endpoint-load-metrics``; return None if invalid."""
-    form, _, text = value.strip().partition(" ")
+    form, _, text = value.strip(_WHITESPACE).partition(" ")
     try:
         if form.upper() == "JSON":
             number = _parse_json_metrics(text)
@@ -71,22 +74,19 @@
 
 
 def _parse_number(text: str) -> float:
-    """Return the number in a header; raise ValueError for forms that only Python reads."""
-    if not text.isascii() or "_" in text:
-        raise ValueError(f"not a number: {text[:MAX_QUOTED_CHARS]!r}")
-    return float(text)
+    return parse_decimal(text.strip(_WHITESPACE))
 
 
 def _parse_json_metrics(text: str) -> float:
     number = json.loads(text)["named_metrics"]["slots_in_use"]
     if isinstance(number, bool):
         raise TypeError("slots_in_use must be a number")
-    return float(number)
+    return _parse_number(number) if isinstance(number, str) else float(number)
 
 
 def _parse_text_metrics(text: str) -> float:
     for item in text.split(","):
-        name, _, number = item.strip().partition("=")
+        name, _, number = item.strip(_WHITESPACE).partition("=")
         if name == "named_metrics.slots_in_use":
             return _parse_number(number)
     raise KeyError("named_metrics.slots_in_use")
--- a/src/foxtaildrum/requests/callers.py
+++ b/src/foxtaildrum/requests/callers.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from ..clock import read_clock
+from ..decimals import parse_decimal
 from ..organisations.keys import KeyTable
 from ..records import Organisation, Route
 from .forwards import Forward
@@ -18,7 +19,6 @@
 MAX_REQUEST_ID_CHARS = 128
 
 _AUTHORITY = re.compile(r"([^/?#]*)([^?#]*)((?:\?[^#]*)?)(?:#.*)?", re.DOTALL)
-_NUMBER = re.compile(r"[+-]?(?:[0-9]+(?:\.[0-9]*)?|\.[0-9]+)(?:[eE][+-]?[0-9]+)?")
 
 
 class CallerRequest:
@@ -119,9 +119,11 @@
     """
     if text is None:
         return route.timeout_ms / 1000
-    if not _NUMBER.fullmatch(text):
+    try:
+        timeout_ms = parse_decimal(text)
+    except ValueError:
         return None
-    return min(float(text), route.timeout_ms) / 1000
+    return min(timeout_ms, route.timeout_ms) / 1000
 
 
 def _split_target(environ: dict[str, Any]) -> tuple[str, str]:
--- a/tests/test_odd_responses.py
+++ b/tests/test_odd_responses.py
@@ -3,12 +3,19 @@
 from __future__ import annotations
 
 import contextlib
+import json
 import socket
 import threading
 
 import pytest
 
-from foxtaildrum.balancing.loads import parse_load_figures, parse_load_metrics, parse_rest
+from foxtaildrum.balancing.loads import (
+    parse_load_figures,
+    parse_load_metrics,
+    parse_rate_limit,
+    parse_rest,
+    parse_warmup,
+)
 from foxtaildrum.control.desired import DesiredState
 
 from .sites import open_site
@@ -209,3 +216,33 @@
 )
 def test_an_odd_load_document_ends_the_request(text):
     assert parse_load_metrics(f"JSON {text}") is None
+
+
+# Words and forms that float() reads and other languages don't write.
+NO_NUMBERS = ["inf", "infinity", "-Infinity", "NaN", "1_0", "\u0661", "1\u00a0", "0x1p3", "1\n"]
+
+
+# Guards against an upstream that counts as cold for an hour because it stated "infinity", and
+# against load of 10 where "1_0" was written.
+@pytest.mark.parametrize("text", NO_NUMBERS, ids=describe)
+def test_a_word_or_a_form_of_python_is_a_number(text):
+    assert parse_load_figures(f"{text},0,8") is None
+    assert parse_load_figures(f"1,0,8,{text}") is None
+    assert parse_load_metrics(f"TEXT named_metrics.slots_in_use={text}") is None
+    document = json.dumps({"named_metrics": {"slots_in_use": text}})
+    assert parse_load_metrics(f"JSON {document}") is None
+    assert parse_rate_limit(text) is None
+    assert parse_rest(text) is None
+    assert parse_warmup(text) is None
+
+
+# Guards against numbers that are refused though servers write them.
+@pytest.mark.parametrize("text", ["5", "05", "5.0", "5.", "+5", "0.5e1", "50E-1", " 5", "5 "])
+def test_a_number_in_an_unusual_form_is_read(text):
+    assert parse_load_figures(f"{text},{text},{text},{text}").slots_in_use == 10.0
+    assert parse_load_metrics(f"TEXT named_metrics.slots_in_use={text}").slots_in_use == 5.0
+    document = json.dumps({"named_metrics": {"slots_in_use": text}})
+    assert parse_load_metrics(f"JSON {document}").slots_in_use == 5.0
+    assert parse_rate_limit(text) == 5.0
+    assert parse_rest(text) == 5.0
+    assert parse_warmup(text) == 0.005
