A command that reaches another program says so

Operators who named the address of another program got a traceback (KeyError, TypeError, AttributeError or ValueError) from "status", "zones list", "routes get", "tables get", "report" and "organisations list" when it answered with JSON that is not an instance's; "report" ended with success for an empty text. The version of a table was read from the ETag with int(), so "1_0" and "+1" were versions.

Cause: the client took any JSON for the document of an instance and subscripted it.

The client now checks that a document is an object with the fields that the method is about, and that the version is digits; all else is an AdminRequestError, which the commands report with exit status 1. Documents with these fields and wrong content deeper inside are not checked.

--- a/src/foxtaildrum/admin/client.py
+++ b/src/foxtaildrum/admin/client.py
@@ -32,8 +32,11 @@
     def get_table(self, name: str) -> tuple[list[dict[str, Any]], int]:
         """Return the rows of a table and its version."""
         response = self._request("GET", f"/v1/{name}")
-        document = _read_document(response)
-        return document[name], int(response.headers["ETag"].strip('"'))
+        rows = _read_field(response, name, list)
+        version = response.headers.get("ETag", "").strip('"')
+        if not (version.isascii() and version.isdigit()):
+            raise AdminRequestError(response.status, "the response states no version")
+        return rows, int(version)
 
     def put_table(
         self,
@@ -67,11 +70,11 @@
             raise StaleVersionError(document["version"], document["changed_by"])
         if response.status == 422:
             _raise_invalid_table(json.loads(response.data))
-        return _read_document(response)["version"]
+        return _read_field(response, "version", int)
 
     def get_tables(self) -> dict[str, Any]:
         """Return the tables and the limits, including every change accepted so far."""
-        return _read_document(self._request("GET", "/v1/tables"))
+        return _read_document(self._request("GET", "/v1/tables"), "version")
 
     def put_tables(self, document: dict[str, Any]) -> tuple[str, int]:
         """Replace the tables and the limits with version ``document["version"]``.
@@ -96,16 +99,16 @@
             raise StaleVersionError(current_version, "other content under the same version")
         if response.status == 422:
             _raise_invalid_table(json.loads(response.data))
-        result = _read_document(response)
+        result = _read_document(response, "verdict", "version")
         return result["verdict"], result["version"]
 
     def get_organisations(self) -> dict[str, Any]:
         """Return the organisations and their requests at the instance, without any key."""
-        return _read_document(self._request("GET", "/v1/organisations"))
+        return _read_document(self._request("GET", "/v1/organisations"), "in_force")
 
     def get_zones(self) -> list[dict[str, Any]]:
         """Return the availability zones, including every order accepted so far."""
-        return _read_document(self._request("GET", "/v1/zones"))["zones"]
+        return _read_field(self._request("GET", "/v1/zones"), "zones", list)
 
     def evacuate_zone(self, zone: str) -> None:
         """Order that nothing more be sent to the upstreams in a zone."""
@@ -125,11 +128,11 @@
 
     def get_status(self) -> dict[str, Any]:
         """Return the status document."""
-        return _read_document(self._request("GET", "/v1/status"))
+        return _read_document(self._request("GET", "/v1/status"), "instance", "ready")
 
     def get_report(self) -> list[dict[str, Any]]:
         """Return the service level of each route."""
-        return _read_document(self._request("GET", "/v1/report"))["routes"]
+        return _read_field(self._request("GET", "/v1/report"), "routes", list)
 
     def is_ready(self) -> bool:
         """Return whether the instance reports that it is ready."""
@@ -161,17 +164,35 @@
     return f"/v1/zones/{urllib.parse.quote(zone, safe='')}/evacuation"
 
 
-def _read_document(response: urllib3.BaseHTTPResponse) -> Any:
+def _read_document(response: urllib3.BaseHTTPResponse, *fields: str) -> dict[str, Any]:
+    """Return the document in a response.
+
+    Raises
+    ------
+    AdminRequestError
+        If the response is an error, or its document doesn't have the fields that that of an
+        instance has.
+    """
     try:
         document = json.loads(response.data)
     except ValueError as error:
         raise AdminRequestError(response.status, "the response is not JSON") from error
     if response.status >= 400:
-        detail = document.get("title", response.reason)
+        title = document.get("title") if isinstance(document, dict) else None
+        detail = title or response.reason
         raise AdminRequestError(response.status, f"{response.status}: {detail}")
+    if not isinstance(document, dict) or not document.keys() >= set(fields):
+        raise AdminRequestError(response.status, "the response is not that of an instance")
     return document
 
 
+def _read_field(response: urllib3.BaseHTTPResponse, name: str, field_type: type) -> Any:
+    value = _read_document(response, name)[name]
+    if not isinstance(value, field_type):
+        raise AdminRequestError(response.status, f"{name} in the response is invalid")
+    return value
+
+
 def _raise_invalid_table(document: dict[str, Any]) -> None:
     problems = document.get("problems") or [
         {"field": document.get("table", "table"), "reason": document.get("title", "invalid")}
