Incidents play lost disks, exchanged seeds and unusual callers

Whether an instance with old or empty tables, or the reader of requests, refuses proper requests could not be told from the variants there were: none emptied disks, changed seeds, had two operators, pipelined, closed a sending side or sent bodies in pieces.

Each report counts the 3xx and 4xx by status, kind, proof and route, also the allowed ones; a 499 that reaches a caller who reads breaks a rule of its own (LEFT). Upstreams of sites that run side by side no longer share a port: one run failed to bind it.

--- a/tests/incident/callers.py
+++ b/tests/incident/callers.py
@@ -7,6 +7,7 @@
 import time
 import uuid
 from collections import Counter
+from collections.abc import Callable, Coroutine
 
 from .proofs import digest
 from .site import Instance, Site
@@ -23,7 +24,13 @@
 
 
 class Record:
-    """One request and what its caller saw; ``status`` is 0 without a complete answer."""
+    """One request and what its caller saw; ``status`` is 0 without a complete answer.
+
+    Attributes
+    ----------
+    manner : str
+        Unusual manner in which it was sent; empty for the usual one.
+    """
 
     __slots__ = (
         "answer",
@@ -34,6 +41,7 @@
         "ended_at",
         "entry",
         "has_left",
+        "manner",
         "method",
         "request_id",
         "sent_at",
@@ -57,6 +65,7 @@
         self.detail = ""
         self.stray = b""
         self.has_left = False
+        self.manner = ""
 
     @property
     def status(self) -> int:
@@ -65,7 +74,7 @@
     def describe(self) -> str:
         return (
             f"{self.request_id} {self.method} {self.target} ({self.use.kind}) at {self.entry}, "
-            f"deadline {self.deadline}, status {self.status} {self.detail}"
+            f"deadline {self.deadline}, status {self.status} {self.detail} {self.manner}"
         )
 
 
@@ -81,23 +90,40 @@
     def __init__(
         self, site: Site, states: States, seed: int, per_entry: int, fractional: bool
     ) -> None:
-        self._site = site
-        self._states = states
+        self.site = site
+        self.states = states
         self._seed = seed
         self._per_entry = per_entry
         self._fractional = fractional
-        self._stopped = False
+        self.is_stopped = False
         self._tasks: list[asyncio.Task] = []
         self.records: list[Record] = []
+        # Number of times that requests were sent in each unusual manner.
+        self.manners: Counter[str] = Counter()
 
     def start(self) -> None:
-        for instance in self._site.entries:
-            for number in range(self._per_entry):
-                rng = random.Random(f"{self._seed}-{instance.name}-{number}")
-                self._tasks.append(asyncio.create_task(self._run(instance, rng)))
+        self.spawn(self._run, self._per_entry, "")
+
+    def spawn(
+        self,
+        run: Callable[[Instance, random.Random], Coroutine[None, None, None]],
+        per_entry: int,
+        label: str,
+    ) -> None:
+        """Start tasks that send requests until the callers are stopped.
+
+        Parameters
+        ----------
+        label : str
+            Tells the random generators of these tasks from those of others.
+        """
+        for instance in self.site.entries:
+            for number in range(per_entry):
+                rng = random.Random(f"{self._seed}-{label}{instance.name}-{number}")
+                self._tasks.append(asyncio.create_task(run(instance, rng)))
 
     async def stop(self) -> None:
-        self._stopped = True
+        self.is_stopped = True
         await asyncio.gather(*self._tasks)
 
     def count(self) -> Counter[str]:
@@ -107,9 +133,9 @@
 
     async def _run(self, instance: Instance, rng: random.Random) -> None:
         connection: Connection | None = None
-        while not self._stopped:
+        while not self.is_stopped:
             await asyncio.sleep(rng.uniform(0.0, 0.12))
-            use = self._states.pick_use(rng)
+            use = self.states.pick_use(rng)
             if connection is not None and rng.random() < NEW_CONNECTION_SHARE:
                 connection.close()
                 connection = None
@@ -142,7 +168,7 @@
             await asyncio.sleep(_retry_after(record, left_s))
             left_ms = max(1.0, 1000 * (ends_at - time.time()))
             text = f"{left_ms:.3f}" if self._fractional else str(int(left_ms))
-            target = rng.choice(self._site.entries)
+            target = rng.choice(self.site.entries)
         if target is not instance and connection is not None:
             connection.close()
             return None
@@ -163,7 +189,7 @@
         timeout_s = float(record.deadline) / 1000 + 1.0
         try:
             if connection is None:
-                connection = await Connection.open(self._site.front(instance))
+                connection = await Connection.open(self.site.front(instance))
             record.sent_at = time.time()
             async with asyncio.timeout(timeout_s):
                 self._write(connection, record, rng)
--- a/tests/incident/faults.py
+++ b/tests/incident/faults.py
@@ -8,6 +8,9 @@
 
 from .site import GRACE_S, Instance, Site
 
+# Time in which a group with replaced members is whole again, so that it bears the next loss.
+SETTLE_AFTER_LOSS_S = 6.0
+
 Fault = Callable[[Site, random.Random], Awaitable[None]]
 
 FAULTS: dict[str, Fault] = {}
@@ -142,6 +145,91 @@
         site.start(instance)
 
 
+@register_fault("kill a majority of the control instances")
+async def kill_majority(site: Site, rng: random.Random) -> None:
+    await kill_for(site, _pick(rng, site.control, 3), rng.uniform(2.0, 8.0))
+
+
+@register_fault("freeze the control group")
+async def freeze_group(site: Site, rng: random.Random) -> None:
+    await _freeze(site, _pick(rng, site.control, len(site.control)), rng.uniform(2.0, 8.0))
+
+
+@register_fault("freeze half of the entry instances, long")
+async def freeze_half_of_entries(site: Site, rng: random.Random) -> None:
+    await _freeze(site, _pick(rng, site.entries, len(site.entries) // 2), rng.uniform(3.0, 9.0))
+
+
+@register_fault("exchange the seeds")
+async def exchange_seeds(site: Site, rng: random.Random) -> None:
+    """Name other control instances, one of which may be down; restart one entry instance."""
+    down = _pick(rng, site.control, rng.randint(0, 1))
+    site.kill(down)
+    seeds = rng.sample(site.control, rng.randint(1, 3))
+    site.replace_seeds(seeds, tells=rng.random() < 0.7)
+    await asyncio.sleep(rng.uniform(0.0, 1.0))
+    await kill_for(site, _pick(rng, site.entries, 1), rng.uniform(0.1, 0.5))
+    await asyncio.sleep(rng.uniform(0.0, 3.0))
+    for instance in down:
+        site.start(instance)
+
+
+def _lose_power(site: Site, rng: random.Random) -> tuple[list[Instance], list[Instance]]:
+    """Kill all instances and empty two disks; return those control instances and the others."""
+    instances = _pick(rng, list(site.instances.values()), len(site.instances))
+    site.kill(instances)
+    wiped = rng.sample(site.control, 2)
+    for instance in wiped:
+        site.wipe(instance)
+    return wiped, [i for i in site.control if i not in wiped]
+
+
+async def _start_groups(
+    site: Site, rng: random.Random, groups: list[list[Instance]], pause_s: float
+) -> None:
+    """Start groups of instances one after the other, and wait until the last has settled."""
+    await asyncio.sleep(rng.uniform(0.1, 0.9))
+    for number, group in enumerate(groups):
+        if number:
+            await asyncio.sleep(pause_s)
+        for instance in rng.sample(group, len(group)):
+            site.start(instance)
+            await asyncio.sleep(rng.choice([0.0, 0.0, 0.05]))
+    await asyncio.sleep(SETTLE_AFTER_LOSS_S)
+
+
+@register_fault("lose all power and two disks, all back at once")
+async def lose_disks(site: Site, rng: random.Random) -> None:
+    wiped, kept = _lose_power(site, rng)
+    await _start_groups(site, rng, [[*wiped, *kept, *site.entries]], 0.0)
+
+
+@register_fault("lose all power and two disks, the empty ones back first")
+async def lose_disks_empty_first(site: Site, rng: random.Random) -> None:
+    wiped, kept = _lose_power(site, rng)
+    await _start_groups(site, rng, [wiped, site.entries, kept], rng.uniform(0.3, 2.0))
+
+
+@register_fault("lose all power and two disks, the empty ones alone with the entry instances")
+async def lose_disks_empty_alone(site: Site, rng: random.Random) -> None:
+    wiped, kept = _lose_power(site, rng)
+    await _start_groups(site, rng, [[*wiped, *site.entries], kept], rng.uniform(4.0, 7.0))
+
+
+@register_fault("lose all power and two disks, the entry instances back first")
+async def lose_disks_entries_first(site: Site, rng: random.Random) -> None:
+    wiped, kept = _lose_power(site, rng)
+    groups = [site.entries, *rng.sample([wiped, kept], 2)]
+    await _start_groups(site, rng, groups, rng.uniform(0.3, 3.0))
+
+
+@register_fault("lose all power and two disks, one that kept its disk back last")
+async def lose_disks_one_last(site: Site, rng: random.Random) -> None:
+    wiped, kept = _lose_power(site, rng)
+    groups = [[*wiped, *kept[1:], *site.entries], kept[:1]]
+    await _start_groups(site, rng, groups, rng.uniform(1.0, 6.0))
+
+
 @register_fault("kill the control instance that takes a leave")
 async def kill_only_acknowledger(site: Site, rng: random.Random) -> None:
     await _kill_next_acknowledger(site, rng)
--- a/tests/incident/play.py
+++ b/tests/incident/play.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import functools
 import random
 import time
 from collections import Counter
@@ -12,8 +13,9 @@
 from .answers import ANSWER_FAULTS
 from .callers import Callers
 from .faults import FAULTS
+from .manners import run_manners
 from .releases import Releases
-from .rules import Evidence, Violation, judge
+from .rules import Evidence, Violation, count_refusals, judge
 from .site import READY_TIMEOUT_S, Site
 from .states import Operator, States
 from .upstreams import Service
@@ -36,6 +38,8 @@
         self.releases = 0.0
         self.linger = False
         self.states = 0.0
+        self.operators = 1
+        self.unusual_per_entry = 0
         self.faults: list[str] = []
         self.overlaps = True
         self.after_acknowledgement = False
@@ -54,6 +58,8 @@
         self.seed = seed
         self.violations: list[Violation] = []
         self.statuses: Counter[str] = Counter()
+        self.refusals: Counter[str] = Counter()
+        self.manners: Counter[str] = Counter()
         self.faults: Counter[str] = Counter()
         self.requests = 0
         self.in_touch = 0
@@ -72,6 +78,8 @@
             f"seed {self.seed}: {self.requests} requests, {self.in_touch} in touch, "
             f"harness late by up to {self.max_lag_s:.2f} s {self.trouble}",
             f"  statuses: {dict(sorted(self.statuses.items()))}",
+            f"  3xx and 4xx: {dict(sorted(self.refusals.items()))}",
+            f"  manners: {dict(sorted(self.manners.items()))}",
             f"  faults: {dict(sorted(self.faults.items()))}",
             f"  after a leave + 2 s: {dict(self.late_arrivals)}",
             f"  violations: {dict(self.count()) or 'none'}, {dict(self.count_kinds())}",
@@ -95,7 +103,10 @@
         self._rng = random.Random(f"{seed}-faults")
         services = build_services(options)
         self.states = States({s.name: s.kind for s in services}, seed)
-        self.operator = Operator(self.site, self.states, seed)
+        self.operators = [
+            Operator(self.site, self.states, seed, n) for n in range(options.operators)
+        ]
+        self.operator = self.operators[0]
         self.releases = Releases(self.site, services, seed, options.linger)
         self.callers = Callers(
             self.site, self.states, seed, options.per_entry, options.fractional
@@ -127,10 +138,14 @@
     async def _play(self) -> None:
         options = self.options
         self.callers.start()
+        if options.unusual_per_entry:
+            run = functools.partial(run_manners, self.callers)
+            self.callers.spawn(run, options.unusual_per_entry, "unusual-")
         if options.releases:
             self.releases.run(options.releases)
         if options.states:
-            self.operator.start(options.states)
+            for operator in self.operators:
+                operator.start(options.states)
         ends_at = time.time() + options.duration_s
         while options.faults and time.time() < ends_at - CALM_S:
             await self._inject()
@@ -139,7 +154,7 @@
         await asyncio.sleep(max(0.0, ends_at - time.time()))
         self.releases.stop()
         if options.states:
-            await self.operator.stop()
+            await asyncio.gather(*(operator.stop() for operator in self.operators))
         await asyncio.sleep(CALM_S)
         await self.callers.stop()
         if not await self._wait_ready():
@@ -191,11 +206,13 @@
 
     def _judge(self) -> None:
         evidence = Evidence(
-            self.site, self.callers, self.operator, self.states, self.releases.all
+            self.site, self.callers, self.operators, self.states, self.releases.all
         )
         result = self.result
         result.violations = judge(evidence)
         result.statuses = self.callers.count()
+        result.refusals = count_refusals(evidence)
+        result.manners = self.callers.manners
         result.requests = len(evidence.records)
         result.in_touch = sum(evidence.is_in_touch(r) for r in evidence.records)
         for upstream in self.releases.all:
--- a/tests/incident/releases.py
+++ b/tests/incident/releases.py
@@ -14,7 +14,6 @@
 REUSE_AFTER_S = 2.0
 CRASH_SHARE = 0.15
 SAME_ID_SHARE = 0.15
-PORT = 18_080
 LEAVE_GAP_S = 0.1
 # How long an upstream serves on at most after its leave; the pages say many seconds.
 LONGEST_S = 24.0
@@ -128,7 +127,9 @@
             self._free.remove(old[0])
             return old[0][1]
         self._addresses += 1
-        return self._site.ip(100 + self._addresses // 250, self._addresses % 250 + 1), PORT
+        return self._site.ip(
+            100 + self._addresses // 250, self._addresses % 250 + 1
+        ), self._site.upstream_port
 
     async def _run(self, period_s: float) -> None:
         await asyncio.sleep(HEARTBEAT_S)
--- a/tests/incident/rules.py
+++ b/tests/incident/rules.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections import defaultdict
+import json
+from collections import Counter, defaultdict
 from collections.abc import Callable, Iterator
 
 from .callers import Callers, Record
@@ -10,8 +11,11 @@
 from .site import DRAIN_S, Site, format_time
 from .states import Operator, States
 from .upstreams import Arrival, Upstream
+from .wire import Answer
 
 SIGNATURE = "x-response-signature"
+PROBLEM_TYPE = "application/problem+json"
+CALLER_LEFT_STATUS = 499
 # The pages allow five and one in 500 of these.
 OWN_4XX_ALLOWED = (408, 421, 429)
 
@@ -48,13 +52,13 @@
         self,
         site: Site,
         callers: Callers,
-        operator: Operator,
+        operators: list[Operator],
         states: States,
         upstreams: list[Upstream],
     ) -> None:
         self.site = site
         self.records = callers.records
-        self.operator = operator
+        self.operators = operators
         self.states = states
         self.upstreams = upstreams
         self.by_id = {r.request_id: r for r in self.records}
@@ -118,6 +122,38 @@
     return ""
 
 
+def count_refusals(evidence: Evidence) -> Counter[str]:
+    """Count the 3xx and 4xx by status, kind, proof and use of the route, also allowed ones."""
+    counts: Counter[str] = Counter()
+    for record in evidence.records:
+        answer = record.answer
+        if answer is None or not 300 <= answer.status < 500:
+            continue
+        proof = "proof" if SIGNATURE in answer.headers else "no proof"
+        use = record.use.name or "no route"
+        counts[f"{answer.status} {find_kind(answer) or '-'}, {proof}, {use}"] += 1
+    return counts
+
+
+def find_kind(answer: Answer) -> str:
+    """Return the kind of error that a problem document states; empty if it is none."""
+    if answer.headers.get("content-type") != PROBLEM_TYPE:
+        return ""
+    try:
+        return str(json.loads(answer.body)["kind"])
+    except (ValueError, LookupError, TypeError):
+        return ""
+
+
+@register_rule("LEFT")
+def judge_left(evidence: Evidence) -> Iterator[Violation]:
+    """A caller that reads its answer hasn't left, also if it has closed its sending side."""
+    for record in evidence.records:
+        if record.status == CALLER_LEFT_STATUS and SIGNATURE not in record.answer.headers:
+            text = f"taken for one that left: {record.describe()}"
+            yield Violation("LEFT", record.sent_at, text, [record.request_id])
+
+
 @register_rule("DENIED")
 def judge_denied(evidence: Evidence) -> Iterator[Violation]:
     for record in evidence.records:
@@ -199,8 +235,9 @@
 
 @register_rule("CONFIG")
 def judge_config(evidence: Evidence) -> Iterator[Violation]:
-    for moment, text in evidence.operator.violations:
-        yield Violation("CONFIG", moment, text, [])
+    for operator in evidence.operators:
+        for moment, text in operator.violations:
+            yield Violation("CONFIG", moment, text, [])
     for request_id, places in evidence.arrivals.items():
         record = evidence.by_id.get(request_id)
         for upstream, arrival in places:
--- a/tests/incident/site.py
+++ b/tests/incident/site.py
@@ -67,6 +67,7 @@
         self.process: subprocess.Popen | None = None
         self.touched: list[float] = []
         self.is_running = False
+        self.bootstrap = False
 
 
 class Site:
@@ -91,10 +92,14 @@
         self.entries = [i for i in self.instances.values() if i.role == "entry"]
         ips = [i.ip for i in self.instances.values()]
         self.front_port, self.ready_port, self.control_port, self.peer_port = find_ports(ips)
+        # Sites that run side by side may have the same addresses.
+        self.upstream_port = random.randrange(15_000, 21_000)
         self.events: list[tuple[float, str]] = []
         # The control instance that acknowledged the latest leave.
         self.acknowledger = ""
         self.tasks: list[asyncio.Task] = []
+        # Control instances that the settings of all instances name as seeds.
+        self.seeds = self.control[:3]
 
     def ip(self, third: int, fourth: int) -> str:
         return f"127.{self.base}.{third}.{fourth}"
@@ -109,8 +114,8 @@
             return
         folder = self.folder / instance.name
         folder.mkdir(exist_ok=True)
-        settings = folder / "node.json"
-        settings.write_text(json.dumps(self._build_settings(instance, bootstrap)))
+        instance.bootstrap = bootstrap
+        settings = self._write_settings(instance)
         command = DEPLOY["roles"][instance.role]["run"].split()
         libraries = "target/deps"
         if not self.is_built:
@@ -136,6 +141,26 @@
             instance.process.wait()
             self._touch(instance, "killed", is_running=False)
 
+    def wipe(self, instance: Instance) -> None:
+        """Remove the data of an instance that doesn't run."""
+        shutil.rmtree(self.folder / instance.name / "data", ignore_errors=True)
+        self._touch(instance, "lost its disk", is_running=False)
+
+    def replace_seeds(self, seeds: list[Instance], tells: bool) -> None:
+        """Name other seeds in the settings of all instances; tell the running ones by SIGHUP.
+
+        Parameters
+        ----------
+        tells : bool
+            Whether the signal is sent.
+        """
+        self.seeds = seeds
+        self.note(f"seeds {[i.name for i in seeds]}{' by SIGHUP' if tells else ''}")
+        for instance in self.instances.values():
+            self._write_settings(instance)
+            if tells and instance.is_running:
+                instance.process.send_signal(signal.SIGHUP)
+
     def terminate(self, instance: Instance) -> None:
         instance.process.terminate()
         self._touch(instance, "SIGTERM", is_running=True)
@@ -223,7 +248,14 @@
         lines = [f"{format_time(moment)} {text}" for moment, text in sorted(self.events)]
         (folder / "events.txt").write_text("\n".join(lines) + "\n")
 
-    def _build_settings(self, instance: Instance, bootstrap: bool) -> dict:
+    def _write_settings(self, instance: Instance) -> Path:
+        path = self.folder / instance.name / "node.json"
+        written = path.with_suffix(".new")
+        written.write_text(json.dumps(self._build_settings(instance)))
+        written.replace(path)
+        return path
+
+    def _build_settings(self, instance: Instance) -> dict:
         host, port = self.admin(instance)
         listen = {"control": f"{host}:{port}"}
         if instance.role == "entry":
@@ -240,8 +272,8 @@
             "zones": dict.fromkeys(ZONES, "region"),
             "listen": listen,
             "internal_ports": [self.peer_port, self.peer_port + 15],
-            "seeds": [f"{i.ip}:{self.control_port}" for i in self.control[:3]],
-            "bootstrap": bootstrap,
+            "seeds": [f"{i.ip}:{self.control_port}" for i in self.seeds],
+            "bootstrap": instance.bootstrap,
             "counts_as_loss": instance.role == "control",
             "limits": {"cpu_share": 0.86, "cpus": 1, "memory_mb": 300, "max_fds": 4100},
             "data_dir": str(data_dir) if instance.role == "control" else None,
--- a/tests/incident/states.py
+++ b/tests/incident/states.py
@@ -21,6 +21,8 @@
 MOVING_COUNT = 6
 NEVER_SHARE = 0.01
 MOVING_SHARE = 0.2
+# Share of the changes after which an operator that repeats delivers an earlier state again.
+REPEAT_SHARE = 0.3
 
 
 class RouteUse:
@@ -123,16 +125,23 @@
 class Operator:
     """Sends desired states, each until it is acknowledged, and reads them back.
 
+    Parameters
+    ----------
+    number : int
+        Tells this operator from others that change the same states; all but the first also
+        deliver earlier states again.
+
     Attributes
     ----------
     violations : list of tuple
         Moments and texts of reads that gave an older state than an acknowledged one.
     """
 
-    def __init__(self, site: Site, states: States, seed: int) -> None:
+    def __init__(self, site: Site, states: States, seed: int, number: int = 0) -> None:
         self._site = site
         self._states = states
-        self._rng = random.Random(f"{seed}-operator")
+        self._rng = random.Random(f"{seed}-operator{number or ''}")
+        self._repeats = number > 0
         self._is_stopped = False
         self._task: asyncio.Task | None = None
         self.violations: list[tuple[float, str]] = []
@@ -168,6 +177,13 @@
         self._site.note(f"state {state.version} not acknowledged")
         return False
 
+    async def _repeat(self) -> None:
+        """Deliver an earlier state once more, which changes nothing."""
+        state = self._rng.choice(self._states.all)
+        instance = self._rng.choice(self._site.control)
+        with contextlib.suppress(OSError):
+            await call(self._site.admin(instance), "PUT", "/v1/tables", state.document)
+
     async def read(self) -> int | None:
         """Return the version that some control instance reads; None if it gives none."""
         instance = self._rng.choice(self._site.control)
@@ -196,4 +212,6 @@
         while not self._is_stopped:
             await self.put_next()
             await self.read()
+            if self._repeats and self._rng.random() < REPEAT_SHARE:
+                await self._repeat()
             await asyncio.sleep(self._rng.uniform(0.2, 1.8) * period_s)
--- a/tests/incident/wire.py
+++ b/tests/incident/wire.py
@@ -39,7 +39,7 @@
         self.is_ended = False
         self.is_reset = False
         self._buffer = bytearray()
-        self._is_waiting = False
+        self._awaited = 0
         self._arrived = asyncio.Event()
 
     @classmethod
@@ -52,7 +52,7 @@
         self.transport = transport
 
     def data_received(self, data: bytes) -> None:
-        if self._is_waiting:
+        if self._awaited:
             self._buffer += data
             self._arrived.set()
         else:
@@ -67,9 +67,9 @@
         self.is_reset = error is not None
         self._arrived.set()
 
-    def expect(self) -> None:
-        """Say that a request is sent, so that what comes belongs to its answer."""
-        self._is_waiting = True
+    def expect(self, count: int = 1) -> None:
+        """Say that requests are sent, so that what comes belongs to their answers."""
+        self._awaited += count
 
     def close(self) -> None:
         self.transport.abort()
@@ -85,6 +85,25 @@
         answer = await self._read_head()
         while answer.status < 200:
             answer = await self._read_head()
+        await self._read_body(answer)
+        self._awaited -= 1
+        if not self._awaited:
+            self.stray += bytes(self._buffer)
+            self._buffer.clear()
+        return answer
+
+    async def await_continue(self) -> None:
+        """Wait for a 1xx; return also when a final answer begins.
+
+        Raises
+        ------
+        WireError
+            When the connection ends before.
+        """
+        while b"\r\n\r\n" not in self._buffer:
+            await self._wait()
+
+    async def _read_body(self, answer: Answer) -> None:
         if answer.headers.get("transfer-encoding", "").lower() == "chunked":
             answer.framing = "chunked"
             answer.body = await self._read_chunks()
@@ -94,10 +113,6 @@
         elif answer.status not in (204, 304):
             answer.framing = "closed"
             answer.body = await self._take_all()
-        self._is_waiting = False
-        self.stray += bytes(self._buffer)
-        self._buffer.clear()
-        return answer
 
     async def _read_head(self) -> Answer:
         lines = (await self._take_until(b"\r\n\r\n")).decode("latin-1").split("\r\n")
