A caller that closes its sending side gets no 499

A caller that had more requests on a connection than the instance reads ahead, and had closed only its sending side, could read a 499 without proof: a 4xx of the instance itself.

Cause: PipelinedChannel.check_client_disconnected takes the closed side for a caller that left and asks the loop of the server to close the connection; the request ends with caller_left meanwhile, and its thread writes the response to the socket itself, before the loop closes it.

The new test, which wakes the loop late, failed in both cases before.

Once a caller was found to have left, nothing is written to its connection, as after its close. Whether such a caller should get its answers is left open: it gets none, as before.

--- a/src/foxtaildrum/requests/pipelines.py
+++ b/src/foxtaildrum/requests/pipelines.py
@@ -13,7 +13,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from waitress.channel import HTTPChannel
+from waitress.channel import ClientDisconnected, HTTPChannel
 from waitress.parser import HTTPRequestParser
 from waitress.task import Task
 
@@ -107,6 +107,7 @@
     early_bytes = 0
     early_changed: Any = None
     _turn_due = False
+    _has_left = False
     # Number of times that the next request was handed to a thread.
     _handovers = 0
 
@@ -162,11 +163,27 @@
         if not self.connected:
             return True
         if len(self.requests) > self.adj.channel_request_lookahead and self._has_hung_up():
+            self._has_left = True
             self.will_close = True
             self.server.pull_trigger()
             return True
         return False
 
+    def write_soon(self, data: bytes) -> int:
+        """Send a part of a response.
+
+        A caller that was found to have left may only have closed its sending side, and would
+        read the error that ends its request.
+
+        Raises
+        ------
+        ClientDisconnected
+            If the caller has left.
+        """
+        if self._has_left:
+            raise ClientDisconnected
+        return super().write_soon(data)
+
     def handle_close(self) -> None:
         """Close the connection; discard what has arrived and cancel what runs ahead."""
         super().handle_close()
--- a/tests/test_pipelines.py
+++ b/tests/test_pipelines.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import socket
 import threading
 import time
 import uuid
@@ -181,6 +182,23 @@
     assert count_runs(site, unread) == 0
 
 
+# Guards against a 499, a 4xx of the instance itself, for a caller that has closed only its
+# sending side and still reads. The loop of the server is woken late, as on a busy machine.
+@pytest.mark.parametrize("count", [PER_CONNECTION + 1, 2 * PER_CONNECTION])
+def test_a_caller_that_closes_its_sending_side_gets_no_error_of_its_own(
+    site, caller, monkeypatch, count
+):
+    with Stall(site):
+        caller.send(*[build_request(f"/x{n}") for n in range(count)])
+        assert wait_until(lambda: count_busy(site) == PER_CONNECTION)
+        channel = site.instance.caller_server.list_channels()[0]
+        monkeypatch.setattr(channel.server, "pull_trigger", lambda *arguments: None)
+        caller.sock.shutdown(socket.SHUT_WR)
+        statuses = {reply.status for reply in caller.read_replies(count)}
+        monkeypatch.undo()
+    assert statuses <= {0, 200}
+
+
 # Guards against a close that is announced, or done, before the last response that has started:
 # a response in chunks ends its connection.
 @pytest.mark.parametrize("position", POSITIONS)
