An entry instance without a quorum starts only from confirmed tables

A route added since gets 404 there.

Cause: Currency.update_started takes the highest index that a peer reports for the latest one.

Such a start now also needs tables that include a confirmed index, of any age, as the pings of running instances pass it on. Until then callers get 503, as the design says of a cut-off instance.

Run: test_lost_disks, test_consensus, test_fleet*, test_group*, test_first_tables, test_pipelines, test_denied, test_evacuation_orders and test_lost_links pass.

--- a/src/foxtaildrum/fleet/currency.py
+++ b/src/foxtaildrum/fleet/currency.py
@@ -86,7 +86,10 @@
         The start is complete once the tables include every change accepted up to
         ``start_max_age_s`` ago. An instance outside the control group may also start
         without a quorum: after ``START_WITHOUT_QUORUM_AFTER_S``, if a majority of the
-        fleet is reachable and the tables include the highest index that a peer reported.
+        fleet is reachable and the tables include the highest index that a peer reported and
+        one that a quorum has confirmed since this instance or a peer started. Without such a
+        confirmation the tables may come from the snapshot of a control instance, which lacks
+        what was accepted after it.
         """
         if self.started:
             return
@@ -96,7 +99,13 @@
             return
         waited = now - self._started_at >= START_WITHOUT_QUORUM_AFTER_S
         caught_up = 0 < self._highest_index <= self._follower.index
-        self.started = waited and caught_up and self._fetches_entries and self._sees_majority()
+        self.started = (
+            waited
+            and caught_up
+            and age_s is not None
+            and self._fetches_entries
+            and self._sees_majority()
+        )
 
     def is_current(self, now: float) -> bool:
         """Return whether the tables include every change older than ``CUT_OFF_AFTER_S``."""
--- a/tests/test_lost_disks.py
+++ b/tests/test_lost_disks.py
@@ -19,11 +19,15 @@
 SEEDS = range(8)
 LOSSES = 3
 ENTRIES = 3
+# A majority of the fleet without its control instances.
+MANY_ENTRIES = 8
 RECOVERY_LIMIT_S = 40.0
 # Time between two starts, in seconds; the longest exceed the limits of elections. All of them
 # together stay below the time after which an entry instance starts without a quorum (15 s).
 GAPS_S = [0.0, 0.002, 0.05, 0.4, 1.8]
 COMPACT_ENTRIES = 3
+# Beyond the time after which an entry instance starts without a quorum, in seconds.
+DOWN_S = 25.0
 ORDERS = ["any", "empty first", "empty and entries first", "entries first", "kept first"]
 
 
@@ -147,3 +151,45 @@
         checks.run_until_whole()
         checks.run(rng.uniform(0.0, 3.0))
     assert checks.served
+
+
+# Guards against an entry instance that serves from the snapshot of a control instance, which is
+# older than the acknowledged state, while the only disk that holds that is down for long.
+@pytest.mark.parametrize("seed", SEEDS)
+def test_entry_instances_that_start_without_a_quorum_serve_nothing_older(monkeypatch, seed):
+    monkeypatch.setattr(group, "COMPACT_ENTRIES", COMPACT_ENTRIES)
+    rng = random.Random(seed)
+    fleet = form_joined_fleet(entry=ENTRIES, seed=seed)
+    checks = Checks(fleet)
+    for number in range(1, 2 * COMPACT_ENTRIES):
+        checks.put(number)
+    lagging = rng.sample(fleet.control, 2)
+    fleet.cut(lagging)
+    checks.put(10)
+    for name in fleet.hosts:
+        fleet.crash(name)
+    fleet.blocked.clear()
+    *wiped, newest = rng.sample([c for c in fleet.control if c not in lagging], 3)
+    for name in [n for n in fleet.hosts if n != newest]:
+        fleet.restart(name, lose_disk=name in wiped)
+    checks.run(DOWN_S)
+    fleet.restart(newest)
+    checks.run_until_whole()
+    assert checks.served
+
+
+# Guards against a fleet that shrinks with each restart while the control group is down: what a
+# quorum has confirmed to the running instances is the latest, since nothing can be accepted.
+def test_an_entry_instance_starts_without_a_quorum_from_what_running_ones_know():
+    fleet = form_joined_fleet(entry=MANY_ENTRIES, seed=1)
+    checks = Checks(fleet)
+    checks.put(5)
+    checks.run(1.0)
+    for name in fleet.control:
+        fleet.crash(name)
+    checks.run(1.0)
+    fleet.restart("e1")
+    checks.run(DOWN_S)
+    host = fleet.hosts["e1"]
+    assert host.node.is_open(host.read_clock()), fleet.describe()
+    assert host.node.state.tables.desired_number == 5
