A proof counts only if the caller gets it

Cause: the check read all headers of the upstream, but those that Connection names concern one connection and are not relayed. The check now reads the headers that are relayed.

Evidence: the new test got 200, 302 and 404 before, and gets 502 in its six cases.

--- a/src/foxtaildrum/requests/answers.py
+++ b/src/foxtaildrum/requests/answers.py
@@ -8,6 +8,7 @@
 
 import enum
 import http.client
+from collections.abc import Iterable
 
 from ..kinds import ErrorKind
 from .dialects import Dialect, Headers
@@ -54,15 +55,24 @@
         raise TransportError(ErrorKind.ANSWER_INVALID, reason=NO_IDENTIFIER)
 
 
-def find_proof(dialect: Dialect, headers: Headers) -> Proof:
-    """Return whether a response has the header that the dialect requires; empty, it has not."""
-    required = dialect.required_response_header
+def find_proof(dialect: Dialect, relayed_headers: Iterable[tuple[str, str]]) -> Proof:
+    """Return whether a response has the header that the dialect requires; empty, it has not.
+
+    Parameters
+    ----------
+    relayed_headers : iterable of tuple
+        Names and values that the caller gets: one that ``Connection`` names is not relayed.
+    """
+    required = dialect.required_response_header.lower()
     if not required:
         return Proof.NOT_REQUIRED
-    return Proof.PRESENT if headers.get(required, "").strip() else Proof.MISSING
+    is_present = any(n.lower() == required and v.strip() for n, v in relayed_headers)
+    return Proof.PRESENT if is_present else Proof.MISSING
 
 
-def check_proof(dialect: Dialect, status: int, headers: Headers) -> None:
+def check_proof(
+    dialect: Dialect, status: int, relayed_headers: Iterable[tuple[str, str]]
+) -> None:
     """Refuse a response without the header that the dialect requires.
 
     A failure (5xx) needs none: it promises nothing, whoever made it. Any other status tells
@@ -75,5 +85,5 @@
     """
     if status >= http.client.INTERNAL_SERVER_ERROR:
         return
-    if find_proof(dialect, headers) is Proof.MISSING:
+    if find_proof(dialect, relayed_headers) is Proof.MISSING:
         raise TransportError(ErrorKind.ANSWER_INVALID, reason=NO_PROOF)
--- a/src/foxtaildrum/requests/dispatch.py
+++ b/src/foxtaildrum/requests/dispatch.py
@@ -475,7 +475,7 @@
         attempt = self._attempt_states[number]
         check_identifier(dialect, attempt.connection, head.all_headers, expected_id)
         if attempt.needs_proof(head, not_run):
-            check_proof(dialect, head.status, head.all_headers)
+            check_proof(dialect, head.status, head.headers)
 
     def _prefetch_body(self, attempt: AttemptState) -> IO[bytes] | bytes | None:
         length = attempt.head.length
--- a/tests/test_unproved.py
+++ b/tests/test_unproved.py
@@ -18,6 +18,7 @@
 from foxtaildrum.requests.transport import Head
 
 from .sites import open_site
+from .standins.processes import wait_until
 from .standins.scripted import Arrival, Script, ScriptedUpstream, build_response
 from .test_platform import load_module
 
@@ -153,7 +154,27 @@
 
 @pytest.mark.parametrize("status", [200, 302, 404, 429])
 def test_a_dialect_without_proofs_refuses_responses_without_one(status):
-    check_proof(Dialect(), status, {})
+    check_proof(Dialect(), status, [])
+
+
+# Guards against a proof that the check sees and the caller doesn't get.
+def test_a_proof_that_connection_names_passes_although_it_is_not_relayed(site, answer):
+    statuses = {}
+    for status, method in itertools.product([200, 302, 404], ["GET", "POST"]):
+        answer.set(status, X_Response_Signature="proof", Connection="X-Response-Signature")
+        reply, _ = send(site, answer, f"named-{status}-{method}", method)
+        statuses[status, method] = reply.status
+    assert set(statuses.values()) == {502}
+
+
+# Guards against a refusal that lacks a proof, as it may, and counts as no answer: the request was
+# not run, and the caller may be told so.
+@pytest.mark.parametrize("status", [400, 404, 421, 429, 503])
+@pytest.mark.parametrize("method", ["GET", "POST"])
+def test_a_refusal_that_states_not_run_needs_a_proof(site, answer, status, method):
+    answer.set(status, X_Not_Executed="1")
+    reply, _ = send(site, answer, f"not-run-{status}-{method}", method)
+    assert (reply.status, read_kind(reply), reply.outcome) == (503, "shed", "not-run")
 
 
 def build_forwarded(result: ForwardResult, status: int) -> tuple[ForwardedAttempt, Head]:
@@ -182,9 +203,14 @@
 
 
 def find_log_record(caplog, event: str, request_id: str):
-    found = [r for r in caplog.records if r.msg == event and r.request_id == request_id]
-    assert len(found) == 1
-    return found[0]
+    """Return the line of a request, which may be written after the caller has its response."""
+
+    def find():
+        return [r for r in caplog.records if r.msg == event and r.request_id == request_id]
+
+    assert wait_until(find)
+    assert len(find()) == 1
+    return find()[0]
 
 
 def test_a_relayed_refusal_is_logged_without_what_tells_who_made_it(site, answer, caplog):
@@ -202,6 +228,19 @@
     assert not counted["client_errors.instance"]
 
 
+# Guards against refusals of the instance itself, by its tables or its parser, that no counter
+# tells from those of upstreams.
+@pytest.mark.parametrize(
+    ("target", "headers", "status"),
+    [("/none/x", {}, 404), ("/bad/x", {"Content-Length": "x"}, 400)],
+)
+def test_a_refusal_of_the_instance_is_not_counted(site, target, headers, status):
+    before = Counter(site.instance.meter.describe_counters())
+    assert site.send("GET", target, headers).status == status
+    counted = Counter(site.instance.meter.describe_counters()) - before
+    assert (counted["client_errors.instance"], counted["client_errors.upstream"]) == (1, 0)
+
+
 def test_a_response_without_proof_is_refused_without_its_status_in_the_log(
     site, answer, caplog
 ):
