A 499 is no refusal; replayed and forwarded 4xx are logged like others

What operators saw: the counter of the instance's own refusals grew with each caller who left, and a forwarded one counted at both instances, so that it hid what the incident is about; a replayed 4xx had no maker in the log.

Cause: the count stood in two of the three places that end a request with a 3xx or 4xx, and looked at the status alone. One function counts and describes them all now.

There is no test of its own for the 499.

--- a/src/foxtaildrum/requests/proxy.py
+++ b/src/foxtaildrum/requests/proxy.py
@@ -46,7 +46,7 @@
 from .relays import ErrorResponse, TruncatedResponseError, UpstreamResponse
 from .routing import REFUSED_METHODS, Router, is_idempotent
 from .stops import StopPlan
-from .transport import HOP_BY_HOP_HEADERS, Head
+from .transport import HOP_BY_HOP_HEADERS
 
 MAX_IDEMPOTENCY_KEY_CHARS = 255
 # A request that waited longer than this for a thread is refused as overloaded.
@@ -269,14 +269,29 @@
             "tables_age_s": -1 if age_s is None else round(age_s, 3),
         }
 
-    def _count_refusal(self, head: Head) -> dict[str, object]:
-        """Count a 3xx or 4xx response that is relayed; return who made it, for the log."""
-        if not http.client.MULTIPLE_CHOICES <= head.status < MIN_SERVER_ERROR_STATUS:
+    def _count_refusal(
+        self, request: CallerRequest, status: int, headers: list[tuple[str, str]] | None
+    ) -> dict[str, object]:
+        """Count a 3xx or 4xx response; return who made it, for the log.
+
+        Parameters
+        ----------
+        headers : list of tuple or None
+            Headers of the response of an upstream that is relayed; None if this instance made
+            the response.
+        """
+        if not http.client.MULTIPLE_CHOICES <= status < MIN_SERVER_ERROR_STATUS:
             return {}
-        proof = find_proof(self.dialect, head.all_headers)
-        is_unproved = proof is Proof.MISSING
-        self._meter.count("client_errors.unproved" if is_unproved else "client_errors.upstream")
-        return {"maker": "upstream", "proof": proof.value, **self._describe_state()}
+        maker: dict[str, object] = {"maker": "instance"}
+        counter = "instance"
+        if headers is not None:
+            proof = find_proof(self.dialect, headers)
+            maker = {"maker": "upstream", "proof": proof.value}
+            counter = "unproved" if proof is Proof.MISSING else "upstream"
+        if request.forward is None:
+            # The instance that forwarded the request counts its response.
+            self._meter.count(f"client_errors.{counter}")
+        return {**maker, **self._describe_state()}
 
     def _decline_unsigned(
         self, request: CallerRequest, start_response: StartResponse
@@ -407,7 +422,8 @@
         headers.append(("Idempotent-Replayed", "true"))
         start_response(format_status(outcome.status), headers)
         latency_s = read_clock() - request.arrived_at
-        self._record(request, outcome.status, False, latency_s, attempts=0, kind="")
+        refusal = self._count_refusal(request, outcome.status, headers)
+        self._record(request, outcome.status, False, latency_s, attempts=0, kind="", **refusal)
         return [outcome.body]
 
     def _dispatch(
@@ -537,7 +553,7 @@
         start_response(format_status(head.status, head.reason), headers)
         latency_s = read_clock() - request.arrived_at
         failed = head.status >= MIN_SERVER_ERROR_STATUS
-        refusal = self._count_refusal(head)
+        refusal = self._count_refusal(request, head.status, headers)
         if head.length is not None:
             self.sizes.record(request.route.name, head.length)
 
@@ -575,9 +591,9 @@
         failed = status >= MIN_SERVER_ERROR_STATUS
         # Tells a wrong request from one that this instance doesn't know enough to serve.
         state: dict[str, object] = {}
-        if not failed:
-            self._meter.count("client_errors.instance")
-            state = {"reason": reason or "-", "maker": "instance", **self._describe_state()}
+        # Nobody gets the status of a caller who left.
+        if not failed and kind is not ErrorKind.CALLER_LEFT:
+            state = {"reason": reason or "-", **self._count_refusal(request, status, None)}
         self._record(
             request,
             status,
