Only the thread of a server closes connections

What callers saw: nothing yet; found by reading. A service thread whose send of "100 Continue" fails closed the connection at once, while the thread of the server may be polling or reading it: its socket becomes None between two steps there, and its descriptor may belong to another connection by then.

Evidence: the new test lets that send fail; before, waitress-0 closed the connection.

A send on another thread now leaves the closing to the thread of the server, whose next send fails as well.

--- a/src/foxtaildrum/requests/server.py
+++ b/src/foxtaildrum/requests/server.py
@@ -206,6 +206,8 @@
     def _flush_some(self, do_close: bool = True) -> bool:
         # Waitress sends without the lock while no request is queued, but a thread that has
         # just removed the last one may be sending "100 Continue" for the next.
+        # The thread of the server uses the connection meanwhile, and closes it alone.
+        do_close = do_close and threading.get_ident() == self.server.thread_id
         with self.outbuf_lock:
             return super()._flush_some(do_close)
 
@@ -245,6 +247,8 @@
     header_timeout_s = math.inf
     body_stall_s = math.inf
     _idle_swept_at = 0.0
+    # Thread that runs the loop of the server.
+    thread_id = 0
 
     def maintenance(self, now: float) -> None:
         if now - self._idle_swept_at >= IDLE_SWEEP_PERIOD_S:
@@ -404,4 +408,5 @@
         return True
 
     def _run(self) -> None:
+        self._server.thread_id = threading.get_ident()
         wasyncore.loop(timeout=LOOP_TIMEOUT_S, map=self._socket_map, use_poll=True)
--- a/tests/test_account.py
+++ b/tests/test_account.py
@@ -219,3 +219,28 @@
     with open_unread(tmp_path, UNREAD_BYTES, 1) as server:
         server.stop_accepting()
         assert server.wait_closed(time.monotonic() + GONE_TIMEOUT_S)
+
+
+# Guards against a connection that a service thread closes while that of the server uses it.
+def test_only_the_thread_of_the_server_closes_connections(site, monkeypatch):
+    send, handle_close = _Channel.send, _Channel.handle_close
+    closed_by = []
+
+    def send_on_closed(channel, data, do_close=True):
+        if data.startswith(b"HTTP/1.1 100 "):
+            channel.socket.shutdown(socket.SHUT_WR)
+        return send(channel, data, do_close)
+
+    def record_close(channel):
+        closed_by.append(threading.current_thread().name)
+        handle_close(channel)
+
+    monkeypatch.setattr(_Channel, "send", send_on_closed)
+    monkeypatch.setattr(_Channel, "handle_close", record_close)
+    with PipeliningCaller(site.instance.caller_server.address) as caller:
+        expecting = build_request("/x", "POST", Content_Length="4", Expect="100-continue")
+        caller.send(build_request("/x", X_Fault="slow=300"), expecting)
+        assert caller.read_reply().status == 200
+        assert caller.is_closed()
+        assert wait_until(lambda: closed_by)
+    assert all(name.startswith("http-") for name in closed_by), closed_by
