An error response isn't reset while it is being sent

What callers saw: nothing yet on record; found by reading. A caller whose request is refused while its body still arrives could get a reset behind the response, by which it may lose the response.

Cause: the thread of the server looked at close_when_flushed twice: first to decide whether the connection lingers until unread input is discarded, then to close it. A service thread that set it in between, after its last part, got a close with unread input, and so a reset.

The flag is now looked at once, after the flush, and lingering is decided there.

--- a/src/foxtaildrum/requests/server.py
+++ b/src/foxtaildrum/requests/server.py
@@ -121,14 +121,20 @@
         self.settle_unsent()
 
     def _write_unsent(self) -> None:
-        if self.lingers_on_close and self.close_when_flushed:
-            self._flush_exception(self._flush_some)
-            if not self.total_outbufs_len and not self.will_close:
-                self._begin_linger()
-                return
+        self._flush_exception(
+            self._flush_some_if_lockable if self.requests else self._flush_some
+        )
         if self.discard_until:
             self.will_close = True
-        super().handle_write()
+        # A service thread sets this after the last response, at any time: it is read once.
+        if self.close_when_flushed and not self.total_outbufs_len:
+            self.close_when_flushed = False
+            if self.lingers_on_close and not self.will_close:
+                self._begin_linger()
+            else:
+                self.will_close = True
+        if self.will_close:
+            self.handle_close()
 
     def handle_close(self) -> None:
         super().handle_close()
@@ -198,7 +204,6 @@
     def _begin_linger(self) -> None:
         # Closing a socket with unread input resets the connection, and the caller may
         # lose the error response before it has read it.
-        self.close_when_flushed = False
         self.discard_until = time.monotonic() + LINGER_S
         with contextlib.suppress(OSError):
             self.socket.shutdown(socket.SHUT_WR)
--- a/tests/test_account.py
+++ b/tests/test_account.py
@@ -16,7 +16,7 @@
     SPARE_RATIO,
     CallerAccount,
 )
-from foxtaildrum.requests.server import OUTPUT_BUFFER_BYTES, _Channel
+from foxtaildrum.requests.server import OUTPUT_BUFFER_BYTES, _Channel, _ErrorTask
 
 from .pipelining import PipeliningCaller, build_request
 from .sites import open_site
@@ -27,6 +27,8 @@
 BODY_BYTES = 3 * SMALL_REQUEST_BYTES
 # More than the buffers of a connection take.
 UNREAD_BYTES = 30 * 1024 * 1024
+# More than is read at once.
+UNREAD_INPUT_BYTES = 200_000
 # Time for which a send waits for a second thread that sends the same bytes.
 SEND_OVERLAP_S = 0.5
 # Longer than any limit of these tests; only a fault takes so long.
@@ -244,3 +246,29 @@
         assert caller.is_closed()
         assert wait_until(lambda: closed_by)
     assert all(name.startswith("http-") for name in closed_by), closed_by
+
+
+# Guards against a reset, by which a caller may lose the error response: the response was marked
+# as the last one while the thread of the server was still sending it.
+def test_an_error_response_is_not_reset_while_it_is_sent(site, monkeypatch):
+    execute, flush = _ErrorTask.execute, _Channel._flush_exception
+    is_sending = threading.Event()
+
+    def execute_slowly(task):
+        execute(task)
+        is_sending.wait(SEND_OVERLAP_S)
+
+    def flush_slowly(channel, function, do_close=True):
+        if not threading.current_thread().name.startswith("http-"):
+            return False, False
+        is_sending.set()
+        result = flush(channel, function, do_close)
+        wait_until(lambda: channel.close_when_flushed, SEND_OVERLAP_S)
+        return result
+
+    monkeypatch.setattr(_ErrorTask, "execute", execute_slowly)
+    monkeypatch.setattr(_Channel, "_flush_exception", flush_slowly)
+    with PipeliningCaller(site.instance.caller_server.address) as caller:
+        caller.send(build_request("/x", Content_Length="odd"), b"b" * UNREAD_INPUT_BYTES)
+        assert caller.read_reply().status == 400
+        assert caller.sock.recv(1) == b""
