--- a/tests/test_caller_limits.py
+++ b/tests/test_caller_limits.py
@@ -200,6 +200,7 @@
     with open_callers(site, request):
         # The upstream has fewer slots than there are callers; these end with the limit.
         limit = site.base_descriptors + DESCRIPTOR_SLACK
+        assert wait_until(lambda: site.count_descriptors() > limit, GONE_TIMEOUT_S)
         assert wait_until(lambda: site.count_descriptors() <= limit, GONE_TIMEOUT_S)
         assert site.measure_memory() <= site.base_memory + MAX_HELD_BYTES + MEMORY_SLACK_BYTES
         # The slots of the upstream become free a little later.
