--- a/tests/test_unproved.py
+++ b/tests/test_unproved.py
@@ -167,8 +167,8 @@
     assert set(statuses.values()) == {502}
 
 
-# Guards against a refusal that lacks a proof, as it may, and counts as no answer: the request was
-# not run, and the caller may be told so.
+# Guards against a refusal that lacks a proof, as it may, and counts as no answer: the request
+# was not run, and the caller may be told so.
 @pytest.mark.parametrize("status", [400, 404, 421, 429, 503])
 @pytest.mark.parametrize("method", ["GET", "POST"])
 def test_a_refusal_that_states_not_run_needs_a_proof(site, answer, status, method):
