Responses that are read before they are relayed are on the account

Seen: ten HTTP/1.0 callers of an upstream that sends chunks without end. Where that folder is in memory, the machine runs out of it. A full disk was answered as an internal error.

Cause: a chunked response for a caller without chunks is read completely, and nothing but the time limit bounded it.

Change: it is kept in a ResponseSpool, which is on the account of what callers hold, with its file among the files of bodies. An upstream alone decides how long such a body is, so the exception for a single large request does not apply. Beyond the bound, or if the disk is full, the attempt fails as answer_invalid (reason spool_full): 502, or a retry if the request allows it. The spool is given back when it was relayed or when it is dropped.

--- a/src/foxtaildrum/instance.py
+++ b/src/foxtaildrum/instance.py
@@ -113,6 +113,7 @@
         self.publisher.permit_client = reports
         self.publisher.apply_limits = self._apply_limits
         self.caller_account = CallerAccount.from_settings(settings, self.meter)
+        self.proxy.account = self.caller_account
         self.node_access = NodeAccess(
             self._node_proxy,
             self.meter,
--- a/src/foxtaildrum/requests/account.py
+++ b/src/foxtaildrum/requests/account.py
@@ -112,6 +112,18 @@
                 self._held_bytes += size
             return admitted
 
+    def hold_within_bound(self, size: int) -> bool:
+        """Add to what is held if the bound admits it; return whether it was added.
+
+        Unlike with :meth:`hold`, a single holder may not exceed the bound, and the share that
+        is left to small requests stays free.
+        """
+        with self._lock:
+            admitted = self._held_bytes + size <= (1 - SPARE_RATIO) * self._max_bytes
+            if admitted:
+                self._held_bytes += size
+            return admitted
+
     def change(self, size: int) -> None:
         """Add to what is held without a check; a negative size releases."""
         with self._lock:
--- a/src/foxtaildrum/requests/attempts.py
+++ b/src/foxtaildrum/requests/attempts.py
@@ -4,7 +4,6 @@
 
 import http.client
 from collections.abc import Iterator
-from typing import IO
 
 from ..balancing.candidates import UpstreamLoad
 from ..balancing.forwarding import Peer
@@ -16,6 +15,7 @@
 from .dialects import Dialect
 from .exchange import RETRYABLE_STATUSES
 from .forwards import DECLINING_KINDS, FORWARD_HEADER, Forwarder, ForwardResult
+from .spools import ResponseSpool
 from .steps import AttemptResult, Event, ForwardDeclined, ForwardFailed, HeadReceived
 from .transport import Connection, Head, OutgoingRequest, TransportError
 
@@ -39,7 +39,7 @@
         Whether the whole request was sent.
     warmup : Warmup or None
         Cold period of the upstream in which the attempt holds a reservation.
-    body : file, bytes or None
+    body : ResponseSpool, bytes or None
         Complete body, or None if it is relayed as ``chunks`` while it arrives.
     """
 
@@ -63,7 +63,7 @@
         self.is_sent = False
         self.connection: Connection | None = None
         self.head: Head | None = None
-        self.body: IO[bytes] | bytes | None = None
+        self.body: ResponseSpool | bytes | None = None
         self.chunks: Iterator[bytes] = iter(())
 
     @property
--- a/src/foxtaildrum/requests/dispatch.py
+++ b/src/foxtaildrum/requests/dispatch.py
@@ -6,7 +6,6 @@
 from collections import deque
 from collections.abc import Callable, Iterator
 from itertools import chain
-from typing import IO
 
 from ..balancing.pools import UpstreamPool
 from ..balancing.samples import Sampler
@@ -23,8 +22,8 @@
 from .guard import RETRY_AFTER_CRASHES_S, CrashGuard
 from .recognising import RETRY_AFTER_TABLES_S, Recognition
 from .relays import ErrorResponse, StreamedBody, UpstreamResponse, read_spooled
+from .spools import ResponseSpool
 from .transport import (
-    CHUNK_BYTES,
     CancelledError,
     Head,
     OutgoingRequest,
@@ -58,8 +57,9 @@
         Names and formats on the wire.
     guard : CrashGuard
         Refuses the request if upstreams have crashed under it.
-    spool_chunked : bool
-        Whether a chunked response must be read completely before it is relayed.
+    open_spool : callable or None
+        Opens the spool of a chunked response that must be read completely before it is
+        relayed; None relays it while it arrives.
     priority : int
         Priority of the request; 0 is the most urgent.
     max_queue_wait_s : float
@@ -89,7 +89,7 @@
         caller_left: Callable[[], bool],
         dialect: Dialect,
         guard: CrashGuard,
-        spool_chunked: bool,
+        open_spool: Callable[[], ResponseSpool] | None,
         priority: int = 0,
         max_queue_wait_s: float = float("inf"),
         expected_response_bytes: float = 0.0,
@@ -108,7 +108,7 @@
         self._priority = priority
         self._max_queue_wait_s = max_queue_wait_s
         self._expected_response_bytes = expected_response_bytes
-        self._spool_chunked = spool_chunked
+        self._open_spool = open_spool
         self._forwarder = forwarder
         self._takes_forward = takes_forward
         self._table_index = table_index
@@ -475,23 +475,18 @@
         if not not_run:
             check_proof(dialect, head.status, head.all_headers)
 
-    def _prefetch_body(self, attempt: AttemptState) -> IO[bytes] | bytes | None:
+    def _prefetch_body(self, attempt: AttemptState) -> ResponseSpool | bytes | None:
         length = attempt.head.length
         if length is not None:
             if length > PREFETCH_BYTES:
                 return None
             return b"".join(self._read_body(attempt))
-        if not self._spool_chunked:
+        if self._open_spool is None:
             return None
-        # Imported on use: the module is large and only HTTP/1.0 callers need it.
-        import tempfile
-
-        spool = tempfile.SpooledTemporaryFile(max_size=CHUNK_BYTES)  # noqa: SIM115
-        for chunk in self._read_body(attempt):
-            spool.write(chunk)
-        attempt.head.length = spool.tell()
-        attempt.head.headers.append(("Content-Length", str(attempt.head.length)))
-        spool.seek(0)
+        spool = self._open_spool()
+        spool.fill(self._read_body(attempt))
+        attempt.head.length = spool.length
+        attempt.head.headers.append(("Content-Length", str(spool.length)))
         return spool
 
     def _prefetch_chunk(self, attempt: AttemptState) -> Iterator[bytes]:
--- a/src/foxtaildrum/requests/proxy.py
+++ b/src/foxtaildrum/requests/proxy.py
@@ -15,6 +15,7 @@
 from ..kinds import ERROR_RESPONSES, ErrorKind, Outcome
 from ..logs import log_event
 from ..organisations.keys import KeyTable
+from .account import CallerAccount
 from .averages import RouteAverages
 from .callers import QUEUED_TIME_KEY, CallerRequest, read_time_limit
 from .dialects import Dialect
@@ -42,6 +43,7 @@
 from .recognising import RETRY_AFTER_TABLES_S, Recogniser
 from .relays import ErrorResponse, TruncatedResponseError, UpstreamResponse
 from .routing import Router, is_idempotent
+from .spools import ResponseSpool
 from .stops import StopPlan
 from .transport import HOP_BY_HOP_HEADERS
 
@@ -164,6 +166,7 @@
         self.is_starting: Callable[[], bool] = _never
         self.list_unready_reasons: Callable[[], list[str]] = list
         self.claims: ClaimService | None = None
+        self.account: CallerAccount | None = None
         self.quotas = Quotas()
         self.forwarder: Forwarder | None = None
         self.crash_view = CrashView()
@@ -444,7 +447,7 @@
             environ.get("waitress.client_disconnected", _never),
             self.dialect,
             CrashGuard(outgoing, self._get_crash_view, self.crash_reporter),
-            environ.get("SERVER_PROTOCOL") == "HTTP/1.0",
+            self._open_spool if environ.get("SERVER_PROTOCOL") == "HTTP/1.0" else None,
             request.priority,
             MAX_QUEUE_WAIT_RATIO * request.route.objective_latency_ms / 1000,
             self.sizes.get(request.route.name),
@@ -527,6 +530,9 @@
 
         return _TrackedBody(response.body, finish)
 
+    def _open_spool(self) -> ResponseSpool:
+        return ResponseSpool(self.account)
+
     def _send_error(
         self,
         request: CallerRequest,
--- a/src/foxtaildrum/requests/relays.py
+++ b/src/foxtaildrum/requests/relays.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterator
-from typing import IO
 
 from ..kinds import ErrorKind, Outcome
 from . import steps
-from .transport import CHUNK_BYTES, CancelledError, Head, TransportError
+from .spools import ResponseSpool
+from .transport import CancelledError, Head, TransportError
 
 
 class TruncatedResponseError(Exception):
@@ -112,8 +112,8 @@
         self._end_stream(event)
 
 
-def read_spooled(body: IO[bytes] | bytes) -> Iterator[bytes]:
+def read_spooled(body: ResponseSpool | bytes) -> Iterator[bytes]:
     """Yield a body that was read before the relay starts."""
     if isinstance(body, bytes):
         return iter((body,)) if body else iter(())
-    return iter(lambda: body.read(CHUNK_BYTES), b"")
+    return body
--- a/tests/test_account.py
+++ b/tests/test_account.py
@@ -45,6 +45,15 @@
     assert account.held_bytes == 0
 
 
+# Guards against a response that has no limit of its own and takes the bound's exception.
+def test_what_has_no_limit_of_its_own_never_exceeds_the_bound():
+    account = CallerAccount(MAX_BYTES, 1, Meter())
+    assert not account.hold_within_bound(MAX_BYTES)
+    assert account.hold_within_bound(MAX_BYTES - SPARE_BYTES)
+    assert not account.hold_within_bound(1)
+    assert account.admits(SMALL_REQUEST_BYTES)
+
+
 def test_files_of_bodies_are_bounded():
     account = CallerAccount(MAX_BYTES, 2, Meter())
     assert [account.hold_file() for _ in range(3)] == [True, True, False]
@@ -130,6 +139,16 @@
             site.send("GET", "/ordinary")
 
 
+# Guards against a response that is read before it is relayed and stays on the account.
+@pytest.mark.parametrize("length", [100, 2 * SMALL_REQUEST_BYTES, 2 * MAX_BYTES])
+def test_a_response_for_a_caller_without_chunks_is_given_back(site, account, length):
+    request = f"GET /document/{length} HTTP/1.0\r\nX-Fault: chunked\r\n\r\n".encode()
+    with PipeliningCaller(site.instance.caller_server.address) as caller:
+        caller.send(request)
+        reply = caller.read_reply()
+    assert reply.status == (502 if length > MAX_BYTES else 200)
+
+
 # Guards against responses that wait for slow readers outside the account.
 def test_unsent_responses_are_held_until_the_caller_has_gone(site, account):
     host, port = site.instance.caller_server.address.split(":")
