Bodies at the admin, metrics and forward addresses are on an account

Seen: bodies that never end, sent to the addresses beside that of callers. Fifty connections with 3 MiB each held 150 MiB of deleted files at the admin address and as much at the forward address, five with 30 MiB each 150 MiB at the metrics address (trials), for as long as the senders stayed. Announcements of upstreams arrive at the admin address, so a faulty upstream reaches it; up to 1,000 connections with 4 MiB each were allowed, at the metrics address 20 with 1 GiB.

Cause: only the server of callers had an account. The others had limits on each request and on connections, and no time limit on a body or a head that stalls.

Change: forwarded requests share the account of callers, as they are callers' requests. The admin interface and the metrics page share one of their own of 32 MiB, the largest bodies that the admin threads can serve at once, so that callers that hold all they may don't keep announcements and operators out. A scrape takes a body of 64 KiB at most. Beyond the bound: 503, not run; a forwarded request is declined, so another instance may take it.

--- a/src/foxtaildrum/instance.py
+++ b/src/foxtaildrum/instance.py
@@ -55,8 +55,14 @@
 ADMIN_THREADS = 8
 ADMIN_MAX_BODY_BYTES = 4 * 1024 * 1024
 ADMIN_MAX_CONNECTIONS = 1000
+# What unfinished requests and unsent responses hold at the admin and the metrics address:
+# the largest bodies that the threads can serve at once.
+ADMIN_MAX_HELD_BYTES = ADMIN_THREADS * ADMIN_MAX_BODY_BYTES
+# Number of files of large bodies of the admin interface.
+ADMIN_MAX_FILES = 64
 METRICS_THREADS = 1
 METRICS_MAX_CONNECTIONS = 20
+METRICS_MAX_BODY_BYTES = 65_536
 STATSD_PERIOD_S = 1.0
 CHECKED_UPSTREAMS = 4
 # Room for the headers that a forwarded request has in addition.
@@ -114,6 +120,8 @@
         self.publisher.apply_limits = self._apply_limits
         self.caller_account = CallerAccount.from_settings(settings, self.meter)
         self.proxy.account = self.caller_account
+        # Callers that hold all they may must not keep announcements and operators out.
+        self._admin_account = CallerAccount(ADMIN_MAX_HELD_BYTES, ADMIN_MAX_FILES, self.meter)
         self.node_access = NodeAccess(
             self._node_proxy,
             self.meter,
@@ -383,6 +391,8 @@
             refuse=self.proxy.refuse_forwarded,
             max_header_bytes=settings.max_header_bytes + FORWARD_HEADER_BYTES,
             max_body_bytes=settings.max_body_bytes,
+            account=self.caller_account,
+            body_stall_s=settings.body_stall_s,
             connection_limit=settings.max_connections,
             channel_timeout=CONNECTION_TIMEOUT_S,
         )
@@ -421,6 +431,8 @@
             ADMIN_THREADS,
             settings.write_deadline_s,
             max_body_bytes=ADMIN_MAX_BODY_BYTES,
+            account=self._admin_account,
+            body_stall_s=settings.body_stall_s,
             connection_limit=ADMIN_MAX_CONNECTIONS,
             channel_timeout=CONNECTION_TIMEOUT_S,
         )
@@ -434,6 +446,9 @@
             settings.metrics_listen,
             METRICS_THREADS,
             settings.write_deadline_s,
+            max_body_bytes=METRICS_MAX_BODY_BYTES,
+            account=self._admin_account,
+            body_stall_s=settings.body_stall_s,
             connection_limit=METRICS_MAX_CONNECTIONS,
             channel_timeout=CONNECTION_TIMEOUT_S,
         )
--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -5,13 +5,15 @@
 
 from __future__ import annotations
 
+import contextlib
 import http.client
+import socket
 from pathlib import Path
 
 import pytest
 
 from .standins.endless import ENDLESS, EndlessUpstream, HeldMemory
-from .standins.processes import InstanceProcess
+from .standins.processes import InstanceProcess, pick_port, wait_until
 
 pytestmark = pytest.mark.alone
 
@@ -19,7 +21,13 @@
 MAX_HELD_BYTES = 6 * MIB
 # Beside what is held: buffers of connections, threads and the allocator.
 MEMORY_SLACK_BYTES = 24 * MIB
+# What the admin interface may hold in addition.
+ADMIN_MAX_HELD_BYTES = 32 * MIB
 TIMEOUT_MS = 1500
+# More than the bounds of all servers together.
+SENDERS = 18
+PART = b"200000\r\n" + b"b" * (2 * MIB) + b"\r\n"
+CHUNKED = b"Host: x\r\nTransfer-Encoding: chunked\r\n\r\n"
 ANSWER_TIMEOUT_S = 15.0
 
 
@@ -27,9 +35,20 @@
     """An instance process with one route for each kind of endless answer."""
 
     def __init__(self, folder: Path, **settings: str) -> None:
+        self.servers = {
+            f"{name}_listen": f"127.0.0.1:{pick_port()}"
+            for name in ("metrics", "forward", "peer")
+        }
         self.instance = InstanceProcess(
-            folder, "one", max_held_bytes=str(MAX_HELD_BYTES), body_stall_s="2", **settings
+            folder,
+            "one",
+            max_held_bytes=str(MAX_HELD_BYTES),
+            max_body_bytes=str(64 * MIB),
+            body_stall_s="2",
+            **self.servers,
+            **settings,
         )
+        self.servers["admin_listen"] = self.instance.admin_listen
         self.instance.wait_ready()
         self.upstreams = {kind: EndlessUpstream({"": ENDLESS[kind]}) for kind in ENDLESS}
         client = self.instance.client
@@ -83,3 +102,41 @@
     assert peak.total <= site.base.total + MAX_HELD_BYTES + MEMORY_SLACK_BYTES
     assert site.instance.status()["instance"]
     caller.close()
+
+
+@contextlib.contextmanager
+def open_senders(address: str, line: bytes, count: int):
+    """Yield connections that have sent unfinished bodies as far as the instance took them."""
+    host, port = address.split(":")
+    with contextlib.ExitStack() as stack:
+        for _ in range(count):
+            sock = socket.create_connection((host, int(port)), timeout=ANSWER_TIMEOUT_S)
+            stack.enter_context(sock)
+            with contextlib.suppress(OSError):
+                sock.sendall(line + CHUNKED + PART)
+                sock.sendall(PART[:MIB])
+        yield
+
+
+# Guards against bodies that are kept without a bound by the servers beside that of callers: of
+# announcements and operators' calls, of scrapes, and of forwarded requests.
+@pytest.mark.parametrize(
+    ("server", "line"),
+    [
+        ("admin", b"PUT /v1/upstreams/x HTTP/1.1\r\n"),
+        ("admin", b"PUT /v1/tables HTTP/1.1\r\n"),
+        ("metrics", b"GET /metrics HTTP/1.1\r\n"),
+        ("forward", b"POST /x HTTP/1.1\r\n"),
+    ],
+)
+def test_unfinished_bodies_hold_no_more_than_the_bound_at_any_server(site, server, line):
+    is_admin = server == "admin"
+    bound = ADMIN_MAX_HELD_BYTES if is_admin else MAX_HELD_BYTES
+    count = 3 * SENDERS if is_admin else SENDERS
+    with open_senders(site.servers[f"{server}_listen"], line, count):
+        # Answered after all that was sent before it has been read.
+        site.instance.client.announce("new", {"pool": "chunks", "address": "127.0.0.1:1"})
+        held = site.measure()
+        assert held.total <= site.base.total + bound + MEMORY_SLACK_BYTES
+        assert wait_until(lambda: site.measure().files == 0)
+        assert site.instance.client.is_ready()
