Commands give up an answer that never ends

Seen: a command of an operator (`versions`, `status`, `report`) that reaches something that isn't an instance.

Cause: the client read each response as a whole into memory, and its timeout was that of each read.

Change: the connection of the client reads a BoundedResponse, as that to an upstream does: limits on the head and the trailer, and one deadline for the whole response. Bodies are read in parts up to 64 MiB and never decompressed, so that a small one can't become a large one. Beyond a limit the command ends with an error message.

--- a/src/foxtaildrum/admin/client.py
+++ b/src/foxtaildrum/admin/client.py
@@ -4,13 +4,58 @@
 
 import json
 import urllib.parse
+from functools import partial
 from typing import Any
 
 import urllib3
+from urllib3.connection import HTTPConnection
 
+from ..clock import read_clock
 from ..exceptions import AdminRequestError, FieldError, InvalidTableError, StaleVersionError
+from ..requests.responses import BoundedResponse
 
 REQUEST_TIMEOUT_S = 15.0
+MAX_RESPONSE_BYTES = 67_108_864
+READ_BYTES = 65_536
+
+
+class _Connection(HTTPConnection):
+    """Connection whose whole response must arrive in time."""
+
+    def getresponse(self) -> urllib3.HTTPResponse:
+        deadline = read_clock() + REQUEST_TIMEOUT_S
+        self.response_class = partial(BoundedResponse, deadline=deadline)
+        return super().getresponse()
+
+
+class _ConnectionPool(urllib3.HTTPConnectionPool):
+    ConnectionCls = _Connection
+
+
+class _Response:
+    """Response of an instance, read completely.
+
+    Attributes
+    ----------
+    data : bytes
+        Body of the response.
+    """
+
+    __slots__ = ("data", "headers", "reason", "status")
+
+    def __init__(self, response: urllib3.BaseHTTPResponse) -> None:
+        self.status = response.status
+        self.reason = response.reason
+        self.headers = response.headers
+        data = bytearray()
+        while part := response.read(READ_BYTES):
+            data += part
+            if len(data) > MAX_RESPONSE_BYTES:
+                response.close()
+                detail = f"the response exceeds {MAX_RESPONSE_BYTES} bytes"
+                raise AdminRequestError(response.status, detail)
+        response.release_conn()
+        self.data = bytes(data)
 
 
 class AdminClient:
@@ -28,6 +73,7 @@
         self._base = f"http://{address}"
         self._headers = {"Authorization": f"Bearer {token}"} if token else {}
         self._http = urllib3.PoolManager(timeout=REQUEST_TIMEOUT_S, retries=False)
+        self._http.pool_classes_by_scheme = {"http": _ConnectionPool}
 
     def get_table(self, name: str) -> tuple[list[dict[str, Any]], int]:
         """Return the rows of a table and its version."""
@@ -144,15 +190,18 @@
         path: str,
         document: Any = None,
         headers: dict[str, str] | None = None,
-    ) -> urllib3.BaseHTTPResponse:
+    ) -> _Response:
         body = None if document is None else json.dumps(document).encode()
         try:
-            return self._http.request(
+            response = self._http.request(
                 method,
                 self._base + path,
                 body=body,
                 headers={**self._headers, **(headers or {})},
+                preload_content=False,
+                decode_content=False,
             )
+            return _Response(response)
         except urllib3.exceptions.HTTPError as error:
             raise AdminRequestError(0, f"no response from {self._base}: {error}") from error
 
@@ -161,7 +210,7 @@
     return f"/v1/zones/{urllib.parse.quote(zone, safe='')}/evacuation"
 
 
-def _read_document(response: urllib3.BaseHTTPResponse) -> Any:
+def _read_document(response: _Response) -> Any:
     try:
         document = json.loads(response.data)
     except ValueError as error:
--- a/tests/standins/endless.py
+++ b/tests/standins/endless.py
@@ -117,8 +117,14 @@
         self.port = self._listener.getsockname()[1]
         self.sent_bytes = 0
         self.open_connections = 0
+        self.gave_up_on = 0
+        self._gives_up = threading.Event()
         threading.Thread(target=self._accept, daemon=True).start()
 
+    def give_up(self) -> None:
+        """End all responses; ``gave_up_on`` counts those that were still being read."""
+        self._gives_up.set()
+
     def close(self) -> None:
         self._listener.close()
 
@@ -136,6 +142,11 @@
                 for part in produce():
                     sock.sendall(part)
                     self.sent_bytes += len(part)
+                    if self._gives_up.is_set():
+                        self.gave_up_on += 1
+                        break
+                if self._gives_up.is_set():
+                    break
         self.open_connections -= 1
 
 
--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -7,12 +7,18 @@
 
 import contextlib
 import http.client
+import resource
 import socket
+import threading
 from pathlib import Path
 
 import pytest
 
-from .standins.endless import ENDLESS, EndlessUpstream, HeldMemory
+from foxtaildrum.admin import client
+from foxtaildrum.admin.client import AdminClient
+from foxtaildrum.exceptions import AdminRequestError
+
+from .standins.endless import ENDLESS, GIVE_UP_S, EndlessUpstream, HeldMemory
 from .standins.processes import InstanceProcess, pick_port, wait_until
 
 pytestmark = pytest.mark.alone
@@ -23,6 +29,8 @@
 MEMORY_SLACK_BYTES = 24 * MIB
 # What the admin interface may hold in addition.
 ADMIN_MAX_HELD_BYTES = 32 * MIB
+# Twice the longest response that a command reads.
+MAX_GROWN_BYTES = 128 * MIB
 TIMEOUT_MS = 1500
 # More than the bounds of all servers together.
 SENDERS = 18
@@ -140,3 +148,31 @@
         assert held.total <= site.base.total + bound + MEMORY_SLACK_BYTES
         assert wait_until(lambda: site.measure().files == 0)
         assert site.instance.client.is_ready()
+
+
+# Guards against a command of an operator that never ends, or takes all memory, because what it
+# reached isn't an instance.
+@pytest.mark.parametrize("kind", [kind for kind in ENDLESS if kind != "rest"])
+def test_a_command_gives_up_an_answer_without_end(kind, monkeypatch):
+    monkeypatch.setattr(client, "REQUEST_TIMEOUT_S", GIVE_UP_S / 16)
+    upstream = EndlessUpstream({"": ENDLESS[kind]})
+    before_kib = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
+    errors = []
+
+    def read_report() -> None:
+        try:
+            AdminClient(f"127.0.0.1:{upstream.port}").get_report()
+        except (AdminRequestError, MemoryError) as error:
+            errors.append(error)
+
+    # Without a limit it would take all memory before the upstream gives up.
+    command = threading.Thread(target=read_report, daemon=True)
+    command.start()
+    command.join(GIVE_UP_S / 4)
+    upstream.give_up()
+    command.join()
+    upstream.close()
+    assert upstream.gave_up_on == 0
+    assert [type(error) for error in errors] == [AdminRequestError]
+    grown_kib = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss - before_kib
+    assert grown_kib * 1024 <= MAX_GROWN_BYTES
