The bound on what callers hold follows the memory of the process

Seen: `max_held_bytes` is by default a quarter of the memory, but of that of the whole host, also where the process may use less: with an address space of 4 GiB on a host with more, callers could hold more than the whole limit, so that the process ends before the bound has an effect.

Cause: read_memory_bytes asked for the pages of the host alone.

Change: a new setting, `memory_bytes` (`--memory-bytes`), says what the process may use. The share of a quarter stays.

Deployments that change: containers, systemd units and shells with a memory limit below that of the host, and whoever sets `memory_bytes`. On the users' machines the system reports the machine's memory, so the bound changes little there; hosts without limits keep theirs, and so does each `max_held_bytes` that is set.

--- a/src/foxtaildrum/checks.py
+++ b/src/foxtaildrum/checks.py
@@ -1289,6 +1289,24 @@
                     raise SchemaMismatchError
                 if data__maxheldbytes > 1099511627776:
                     raise SchemaMismatchError
+        if "memory_bytes" in data_keys:
+            data_keys.remove("memory_bytes")
+            data__memorybytes = data["memory_bytes"]
+            if (
+                not isinstance(data__memorybytes, (int))
+                and not (
+                    isinstance(data__memorybytes, float) and data__memorybytes.is_integer()
+                )
+                or isinstance(data__memorybytes, bool)
+            ):
+                raise SchemaMismatchError
+            if isinstance(data__memorybytes, (int, float)) and not isinstance(
+                data__memorybytes, bool
+            ):
+                if data__memorybytes < 0:
+                    raise SchemaMismatchError
+                if data__memorybytes > 1099511627776:
+                    raise SchemaMismatchError
         if "body_stall_s" in data_keys:
             data_keys.remove("body_stall_s")
             data__bodystalls = data["body_stall_s"]
--- a/src/foxtaildrum/records.py
+++ b/src/foxtaildrum/records.py
@@ -383,7 +383,11 @@
     """
     max_held_bytes: int = 0
     """
-    Size of what all callers' unfinished requests and unsent responses hold, in bytes; 0 derives it from the memory of the machine.
+    Size of what all callers' unfinished requests and unsent responses hold, in bytes; 0 takes a quarter of the memory that the process may use.
+    """
+    memory_bytes: int = 0
+    """
+    Size of the memory that the process may use, in bytes; 0 takes the smallest of its limits and the memory of the machine.
     """
     body_stall_s: float = 30
     """
--- a/src/foxtaildrum/requests/account.py
+++ b/src/foxtaildrum/requests/account.py
@@ -3,16 +3,16 @@
 from __future__ import annotations
 
 import logging
-import os
 import resource
 import threading
 from collections import Counter
 
 from ..admin.metrics import Meter
 from ..logs import log_event
+from ..memory import read_memory_bytes
 from ..records import Settings
 
-# Share of the machine's memory that callers may hold if ``max_held_bytes`` is 0.
+# Share of the memory of the process that callers may hold if ``max_held_bytes`` is 0.
 MEMORY_RATIO = 0.25
 # Share of the bound that is left to requests of at most SMALL_REQUEST_BYTES, so that large ones
 # never keep ordinary callers out. A caller may exceed the bound while all others hold less.
@@ -71,7 +71,8 @@
     @classmethod
     def from_settings(cls, settings: Settings, meter: Meter) -> CallerAccount:
         """Return the account of an instance; a bound of 0 is derived from the memory."""
-        max_bytes = settings.max_held_bytes or int(MEMORY_RATIO * read_memory_bytes())
+        memory_bytes = settings.memory_bytes or read_memory_bytes()
+        max_bytes = settings.max_held_bytes or int(MEMORY_RATIO * memory_bytes)
         max_descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
         return cls(max_bytes, max(1, int(FILE_RATIO * max_descriptors)), meter)
 
@@ -159,8 +160,3 @@
             held_bytes=self._held_bytes,
             max_held_bytes=self._max_bytes,
         )
-
-
-def read_memory_bytes() -> int:
-    """Return the size of the machine's memory, in bytes."""
-    return os.sysconf("SC_PHYS_PAGES") * os.sysconf("SC_PAGE_SIZE")
--- a/src/foxtaildrum/settings.py
+++ b/src/foxtaildrum/settings.py
@@ -14,7 +14,14 @@
 
 ENVIRONMENT_PREFIX = "FOXTAILDRUM_"
 SETTING_GROUPS = {
-    "instance": ("role", "instance_id", "availability_zone", "shutdown_grace_s", "unready_s"),
+    "instance": (
+        "role",
+        "instance_id",
+        "availability_zone",
+        "shutdown_grace_s",
+        "unready_s",
+        "memory_bytes",
+    ),
     "callers": ("listen", "dialect", "threads", "queue_limit"),
     "limits of callers' requests": (
         "max_connections",
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -86,6 +86,16 @@
     assert (settings.availability_zones, settings.evacuation_s) == ("", 5)
 
 
+def test_the_memory_of_the_machine_is_a_setting(main):
+    limits = {"memory_mb": 300, "max_fds": 4100}
+    settings = read_settings(main, "entry", {**CONFIG, "limits": limits})
+    assert settings.memory_bytes == 300_000_000
+    for limits in ({}, {"memory_mb": 0}, {"memory_mb": None}):
+        settings = read_settings(main, "entry", {**CONFIG, "limits": limits})
+        assert settings.memory_bytes == 0
+    assert read_settings(main, "entry", CONFIG).memory_bytes == 0
+
+
 @pytest.mark.parametrize("kind", list(ErrorKind))
 @pytest.mark.parametrize("outcome", list(Outcome))
 def test_only_a_request_that_was_not_run_gets_a_not_run_status(dialect, kind, outcome):
