Connections that can't be used again are closed without a request

Seen: an upstream that goes on sending after a complete response, or whose late response to a status check never ends. A pool keeps up to 64 connections for each upstream.

Cause: idle and late connections were checked when the next request to the same upstream asked for one, and at no other time. So their limits on age, 30 s and 2 s, did not hold either for an upstream without requests.

Change: a thread looks at all of them every 5 s, with one poll for each upstream, and closes those with input, those that were idle for too long, and those whose late response is overdue.

Evidence: test_bytes_after_a_response_are_not_kept failed on the code before (unread bytes were there for 30 s) and passes now, as does test_connections_that_cannot_be_used_are_closed_without_a_request.

--- a/src/foxtaildrum/balancing/pools.py
+++ b/src/foxtaildrum/balancing/pools.py
@@ -334,6 +334,11 @@
                 self._connections[upstream.address] = pool
             return pool
 
+    def list_connections(self) -> list[ConnectionPool]:
+        """Return the connection pools of all upstreams that were used."""
+        with self._lock:
+            return list(self._connections.values())
+
     def compute_hedge_delay(self, now: float, objective_s: float) -> float | None:
         """Return the delay before a hedge in seconds, or None for no hedge.
 
--- a/src/foxtaildrum/instance.py
+++ b/src/foxtaildrum/instance.py
@@ -41,6 +41,7 @@
 from .permits.holder import QuotaHolder
 from .records import Limits, Settings
 from .requests.account import CallerAccount
+from .requests.connections import ConnectionPool
 from .requests.dialects import get_dialect
 from .requests.forwards import Forwarder
 from .requests.pipelines import Pipelining
@@ -48,6 +49,7 @@
 from .requests.quotas import Quotas
 from .requests.server import HttpServer
 from .requests.stops import StopPlan
+from .requests.sweeps import ConnectionSweeper
 from .resources import check_resources, open_data_folder
 from .settings import parse_instances, read_secret
 from .versions import get_running_code
@@ -120,8 +122,6 @@
         self.publisher.apply_limits = self._apply_limits
         self.caller_account = CallerAccount.from_settings(settings, self.meter)
         self.proxy.account = self.caller_account
-        # Callers that hold all they may must not keep announcements and operators out.
-        self._admin_account = CallerAccount(ADMIN_MAX_HELD_BYTES, ADMIN_MAX_FILES, self.meter)
         self.node_access = NodeAccess(
             self._node_proxy,
             self.meter,
@@ -141,6 +141,7 @@
         self.proxy.list_unready_reasons = self._list_unready_reasons
         self._ticker = Ticker(self._actor.tell, node.get_tick_period, self.meter)
         self._prober = Prober(lambda: self.proxy.view.pools.values(), self.meter, self._dialect)
+        self._sweeper = ConnectionSweeper(self._list_connections, self.meter)
         self._statsd = StatsdSender(settings.statsd) if settings.statsd else None
         self._stopped = threading.Event()
         self._node = node
@@ -167,6 +168,7 @@
         if self.caller_server is not None:
             self.caller_server.start()
             self._prober.start()
+            self._sweeper.start()
         if self.forward_server is not None:
             self.forward_server.start()
             self.links.start()
@@ -235,6 +237,7 @@
         self._stopped.set()
         self._ticker.stop()
         self._prober.stop()
+        self._sweeper.stop()
         self.links.stop()
         if self._network is not None:
             self._network.stop()
@@ -408,6 +411,11 @@
         peers = self.proxy.forwarder.list_addresses()
         return CheckTargets(upstreams, self._rng.sample(peers, min(CHECKED_PEERS, len(peers))))
 
+    def _list_connections(self) -> list[ConnectionPool]:
+        pools = [p for pool in self.proxy.view.pools.values() for p in pool.list_connections()]
+        forwarder = self.proxy.forwarder
+        return pools if forwarder is None else pools + forwarder.list_connections()
+
     def _handle_links_restored(self, now: float, pools: frozenset[str]) -> None:
         for name, pool in self.proxy.view.pools.items():
             if name in pools:
@@ -425,6 +433,8 @@
             self._dialect.announcement_fields,
             frozenset(filter(None, settings.availability_zones.split(","))),
         )
+        # Callers that hold all they may must not keep announcements and operators out.
+        self._admin_account = CallerAccount(ADMIN_MAX_HELD_BYTES, ADMIN_MAX_FILES, self.meter)
         return HttpServer(
             self._admin,
             settings.admin_listen,
--- a/src/foxtaildrum/requests/connections.py
+++ b/src/foxtaildrum/requests/connections.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import select
 import threading
 from collections.abc import Callable
 
@@ -98,6 +99,31 @@
         with self._lock:
             self._late.append((now, connection, check_head))
 
+    def close_unusable(self, now: float) -> None:
+        """Close the connections that can't be used any more.
+
+        Nobody reads what arrives on them until the next request to the upstream, and it takes
+        memory until then.
+        """
+        with self._lock:
+            unusable = self._find_unusable(now)
+            self._idle = [item for item in self._idle if item[1] not in unusable]
+            self._late = [item for item in self._late if item[1] not in unusable]
+        for connection in unusable:
+            connection.close()
+
+    def _find_unusable(self, now: float) -> list[Connection]:
+        unusable = [item[1] for item in self._late if now - item[0] > MAX_LATE_S]
+        poll = select.poll()
+        idle = {}
+        for returned_at, connection in self._idle:
+            if now - returned_at > MAX_IDLE_S:
+                unusable.append(connection)
+                continue
+            idle[connection.fileno()] = connection
+            poll.register(connection.fileno(), select.POLLIN)
+        return unusable + [idle[fileno] for fileno, _ in poll.poll(0)]
+
     def _reclaim_late(self, now: float) -> None:
         """Read the late responses that have arrived."""
         if not self._late:
--- a/src/foxtaildrum/requests/forwards.py
+++ b/src/foxtaildrum/requests/forwards.py
@@ -203,6 +203,11 @@
                 self._connections[peer.address] = pool
             return pool
 
+    def list_connections(self) -> list[ConnectionPool]:
+        """Return the connection pools of all instances that were used."""
+        with self._lock:
+            return list(self._connections.values())
+
     def format_header(
         self,
         request: OutgoingRequest,
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -92,6 +92,25 @@
     assert sum(not c.closed for c in opened) == 1
 
 
+# Guards against unread bytes that take memory for as long as an upstream gets no request.
+def test_connections_that_cannot_be_used_are_closed_without_a_request():
+    pool, opened = build_pool()
+    acquired = [pool.acquire(0.0, 1.0, True) for _ in range(6)]
+    sound, excess, gone, old, late, overdue = acquired
+    pool.release(1.0 - MAX_IDLE_S, old)
+    for connection in (sound, excess, gone):
+        pool.release(2.0, connection)
+    pool.hold_late(2.0 - MAX_LATE_S, overdue)
+    pool.hold_late(2.0, late)
+    excess.peer.send(b"excess")
+    gone.peer.close()
+    late.peer.send(b"x")
+    pool.close_unusable(2.1)
+    assert [c for c in opened if c.closed] == [excess, gone, old, overdue]
+    assert pool.acquire(2.2, 1.0, True) in (sound, late)
+    assert pool.acquire(2.2, 1.0, True) in (sound, late)
+
+
 def test_a_connection_with_a_late_response_is_reused_once_it_was_read():
     pool, opened = build_pool()
     connection = pool.acquire(0.0, 1.0, True)
--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -112,6 +112,16 @@
     caller.close()
 
 
+# Guards against bytes that nobody reads on the idle connections to an upstream.
+def test_bytes_after_a_response_are_not_kept(site):
+    callers = [Caller(site, "rest") for _ in range(4)]
+    for caller in callers:
+        caller.getresponse().read()
+        caller.close()
+    assert wait_until(lambda: site.upstreams["rest"].sent_bytes > MIB)
+    assert wait_until(lambda: site.measure().unread == 0)
+
+
 @contextlib.contextmanager
 def open_senders(address: str, line: bytes, count: int):
     """Yield connections that have sent unfinished bodies as far as the instance took them."""
