A status check reads at most 64 KiB of a body

Seen: four of six upstreams whose answers to status checks never end.

Cause: only time bounded what is read of a body of which nothing is used, and such an answer had no effect on the upstream.

Change: the body of a response to a status check or a probe, also a late one, is read up to 64 KiB. Beyond it, and if the head is too large, the check counts as unanswered. One that is merely incomplete at its time limit doesn't, as this instance may have been too busy to read it.

Evidence: test_an_answer_without_end_is_given_up_and_counts_as_unanswered failed on the code before and passes now. The two tests of memory that come with it, test_answers_without_end_are_not_kept_and_harm_no_other_caller and test_answers_without_end_to_status_checks_are_not_kept, guard what was sound.

--- a/src/foxtaildrum/balancing/probes.py
+++ b/src/foxtaildrum/balancing/probes.py
@@ -14,7 +14,7 @@
 from ..isolation import run_isolated
 from ..requests.answers import check_identifier
 from ..requests.dialects import Dialect
-from ..requests.transport import OutgoingRequest, TransportError
+from ..requests.transport import OutgoingRequest, TransportError, discard_body
 from .candidates import UpstreamLoad
 from .loads import LoadReport
 from .pools import UpstreamPool
@@ -97,8 +97,7 @@
         connection.send(request, PROBE_TIMEOUT_S)
         head = connection.read_head(PROBE_TIMEOUT_S)
         check_identifier(dialect, connection, head.all_headers, "")
-        for _ in connection.read_body(read_clock() + PROBE_TIMEOUT_S):
-            continue
+        discard_body(connection, read_clock() + PROBE_TIMEOUT_S)
     except TransportError:
         connection.close()
         raise
--- a/src/foxtaildrum/balancing/samples.py
+++ b/src/foxtaildrum/balancing/samples.py
@@ -15,7 +15,14 @@
 from ..logs import log_event
 from ..requests.answers import check_identifier
 from ..requests.dialects import Dialect
-from ..requests.transport import Connection, Head, OutgoingRequest, TransportError
+from ..requests.transport import (
+    ANSWER_TOO_LARGE,
+    Connection,
+    Head,
+    OutgoingRequest,
+    TransportError,
+    discard_body,
+)
 from .candidates import UpstreamLoad
 from .pools import UpstreamPool
 from .sampling import MAX_ROUNDS, shows_progress
@@ -196,10 +203,12 @@
         try:
             head = connection.read_head(SAMPLE_TIMEOUT_S)
             self._check_head(connection, head)
-            for _ in connection.read_body(deadline):
-                continue
+            discard_body(connection, deadline)
         except TransportError as error:
             connection.close()
+            if error.reason == ANSWER_TOO_LARGE:
+                # Reading it takes time of the request, and of each that checks it again.
+                self._pool.record_unanswered_check(read_clock(), check.upstream)
             log_event(
                 "status_check_failed",
                 failed=True,
--- a/src/foxtaildrum/requests/connections.py
+++ b/src/foxtaildrum/requests/connections.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 
 from ..clock import read_clock
-from .transport import Adapter, Connection, Head, TransportError, has_input
+from .transport import Adapter, Connection, Head, TransportError, discard_body, has_input
 
 MAX_IDLE_S = 30.0
 MAX_IDLE_NON_IDEMPOTENT_S = 1.0
@@ -166,7 +166,6 @@
     deadline = read_clock() + LATE_READ_TIMEOUT_S
     try:
         check_head(connection, connection.read_head(LATE_READ_TIMEOUT_S))
-        for _ in connection.read_body(deadline):
-            continue
+        discard_body(connection, deadline)
     except TransportError:
         connection.reusable = False
--- a/src/foxtaildrum/requests/transport.py
+++ b/src/foxtaildrum/requests/transport.py
@@ -17,7 +17,7 @@
 from ..clock import read_clock
 from ..kinds import ErrorKind
 from ..settings import ADDRESS_ERRORS, parse_address
-from .responses import BoundedResponse
+from .responses import BoundedResponse, ResponseTooLargeError
 
 CHUNK_BYTES = 65536
 BODYLESS_STATUSES = frozenset({204, 304})
@@ -47,7 +47,11 @@
 # Later requests whose responses have matched show that no late copy is due any more.
 MAX_CARRIED_IDS = 32
 
+# Longest body of a response to a status check or a probe, of which only the head is used.
+MAX_UNUSED_BODY_BYTES = 65_536
+
 # Why a response is refused, for the log.
+ANSWER_TOO_LARGE = "answer_too_large"
 BODY_CUT = "body_cut"
 BYTES_BEYOND = "bytes_beyond"
 HEAD_MALFORMED = "head_malformed"
@@ -235,6 +239,21 @@
     return False
 
 
+def discard_body(connection: Connection, deadline: float) -> None:
+    """Read a body of which nothing is used.
+
+    Raises
+    ------
+    TransportError
+        If the body is incomplete, or longer than ``MAX_UNUSED_BODY_BYTES``.
+    """
+    size = 0
+    for part in connection.read_body(deadline):
+        size += len(part)
+        if size > MAX_UNUSED_BODY_BYTES:
+            raise TransportError(ErrorKind.ANSWER_INVALID, reason=ANSWER_TOO_LARGE)
+
+
 class _UpstreamHTTPConnection(HTTPConnection):
     """Connection whose response is relayed unchanged.
 
@@ -336,7 +355,9 @@
         except OSError as error:
             raise TransportError(ErrorKind.ANSWER_LOST) from error
         except _HTTP_ERRORS as error:
-            raise TransportError(ErrorKind.ANSWER_INVALID) from error
+            is_too_large = isinstance(error, ResponseTooLargeError | http.client.LineTooLong)
+            reason = ANSWER_TOO_LARGE if is_too_large else ""
+            raise TransportError(ErrorKind.ANSWER_INVALID, reason=reason) from error
         return self._build_head(self._response)
 
     def read_body(
--- a/tests/standins/endless.py
+++ b/tests/standins/endless.py
@@ -71,9 +71,13 @@
     yield from repeat(b"X-More: 1\r\n" * 1000)
 
 
+def send_ok() -> Iterator[bytes]:
+    yield b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+
 def send_endless_rest() -> Iterator[bytes]:
     """Send a complete response, and more after it."""
-    yield b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+    yield from send_ok()
     time.sleep(0.05)
     yield from repeat(FILLER)
 
--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -18,7 +18,7 @@
 from foxtaildrum.admin.client import AdminClient
 from foxtaildrum.exceptions import AdminRequestError
 
-from .standins.endless import ENDLESS, GIVE_UP_S, EndlessUpstream, HeldMemory
+from .standins.endless import ENDLESS, GIVE_UP_S, EndlessUpstream, HeldMemory, send_ok
 from .standins.processes import InstanceProcess, pick_port, wait_until
 
 pytestmark = pytest.mark.alone
@@ -53,6 +53,8 @@
             max_held_bytes=str(MAX_HELD_BYTES),
             max_body_bytes=str(64 * MIB),
             body_stall_s="2",
+            probes_per_s="300",
+            sample_size="2",
             **self.servers,
             **settings,
         )
@@ -60,16 +62,25 @@
         self.instance.wait_ready()
         self.upstreams = {kind: EndlessUpstream({"": ENDLESS[kind]}) for kind in ENDLESS}
         client = self.instance.client
-        client.put_table("pools", [{"name": kind} for kind in ENDLESS], 0, "pools")
+        pools = [{"name": kind} for kind in ENDLESS]
+        # Their upstreams answer requests, and status checks without end.
+        checked = [f"checked-{kind}" for kind in ENDLESS]
+        pools += [{"name": name, "health_path": "/healthz"} for name in checked]
+        client.put_table("pools", pools, 0, "pools")
         routes = [
-            {"name": kind, "pool": kind, "path_prefix": f"/{kind}/", "timeout_ms": TIMEOUT_MS}
-            for kind in ENDLESS
+            {"name": name, "pool": name, "path_prefix": f"/{name}/", "timeout_ms": TIMEOUT_MS}
+            for name in (*ENDLESS, *checked)
         ]
         client.put_table("routes", routes, 0, "routes")
-        for kind, upstream in self.upstreams.items():
+        for kind in ENDLESS:
+            responses = {"": send_ok, "/healthz": ENDLESS[kind]}
+            self.upstreams[f"checked-{kind}"] = EndlessUpstream(responses)
+        for name, upstream in self.upstreams.items():
             client.announce(
-                kind, {"pool": kind, "address": f"127.0.0.1:{upstream.port}", "lease_s": 600}
+                name, {"pool": name, "address": f"127.0.0.1:{upstream.port}", "lease_s": 600}
             )
+        listed = len(self.upstreams)
+        assert wait_until(lambda: len(self.instance.status().get("upstreams", [])) == listed)
         self.base = self.measure()
 
     def measure(self) -> HeldMemory:
@@ -112,6 +123,35 @@
     caller.close()
 
 
+# Guards against answers to requests that are kept, and end the requests of other callers.
+def test_answers_without_end_are_not_kept_and_harm_no_other_caller(site):
+    callers = [Caller(site, kind) for kind in ENDLESS if kind != "rest"]
+    # Read nothing, so that what arrives has to wait.
+    peak = site.base
+    while any(site.upstreams[kind].open_connections for kind in ("body", "chunks")):
+        peak = max(peak, site.measure(), key=lambda held: held.total)
+        caller = Caller(site, "checked-rest")
+        assert caller.getresponse().status == 200
+        caller.close()
+    assert peak.total <= site.base.total + MAX_HELD_BYTES + MEMORY_SLACK_BYTES
+    for caller in callers:
+        caller.close()
+
+
+# Guards against answers to status checks that are kept, in time or late.
+@pytest.mark.parametrize("kind", ENDLESS)
+def test_answers_without_end_to_status_checks_are_not_kept(site, kind):
+    peak = site.base
+    for _ in range(20):
+        caller = Caller(site, f"checked-{kind}")
+        # The pool has no other upstream: a refusal is allowed, an answer that is lost is not.
+        assert caller.getresponse().status in (200, 503)
+        caller.close()
+        peak = max(peak, site.measure(), key=lambda held: held.total)
+    assert site.upstreams[f"checked-{kind}"].sent_bytes > MIB
+    assert peak.total <= site.base.total + MEMORY_SLACK_BYTES
+
+
 # Guards against bytes that nobody reads on the idle connections to an upstream.
 def test_bytes_after_a_response_are_not_kept(site):
     callers = [Caller(site, "rest") for _ in range(4)]
--- a/tests/test_samples.py
+++ b/tests/test_samples.py
@@ -17,7 +17,7 @@
 from foxtaildrum.requests.averages import RouteAverages
 from foxtaildrum.requests.connections import MAX_LATE_S
 from foxtaildrum.requests.dialects import Dialect
-from foxtaildrum.requests.transport import TransportError, read_clock
+from foxtaildrum.requests.transport import CHUNK_BYTES, TransportError, read_clock
 
 LOCAL_ZONE, REMOTE_ZONE = "here", "there"
 
@@ -221,6 +221,27 @@
     assert sampled.get("a").unanswered_checks == 1
 
 
+# Guards against an upstream whose status checks never end: every request read on to the time
+# limit of the check, and the next one checked the same upstream again.
+def test_an_answer_without_end_is_given_up_and_counts_as_unanswered():
+    sampled = SampledPool(a={"Name": "a"}, b={"Name": "b"}, far={"Name": "far"})
+    parts = iter([b"x" * CHUNK_BYTES] * 100)
+    read_body = FakeConnection.read_body
+
+    def read_endless_body(connection, until, is_cancelled=None):
+        if connection.answer == {"Name": "a"}:
+            return parts
+        return read_body(connection, until)
+
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(FakeConnection, "read_body", read_endless_body)
+        sampled.sampler.sample(frozenset(), 0.0)
+    assert sampled.get("a").unanswered_checks == 1
+    assert sampled.opened["a"].closed
+    assert len(list(parts)) > 90
+    assert sampled.get("b").unanswered_checks == 0
+
+
 def test_only_the_own_zone_is_sampled_when_a_large_answer_is_expected():
     sampled = SampledPool(a={"Name": "a"}, b={"Name": "b"}, far={"Name": "far"})
     sampled.pool.set_status_check_rate(1000.0, 2)
