--- a/src/foxtaildrum/instance.py
+++ b/src/foxtaildrum/instance.py
@@ -41,6 +41,7 @@
 from .permits.holder import QuotaHolder
 from .records import Limits, Settings
 from .requests.account import CallerAccount
+from .requests.connections import ConnectionPool
 from .requests.dialects import get_dialect
 from .requests.forwards import Forwarder
 from .requests.pipelines import Pipelining
@@ -48,6 +49,7 @@
 from .requests.quotas import Quotas
 from .requests.server import HttpServer
 from .requests.stops import StopPlan
+from .requests.sweeps import ConnectionSweeper
 from .resources import check_resources, open_data_folder
 from .settings import parse_instances, read_secret
 from .versions import get_running_code
@@ -55,8 +57,14 @@
 ADMIN_THREADS = 8
 ADMIN_MAX_BODY_BYTES = 4 * 1024 * 1024
 ADMIN_MAX_CONNECTIONS = 1000
+# What unfinished requests and unsent responses hold at the admin and the metrics address:
+# the largest bodies that the threads can serve at once.
+ADMIN_MAX_HELD_BYTES = ADMIN_THREADS * ADMIN_MAX_BODY_BYTES
+# Number of files of large bodies of the admin interface.
+ADMIN_MAX_FILES = 64
 METRICS_THREADS = 1
 METRICS_MAX_CONNECTIONS = 20
+METRICS_MAX_BODY_BYTES = 65_536
 STATSD_PERIOD_S = 1.0
 CHECKED_UPSTREAMS = 4
 # Room for the headers that a forwarded request has in addition.
@@ -113,6 +121,7 @@
         self.publisher.permit_client = reports
         self.publisher.apply_limits = self._apply_limits
         self.caller_account = CallerAccount.from_settings(settings, self.meter)
+        self.proxy.account = self.caller_account
         self.node_access = NodeAccess(
             self._node_proxy,
             self.meter,
@@ -132,6 +141,7 @@
         self.proxy.list_unready_reasons = self._list_unready_reasons
         self._ticker = Ticker(self._actor.tell, node.get_tick_period, self.meter)
         self._prober = Prober(lambda: self.proxy.view.pools.values(), self.meter, self._dialect)
+        self._sweeper = ConnectionSweeper(self._list_connections, self.meter)
         self._statsd = StatsdSender(settings.statsd) if settings.statsd else None
         self._stopped = threading.Event()
         self._node = node
@@ -158,6 +168,7 @@
         if self.caller_server is not None:
             self.caller_server.start()
             self._prober.start()
+            self._sweeper.start()
         if self.forward_server is not None:
             self.forward_server.start()
             self.links.start()
@@ -226,6 +237,7 @@
         self._stopped.set()
         self._ticker.stop()
         self._prober.stop()
+        self._sweeper.stop()
         self.links.stop()
         if self._network is not None:
             self._network.stop()
@@ -382,6 +394,8 @@
             refuse=self.proxy.refuse_forwarded,
             max_header_bytes=settings.max_header_bytes + FORWARD_HEADER_BYTES,
             max_body_bytes=settings.max_body_bytes,
+            account=self.caller_account,
+            body_stall_s=settings.body_stall_s,
             connection_limit=settings.max_connections,
             channel_timeout=CONNECTION_TIMEOUT_S,
         )
@@ -397,6 +411,11 @@
         peers = self.proxy.forwarder.list_addresses()
         return CheckTargets(upstreams, self._rng.sample(peers, min(CHECKED_PEERS, len(peers))))
 
+    def _list_connections(self) -> list[ConnectionPool]:
+        pools = [p for pool in self.proxy.view.pools.values() for p in pool.list_connections()]
+        forwarder = self.proxy.forwarder
+        return pools if forwarder is None else pools + forwarder.list_connections()
+
     def _handle_links_restored(self, now: float, pools: frozenset[str]) -> None:
         for name, pool in self.proxy.view.pools.items():
             if name in pools:
@@ -414,12 +433,16 @@
             self._dialect.announcement_fields,
             frozenset(filter(None, settings.availability_zones.split(","))),
         )
+        # Callers that hold all they may must not keep announcements and operators out.
+        self._admin_account = CallerAccount(ADMIN_MAX_HELD_BYTES, ADMIN_MAX_FILES, self.meter)
         return HttpServer(
             self._admin,
             settings.admin_listen,
             ADMIN_THREADS,
             settings.write_deadline_s,
             max_body_bytes=ADMIN_MAX_BODY_BYTES,
+            account=self._admin_account,
+            body_stall_s=settings.body_stall_s,
             connection_limit=ADMIN_MAX_CONNECTIONS,
             channel_timeout=CONNECTION_TIMEOUT_S,
         )
@@ -433,6 +456,9 @@
             settings.metrics_listen,
             METRICS_THREADS,
             settings.write_deadline_s,
+            max_body_bytes=METRICS_MAX_BODY_BYTES,
+            account=self._admin_account,
+            body_stall_s=settings.body_stall_s,
             connection_limit=METRICS_MAX_CONNECTIONS,
             channel_timeout=CONNECTION_TIMEOUT_S,
         )
--- a/src/foxtaildrum/requests/connections.py
+++ b/src/foxtaildrum/requests/connections.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
+import select
 import threading
 from collections.abc import Callable
 
 from ..clock import read_clock
-from .transport import Adapter, Connection, Head, TransportError, has_input
+from .transport import Adapter, Connection, Head, TransportError, discard_body, has_input
 
 MAX_IDLE_S = 30.0
 MAX_IDLE_NON_IDEMPOTENT_S = 1.0
@@ -98,6 +99,31 @@
         with self._lock:
             self._late.append((now, connection, check_head))
 
+    def close_unusable(self, now: float) -> None:
+        """Close the connections that can't be used any more.
+
+        Nobody reads what arrives on them until the next request to the upstream, and it takes
+        memory until then.
+        """
+        with self._lock:
+            unusable = self._find_unusable(now)
+            self._idle = [item for item in self._idle if item[1] not in unusable]
+            self._late = [item for item in self._late if item[1] not in unusable]
+        for connection in unusable:
+            connection.close()
+
+    def _find_unusable(self, now: float) -> list[Connection]:
+        unusable = [item[1] for item in self._late if now - item[0] > MAX_LATE_S]
+        poll = select.poll()
+        idle = {}
+        for returned_at, connection in self._idle:
+            if now - returned_at > MAX_IDLE_S:
+                unusable.append(connection)
+                continue
+            idle[connection.fileno()] = connection
+            poll.register(connection.fileno(), select.POLLIN)
+        return unusable + [idle[fileno] for fileno, _ in poll.poll(0)]
+
     def _reclaim_late(self, now: float) -> None:
         """Read the late responses that have arrived."""
         if not self._late:
@@ -140,7 +166,6 @@
     deadline = read_clock() + LATE_READ_TIMEOUT_S
     try:
         check_head(connection, connection.read_head(LATE_READ_TIMEOUT_S))
-        for _ in connection.read_body(deadline):
-            continue
+        discard_body(connection, deadline)
     except TransportError:
         connection.reusable = False
--- /dev/null
+++ b/tests/test_endless_bytes.py
@@ -0,0 +1,228 @@
+"""Bytes without end, counted for the machine: memory, unread bytes of sockets, and files.
+
+Limits are lowered so that few connections suffice. No test measures a time.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import http.client
+import resource
+import socket
+import threading
+from pathlib import Path
+
+import pytest
+
+from foxtaildrum.admin import client
+from foxtaildrum.admin.client import AdminClient
+from foxtaildrum.exceptions import AdminRequestError
+
+from .standins.endless import ENDLESS, GIVE_UP_S, EndlessUpstream, HeldMemory, send_ok
+from .standins.processes import InstanceProcess, pick_port, wait_until
+
+pytestmark = pytest.mark.alone
+
+MIB = 1024 * 1024
+MAX_HELD_BYTES = 6 * MIB
+# Beside what is held: buffers of connections, threads and the allocator.
+MEMORY_SLACK_BYTES = 24 * MIB
+# What the admin interface may hold in addition.
+ADMIN_MAX_HELD_BYTES = 32 * MIB
+# Twice the longest response that a command reads.
+MAX_GROWN_BYTES = 128 * MIB
+TIMEOUT_MS = 1500
+# More than the bounds of all servers together.
+SENDERS = 18
+PART = b"200000\r\n" + b"b" * (2 * MIB) + b"\r\n"
+CHUNKED = b"Host: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+ANSWER_TIMEOUT_S = 15.0
+
+
+class EndlessSite:
+    """An instance process with one route for each kind of endless answer."""
+
+    def __init__(self, folder: Path, **settings: str) -> None:
+        self.servers = {
+            f"{name}_listen": f"127.0.0.1:{pick_port()}"
+            for name in ("metrics", "forward", "peer")
+        }
+        self.instance = InstanceProcess(
+            folder,
+            "one",
+            max_held_bytes=str(MAX_HELD_BYTES),
+            max_body_bytes=str(64 * MIB),
+            body_stall_s="2",
+            probes_per_s="300",
+            sample_size="2",
+            **self.servers,
+            **settings,
+        )
+        self.servers["admin_listen"] = self.instance.admin_listen
+        self.instance.wait_ready()
+        self.upstreams = {kind: EndlessUpstream({"": ENDLESS[kind]}) for kind in ENDLESS}
+        client = self.instance.client
+        pools = [{"name": kind} for kind in ENDLESS]
+        # Their upstreams answer requests, and status checks without end.
+        checked = [f"checked-{kind}" for kind in ENDLESS]
+        pools += [{"name": name, "health_path": "/healthz"} for name in checked]
+        client.put_table("pools", pools, 0, "pools")
+        routes = [
+            {"name": name, "pool": name, "path_prefix": f"/{name}/", "timeout_ms": TIMEOUT_MS}
+            for name in (*ENDLESS, *checked)
+        ]
+        client.put_table("routes", routes, 0, "routes")
+        for kind in ENDLESS:
+            responses = {"": send_ok, "/healthz": ENDLESS[kind]}
+            self.upstreams[f"checked-{kind}"] = EndlessUpstream(responses)
+        for name, upstream in self.upstreams.items():
+            client.announce(
+                name, {"pool": name, "address": f"127.0.0.1:{upstream.port}", "lease_s": 600}
+            )
+        listed = len(self.upstreams)
+        assert wait_until(lambda: len(self.instance.status().get("upstreams", [])) == listed)
+        self.base = self.measure()
+
+    def measure(self) -> HeldMemory:
+        return HeldMemory(self.instance.popen.pid)
+
+    def close(self) -> None:
+        self.instance.kill()
+        for upstream in self.upstreams.values():
+            upstream.close()
+
+
+@pytest.fixture
+def site(tmp_path):
+    site = EndlessSite(tmp_path)
+    yield site
+    site.close()
+
+
+class Caller(http.client.HTTPConnection):
+    """Caller that asks for a response of one kind."""
+
+    def __init__(self, site: EndlessSite, kind: str, version: int = 11) -> None:
+        host, port = site.instance.listen.split(":")
+        super().__init__(host, int(port), timeout=ANSWER_TIMEOUT_S)
+        self._http_vsn, self._http_vsn_str = version, f"HTTP/1.{version % 10}"
+        self.request("GET", f"/{kind}/x")
+
+
+# Guards against a response that is written to a file without a bound before it is relayed, as
+# callers without chunks need it.
+@pytest.mark.parametrize("kind", ["chunks", "compressed"])
+def test_a_response_that_is_read_before_it_is_relayed_is_bounded(site, kind):
+    caller = Caller(site, kind, version=10)
+    peak = site.base
+    while site.upstreams[kind].sent_bytes == 0 or site.upstreams[kind].open_connections:
+        peak = max(peak, site.measure(), key=lambda held: held.total)
+    assert caller.getresponse().status == 502
+    assert peak.total <= site.base.total + MAX_HELD_BYTES + MEMORY_SLACK_BYTES
+    assert site.instance.status()["instance"]
+    caller.close()
+
+
+# Guards against answers to requests that are kept, and end the requests of other callers.
+def test_answers_without_end_are_not_kept_and_harm_no_other_caller(site):
+    callers = [Caller(site, kind) for kind in ENDLESS if kind != "rest"]
+    # Read nothing, so that what arrives has to wait.
+    peak = site.base
+    while any(site.upstreams[kind].open_connections for kind in ("body", "chunks")):
+        peak = max(peak, site.measure(), key=lambda held: held.total)
+        caller = Caller(site, "checked-rest")
+        assert caller.getresponse().status == 200
+        caller.close()
+    assert peak.total <= site.base.total + MAX_HELD_BYTES + MEMORY_SLACK_BYTES
+    for caller in callers:
+        caller.close()
+
+
+# Guards against answers to status checks that are kept, in time or late.
+@pytest.mark.parametrize("kind", ENDLESS)
+def test_answers_without_end_to_status_checks_are_not_kept(site, kind):
+    peak = site.base
+    for _ in range(20):
+        caller = Caller(site, f"checked-{kind}")
+        # The pool has no other upstream: a refusal is allowed, an answer that is lost is not.
+        assert caller.getresponse().status in (200, 503)
+        caller.close()
+        peak = max(peak, site.measure(), key=lambda held: held.total)
+    assert site.upstreams[f"checked-{kind}"].sent_bytes > MIB
+    assert peak.total <= site.base.total + MEMORY_SLACK_BYTES
+
+
+# Guards against bytes that nobody reads on the idle connections to an upstream.
+def test_bytes_after_a_response_are_not_kept(site):
+    callers = [Caller(site, "rest") for _ in range(4)]
+    for caller in callers:
+        caller.getresponse().read()
+        caller.close()
+    assert wait_until(lambda: site.upstreams["rest"].sent_bytes > MIB)
+    assert wait_until(lambda: site.measure().unread == 0)
+
+
+@contextlib.contextmanager
+def open_senders(address: str, line: bytes, count: int):
+    """Yield connections that have sent unfinished bodies as far as the instance took them."""
+    host, port = address.split(":")
+    with contextlib.ExitStack() as stack:
+        for _ in range(count):
+            sock = socket.create_connection((host, int(port)), timeout=ANSWER_TIMEOUT_S)
+            stack.enter_context(sock)
+            with contextlib.suppress(OSError):
+                sock.sendall(line + CHUNKED + PART)
+                sock.sendall(PART[:MIB])
+        yield
+
+
+# Guards against bodies that are kept without a bound by the servers beside that of callers: of
+# announcements and operators' calls, of scrapes, and of forwarded requests.
+@pytest.mark.parametrize(
+    ("server", "line"),
+    [
+        ("admin", b"PUT /v1/upstreams/x HTTP/1.1\r\n"),
+        ("admin", b"PUT /v1/tables HTTP/1.1\r\n"),
+        ("metrics", b"GET /metrics HTTP/1.1\r\n"),
+        ("forward", b"POST /x HTTP/1.1\r\n"),
+    ],
+)
+def test_unfinished_bodies_hold_no_more_than_the_bound_at_any_server(site, server, line):
+    is_admin = server == "admin"
+    bound = ADMIN_MAX_HELD_BYTES if is_admin else MAX_HELD_BYTES
+    count = 3 * SENDERS if is_admin else SENDERS
+    with open_senders(site.servers[f"{server}_listen"], line, count):
+        # Answered after all that was sent before it has been read.
+        site.instance.client.announce("new", {"pool": "chunks", "address": "127.0.0.1:1"})
+        held = site.measure()
+        assert held.total <= site.base.total + bound + MEMORY_SLACK_BYTES
+        assert wait_until(lambda: site.measure().files == 0)
+        assert site.instance.client.is_ready()
+
+
+# Guards against a command of an operator that never ends, or takes all memory, because what it
+# reached isn't an instance.
+@pytest.mark.parametrize("kind", [kind for kind in ENDLESS if kind != "rest"])
+def test_a_command_gives_up_an_answer_without_end(kind, monkeypatch):
+    monkeypatch.setattr(client, "REQUEST_TIMEOUT_S", GIVE_UP_S / 16)
+    upstream = EndlessUpstream({"": ENDLESS[kind]})
+    before_kib = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
+    errors = []
+
+    def read_report() -> None:
+        try:
+            AdminClient(f"127.0.0.1:{upstream.port}").get_report()
+        except (AdminRequestError, MemoryError) as error:
+            errors.append(error)
+
+    # Without a limit it would take all memory before the upstream gives up.
+    command = threading.Thread(target=read_report, daemon=True)
+    command.start()
+    command.join(GIVE_UP_S / 4)
+    upstream.give_up()
+    command.join()
+    upstream.close()
+    assert upstream.gave_up_on == 0
+    assert [type(error) for error in errors] == [AdminRequestError]
+    grown_kib = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss - before_kib
+    assert grown_kib * 1024 <= MAX_GROWN_BYTES
