--- a/tests/incident/answers.py
+++ b/tests/incident/answers.py
@@ -131,6 +131,17 @@
     return channel.reset()
 
 
+@register_answer_fault("refusal without proof")
+async def refuse_without_proof(channel: Channel, data: bytes) -> bool:
+    status = channel.rng.choice([301, 302, 400, 401, 403, 404, 405, 409, 413, 422])
+    lines = data.partition(b"\r\n\r\n")[0].split(b"\r\n")[1:]
+    kept = [line for line in lines if line.startswith(b"X-Request-Id")]
+    empty = [b"X-Response-Signature: "] if channel.rng.random() < 0.3 else []
+    head = [b"HTTP/1.1 %d Refused" % status, *kept, *empty, b"Content-Length: 0"]
+    await channel.send(b"\r\n".join([*head, b"", b""]))
+    return True
+
+
 @register_answer_fault("lost")
 async def lose(channel: Channel, data: bytes) -> bool:
     return channel.reset() if channel.rng.random() < 0.5 else await channel.finish()
--- a/tests/incident/variants.py
+++ b/tests/incident/variants.py
@@ -55,6 +55,7 @@
             "cut after a line of the head",
         ],
     },
+    "unproved": {"cuts": 0.05, "cut_names": ["refusal without proof"]},
     "early": {"early": 0.6, "copies": 0.003},
     "fractions": {"fractional": True, "cuts": 0.1, "cut_names": ["lost"]},
     # Upstreams are full, and many refusals are written twice; status checks bear no identifier.
--- a/tests/test_incident.py
+++ b/tests/test_incident.py
@@ -36,3 +36,8 @@
 
 def test_an_acknowledged_leave_is_forgotten_when_all_processes_are_killed(tmp_path):
     assert play(tmp_path, "power", releases=60.0, kill_delays_s=[0.0]) == ""
+
+
+# Guards against a refusal that no upstream proved and that callers take for the system's own.
+def test_refusals_of_upstreams_without_proof_reach_callers(tmp_path):
+    assert not play(tmp_path, "unproved")
