The view of tables and pools has a module of its own

requests/proxy.py had grown to 718 lines with two jobs: what an instance serves from, and serving. The class moves unchanged to requests/view.py; no behaviour changes.

Measured: test_stale_tables and test_denied pass; proxy.py has 655 lines.

--- a/src/foxtaildrum/fleet/views.py
+++ b/src/foxtaildrum/fleet/views.py
@@ -15,9 +15,10 @@
 from ..organisations.recognition import AgeLimits
 from ..permits.upstreams import PermitClient
 from ..records import Organisation, Settings
-from ..requests.proxy import Proxy, View
+from ..requests.proxy import Proxy
 from ..requests.routing import Router
 from ..requests.transport import Adapter, get_adapter
+from ..requests.view import View
 from .actions import PermitsAnswered, QuotasAnswered
 from .currency import START_MAX_TABLE_AGE_S
 from .node import Node
--- a/src/foxtaildrum/requests/proxy.py
+++ b/src/foxtaildrum/requests/proxy.py
@@ -9,14 +9,12 @@
 
 from ..admin.metrics import Meter
 from ..balancing.pools import UpstreamPool
-from ..balancing.splits import PoolChooser
 from ..clock import read_clock
 from ..control.claims import ClaimOutcome, Verdict
 from ..fleet.crashes import CrashView
 from ..fleet.currency import START_MAX_TABLE_AGE_S
 from ..kinds import ERROR_RESPONSES, ErrorKind, Outcome
 from ..logs import log_event
-from ..organisations.keys import KeyTable
 from .account import CallerAccount
 from .answers import Proof, find_proof
 from .averages import RouteAverages
@@ -49,6 +47,7 @@
 from .spools import ResponseSpool
 from .stops import StopPlan
 from .transport import HOP_BY_HOP_HEADERS
+from .view import View
 
 MAX_IDEMPOTENCY_KEY_CHARS = 255
 # A request that waited longer than this for a thread is refused as overloaded.
@@ -78,68 +77,6 @@
 }
 
 
-class View:
-    """Router and pools that are in use, replaced atomically when the tables change.
-
-    Parameters
-    ----------
-    router : Router
-        Matches requests to routes.
-    pools : dict
-        Upstream pools by name.
-    chooser : PoolChooser or None
-        Chooses the pool of each request.
-    version : int
-        Version of the desired state that is in use.
-    index : int
-        Index of the change that the tables include last.
-    is_set : bool
-        Whether the tables have been set. Before that, nothing is known of any route.
-    key_table : KeyTable or None
-        Organisations in force; None while there are none.
-
-    Attributes
-    ----------
-    complete_up_to : float
-        Time up to which the tables of this view include every accepted change, in seconds.
-    """
-
-    __slots__ = (
-        "chooser",
-        "complete_up_to",
-        "index",
-        "is_set",
-        "key_table",
-        "pools",
-        "router",
-        "version",
-    )
-
-    def __init__(
-        self,
-        router: Router,
-        pools: dict[str, UpstreamPool],
-        chooser: PoolChooser | None = None,
-        version: int = 0,
-        index: int = 0,
-        is_set: bool = True,
-        key_table: KeyTable | None = None,
-    ) -> None:
-        self.complete_up_to = float("-inf")
-        self.key_table = key_table
-        self.is_set = is_set
-        self.router = router
-        self.index = index
-        self.version = version
-        self.chooser = chooser or PoolChooser([])
-        self.pools = pools
-
-    def compute_age(self, now: float) -> float | None:
-        """Return the age of the tables of this view, in seconds; None if it is unknown."""
-        complete_up_to = self.complete_up_to
-        return None if complete_up_to == float("-inf") else now - complete_up_to
-
-
 class Proxy:
     """WSGI application that serves callers.
 
--- a/tests/test_stale_tables.py
+++ b/tests/test_stale_tables.py
@@ -13,8 +13,9 @@
 from foxtaildrum.kinds import ErrorKind
 from foxtaildrum.records import Route
 from foxtaildrum.requests.problem import Refusal
-from foxtaildrum.requests.proxy import Proxy, View
+from foxtaildrum.requests.proxy import Proxy
 from foxtaildrum.requests.routing import Router
+from foxtaildrum.requests.view import View
 
 ROUTE = Route(name="r", host="a.example", path_prefix="/r/", pool="p", methods=["GET"])
 # Requests that the tables here refuse; other tables could serve them.
