--- a/tests/test_header_lines.py
+++ b/tests/test_header_lines.py
@@ -4,18 +4,10 @@
 
 import pytest
 
-from foxtaildrum.kinds import ErrorKind
-from foxtaildrum.requests.transport import (
-    HEAD_MALFORMED,
-    OutgoingRequest,
-    TransportError,
-    open_http,
-)
-
 from .sites import Site, open_site
 from .standins.scripted import Arrival, Script, ScriptedUpstream
 from .test_platform import load_module
-from .test_status_lines import READ_TIMEOUT_S, check_head, describe, send
+from .test_status_lines import check_head, check_named_malformed, describe, send
 
 BODY = b"answer"
 CHUNKS = b"6\r\nanswer\r\n0\r\n\r\n"
@@ -162,17 +154,7 @@
 @pytest.mark.parametrize("line", INVALID_LINES, ids=describe)
 def test_a_header_line_that_is_none_is_named_in_the_log(line):
     answer = b"HTTP/1.1 200 OK\r\n" + line + b"\r\nContent-Length: 0\r\n\r\n"
-    upstream = ScriptedUpstream(lambda arrival: Script(answer))
-    connection = open_http(upstream.address, 1.0)
-    connection.send(OutgoingRequest("GET", "/", {"Host": "x"}, None, 0, "id"), 1.0)
-    with pytest.raises(TransportError) as caught:
-        connection.read_head(READ_TIMEOUT_S)
-    connection.close()
-    upstream.close()
-    assert (caught.value.kind, caught.value.reason) == (
-        ErrorKind.ANSWER_INVALID,
-        HEAD_MALFORMED,
-    )
+    check_named_malformed(ScriptedUpstream(lambda arrival: Script(answer)))
 
 
 # Guards against answers that are lost for lines that RFC 9112 allows, or lets a proxy repair: a
--- a/tests/test_status_lines.py
+++ b/tests/test_status_lines.py
@@ -128,6 +128,20 @@
     assert all(HEAD_LINE.fullmatch(line) for line in head.split(b"\r\n")), head
 
 
+def check_named_malformed(upstream: ScriptedUpstream) -> None:
+    """Check that the log would name the head of the upstream's answer as malformed."""
+    connection = open_http(upstream.address, 1.0)
+    connection.send(OutgoingRequest("GET", "/", {"Host": "x"}, None, 0, "id"), 1.0)
+    with pytest.raises(TransportError) as caught:
+        connection.read_head(READ_TIMEOUT_S)
+    connection.close()
+    upstream.close()
+    assert (caught.value.kind, caught.value.reason) == (
+        ErrorKind.ANSWER_INVALID,
+        HEAD_MALFORMED,
+    )
+
+
 @pytest.fixture
 def start(tmp_path):
     """Return a function that starts an instance and an upstream that sends one line."""
@@ -177,16 +191,7 @@
 @pytest.mark.parametrize("line", INVALID_LINES, ids=describe)
 def test_a_line_that_is_no_status_line_is_named_in_the_log(line):
     upstream = ScriptedUpstream(lambda arrival: Script(build_answer(line, arrival)))
-    connection = open_http(upstream.address, 1.0)
-    connection.send(OutgoingRequest("GET", "/", {"Host": "x"}, None, 0, "id"), 1.0)
-    with pytest.raises(TransportError) as caught:
-        connection.read_head(READ_TIMEOUT_S)
-    connection.close()
-    upstream.close()
-    assert (caught.value.kind, caught.value.reason) == (
-        ErrorKind.ANSWER_INVALID,
-        HEAD_MALFORMED,
-    )
+    check_named_malformed(upstream)
 
 
 class CheckedPool:
