One caller of 100 Continue for two tests of the account

The new test repeated the requests and assertions of the older one. Both call one function; the delays, the order and the assertions are the same.

--- a/tests/test_account.py
+++ b/tests/test_account.py
@@ -167,6 +167,17 @@
         assert wait_until(lambda: account.held_bytes > 0)
 
 
+def send_behind_slow_request(caller: PipeliningCaller, slow_ms: int) -> None:
+    """Send a request that waits for ``100 Continue`` behind a slow one; check all responses."""
+    expecting = build_request("/x", "POST", Content_Length="4", Expect="100-continue")
+    caller.send(build_request("/x", X_Fault=f"slow={slow_ms}"), expecting)
+    assert caller.read_reply().status == 200
+    assert caller.read_line() == "HTTP/1.1 100 Continue"
+    assert caller.read_line() == ""
+    caller.send(b"body")
+    assert caller.read_reply().status == 200
+
+
 # Guards against a caller that is abandoned although it waits to be told to send its body.
 def test_a_caller_that_waits_for_100_continue_is_not_abandoned(tmp_path):
     with open_site(tmp_path, body_stall_s=0.5) as site:
@@ -174,13 +185,7 @@
         site.apply("routes", [{"name": "p", "path_prefix": "/", "pool": "p"}])
         site.add_upstreams("p", 1, service_ms=1, fixed=True)
         with PipeliningCaller(site.instance.caller_server.address) as caller:
-            expecting = build_request("/x", "POST", Content_Length="4", Expect="100-continue")
-            caller.send(build_request("/x", X_Fault="slow=4000"), expecting)
-            assert caller.read_reply().status == 200
-            assert caller.read_line() == "HTTP/1.1 100 Continue"
-            assert caller.read_line() == ""
-            caller.send(b"body")
-            assert caller.read_reply().status == 200
+            send_behind_slow_request(caller, 4000)
 
 
 # Guards against two threads that send the same bytes: the caller read "100 Continue" twice, and
@@ -201,13 +206,7 @@
 
     monkeypatch.setattr(_Channel, "send", send_slowly)
     with PipeliningCaller(site.instance.caller_server.address) as caller:
-        expecting = build_request("/x", "POST", Content_Length="4", Expect="100-continue")
-        caller.send(build_request("/x", X_Fault="slow=300"), expecting)
-        assert caller.read_reply().status == 200
-        assert caller.read_line() == "HTTP/1.1 100 Continue"
-        assert caller.read_line() == ""
-        caller.send(b"body")
-        assert caller.read_reply().status == 200
+        send_behind_slow_request(caller, 300)
     assert not sent_again.is_set()
 
 
