Three more senders of bytes without end have a test

Three ways were listed as not tried: answers to pipelined requests that wait for their turn, answers to callers that have left, and answers of another instance to a forwarded request.

--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -7,6 +7,7 @@
 
 import contextlib
 import http.client
+import os
 import resource
 import socket
 import threading
@@ -18,8 +19,11 @@
 from foxtaildrum.admin.client import AdminClient
 from foxtaildrum.exceptions import AdminRequestError
 
+from .links import Cut
+from .pipelining import PipeliningCaller, build_request
 from .standins.endless import ENDLESS, GIVE_UP_S, EndlessUpstream, HeldMemory, send_ok
 from .standins.processes import InstanceProcess, pick_port, wait_until
+from .test_lost_links import LinkedFleet
 
 pytestmark = pytest.mark.alone
 
@@ -37,6 +41,10 @@
 PART = b"200000\r\n" + b"b" * (2 * MIB) + b"\r\n"
 CHUNKED = b"Host: x\r\nTransfer-Encoding: chunked\r\n\r\n"
 ANSWER_TIMEOUT_S = 15.0
+# One that declined is left out for up to 8 s; what can't be forwarded is refused at once.
+MAX_FORWARDED = 2000
+# Requests of one connection that run at once.
+PIPELINED = 8
 
 
 class EndlessSite:
@@ -55,6 +63,7 @@
             body_stall_s="2",
             probes_per_s="300",
             sample_size="2",
+            pipeline_per_connection=str(PIPELINED),
             **self.servers,
             **settings,
         )
@@ -93,8 +102,8 @@
 
 
 @pytest.fixture
-def site(tmp_path):
-    site = EndlessSite(tmp_path)
+def site(tmp_path, request):
+    site = EndlessSite(tmp_path, **getattr(request, "param", {}))
     yield site
     site.close()
 
@@ -138,6 +147,39 @@
         caller.close()
 
 
+# Guards against answers that are kept while they wait for the turn of their pipelined request.
+@pytest.mark.parametrize("site", [{"write_deadline_s": "4"}], ids=[""], indirect=True)
+def test_pipelined_answers_without_end_are_not_kept(site):
+    # The first one of a connection holds up all that may run ahead of their turn.
+    ahead = [kind for kind in ENDLESS if kind not in ("rest", "body")][: PIPELINED - 1]
+    upstreams = [site.upstreams[kind] for kind in ("body", *ahead)]
+    with contextlib.ExitStack() as stack:
+        for _ in range(3):
+            caller = stack.enter_context(PipeliningCaller(site.instance.listen))
+            caller.send(*(build_request(f"/{kind}/x") for kind in ("body", *ahead)))
+        assert wait_until(lambda: all(upstream.sent_bytes for upstream in upstreams))
+        peak = site.base
+        while any(upstream.open_connections for upstream in upstreams):
+            peak = max(peak, site.measure(), key=lambda held: held.total)
+    assert peak.total <= site.base.total + MAX_HELD_BYTES + MEMORY_SLACK_BYTES
+    assert site.instance.status()["instance"]
+
+
+# Guards against answers that are kept because the callers who would read them have left.
+@pytest.mark.parametrize("version", [10, 11])
+def test_answers_without_end_to_callers_that_left_are_not_kept(site, version):
+    kinds = ("body", "chunks", "compressed")
+    callers = [Caller(site, kind, version) for kind in kinds for _ in range(4)]
+    assert wait_until(lambda: all(site.upstreams[kind].sent_bytes for kind in kinds))
+    for caller in callers:
+        caller.close()
+    peak = site.base
+    while any(site.upstreams[kind].open_connections for kind in kinds):
+        peak = max(peak, site.measure(), key=lambda held: held.total)
+    assert peak.total <= site.base.total + MAX_HELD_BYTES + MEMORY_SLACK_BYTES
+    assert wait_until(lambda: site.measure().files == 0)
+
+
 # Guards against answers to status checks that are kept, in time or late.
 @pytest.mark.parametrize("kind", ENDLESS)
 def test_answers_without_end_to_status_checks_are_not_kept(site, kind):
@@ -152,6 +194,31 @@
     assert peak.total <= site.base.total + MEMORY_SLACK_BYTES
 
 
+# Guards against answers to forwarded requests that are kept, or relayed without a stated
+# result.
+def test_answers_without_end_to_forwarded_requests_are_not_kept(tmp_path):
+    fleet = LinkedFleet(tmp_path)
+    fleet.cut(Cut.HANG, "e1")
+    assert fleet.wait_served("e1")
+    others = {kind: EndlessUpstream({"": ENDLESS[kind]}) for kind in ENDLESS}
+    forwarder = fleet.sites["e1"].instance.proxy.forwarder
+    forwarder.update_peers({k: f"127.0.0.1:{other.port}" for k, other in others.items()})
+    forwarder.update_peers = lambda addresses: None
+    peak = base = HeldMemory(os.getpid())
+    statuses = set()
+    for _ in range(MAX_FORWARDED):
+        if all(other.sent_bytes for other in others.values()):
+            break
+        statuses.add(fleet.send("e1", "/lookup/1").status)
+        peak = max(peak, HeldMemory(os.getpid()), key=lambda held: held.total)
+    assert all(other.sent_bytes for other in others.values())
+    assert all(status >= 500 for status in statuses)
+    assert peak.total <= base.total + MEMORY_SLACK_BYTES
+    for other in others.values():
+        other.close()
+    fleet.close()
+
+
 # Guards against bytes that nobody reads on the idle connections to an upstream.
 def test_bytes_after_a_response_are_not_kept(site):
     callers = [Caller(site, "rest") for _ in range(4)]
