Messages of other instances without end have a failing test

Seen: three faulty instances that send 15,000 messages with 50 unreadable records each let an instance grow by 82 to 92 MiB, in 3 of 3 runs; in a trial of 8 s by 168 MiB, with up to 3.7 s until it answered /readyz. Pings and bucket hashes at the same speed: 4 MiB at most.

Cause: the peer thread reads on while the messages before wait for the node.

An upstream can't cause it.

--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -11,6 +11,7 @@
 import resource
 import socket
 import threading
+from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
 import pytest
@@ -18,10 +19,12 @@
 from foxtaildrum.admin import client
 from foxtaildrum.admin.client import AdminClient
 from foxtaildrum.exceptions import AdminRequestError
+from foxtaildrum.records import UpstreamNews
 
 from .links import Cut
 from .pipelining import PipeliningCaller, build_request
 from .standins.endless import ENDLESS, GIVE_UP_S, EndlessUpstream, HeldMemory, send_ok
+from .standins.flooding import flood_peer
 from .standins.processes import InstanceProcess, pick_port, wait_until
 from .test_lost_links import LinkedFleet
 
@@ -43,6 +46,9 @@
 ANSWER_TIMEOUT_S = 15.0
 # One that declined is left out for up to 8 s; what can't be forwarded is refused at once.
 MAX_FORWARDED = 2000
+FLOODING_PEERS = 3
+MESSAGES = 5000
+RECORDS = 50
 # Requests of one connection that run at once.
 PIPELINED = 8
 
@@ -267,6 +273,27 @@
         assert site.instance.client.is_ready()
 
 
+# Guards against messages of other instances that are kept because they arrive faster than they
+# are handled.
+def test_messages_that_arrive_faster_than_they_are_handled_are_not_kept(tmp_path):
+    listen = f"127.0.0.1:{pick_port()}"
+    instance = InstanceProcess(tmp_path, "one", peer_listen=listen, control=f"one={listen}")
+    instance.wait_ready()
+    # Each record that can't be read costs a line of the log.
+    news = UpstreamNews(entries=[["unreadable"] * 8] * RECORDS, token="")
+    peak = base = HeldMemory(instance.popen.pid)
+    with ThreadPoolExecutor(FLOODING_PEERS) as pool:
+        floods = [
+            pool.submit(flood_peer, f"peer-{number}", listen, news, MESSAGES)
+            for number in range(FLOODING_PEERS)
+        ]
+        while not all(flood.done() for flood in floods):
+            peak = max(peak, HeldMemory(instance.popen.pid), key=lambda held: held.total)
+    instance.kill()
+    assert [flood.result() for flood in floods] == [None] * FLOODING_PEERS
+    assert peak.total <= base.total + MEMORY_SLACK_BYTES
+
+
 # Guards against a command of an operator that never ends, or takes all memory, because what it
 # reached isn't an instance.
 @pytest.mark.parametrize("kind", [kind for kind in ENDLESS if kind != "rest"])
