--- a/tests/test_rest.py
+++ b/tests/test_rest.py
@@ -219,8 +219,19 @@
     assert len(cut.arrivals) == 1
 
 
-# Guards against a rest that is not kept because another copy of the request was answered.
-def test_a_refusal_beside_the_answer_of_another_copy_asks_for_rest_too(site, scripted):
+def send_hedged(site, scripted, refused_id: str | None) -> ScriptedUpstream:
+    """Send a request whose first copy is refused just before its second copy is answered.
+
+    Parameters
+    ----------
+    refused_id : str or None
+        Identifier of the attempt in the refusal; None for the right one.
+
+    Returns
+    -------
+    ScriptedUpstream
+        Upstream that refused.
+    """
     pool = {"name": "p", "retry_budget_ratio": 1.0, "measuring_budget_ratio": 1.0}
     site.apply("pools", [pool])
     has_refused, is_hedged = threading.Event(), threading.Event()
@@ -233,7 +244,10 @@
             first.append(number)
             is_hedged.wait(5)
             has_refused.set()
-            return Script(build_own(arrival, 503, REST_HEADERS, b""))
+            headers = dict(REST_HEADERS)
+            if refused_id is not None:
+                headers["Foxtaildrum-Attempt"] = refused_id
+            return Script(build_own(arrival, 503, headers, b""))
         # The head of this response comes before the refusal, the body after it.
         whole = build_own(arrival)
         return Script(whole[:-1], rest=whole[-1:], rest_after=has_refused, begun=is_hedged)
@@ -243,13 +257,30 @@
         site.send("GET", f"/warm/{number}")
     reply = site.send("GET", "/hedged")
     assert reply.status == 200, reply.body
-    refusing = upstreams[first[0]]
+    return upstreams[first[0]]
+
+
+# Guards against a rest that is not kept because another copy of the request was answered.
+def test_a_refusal_beside_the_answer_of_another_copy_asks_for_rest_too(site, scripted):
+    refusing = send_hedged(site, scripted, None)
     before = len(refusing.arrivals)
     for number in range(REQUESTS):
         assert site.send("GET", f"/after/{number}").status == 200
     assert len(refusing.arrivals) == before
 
 
+# Guards against what a response to something else states, where nobody needs the response.
+@pytest.mark.parametrize("refused_id", ["of-another-request", ""])
+def test_a_refusal_of_another_request_beside_an_answer_asks_for_no_rest(
+    site, scripted, refused_id
+):
+    refusing = send_hedged(site, scripted, refused_id)
+    before = len(refusing.arrivals)
+    for number in range(REQUESTS):
+        assert site.send("GET", f"/after/{number}").status == 200
+    assert len(refusing.arrivals) > before
+
+
 # Guards against a rest that is not kept because the status check was answered late.
 def test_a_late_refusal_of_a_status_check_asks_for_rest_too(tmp_path, scripted):
     def write(number: int, arrival: Arrival) -> Script:
