One loop measures a peak of memory, one sends bodies, one counts later arrivals

Cause: four tests of bytes without end, two of refusals and two manners of the trials had the same loop each.

Change: measure_peak, count_later_arrivals and _send_bodies serve them; bounds and assertions are the same.

--- a/tests/incident/manners.py
+++ b/tests/incident/manners.py
@@ -207,26 +207,25 @@
     return await _read_all(connection, [record])
 
 
-@register_manner("bodies in pieces")
-async def send_pieces(sender: Sender) -> None:
+async def _send_bodies(sender: Sender, max_count: int, asks: bool) -> None:
+    """Send bodies one after the other over a connection of their own."""
     connection = await sender.open()
     try:
-        for _ in range(sender.rng.randint(1, 4)):
-            if not await _send_body(sender, connection, asks=False):
+        for _ in range(sender.rng.randint(1, max_count)):
+            if not await _send_body(sender, connection, asks=asks):
                 return
     finally:
         connection.close()
 
 
+@register_manner("bodies in pieces")
+async def send_pieces(sender: Sender) -> None:
+    await _send_bodies(sender, 4, asks=False)
+
+
 @register_manner("bodies that wait for 100 Continue")
 async def send_expecting(sender: Sender) -> None:
-    connection = await sender.open()
-    try:
-        for _ in range(sender.rng.randint(1, 3)):
-            if not await _send_body(sender, connection, asks=True):
-                return
-    finally:
-        connection.close()
+    await _send_bodies(sender, 3, asks=True)
 
 
 @register_manner("a connection that was idle")
--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -11,6 +11,7 @@
 import resource
 import socket
 import threading
+from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
@@ -114,6 +115,16 @@
     site.close()
 
 
+def measure_peak(
+    measure: Callable[[], HeldMemory], base: HeldMemory, goes_on: Callable[[], bool]
+) -> HeldMemory:
+    """Return the most that was held while ``goes_on`` returned true, at least ``base``."""
+    peak = base
+    while goes_on():
+        peak = max(peak, measure(), key=lambda held: held.total)
+    return peak
+
+
 class Caller(http.client.HTTPConnection):
     """Caller that asks for a response of one kind."""
 
@@ -129,9 +140,10 @@
 @pytest.mark.parametrize("kind", ["chunks", "compressed"])
 def test_a_response_that_is_read_before_it_is_relayed_is_bounded(site, kind):
     caller = Caller(site, kind, version=10)
-    peak = site.base
-    while site.upstreams[kind].sent_bytes == 0 or site.upstreams[kind].open_connections:
-        peak = max(peak, site.measure(), key=lambda held: held.total)
+    upstream = site.upstreams[kind]
+    peak = measure_peak(
+        site.measure, site.base, lambda: upstream.sent_bytes == 0 or upstream.open_connections
+    )
     assert caller.getresponse().status == 502
     assert peak.total <= site.base.total + MAX_HELD_BYTES + MEMORY_SLACK_BYTES
     assert site.instance.status()["instance"]
@@ -164,9 +176,9 @@
             caller = stack.enter_context(PipeliningCaller(site.instance.listen))
             caller.send(*(build_request(f"/{kind}/x") for kind in ("body", *ahead)))
         assert wait_until(lambda: all(upstream.sent_bytes for upstream in upstreams))
-        peak = site.base
-        while any(upstream.open_connections for upstream in upstreams):
-            peak = max(peak, site.measure(), key=lambda held: held.total)
+        peak = measure_peak(
+            site.measure, site.base, lambda: any(u.open_connections for u in upstreams)
+        )
     assert peak.total <= site.base.total + MAX_HELD_BYTES + MEMORY_SLACK_BYTES
     assert site.instance.status()["instance"]
 
@@ -179,9 +191,11 @@
     assert wait_until(lambda: all(site.upstreams[kind].sent_bytes for kind in kinds))
     for caller in callers:
         caller.close()
-    peak = site.base
-    while any(site.upstreams[kind].open_connections for kind in kinds):
-        peak = max(peak, site.measure(), key=lambda held: held.total)
+    peak = measure_peak(
+        site.measure,
+        site.base,
+        lambda: any(site.upstreams[kind].open_connections for kind in kinds),
+    )
     assert peak.total <= site.base.total + MAX_HELD_BYTES + MEMORY_SLACK_BYTES
     assert wait_until(lambda: site.measure().files == 0)
 
@@ -281,14 +295,17 @@
     instance.wait_ready()
     # Each record that can't be read costs a line of the log.
     news = UpstreamNews(entries=[["unreadable"] * 8] * RECORDS, token="")
-    peak = base = HeldMemory(instance.popen.pid)
+    base = HeldMemory(instance.popen.pid)
     with ThreadPoolExecutor(FLOODING_PEERS) as pool:
         floods = [
             pool.submit(flood_peer, f"peer-{number}", listen, news, MESSAGES)
             for number in range(FLOODING_PEERS)
         ]
-        while not all(flood.done() for flood in floods):
-            peak = max(peak, HeldMemory(instance.popen.pid), key=lambda held: held.total)
+        peak = measure_peak(
+            lambda: HeldMemory(instance.popen.pid),
+            base,
+            lambda: not all(flood.done() for flood in floods),
+        )
     instance.kill()
     assert [flood.result() for flood in floods] == [None] * FLOODING_PEERS
     assert peak.total <= base.total + MEMORY_SLACK_BYTES
--- a/tests/test_rest.py
+++ b/tests/test_rest.py
@@ -260,13 +260,18 @@
     return upstreams[first[0]]
 
 
+def count_later_arrivals(site, upstream: ScriptedUpstream) -> int:
+    """Send requests, which must be served; return how many reach the upstream."""
+    before = len(upstream.arrivals)
+    for number in range(REQUESTS):
+        assert site.send("GET", f"/after/{number}").status == 200
+    return len(upstream.arrivals) - before
+
+
 # Guards against a rest that is not kept because another copy of the request was answered.
 def test_a_refusal_beside_the_answer_of_another_copy_asks_for_rest_too(site, scripted):
     refusing = send_hedged(site, scripted, None)
-    before = len(refusing.arrivals)
-    for number in range(REQUESTS):
-        assert site.send("GET", f"/after/{number}").status == 200
-    assert len(refusing.arrivals) == before
+    assert count_later_arrivals(site, refusing) == 0
 
 
 # Guards against what a response to something else states, where nobody needs the response.
@@ -275,10 +280,7 @@
     site, scripted, refused_id
 ):
     refusing = send_hedged(site, scripted, refused_id)
-    before = len(refusing.arrivals)
-    for number in range(REQUESTS):
-        assert site.send("GET", f"/after/{number}").status == 200
-    assert len(refusing.arrivals) > before
+    assert count_later_arrivals(site, refusing) > 0
 
 
 # Guards against a rest that is not kept because the status check was answered late.
