--- a/review/harness/deployment.py
+++ b/review/harness/deployment.py
@@ -54,6 +54,22 @@
     "recover_s": 15,
     "probes_per_s": 42,
 }
+CORE_LIMITS = {
+    "cpu_share": 0.86,
+    "cpus": 3,
+    "memory_mb": 296,
+    "max_fds": 4096,
+    "link_mbps": 1000.0,
+    "disk_mb": 256,
+}
+ENTRY_LIMITS = {
+    "cpu_share": 0.43,
+    "cpus": 1,
+    "memory_mb": 200,
+    "max_fds": 4100,
+    "link_mbps": 2.2,
+    "disk_mb": 0,
+}
 CONTRACTS = [
     "base",
     "drain",
@@ -102,6 +118,7 @@
         self.front_port, self.ready_port, self.control_port = first, first + 1, first + 2
         self.internal_port = first + 3
         self.bounds = dict(BOUNDS)
+        self.entry_limits = dict(ENTRY_LIMITS)
 
     def start(self, machine: Machine, bootstrap: bool = False) -> None:
         """Start the process of a machine."""
@@ -192,14 +209,7 @@
             "seeds": self.list_control()[:3],
             "bootstrap": bootstrap,
             "counts_as_loss": is_core,
-            "limits": {
-                "cpu_share": 0.86 if is_core else 0.43,
-                "cpus": 3 if is_core else 1,
-                "memory_mb": 296 if is_core else 200,
-                "max_fds": 4096 if is_core else 4100,
-                "link_mbps": 1000.0 if is_core else 2.2,
-                "disk_mb": 256 if is_core else 0,
-            },
+            "limits": CORE_LIMITS if is_core else self.entry_limits,
             "data_dir": str(self.folder / machine.name / "data") if is_core else None,
             "discovery": "registry",
             "entry": "vip",
