Review: an error of a script is no broken rule

Python ends with 1 after an error, as run.sh does for a broken rule: the scripts end with 10 for that now, and run.sh translates it. They also end by themselves after 118 s, with 2.

--- a/review/harness/record.py
+++ b/review/harness/record.py
@@ -12,9 +12,11 @@
 
 from .deployment import Deployment
 
+# Exit statuses, which run.sh translates: Python itself ends with 1 after an error.
 HELD = 0
-BROKEN = 1
+BROKEN = 10
 NOT_RUN = 2
+MAX_DURATION_S = 118
 
 
 class NotRun(Exception):
@@ -40,7 +42,9 @@
 
 def run_case(case: Case, folder: Path, build: Callable[[], Deployment]) -> None:
     """Run a case, which returns whether the rule was broken, and exit with its status."""
-    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
+    for number in (signal.SIGTERM, signal.SIGALRM):
+        signal.signal(number, lambda *_: sys.exit(NOT_RUN))
+    signal.alarm(MAX_DURATION_S)
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(folder / "record.txt")
     record.write(f"TROUBLE={int(has_trouble)}")
