Log each order on a zone with its end and the orders that it followed

The log told none of them apart: it named orders that had taken effect, not those that an instance was given.

The new event evacuation_ordered has the number of orders known when the order was read, the number it named last, and the time to its end.

--- a/src/foxtaildrum/control/orders.py
+++ b/src/foxtaildrum/control/orders.py
@@ -32,10 +32,24 @@
 
 @dataclass(slots=True)
 class OrderCompleted:
-    """An order given at this instance was committed, or was not committed in time."""
+    """An order given at this instance was committed, or was not committed in time.
+
+    Attributes
+    ----------
+    known_orders : int
+        Number of orders that this instance knew when it got the order.
+    named_orders : int
+        Number of orders that the order was sent to follow last.
+    waited_s : float
+        Time from the order to its end, in seconds.
+    """
 
     token: str
     committed: bool
+    order: EvacuationOrder
+    known_orders: int
+    named_orders: int
+    waited_s: float
 
 
 class _PendingOrder:
@@ -43,6 +57,10 @@
 
     Attributes
     ----------
+    begun_at : float
+        Time of the order, in seconds.
+    known_orders : int
+        Number of orders that this instance knew at that time.
     order_count : int
         Number of orders that must precede this one in the log.
     leader : str
@@ -54,9 +72,11 @@
     """
 
     __slots__ = (
+        "begun_at",
         "committed_count",
         "deadline",
         "hops",
+        "known_orders",
         "leader",
         "order",
         "order_count",
@@ -65,8 +85,10 @@
 
     def __init__(self, now: float, order: EvacuationOrder, order_count: int) -> None:
         self.order = order
+        self.begun_at = now
         self.deadline = now + ORDER_TIMEOUT_S
         self.retry_at = now
+        self.known_orders = order_count
         self.order_count = order_count
         self.leader = ""
         self.hops = 0
@@ -141,12 +163,12 @@
         """Send the orders without a reply again, and give up those whose time is over."""
         for token, pending in list(self._orders.items()):
             if now >= pending.deadline:
-                self._complete(token, pending.committed_count > 0)
+                self._complete(now, token, pending.committed_count > 0)
             elif now >= pending.retry_at and not pending.committed_count:
                 pending.leader, pending.hops = "", 0
                 self._send(now, token)
 
-    def pop_actions(self) -> list[Send | OrderCompleted]:
+    def pop_actions(self, now: float) -> list[Send | OrderCompleted]:
         """Return and clear the messages and results that are due.
 
         An operator who lists the zones here after the result must see the order.
@@ -154,7 +176,7 @@
         order_count = self._state.tables.evacuations.order_count
         for token, pending in list(self._orders.items()):
             if 0 < pending.committed_count <= order_count:
-                self._complete(token, True)
+                self._complete(now, token, True)
         actions, self._actions = self._actions, []
         return actions
 
@@ -282,9 +304,18 @@
         )
         self._actions.append(Send(peer, message))
 
-    def _complete(self, token: str, committed: bool) -> None:
-        del self._orders[token]
-        self._actions.append(OrderCompleted(token, committed))
+    def _complete(self, now: float, token: str, committed: bool) -> None:
+        pending = self._orders.pop(token)
+        self._actions.append(
+            OrderCompleted(
+                token,
+                committed,
+                pending.order,
+                pending.known_orders,
+                pending.order_count,
+                now - pending.begun_at,
+            )
+        )
 
     def _is_leader(self) -> bool:
         return self._consensus is not None and self._consensus.role is Role.LEADER
--- a/src/foxtaildrum/fleet/node.py
+++ b/src/foxtaildrum/fleet/node.py
@@ -578,7 +578,7 @@
         self._crashes.push_updates(now)
         self._gossip.push_updates(now)
         self._actions.extend(self.proposer.pop_actions(now))
-        self._actions.extend(self.orders.pop_actions())
+        self._actions.extend(self.orders.pop_actions(now))
         self._actions.extend(self.reader.pop_actions())
         return self._actions.pop_all()
 
--- a/src/foxtaildrum/fleet/runtime.py
+++ b/src/foxtaildrum/fleet/runtime.py
@@ -265,8 +265,8 @@
             elif isinstance(action, _LoggedAction):
                 _log_change(action)
             else:
-                if isinstance(action, ReceiptsCompleted):
-                    _log_confirmation(action)
+                log_result = _RESULT_LOGGERS.get(type(action), _ignore)
+                log_result(action)
                 self._complete_future(action.token, _RESULT_GETTERS[type(action)](action))
         self._publisher.publish(now, self._node)
 
@@ -306,9 +306,6 @@
 }
 
 
-_LoggedAction = UpstreamsLost | UpstreamsOrphaned | MemberChanged | UpstreamLeaving
-
-
 def _log_confirmation(action: ReceiptsCompleted) -> None:
     if action.entry is None:
         return
@@ -322,6 +319,31 @@
     )
 
 
+def _log_order(action: OrderCompleted) -> None:
+    log_event(
+        "evacuation_ordered",
+        zone=action.order.zone,
+        evacuated=action.order.evacuated,
+        committed=action.committed,
+        known_orders=action.known_orders,
+        named_orders=action.named_orders,
+        waited_ms=round(action.waited_s * 1000, 3),
+    )
+
+
+def _ignore(action: Action) -> None:
+    return None
+
+
+_RESULT_LOGGERS: dict[type, Callable[[Any], None]] = {
+    OrderCompleted: _log_order,
+    ReceiptsCompleted: _log_confirmation,
+}
+
+
+_LoggedAction = UpstreamsLost | UpstreamsOrphaned | MemberChanged | UpstreamLeaving
+
+
 def _log_change(action: _LoggedAction) -> None:
     if isinstance(action, UpstreamLeaving):
         log_event(
