An order that waited undoes no later order on its zone

Cause: an order has no number of its own. An instance gave it the number of orders that it knew when it read the order, and later any number that the leader named. An order that had waited in a socket, or as a proposal at an instance that was cut off, so passed for one that followed all others.

Evidence: evacuation_ordered of the woken instance has known_orders=2, named_orders=3 for the order that came before orders 2 and 3. Ruled out: entries of a deposed leader's log (a test of their own).

Change: a connection of an operator is marked with the number of orders known before it was opened (requests/marks.py). An order keeps this number on all its ways; the leader refuses it (503, at once) if it would undo a later order on its zone, whose numbers are now a part of the replicated state. Whatever delays the order, no order acknowledged after it was given is older than the mark. Messages keep their form, and earlier builds read the state without the new part.

--- a/src/foxtaildrum/admin/access.py
+++ b/src/foxtaildrum/admin/access.py
@@ -13,6 +13,7 @@
 from ..control.claims import ClaimOutcome, Verdict, compute_claim_key
 from ..control.desired import DesiredState, describe_desired
 from ..control.evacuations import EvacuationOrder
+from ..control.orders import OrderOutcome
 from ..control.tables import Change
 from ..exceptions import NotConfirmedError
 from ..fleet.node import Node
@@ -274,14 +275,14 @@
         """Return a document for each zone that is configured or known."""
         return self._read(lambda node, now: describe_zones(node, configured))
 
-    def order_evacuation(self, order: EvacuationOrder) -> bool:
-        """Propose an order on a zone; return whether it is known to be committed."""
+    def order_evacuation(self, order: EvacuationOrder, known_orders: int) -> OrderOutcome:
+        """Propose an order on a zone that was given after ``known_orders`` other orders."""
         future = pykka.ThreadingFuture()
-        self._node.order_evacuation.defer(order, future)
+        self._node.order_evacuation.defer(order, known_orders, future)
         try:
             return future.get(timeout=NODE_REPLY_TIMEOUT_S)
         except pykka.Timeout:
-            return False
+            return OrderOutcome.UNKNOWN
 
     def describe_organisations(self) -> dict[str, Any]:
         """Return the organisations in force and their requests here, without any key."""
--- a/src/foxtaildrum/admin/zones.py
+++ b/src/foxtaildrum/admin/zones.py
@@ -8,11 +8,21 @@
 from typing import Any
 
 from ..control.evacuations import EvacuationOrder
+from ..control.orders import OrderOutcome
 from ..fleet.membership import MemberState
 from ..fleet.node import Node
+from ..requests.callers import CLOSE_KEY, CONNECTION_MARK_KEY
 from .admin import STALE_QUERY, Admin, register_handler
 from .inputs import AdminError, AdminResponse
 
+_FAILURES = {
+    OrderOutcome.UNKNOWN: "The order is not known to be committed; send it again",
+    OrderOutcome.OVERTAKEN: (
+        "The order may be older than another one on the zone; if it is not, send it again on a"
+        " new connection"
+    ),
+}
+
 _ZONE_NAME = re.compile(r"[A-Za-z0-9_.-]{1,63}")
 
 
@@ -49,11 +59,12 @@
     admin.check_token(environ)
     zone = _read_zone(segment)
     _check_zone(admin, zone)
-    if not admin.node.order_evacuation(EvacuationOrder(zone, evacuated, time.time())):
-        raise AdminError(
-            http.client.SERVICE_UNAVAILABLE,
-            "The order is not known to be committed; send it again",
-        )
+    # The next order needs a connection that is opened after this one is known.
+    environ[CLOSE_KEY] = True
+    order = EvacuationOrder(zone, evacuated, time.time())
+    outcome = admin.node.order_evacuation(order, environ[CONNECTION_MARK_KEY])
+    if outcome is not OrderOutcome.COMMITTED:
+        raise AdminError(http.client.SERVICE_UNAVAILABLE, _FAILURES[outcome])
     return AdminResponse(http.client.OK, {"zone": zone, "evacuated": evacuated})
 
 
--- a/src/foxtaildrum/control/evacuations.py
+++ b/src/foxtaildrum/control/evacuations.py
@@ -7,6 +7,8 @@
 
 from typing import Any
 
+NUMBERS_FIELD = 3  # of the state on the wire: the last order on each zone
+
 
 class EvacuationOrder:
     """Order of an operator to evacuate an availability zone, or to use it again.
@@ -51,21 +53,37 @@
     ----------
     order_count : int
         Number of orders applied, including those that changed nothing. An order names the
-        count that it follows, so that a late copy of it can't undo a later order.
+        count that was known before it was given, so that it can't undo a later order.
     zones : dict
         Unix time since which each evacuated zone is evacuated, in seconds. Replaced by each
         order that changes it.
     """
 
-    __slots__ = ("order_count", "zones")
+    __slots__ = ("_last_numbers", "_unrecorded_count", "order_count", "zones")
 
     def __init__(self) -> None:
         self.order_count = 0
         self.zones: dict[str, float] = {}
+        # Number of the last order on each zone, and of those from before these were recorded.
+        self._last_numbers: dict[str, int] = {}
+        self._unrecorded_count = 0
+
+    def may_follow(self, order: EvacuationOrder, known_orders: int) -> bool:
+        """Return whether an order may be applied now without undoing a later one.
+
+        Parameters
+        ----------
+        known_orders : int
+            Number of orders that were certainly given before this one.
+        """
+        if order.evacuated == (order.zone in self.zones):
+            return True
+        return self._last_numbers.get(order.zone, self._unrecorded_count) <= known_orders
 
     def apply(self, order: EvacuationOrder) -> int:
         """Apply an order; return the number of orders including it."""
         self.order_count += 1
+        self._last_numbers[order.zone] = self.order_count
         if order.evacuated != (order.zone in self.zones):
             zones = {zone: at for zone, at in self.zones.items() if zone != order.zone}
             if order.evacuated:
@@ -74,13 +92,24 @@
         return self.order_count
 
     def to_wire(self) -> list[Any]:
-        """Return the state as a list that msgpack can encode."""
-        return [self.order_count, sorted(map(list, self.zones.items()))]
+        """Return the state as a list that msgpack can encode.
+
+        Builds that don't record the last order on each zone read the first two fields only.
+        """
+        numbers = sorted(map(list, self._last_numbers.items()))
+        zones = sorted(map(list, self.zones.items()))
+        return [self.order_count, zones, self._unrecorded_count, numbers]
 
     @classmethod
     def from_wire(cls, fields: list[Any]) -> Evacuations:
-        """Build the state from the list made by :meth:`to_wire`."""
+        """Build the state from the list made by :meth:`to_wire`.
+
+        In that of an earlier build, the last order may have been on any zone.
+        """
         evacuations = cls()
-        evacuations.order_count = fields[0]
+        evacuations.order_count = evacuations._unrecorded_count = fields[0]
         evacuations.zones = {zone: at for zone, at in fields[1]}
+        if len(fields) > NUMBERS_FIELD:
+            evacuations._unrecorded_count = fields[NUMBERS_FIELD - 1]
+            evacuations._last_numbers = {zone: number for zone, number in fields[NUMBERS_FIELD]}
         return evacuations
--- a/src/foxtaildrum/control/orders.py
+++ b/src/foxtaildrum/control/orders.py
@@ -1,12 +1,14 @@
 """Passes orders on evacuations to the leader until they are committed, without I/O.
 
 An order is sent again while its reply is missing, to whichever instance leads by then. Each
-copy names the number of orders that must precede it in the log, so that a copy that arrives
-after a later order has no effect: an acknowledged order is never undone by an earlier one.
+copy names the number of orders that were known before the order was given. That number never
+changes, and the leader refuses an order that would undo one with a higher number. So an order
+that waited anywhere, for any time, undoes none that was acknowledged after it was given.
 """
 
 from __future__ import annotations
 
+import enum
 import math
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -30,27 +32,50 @@
 Origin = tuple[str, str]
 
 
+class OrderOutcome(enum.Enum):
+    """What is known of an order.
+
+    Attributes
+    ----------
+    COMMITTED
+        A quorum has stored it.
+    OVERTAKEN
+        It was refused, as a later order on its zone may have been acknowledged.
+    UNKNOWN
+        It was not committed in time, and may still be.
+    """
+
+    COMMITTED = "committed"
+    OVERTAKEN = "overtaken"
+    UNKNOWN = "unknown"
+
+
 @dataclass(slots=True)
 class OrderCompleted:
-    """An order given at this instance was committed, or was not committed in time.
+    """An order given at this instance has come to its end here.
 
     Attributes
     ----------
     known_orders : int
-        Number of orders that this instance knew when it got the order.
-    named_orders : int
-        Number of orders that the order was sent to follow last.
+        Number of orders that were known before the order was given.
+    read_orders : int
+        Number of orders that this instance knew when it read the order.
     waited_s : float
-        Time from the order to its end, in seconds.
+        Time from then to its end, in seconds.
     """
 
     token: str
-    committed: bool
+    outcome: OrderOutcome
     order: EvacuationOrder
     known_orders: int
-    named_orders: int
+    read_orders: int
     waited_s: float
 
+    @property
+    def committed(self) -> bool:
+        """Whether a quorum has stored the order."""
+        return self.outcome is OrderOutcome.COMMITTED
+
 
 class _PendingOrder:
     """An order given at this instance.
@@ -58,11 +83,11 @@
     Attributes
     ----------
     begun_at : float
-        Time of the order, in seconds.
+        Time at which the order was read, in seconds.
     known_orders : int
-        Number of orders that this instance knew at that time.
-    order_count : int
-        Number of orders that must precede this one in the log.
+        Number of orders that were known before the order was given.
+    read_orders : int
+        Number of orders that this instance knew when it read the order.
     leader : str
         Instance that leads according to another one; empty if none has named it.
     hops : int
@@ -79,17 +104,19 @@
         "known_orders",
         "leader",
         "order",
-        "order_count",
+        "read_orders",
         "retry_at",
     )
 
-    def __init__(self, now: float, order: EvacuationOrder, order_count: int) -> None:
+    def __init__(
+        self, now: float, order: EvacuationOrder, known_orders: int, read_orders: int
+    ) -> None:
         self.order = order
         self.begun_at = now
         self.deadline = now + ORDER_TIMEOUT_S
         self.retry_at = now
-        self.known_orders = order_count
-        self.order_count = order_count
+        self.known_orders = known_orders
+        self.read_orders = read_orders
         self.leader = ""
         self.hops = 0
         self.committed_count = 0
@@ -150,20 +177,30 @@
         self._submit = submit
         self._orders: dict[str, _PendingOrder] = {}
         self._appended: _AppendedOrder | None = None
-        self._waiting: set[Origin] = set()
+        self._waiting: dict[Origin, tuple[EvacuationOrder, int]] = {}
         self._actions: list[Send | OrderCompleted] = []
 
-    def propose(self, now: float, token: str, order: EvacuationOrder) -> None:
-        """Propose an order; :class:`OrderCompleted` with this token reports its end."""
-        order_count = self._state.tables.evacuations.order_count
-        self._orders[token] = _PendingOrder(now, order, order_count)
+    def propose(
+        self, now: float, token: str, order: EvacuationOrder, known_orders: int
+    ) -> None:
+        """Propose an order; :class:`OrderCompleted` with this token reports its end.
+
+        Parameters
+        ----------
+        known_orders : int
+            Number of orders that were known before the order was given.
+        """
+        read_orders = self._state.tables.evacuations.order_count
+        self._orders[token] = _PendingOrder(now, order, known_orders, read_orders)
         self._send(now, token)
 
     def tick(self, now: float) -> None:
         """Send the orders without a reply again, and give up those whose time is over."""
         for token, pending in list(self._orders.items()):
             if now >= pending.deadline:
-                self._complete(now, token, pending.committed_count > 0)
+                is_committed = pending.committed_count > 0
+                outcome = OrderOutcome.COMMITTED if is_committed else OrderOutcome.UNKNOWN
+                self._complete(now, token, outcome)
             elif now >= pending.retry_at and not pending.committed_count:
                 pending.leader, pending.hops = "", 0
                 self._send(now, token)
@@ -176,7 +213,7 @@
         order_count = self._state.tables.evacuations.order_count
         for token, pending in list(self._orders.items()):
             if 0 < pending.committed_count <= order_count:
-                self._complete(now, token, True)
+                self._complete(now, token, OrderOutcome.COMMITTED)
         actions, self._actions = self._actions, []
         return actions
 
@@ -201,7 +238,11 @@
         if message.committed:
             pending.committed_count = message.order_count
             return
-        self._follow_reply(now, message.token, message.order_count, message.leader)
+        if message.order_count > UNKNOWN_COUNT:
+            # The leader has refused it. One of an earlier build does so after any other order.
+            self._complete(now, message.token, OrderOutcome.OVERTAKEN)
+        elif message.leader:
+            self._follow_reply(now, message.token, message.leader)
 
     def handle_completed(self, now: float, action: ProposalCompleted) -> None:
         """Handle the result of an entry that this instance appended."""
@@ -209,7 +250,7 @@
         if appended is None or action.token != appended.log_token:
             return
         self._appended = None
-        waiting, self._waiting = self._waiting, set()
+        waiting, self._waiting = self._waiting, {}
         if not isinstance(action.result, int):
             # This instance has ceased to lead; the orders are sent again at their next retry.
             return
@@ -218,14 +259,14 @@
                 self._reply(peer, token, action.result, "", committed=True)
             elif token in self._orders:
                 self._orders[token].committed_count = action.result
-        for origin in sorted(waiting):
-            self._reply_count(now, origin)
+        for origin, (order, known_orders) in waiting.items():
+            self._append(now, origin, order, known_orders)
 
     def _send(self, now: float, token: str) -> None:
         pending = self._orders[token]
         pending.retry_at = now + RETRY_S
         if self._is_leader():
-            self._append(now, ("", token), pending.order, pending.order_count)
+            self._append(now, ("", token), pending.order, pending.known_orders)
             return
         target = pending.leader or self._pick_control_instance(now)
         if not target or target == self._instance_id:
@@ -236,62 +277,50 @@
             zone=order.zone,
             evacuated=order.evacuated,
             at=order.at,
-            order_count=pending.order_count,
+            order_count=pending.known_orders,
         )
         self._actions.append(Send(target, message))
 
     def _append(
-        self, now: float, origin: Origin, order: EvacuationOrder, order_count: int
+        self, now: float, origin: Origin, order: EvacuationOrder, known_orders: int
     ) -> None:
-        """Append an order, unless another one is being committed.
+        """Append an order, unless it would undo a later one or another is being committed.
 
-        The count that a reply names thus includes committed orders only. An order that can't be
-        appended now gets no reply, so its sender repeats it.
+        The state that an order is compared with thus includes all orders in the log. An order
+        that can't be appended now gets no reply, so its sender repeats it.
         """
         if self._appended is not None:
             if self._appended.is_same(order):
                 self._appended.origins.add(origin)
             elif len(self._waiting) < MAX_WAITING:
-                self._waiting.add(origin)
+                self._waiting[origin] = (order, known_orders)
             return
         consensus = self._consensus
         is_busy = consensus.count_pending() >= MAX_PENDING_ENTRIES
         if is_busy or not consensus.can_accept_changes():
             return
-        if order_count != self._state.tables.evacuations.order_count:
-            self._reply_count(now, origin)
+        if not self._state.tables.evacuations.may_follow(order, known_orders):
+            self._refuse(now, origin)
             return
         log_token = f"{TOKEN_PREFIX}{consensus.term} {consensus.log.last_index + 1}"
         self._appended = _AppendedOrder(log_token, order, origin)
         self._submit(now, log_token, EVACUATION, order.to_wire())
 
-    def _reply_count(self, now: float, origin: Origin) -> None:
-        """Tell the origin of an order how many orders the log has."""
+    def _refuse(self, now: float, origin: Origin) -> None:
+        """Tell the origin of an order that a later one has overtaken it."""
         peer, token = origin
-        order_count = self._state.tables.evacuations.order_count
         if peer:
-            self._reply(peer, token, order_count, "")
+            self._reply(peer, token, self._state.tables.evacuations.order_count, "")
         elif token in self._orders:
-            self._follow_reply(now, token, order_count, "")
+            self._complete(now, token, OrderOutcome.OVERTAKEN)
 
-    def _follow_reply(self, now: float, token: str, order_count: int, leader: str) -> None:
-        """Send an order again after a reply that names the order count or the leader.
+    def _follow_reply(self, now: float, token: str, leader: str) -> None:
+        """Send an order again after a reply that names the leader.
 
         It is sent at once, up to ``MAX_HOPS`` times between two retries.
-
-        Parameters
-        ----------
-        order_count : int
-            Number of orders in the log; ``UNKNOWN_COUNT`` if the reply names none.
-        leader : str
-            Instance that leads; empty if the reply names none.
         """
         pending = self._orders[token]
-        if order_count >= 0:
-            pending.order_count = order_count
-        elif not leader:
-            return
-        pending.leader = leader or pending.leader
+        pending.leader = leader
         pending.hops += 1
         if pending.hops <= MAX_HOPS:
             self._send(now, token)
@@ -304,15 +333,15 @@
         )
         self._actions.append(Send(peer, message))
 
-    def _complete(self, now: float, token: str, committed: bool) -> None:
+    def _complete(self, now: float, token: str, outcome: OrderOutcome) -> None:
         pending = self._orders.pop(token)
         self._actions.append(
             OrderCompleted(
                 token,
-                committed,
+                outcome,
                 pending.order,
                 pending.known_orders,
-                pending.order_count,
+                pending.read_orders,
                 now - pending.begun_at,
             )
         )
--- a/src/foxtaildrum/fleet/node.py
+++ b/src/foxtaildrum/fleet/node.py
@@ -346,9 +346,17 @@
         self.proposer.propose(now, token, change)
         return self._pop_actions(now)
 
-    def order_evacuation(self, now: float, token: str, order: EvacuationOrder) -> list[Action]:
-        """Propose an order on a zone; :class:`OrderCompleted` tells whether it is committed."""
-        self.orders.propose(now, token, order)
+    def order_evacuation(
+        self, now: float, token: str, order: EvacuationOrder, known_orders: int
+    ) -> list[Action]:
+        """Propose an order on a zone; :class:`OrderCompleted` tells whether it is committed.
+
+        Parameters
+        ----------
+        known_orders : int
+            Number of orders that were known before this one was given.
+        """
+        self.orders.propose(now, token, order, known_orders)
         return self._pop_actions(now)
 
     def read(self, now: float, token: str) -> list[Action]:
--- a/src/foxtaildrum/fleet/node_api.py
+++ b/src/foxtaildrum/fleet/node_api.py
@@ -6,6 +6,7 @@
 
 from ..control.desired import DesiredState
 from ..control.evacuations import EvacuationOrder
+from ..control.orders import OrderOutcome
 from ..control.tables import Change
 from ..records import Announcement
 
@@ -89,8 +90,8 @@
     def describe_zones(self, configured: frozenset[str]) -> list[dict[str, Any]]:
         """Return a document for each zone that is configured or known."""
 
-    def order_evacuation(self, order: EvacuationOrder) -> bool:
-        """Propose an order on a zone; return whether it is known to be committed."""
+    def order_evacuation(self, order: EvacuationOrder, known_orders: int) -> OrderOutcome:
+        """Propose an order on a zone that was given after ``known_orders`` other orders."""
 
     def announce(self, upstream_id: str, announcement: Announcement) -> str:
         """Record an announcement; return the reason of a refusal, or an empty string.
--- a/src/foxtaildrum/fleet/runtime.py
+++ b/src/foxtaildrum/fleet/runtime.py
@@ -123,11 +123,19 @@
         self._perform(now, self._node.propose(now, self._register_future(future), change))
 
     @isolated
-    def order_evacuation(self, order: EvacuationOrder, future: pykka.Future) -> None:
-        """Propose an order on a zone; ``future`` is set to whether it was committed."""
+    def order_evacuation(
+        self, order: EvacuationOrder, known_orders: int, future: pykka.Future
+    ) -> None:
+        """Propose an order on a zone; ``future`` is set to its outcome.
+
+        Parameters
+        ----------
+        known_orders : int
+            Number of orders that were known before this one was given.
+        """
         now = read_clock()
         token = self._register_future(future)
-        self._perform(now, self._node.order_evacuation(now, token, order))
+        self._perform(now, self._node.order_evacuation(now, token, order, known_orders))
 
     @isolated
     def read_tables(self, future: pykka.Future) -> None:
@@ -249,6 +257,7 @@
         self._perform(now, actions)
 
     def _perform(self, now: float, actions: list[Any]) -> None:
+        self._publisher.publish_orders(self._node)
         for action in actions:
             if isinstance(action, Send):
                 self._send(action)
@@ -300,7 +309,7 @@
 _RESULT_GETTERS: dict[type, Callable[[Any], Any]] = {
     ChangeCompleted: attrgetter("answer"),
     ClaimCompleted: attrgetter("outcome"),
-    OrderCompleted: attrgetter("committed"),
+    OrderCompleted: attrgetter("outcome"),
     ReadCompleted: attrgetter("succeeded"),
     ReceiptsCompleted: attrgetter("stored"),
 }
@@ -324,9 +333,9 @@
         "evacuation_ordered",
         zone=action.order.zone,
         evacuated=action.order.evacuated,
-        committed=action.committed,
+        outcome=action.outcome.value,
         known_orders=action.known_orders,
-        named_orders=action.named_orders,
+        read_orders=action.read_orders,
         waited_ms=round(action.waited_s * 1000, 3),
     )
 
--- a/src/foxtaildrum/fleet/views.py
+++ b/src/foxtaildrum/fleet/views.py
@@ -15,6 +15,7 @@
 from ..organisations.recognition import AgeLimits
 from ..permits.upstreams import PermitClient
 from ..records import Organisation, Settings
+from ..requests.marks import ConnectionMarks
 from ..requests.proxy import Proxy
 from ..requests.routing import Router
 from ..requests.transport import Adapter, get_adapter
@@ -69,6 +70,7 @@
         self._key_tables = KeyTableBuilder()
         proxy.recogniser.limits = AgeLimits.from_settings(settings)
         self.notify_draining: Callable[[str], None] = _ignore
+        self.connection_marks: ConnectionMarks | None = None
         self.apply_limits: Callable[[dict[str, Any]], None] = _ignore
         self.permit_client = PermitClient()
         self.open_connection: Adapter = get_adapter("http")
@@ -102,6 +104,16 @@
         for pool in pools.values():
             pool.warmups.expire(now)
 
+    def publish_orders(self, node: Node) -> None:
+        """Mark new connections of operators with the number of orders on zones.
+
+        Done before an order is acknowledged, so that the next one may follow it.
+        """
+        marks = self.connection_marks
+        order_count = node.state.tables.evacuations.order_count
+        if marks is not None and marks.latest != order_count:
+            marks.update(order_count)
+
     def _publish_evacuations(self, now: float, node: Node) -> bool:
         """Apply and log the orders to evacuate zones; return whether to update every pool.
 
--- a/src/foxtaildrum/instance.py
+++ b/src/foxtaildrum/instance.py
@@ -435,7 +435,7 @@
         )
         # Callers that hold all they may must not keep announcements and operators out.
         self._admin_account = CallerAccount(ADMIN_MAX_HELD_BYTES, ADMIN_MAX_FILES, self.meter)
-        return HttpServer(
+        server = HttpServer(
             self._admin,
             settings.admin_listen,
             ADMIN_THREADS,
@@ -443,9 +443,12 @@
             max_body_bytes=ADMIN_MAX_BODY_BYTES,
             account=self._admin_account,
             body_stall_s=settings.body_stall_s,
+            marks_connections=True,
             connection_limit=ADMIN_MAX_CONNECTIONS,
             channel_timeout=CONNECTION_TIMEOUT_S,
         )
+        self.publisher.connection_marks = server.marks
+        return server
 
     def _build_metrics_server(self) -> HttpServer | None:
         settings = self.settings
--- a/src/foxtaildrum/logevents.py
+++ b/src/foxtaildrum/logevents.py
@@ -38,9 +38,9 @@
     "evacuation_ordered": (
         "zone",
         "evacuated",
-        "committed",
+        "outcome",
         "known_orders",
-        "named_orders",
+        "read_orders",
         "waited_ms",
     ),
     "evacuation_withdrawn": ("zone",),
--- a/src/foxtaildrum/records.py
+++ b/src/foxtaildrum/records.py
@@ -1183,7 +1183,7 @@
     """
     order_count: int
     """
-    Number of orders in the log that the order may directly follow.
+    Number of orders that were known before this one was given.
     """
 
 
@@ -1203,7 +1203,7 @@
     """
     order_count: int
     """
-    Number of orders in the log; -1 when it is not known.
+    Number of orders in the log, one of which has overtaken an order that is not committed; -1 when it is not known.
     """
     leader: str
     """
--- a/src/foxtaildrum/requests/callers.py
+++ b/src/foxtaildrum/requests/callers.py
@@ -16,6 +16,10 @@
 ARRIVAL_TIME_KEY = "foxtaildrum.arrived"
 # Set for a request that waited for its turn on a connection before it waited for a thread.
 QUEUED_TIME_KEY = "foxtaildrum.queued"
+# Number that was known before the connection of the request was opened.
+CONNECTION_MARK_KEY = "foxtaildrum.mark"
+# Set by an application whose response is the last one on its connection.
+CLOSE_KEY = "foxtaildrum.close"
 MAX_REQUEST_ID_CHARS = 128
 
 _AUTHORITY = re.compile(r"([^/?#]*)([^?#]*)((?:\?[^#]*)?)(?:#.*)?", re.DOTALL)
--- a/src/foxtaildrum/requests/server.py
+++ b/src/foxtaildrum/requests/server.py
@@ -26,7 +26,14 @@
     WRITE_DEADLINE_LIMIT,
     CallerAccount,
 )
-from .callers import ARRIVAL_TIME_KEY, QUEUED_TIME_KEY, read_request_id
+from .callers import (
+    ARRIVAL_TIME_KEY,
+    CLOSE_KEY,
+    CONNECTION_MARK_KEY,
+    QUEUED_TIME_KEY,
+    read_request_id,
+)
+from .marks import ConnectionMarks
 from .parsing import ParserSettings, RequestParser
 from .pipelines import PipelinedChannel, Pipelining
 from .problem import Problem, Refusal, refuse_request
@@ -57,13 +64,15 @@
 
 
 class _Task(ContentTask, WSGITask):
-    """Task that sends ``Connection: close`` if the caller asks for it, or during a shutdown.
+    """Task that sends ``Connection: close`` if the caller or the application asks for it.
 
-    Waitress recognises ``close`` only where the caller names no other option beside it.
+    It also does during a shutdown. Waitress recognises ``close`` only where the caller names no
+    other option beside it.
     """
 
     def build_response_header(self) -> bytes:
-        if self.channel.server.stopping or self.request.connection_close:
+        is_last = self.request.connection_close or CLOSE_KEY in self.environ
+        if self.channel.server.stopping or is_last:
             self.response_headers.append(("Connection", "close"))
             self.close_on_finish = True
         head = super().build_response_header()
@@ -81,6 +90,8 @@
         environ[ARRIVAL_TIME_KEY] = self.request.arrived_at
         if self.request.queued_at is not None:
             environ[QUEUED_TIME_KEY] = self.request.queued_at
+        if self.channel.server.marks is not None:
+            environ[CONNECTION_MARK_KEY] = self.channel.mark
         return environ
 
 
@@ -115,6 +126,13 @@
     discard_until = 0.0
     # Size of the unsent responses that the account holds for this connection.
     held_unsent_bytes = 0
+    # What was known before the connection was opened, on a server that marks connections.
+    mark = 0
+
+    def __init__(self, server: _Server, *arguments: Any, **options: Any) -> None:
+        super().__init__(server, *arguments, **options)
+        if server.marks is not None:
+            self.mark = server.marks.current
 
     def handle_write(self) -> None:
         self._write_unsent()
@@ -249,12 +267,19 @@
     write_deadline_s = 30.0
     refuse: Callable[[Refusal], Problem] = staticmethod(refuse_request)
     pipelining: Pipelining | None = None
+    marks: ConnectionMarks | None = None
     header_timeout_s = math.inf
     body_stall_s = math.inf
     _idle_swept_at = 0.0
     # Thread that runs the loop of the server.
     thread_id = 0
 
+    def handle_accept(self) -> None:
+        if self.marks is None:
+            super().handle_accept()
+        else:
+            self.marks.accept(super().handle_accept)
+
     def maintenance(self, now: float) -> None:
         if now - self._idle_swept_at >= IDLE_SWEEP_PERIOD_S:
             self._idle_swept_at = now
@@ -312,6 +337,8 @@
         Bounds what all callers hold; None sets no bound and no time limits on requests.
     body_stall_s : float
         Time after which a caller that sends no byte of a body is disconnected, in seconds.
+    marks_connections : bool
+        Whether requests tell the mark of their connection; see :attr:`marks`.
     adjustments : dict
         Further settings of waitress.
     """
@@ -329,6 +356,7 @@
         pipelining: Pipelining | None = None,
         account: CallerAccount | None = None,
         body_stall_s: float = math.inf,
+        marks_connections: bool = False,
         **adjustments: Any,
     ) -> None:
         host, port = parse_address(address)
@@ -361,8 +389,15 @@
         self._server.header_timeout_s = Limits().header_timeout_ms / 1000
         self._server.refuse = refuse
         self._server.pipelining = self.pipelining = pipelining
+        if marks_connections:
+            self._server.marks = ConnectionMarks(self._server.socket)
         self._thread = threading.Thread(target=self._run, name=f"http-{port}", daemon=True)
 
+    @property
+    def marks(self) -> ConnectionMarks | None:
+        """Marks of the connections; None on a server that marks none."""
+        return self._server.marks
+
     @property
     def address(self) -> str:
         """Address that the server listens on."""
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -20,7 +20,7 @@
 from foxtaildrum.control.evacuations import EvacuationOrder
 from foxtaildrum.control.group import Role
 from foxtaildrum.control.journal import Journal
-from foxtaildrum.control.orders import OrderCompleted
+from foxtaildrum.control.orders import OrderCompleted, OrderOutcome
 from foxtaildrum.control.proposals import ChangeCompleted
 from foxtaildrum.control.reads import ReadCompleted
 from foxtaildrum.control.storage import JournalWriter, WriteCompleted
@@ -211,6 +211,7 @@
         self.tolerated_losses = tolerated_losses
         self.reads: dict[str, bool] = {}
         self.orders: dict[str, bool] = {}
+        self.outcomes: dict[str, OrderOutcome] = {}
         self.receipts: dict[str, bool] = {}
         self.now = 1000.0
         self.rng = random.Random(seed)
@@ -339,6 +340,7 @@
                 self.reads[action.token] = action.succeeded
             elif isinstance(action, OrderCompleted):
                 self.orders[action.token] = action.committed
+                self.outcomes[action.token] = action.outcome
             elif isinstance(action, ReceiptsCompleted):
                 self.receipts[action.token] = action.stored
         self.check(host)
@@ -509,18 +511,31 @@
             return None
         return host.node.state.tables.desired_number
 
-    def order(self, name: str, zone: str, evacuated: bool = True) -> str:
-        """Order to evacuate or to restore a zone; return the token of the order."""
+    def order(
+        self, name: str, zone: str, evacuated: bool = True, known_orders: int | None = None
+    ) -> str:
+        """Order to evacuate or to restore a zone; return the token of the order.
+
+        Without ``known_orders``, the order is given after all orders that the instance knows.
+        """
         host = self.hosts[name]
+        if known_orders is None:
+            known_orders = host.node.state.tables.evacuations.order_count
         self.event_count += 1
         token = f"order-{zone}@{name}-{self.event_count}"
         order = EvacuationOrder(zone, evacuated, self.now)
-        self.perform(host, host.node.order_evacuation(host.read_clock(), token, order))
+        now = host.read_clock()
+        self.perform(host, host.node.order_evacuation(now, token, order, known_orders))
         return token
 
-    def order_until_committed(self, zone: str, evacuated: bool = True) -> None:
-        """Send an order to the running control instances in turn until it is acknowledged."""
-        self._order_through(self.control, zone, evacuated)
+    def order_until_committed(
+        self, zone: str, evacuated: bool = True, names: list[str] | None = None
+    ) -> None:
+        """Send an order to the running control instances in turn until it is acknowledged.
+
+        Only some of them are asked if ``names`` is given.
+        """
+        self._order_through(names or self.control, zone, evacuated)
 
     def order_until_committed_by(self, name: str, zone: str) -> None:
         """Send an order to one instance until it is acknowledged."""
