The log of a request names the tables that it was handled by

The line of a request had the version in force when it was written.

The version is taken once, where the route is looked up.

The test fails on the code before.

--- a/src/foxtaildrum/requests/callers.py
+++ b/src/foxtaildrum/requests/callers.py
@@ -47,6 +47,8 @@
         Organisation whose key the caller sent, without its keys; None if there is none.
     key_table : KeyTable or None
         Organisations in force when the request was recognised; None without any.
+    version : int or None
+        Version of the desired state that the request is handled by, once it is chosen.
     """
 
     __slots__ = (
@@ -61,6 +63,7 @@
         "request_id",
         "route",
         "target",
+        "version",
     )
 
     def __init__(self, environ: dict[str, Any]) -> None:
@@ -75,6 +78,7 @@
         self.route: Route | None = None
         self.organisation: Organisation | None = None
         self.key_table: KeyTable | None = None
+        self.version: int | None = None
 
     @property
     def priority(self) -> int:
--- a/src/foxtaildrum/requests/proxy.py
+++ b/src/foxtaildrum/requests/proxy.py
@@ -254,6 +254,7 @@
         if not self._wait_until_open():
             return self._send_error(request, start_response, ErrorKind.NOT_READY)
         view = self.view
+        request.version = view.version
         found = view.router.find_route(request.host, request.path, request.method)
         if isinstance(found, ErrorKind):
             reason = f"host {request.host}"
@@ -577,6 +578,7 @@
         if fields["attempts"] > 1:
             self._meter.count("attempts.extra", fields["attempts"] - 1)
         if self._access_log:
+            version = self.view.version if request.version is None else request.version
             log_event(
                 "request",
                 failed=failed or bool(fields["kind"]),
@@ -587,7 +589,7 @@
                 status=status,
                 latency_ms=round(latency_s * 1000, 3),
                 origin=request.forward.origin if request.forward else "-",
-                **{"version": self.view.version, **fields},
+                **{"version": version, **fields},
             )
 
 
--- a/tests/test_stale_tables.py
+++ b/tests/test_stale_tables.py
@@ -4,6 +4,7 @@
 
 import json
 import math
+import types
 
 import pytest
 
@@ -12,6 +13,7 @@
 from foxtaildrum.fleet.currency import START_MAX_TABLE_AGE_S
 from foxtaildrum.kinds import ErrorKind
 from foxtaildrum.records import Route
+from foxtaildrum.requests import proxy as proxy_module
 from foxtaildrum.requests.problem import Refusal
 from foxtaildrum.requests.proxy import Proxy
 from foxtaildrum.requests.routing import Router
@@ -79,3 +81,20 @@
         proxy.view.complete_up_to = read_clock() - age_s
         told[age_s] = json.loads(proxy.refuse(refusal)[2])["kind"]
     assert told == {0.0: kind.value, 60.0: "not_ready"}
+
+
+# Guards against a log that names tables which came into force while the request was handled.
+def test_a_request_is_logged_with_the_version_that_it_was_handled_by(monkeypatch):
+    lines = []
+    monkeypatch.setattr(proxy_module, "log_event", lambda event, **fields: lines.append(fields))
+    proxy = Proxy(Meter(), access_log=True)
+    proxy.view = View(Router([ROUTE]), {}, version=4)
+    newer = View(Router([ROUTE]), {}, version=5)
+
+    def choose_pool(route: Route) -> str:
+        proxy.view = newer
+        return "p"
+
+    proxy.view.chooser = types.SimpleNamespace(choose=choose_pool)
+    ask(proxy, 0.0)
+    assert [fields["version"] for fields in lines if "latency_ms" in fields] == [4]
