Upstreams get no key after organisations were taken away

Cause: the headers of a key and of an organisation were kept from upstreams only while organisations were in force.

Builds from before this one ignore the new field.

--- a/src/foxtaildrum/control/desired.py
+++ b/src/foxtaildrum/control/desired.py
@@ -219,6 +219,7 @@
         tables.tables.pop(ORGANISATIONS, None)
         return
     table = tables.get_organisations()
+    tables.had_organisations = True
     rows = _build_rows({} if table is None else table.rows, changes)
     if table is None or rows is not None:
         # The version is the number of the desired state. A count of changes would begin again
--- a/src/foxtaildrum/control/tables.py
+++ b/src/foxtaildrum/control/tables.py
@@ -19,6 +19,7 @@
 REMEMBERED_CHANGES = 4096
 MAX_REMEMBERED_PROBLEMS = 20
 EVACUATIONS_FIELD = 3  # position among the fields of the captured state
+ORGANISATIONS_FIELD = 4  # there only if the tables don't tell when organisations were in force
 
 _RECORDS = {"routes": "Route", "pools": "Pool"}
 _TYPES = {"routes": Route, "pools": Pool}
@@ -186,6 +187,8 @@
 
     Attributes
     ----------
+    had_organisations : bool
+        Whether organisations are in force or have been: callers may still send their keys.
     tables : dict
         Tables by name. That of the organisations is there only while the desired state in
         force has it, be it empty.
@@ -195,6 +198,7 @@
         "desired_digest",
         "desired_number",
         "evacuations",
+        "had_organisations",
         "limits",
         "remembered_answers",
         "tables",
@@ -202,6 +206,7 @@
 
     def __init__(self) -> None:
         self.evacuations = Evacuations()
+        self.had_organisations = False
         self.desired_number = 0
         self.desired_digest = ""
         self.limits: dict[str, Any] = {}
@@ -269,7 +274,8 @@
     def to_wire(self, with_answers: bool) -> list[Any]:
         """Return the state as a list that msgpack can encode.
 
-        Builds that don't know evacuations read the first three fields only.
+        Builds that don't know evacuations read the first three fields only, and those that
+        don't know when organisations were in force the first four.
 
         Parameters
         ----------
@@ -279,12 +285,15 @@
         tables = [[n, t.list_rows(), t.version, t.changed_by] for n, t in self.tables.items()]
         desired = [self.desired_number, self.desired_digest, self.limits]
         evacuations = self.evacuations.to_wire()
-        if not with_answers:
-            return [tables, [], desired, evacuations]
-        remembered_answers = [
-            [i, d, r.to_wire()] for i, (d, r) in self.remembered_answers.items()
-        ]
-        return [tables, remembered_answers, desired, evacuations]
+        remembered_answers = []
+        if with_answers:
+            remembered_answers = [
+                [i, d, r.to_wire()] for i, (d, r) in self.remembered_answers.items()
+            ]
+        fields = [tables, remembered_answers, desired, evacuations]
+        if self.had_organisations > (ORGANISATIONS in self.tables):
+            fields.append([self.had_organisations])
+        return fields
 
     @classmethod
     def from_wire(cls, fields: list[Any]) -> Tables:
@@ -300,6 +309,9 @@
         state.desired_number, state.desired_digest, state.limits = fields[2]
         if len(fields) > EVACUATIONS_FIELD:
             state.evacuations = Evacuations.from_wire(fields[EVACUATIONS_FIELD])
+        state.had_organisations = ORGANISATIONS in state.tables
+        if len(fields) > ORGANISATIONS_FIELD:
+            state.had_organisations = fields[ORGANISATIONS_FIELD][0]
         return state
 
     def _answer_repeat(
--- a/src/foxtaildrum/fleet/views.py
+++ b/src/foxtaildrum/fleet/views.py
@@ -280,6 +280,7 @@
             node.follower.index,
             tables.is_set,
             key_table,
+            tables.had_organisations,
         )
         self._meter.set_routes(routes)
         route_names = {route.name for route in routes}
--- a/src/foxtaildrum/requests/callers.py
+++ b/src/foxtaildrum/requests/callers.py
@@ -47,6 +47,8 @@
         Organisation whose key the caller sent, without its keys; None if there is none.
     key_table : KeyTable or None
         Organisations in force when the request was recognised; None without any.
+    hides_caller : bool
+        Whether upstreams get neither the caller's key nor the organisation that it names.
     version : int or None
         Version of the desired state that the request is handled by, once it is chosen.
     """
@@ -55,6 +57,7 @@
         "arrived_at",
         "environ",
         "forward",
+        "hides_caller",
         "host",
         "key_table",
         "method",
@@ -78,6 +81,7 @@
         self.route: Route | None = None
         self.organisation: Organisation | None = None
         self.key_table: KeyTable | None = None
+        self.hides_caller = False
         self.version: int | None = None
 
     @property
--- a/src/foxtaildrum/requests/proxy.py
+++ b/src/foxtaildrum/requests/proxy.py
@@ -262,6 +262,7 @@
                 found = self._settle_refusal(read_clock(), view, found)
             return self._send_error(request, start_response, found, reason=reason)
         request.route = found
+        request.hides_caller = view.had_organisations
         if view.key_table is not None:
             refusal = self.recogniser.recognise(request, view)
             if refusal is not None:
@@ -417,11 +418,7 @@
             max_attempts,
             self.dialect.not_run_statuses,
         )
-        recognition = None
-        if request.key_table is None:
-            outgoing = request.build_outgoing(self._replaced_headers)
-        else:
-            outgoing, recognition = self.recogniser.prepare(request, self._replaced_headers)
+        outgoing, recognition = self.recogniser.prepare(request, self._replaced_headers)
         dispatch = Dispatch(
             exchange,
             pool,
--- a/src/foxtaildrum/requests/recognising.py
+++ b/src/foxtaildrum/requests/recognising.py
@@ -28,9 +28,12 @@
     ----------
     key_table : KeyTable or None
         Organisations in force; None while there are none.
+    had_organisations : bool
+        Whether organisations are in force or have been.
     """
 
     key_table: KeyTable | None
+    had_organisations: bool
 
     def compute_age(self, now: float) -> float | None:
         """Return the age of the tables of this view, in seconds; None if it is unknown."""
@@ -136,9 +139,12 @@
     ) -> tuple[OutgoingRequest, Recognition]:
         """Return a recognised request as upstreams get it, and what its attempts check.
 
-        It has the name of the organisation instead of the key.
+        It has the name of the organisation instead of the key. Where organisations have never
+        been in force, the headers of these names are the caller's own.
         """
-        outgoing = request.build_outgoing(replaced_headers | self._replaced_headers)
+        if request.hides_caller:
+            replaced_headers |= self._replaced_headers
+        outgoing = request.build_outgoing(replaced_headers)
         if request.organisation is not None:
             outgoing.headers[self._dialect.organisation_header] = request.organisation.name
         return outgoing, Recognition(request, self)
--- a/src/foxtaildrum/requests/view.py
+++ b/src/foxtaildrum/requests/view.py
@@ -27,6 +27,8 @@
         Whether the tables have been set. Before that, nothing is known of any route.
     key_table : KeyTable or None
         Organisations in force; None while there are none.
+    had_organisations : bool
+        Whether organisations have ever been in force.
 
     Attributes
     ----------
@@ -37,6 +39,7 @@
     __slots__ = (
         "chooser",
         "complete_up_to",
+        "had_organisations",
         "index",
         "is_set",
         "key_table",
@@ -54,7 +57,9 @@
         index: int = 0,
         is_set: bool = True,
         key_table: KeyTable | None = None,
+        had_organisations: bool = False,
     ) -> None:
+        self.had_organisations = had_organisations
         self.complete_up_to = float("-inf")
         self.key_table = key_table
         self.is_set = is_set
--- a/tests/test_organisation_tables.py
+++ b/tests/test_organisation_tables.py
@@ -17,7 +17,7 @@
 )
 from foxtaildrum.control.snapshots import pack_snapshot, unpack_snapshot
 from foxtaildrum.control.table_follower import CHANGE, DESIRED, TableState
-from foxtaildrum.control.tables import Change, Tables
+from foxtaildrum.control.tables import ORGANISATIONS_FIELD, Change, Tables
 from foxtaildrum.exceptions import InvalidTableError
 from foxtaildrum.fleet.messages import decode_message, encode_message
 from foxtaildrum.records import FollowEntries
@@ -218,3 +218,23 @@
     assert fleet.run_until(is_known_everywhere, 60.0), fleet.describe()
     for host in fleet.hosts.values():
         assert describe_desired(host.node.state.tables)["organisations"] == []
+
+
+# Guards against an instance that gets the tables whole and passes keys on, since it can't tell
+# that organisations were in force.
+@pytest.mark.parametrize(
+    ("documents", "had"),
+    [([None], False), ([[]], True), ([None, []], True), ([[], None], True)],
+)
+def test_tables_tell_whether_organisations_were_in_force(documents, had):
+    tables = Tables()
+    for number, rows in enumerate(documents, start=1):
+        document = {"version": number, "routes": [], "pools": []}
+        if rows is not None:
+            document["organisations"] = rows
+        apply_patch(tables, build_patch(tables, DesiredState.from_document(document)))
+    for state in (tables, Tables.from_wire(tables.to_wire(with_answers=False))):
+        assert state.had_organisations == had
+    # Builds that don't know it get the same bytes as before where it makes no difference.
+    has_field = len(tables.to_wire(with_answers=True)) > ORGANISATIONS_FIELD
+    assert has_field == (had and documents[-1] is None)
