The first organisations are acknowledged once every instance acts on them

Cause: a desired state that brings organisations into force in place of one without them was acknowledged as soon as a quorum had it.

Change: an instance acknowledges such a state, and any later one, only after the organisations have been in its own tables for longer than tables without them may count as recent (key_check_s, 1.5 s). Nobody has to be asked, so one instance that is gone delays nothing. An instance that has restarted counts from its start. Where the first tables already have organisations, nothing is delayed, as no instance can have served without them. A call that ends sooner gets "unknown", and the state can be sent again.

--- a/src/foxtaildrum/control/desired.py
+++ b/src/foxtaildrum/control/desired.py
@@ -219,6 +219,8 @@
         tables.tables.pop(ORGANISATIONS, None)
         return
     table = tables.get_organisations()
+    if table is None and tables.is_set:
+        tables.organisations_since = patch.number
     tables.had_organisations = True
     rows = _build_rows({} if table is None else table.rows, changes)
     if table is None or rows is not None:
--- a/src/foxtaildrum/control/proposals.py
+++ b/src/foxtaildrum/control/proposals.py
@@ -14,10 +14,11 @@
 from ..fleet.node_api import ChangeAnswer
 from ..sizes import MAX_RECORD_BYTES, measure_record
 from .consensus import Consensus
-from .desired import REBASED, DesiredState, build_patch, evaluate_number
+from .desired import ACCEPTED, REBASED, SUPERSEDED, DesiredState, build_patch, evaluate_number
 from .group import ProposalFailure, Role
+from .introduction import IntroductionDelay
 from .table_follower import CHANGE, DESIRED, TableState
-from .tables import Change, ChangeResult, Patch, check_table
+from .tables import ORGANISATIONS, Change, ChangeResult, Patch, check_table
 
 PROPOSAL_TIMEOUT_S = 3.0
 UNRESPONSIVE_S = 15.0  # an instance that let a proposal time out is avoided this long
@@ -98,6 +99,11 @@
         Appends an entry to the log; only called while this instance leads.
     rng : random.Random
         Random generator for the choice of a control instance.
+
+    Attributes
+    ----------
+    introduction : IntroductionDelay
+        Tells whether instances may still serve by tables from before the organisations.
     """
 
     def __init__(
@@ -117,6 +123,7 @@
         self._is_usable = is_usable
         self._submit = submit
         self._rng = rng
+        self.introduction = IntroductionDelay(r.Settings().key_check_s)
         self._proposals: dict[str, _Proposal] = {}
         self._delayed_answers: list[_DelayedAnswer] = []
         self._desired_queue: list[str] = []
@@ -138,6 +145,7 @@
 
     def pop_actions(self, now: float) -> list[Send | ChangeCompleted]:
         """Return and clear the messages and answers that are due."""
+        self.introduction.observe(now, self._state.tables)
         self._send_visible_answers(now)
         actions, self._actions = self._actions, []
         return actions
@@ -336,19 +344,36 @@
             self._forward(token, message.detail)
 
     def _send_visible_answers(self, now: float) -> None:
-        # An operator who reads the tables here after the answer must see the change.
         still_delayed = []
         for delayed in self._delayed_answers:
-            in_force = self._get_version_in_force(delayed.proposal.change)
-            not_visible = (
-                delayed.answer.verdict == "accepted" and in_force < delayed.answer.version
-            )
-            if not_visible and now < delayed.proposal.deadline:
+            proposal = delayed.proposal
+            if self._may_answer(now, proposal.change, delayed.answer):
+                self._actions.append(ChangeCompleted(delayed.token, delayed.answer))
+            elif now < proposal.deadline:
                 still_delayed.append(delayed)
             else:
-                self._actions.append(ChangeCompleted(delayed.token, delayed.answer))
+                answer = self._give_up_delay(proposal.change, delayed.answer)
+                self._actions.append(ChangeCompleted(delayed.token, answer))
         self._delayed_answers = still_delayed
 
+    def _may_answer(
+        self, now: float, change: Change | DesiredState, answer: ChangeAnswer
+    ) -> bool:
+        """Return whether an acknowledgement holds here and at all other instances."""
+        if answer.verdict not in (ACCEPTED, SUPERSEDED):
+            return True
+        # An operator who reads the tables here after the answer must see the change.
+        if self._get_version_in_force(change) < answer.version:
+            return False
+        return isinstance(change, Change) or self.introduction.is_over(now, self._state.tables)
+
+    def _give_up_delay(
+        self, change: Change | DesiredState, answer: ChangeAnswer
+    ) -> ChangeAnswer:
+        """Return the answer to a change whose acknowledgement was delayed for too long."""
+        has_organisations = isinstance(change, DesiredState) and ORGANISATIONS in change.rows
+        return _build_unknown() if has_organisations else answer
+
     def _get_version_in_force(self, change: Change | DesiredState) -> int:
         tables = self._state.tables
         if isinstance(change, DesiredState):
--- a/src/foxtaildrum/control/tables.py
+++ b/src/foxtaildrum/control/tables.py
@@ -189,6 +189,9 @@
     ----------
     had_organisations : bool
         Whether organisations are in force or have been: callers may still send their keys.
+    organisations_since : int
+        Number of the desired state that brought organisations into force in place of one
+        without them; 0 if none did.
     tables : dict
         Tables by name. That of the organisations is there only while the desired state in
         force has it, be it empty.
@@ -200,6 +203,7 @@
         "evacuations",
         "had_organisations",
         "limits",
+        "organisations_since",
         "remembered_answers",
         "tables",
     )
@@ -207,6 +211,7 @@
     def __init__(self) -> None:
         self.evacuations = Evacuations()
         self.had_organisations = False
+        self.organisations_since = 0
         self.desired_number = 0
         self.desired_digest = ""
         self.limits: dict[str, Any] = {}
@@ -291,8 +296,8 @@
                 [i, d, r.to_wire()] for i, (d, r) in self.remembered_answers.items()
             ]
         fields = [tables, remembered_answers, desired, evacuations]
-        if self.had_organisations > (ORGANISATIONS in self.tables):
-            fields.append([self.had_organisations])
+        if self.organisations_since or self.had_organisations > (ORGANISATIONS in self.tables):
+            fields.append([self.had_organisations, self.organisations_since])
         return fields
 
     @classmethod
@@ -311,7 +316,7 @@
             state.evacuations = Evacuations.from_wire(fields[EVACUATIONS_FIELD])
         state.had_organisations = ORGANISATIONS in state.tables
         if len(fields) > ORGANISATIONS_FIELD:
-            state.had_organisations = fields[ORGANISATIONS_FIELD][0]
+            state.had_organisations, state.organisations_since = fields[ORGANISATIONS_FIELD]
         return state
 
     def _answer_repeat(
--- a/src/foxtaildrum/fleet/node.py
+++ b/src/foxtaildrum/fleet/node.py
@@ -19,6 +19,7 @@
 from ..control.evacuations import EvacuationOrder
 from ..control.group import ControlDirectory, Role
 from ..control.holder import ClaimHolder
+from ..control.introduction import IntroductionDelay
 from ..control.orders import OrderProposer
 from ..control.proposals import Proposer
 from ..control.reads import Reader
@@ -489,6 +490,10 @@
         """Apply the limits of the organisations in force."""
         self._quotas.limits.replace(organisations)
 
+    def set_key_check(self, key_check_s: float) -> None:
+        """Apply the age up to which tables without organisations are recent, in seconds."""
+        self.proposer.introduction = IntroductionDelay(key_check_s)
+
     def set_quota_bounds(self, bounds: QuotaBounds) -> None:
         """Apply the bound on the requests of organisations."""
         self._quotas.set_bounds(bounds)
--- a/src/foxtaildrum/instance.py
+++ b/src/foxtaildrum/instance.py
@@ -355,6 +355,7 @@
             join_options,
             start_max_age_s,
         )
+        node.set_key_check(settings.key_check_s)
         node.set_quota_bounds(QuotaBounds.from_settings(settings))
         if has_log:
             saved_upstreams = load_upstreams(journals[UPSTREAM_STREAM], self.meter)
--- a/tests/test_organisation_tables.py
+++ b/tests/test_organisation_tables.py
@@ -220,13 +220,20 @@
         assert describe_desired(host.node.state.tables)["organisations"] == []
 
 
-# Guards against an instance that gets the tables whole and passes keys on, since it can't tell
-# that organisations were in force.
+# Guards against an instance that gets the tables whole and passes keys on, or acknowledges the
+# organisations too soon, since it can't tell that they were in force or came into force.
 @pytest.mark.parametrize(
-    ("documents", "had"),
-    [([None], False), ([[]], True), ([None, []], True), ([[], None], True)],
+    ("documents", "had", "since"),
+    [
+        ([None], False, 0),
+        ([[]], True, 0),
+        ([None, []], True, 2),
+        ([[], None], True, 0),
+        ([None, [], None], True, 2),
+        ([None, [], None, []], True, 4),
+    ],
 )
-def test_tables_tell_whether_organisations_were_in_force(documents, had):
+def test_tables_tell_whether_organisations_were_in_force(documents, had, since):
     tables = Tables()
     for number, rows in enumerate(documents, start=1):
         document = {"version": number, "routes": [], "pools": []}
@@ -234,7 +241,7 @@
             document["organisations"] = rows
         apply_patch(tables, build_patch(tables, DesiredState.from_document(document)))
     for state in (tables, Tables.from_wire(tables.to_wire(with_answers=False))):
-        assert state.had_organisations == had
+        assert (state.had_organisations, state.organisations_since) == (had, since)
     # Builds that don't know it get the same bytes as before where it makes no difference.
     has_field = len(tables.to_wire(with_answers=True)) > ORGANISATIONS_FIELD
-    assert has_field == (had and documents[-1] is None)
+    assert has_field == (bool(since) or (had and documents[-1] is None))
