Tables without organisations are believed only while they are recent

Cause: the age of the tables was asked only where they have organisations. "No organisations" was taken for certain at any age, at arrival as well as before each attempt, so an instance that had not heard of them passed keys on.

Evidence: requests whose key reached an upstream are logged with the version from before the organisations.

Change: Recogniser.decide decides by both kinds of tables, with one limit on their age, key_check_s, whether or not the deployment fails closed. Where the tables have no organisations it concerns only requests with a key or the name of an organisation. Before each attempt the same decision is made again by the tables in force. A request that older tables can't decide on for certain waits up to 0.3 s for a read of the tables, which all such requests share, and is refused (503, not run) if none succeeds; while reads fail nobody waits. The same holds where organisations are in force, for a key that was given to another organisation, or a route that is not public any more. Another instance that forwards a request is checked by the same view that serves it.

Why it works: together with the delay of the acknowledgement, an instance that serves such a request after the acknowledgement has tables that include the organisations. Where they were never in force, a request with such a header begins a read when the tables are 0.75 s old, and doesn't wait for it.

--- a/src/foxtaildrum/admin/organisations.py
+++ b/src/foxtaildrum/admin/organisations.py
@@ -34,7 +34,7 @@
     return {
         "in_force": view.key_table is not None,
         "serves_keys": limits.allow_service(age_s),
-        "refuses_keys": limits.allow_refusal(age_s),
+        "refuses_keys": limits.are_recent(age_s),
         "key_check_s": limits.key_check_s,
         "revocation_s": limits.revocation_s,
     }
--- a/src/foxtaildrum/control/reads.py
+++ b/src/foxtaildrum/control/reads.py
@@ -20,18 +20,26 @@
 
 @dataclass(slots=True)
 class ReadCompleted:
-    """A read requested at this instance may be answered from its tables, or has failed."""
+    """A read requested at this instance may be answered from its tables, or has failed.
+
+    Attributes
+    ----------
+    begun_at : float
+        Time up to which the tables include every accepted change, if it succeeded, in seconds.
+    """
 
     token: str
     succeeded: bool
+    begun_at: float
 
 
 class _Read:
     """A read requested at this instance."""
 
-    __slots__ = ("deadline", "index", "retry_at")
+    __slots__ = ("begun_at", "deadline", "index", "retry_at")
 
     def __init__(self, now: float) -> None:
+        self.begun_at = now
         self.deadline = now + READ_TIMEOUT_S
         self.retry_at = now
         self.index = -1
@@ -76,7 +84,7 @@
         for token, read in list(self._reads.items()):
             if now >= read.deadline:
                 del self._reads[token]
-                self._actions.append(ReadCompleted(token, False))
+                self._actions.append(ReadCompleted(token, False, read.begun_at))
             elif read.index < 0 and now >= read.retry_at:
                 self._request_index(now, token)
 
@@ -111,7 +119,7 @@
         for token, read in list(self._reads.items()):
             if 0 <= read.index <= self._get_applied_index():
                 del self._reads[token]
-                self._actions.append(ReadCompleted(token, True))
+                self._actions.append(ReadCompleted(token, True, read.begun_at))
         actions, self._actions = self._actions, []
         return actions
 
--- a/src/foxtaildrum/control/table_follower.py
+++ b/src/foxtaildrum/control/table_follower.py
@@ -128,6 +128,10 @@
             self._confirmed_index = index
             self._update_current_at()
 
+    def record_read(self, begun_at: float) -> None:
+        """Record that the tables include every change that was accepted before a read began."""
+        self._complete_up_to = max(self._complete_up_to, begun_at)
+
     def compute_age(self, now: float) -> float | None:
         """Return the age of the tables on this instance, in seconds.
 
@@ -237,7 +241,7 @@
 
     def _update_current_at(self) -> None:
         if 0 <= self._confirmed_index <= self.index:
-            self._complete_up_to = self._confirmed_at
+            self._complete_up_to = max(self._complete_up_to, self._confirmed_at)
 
     def _accept_group(self, group_id: str) -> bool:
         if not group_id:
--- a/src/foxtaildrum/fleet/node.py
+++ b/src/foxtaildrum/fleet/node.py
@@ -22,7 +22,7 @@
 from ..control.introduction import IntroductionDelay
 from ..control.orders import OrderProposer
 from ..control.proposals import Proposer
-from ..control.reads import Reader
+from ..control.reads import ReadCompleted, Reader
 from ..control.table_follower import TableFollower, TableState
 from ..control.tables import Change
 from ..events import (
@@ -238,7 +238,7 @@
             r.EvacuationRequest: self.orders.handle_request,
             r.EvacuationReply: self.orders.handle_reply,
             r.ReadRequest: self.reader.handle_request,
-            r.ReadReply: lambda now, peer, message: self.reader.handle_reply(message),
+            r.ReadReply: self._handle_read_reply,
         }
         for part in (
             self._claims,
@@ -592,9 +592,17 @@
         self._gossip.push_updates(now)
         self._actions.extend(self.proposer.pop_actions(now))
         self._actions.extend(self.orders.pop_actions(now))
-        self._actions.extend(self.reader.pop_actions())
+        for action in self.reader.pop_actions():
+            if isinstance(action, ReadCompleted) and action.succeeded:
+                self.follower.record_read(action.begun_at)
+            self._actions.add(action)
         return self._actions.pop_all()
 
+    def _handle_read_reply(self, now: float, peer: str, message: r.ReadReply) -> None:
+        self.reader.handle_reply(message)
+        # A read ends once the entries up to its index are here.
+        self._tables.request_if_behind(now, peer, message.index)
+
     def _submit(self, now: float, token: str, kind: str, payload: Any) -> None:
         self._run_consensus(now, Proposed(token, kind, payload))
 
--- a/src/foxtaildrum/fleet/runtime.py
+++ b/src/foxtaildrum/fleet/runtime.py
@@ -258,6 +258,7 @@
 
     def _perform(self, now: float, actions: list[Any]) -> None:
         self._publisher.publish_orders(self._node)
+        results = []
         for action in actions:
             if isinstance(action, Send):
                 self._send(action)
@@ -274,10 +275,15 @@
             elif isinstance(action, _LoggedAction):
                 _log_change(action)
             else:
+                results.append(action)
+        try:
+            # Whoever waits for a result finds the state that it is about.
+            self._publisher.publish(now, self._node)
+        finally:
+            for action in results:
                 log_result = _RESULT_LOGGERS.get(type(action), _ignore)
                 log_result(action)
                 self._complete_future(action.token, _RESULT_GETTERS[type(action)](action))
-        self._publisher.publish(now, self._node)
 
     def _record_skipped(self, action: RecordSkipped) -> None:
         self.meter.count("records.skipped")
--- a/src/foxtaildrum/instance.py
+++ b/src/foxtaildrum/instance.py
@@ -41,6 +41,7 @@
 from .permits.holder import QuotaHolder
 from .records import Limits, Settings
 from .requests.account import CallerAccount
+from .requests.confirmations import Confirmations
 from .requests.connections import ConnectionPool
 from .requests.dialects import get_dialect
 from .requests.forwards import Forwarder
@@ -129,16 +130,8 @@
             self.publisher.evacuations,
             self.caller_account,
         )
-        self.proxy.claims = NodeClaims(self._node_proxy)
-        self.proxy.crash_reporter = reports
-        if settings.role != "control":
-            bounds = QuotaBounds.from_settings(settings)
-            holder = QuotaHolder(read_clock(), settings.instance_id, bounds, random.Random())
-            self.proxy.quotas = Quotas(holder, reports)
+        self._connect_proxy(node, reports)
         self._open = False
-        self.proxy.is_open = self._is_open
-        self.proxy.is_starting = node.is_starting
-        self.proxy.list_unready_reasons = self._list_unready_reasons
         self._ticker = Ticker(self._actor.tell, node.get_tick_period, self.meter)
         self._prober = Prober(lambda: self.proxy.view.pools.values(), self.meter, self._dialect)
         self._sweeper = ConnectionSweeper(self._list_connections, self.meter)
@@ -150,6 +143,21 @@
         self.admin_server = self._build_admin_server()
         self.metrics_server = self._build_metrics_server()
 
+    def _connect_proxy(self, node: Node, reports: NodeReports) -> None:
+        """Give the proxy what it asks the node for, and reports to it."""
+        self.proxy.claims = NodeClaims(self._node_proxy)
+        self.proxy.confirmations = Confirmations(self._begin_read, lambda: self.proxy.view)
+        self.proxy.crash_reporter = reports
+        if self.settings.role != "control":
+            bounds = QuotaBounds.from_settings(self.settings)
+            holder = QuotaHolder(
+                read_clock(), self.settings.instance_id, bounds, random.Random()
+            )
+            self.proxy.quotas = Quotas(holder, reports)
+        self.proxy.is_open = self._is_open
+        self.proxy.is_starting = node.is_starting
+        self.proxy.list_unready_reasons = self._list_unready_reasons
+
     @classmethod
     def from_settings(
         cls, settings: Settings, listener: socket.socket | None = None
@@ -274,6 +282,11 @@
     def _is_open(self) -> bool:
         return self._node.is_open(read_clock())
 
+    def _begin_read(self, confirmations: Confirmations) -> None:
+        # While the instance stops, requests may end after the node.
+        with contextlib.suppress(pykka.ActorDeadError):
+            self._node_proxy.read_tables.defer(confirmations)
+
     def _list_unready_reasons(self) -> list[str]:
         return self._node.list_unready_reasons(read_clock())
 
--- a/src/foxtaildrum/organisations/recognition.py
+++ b/src/foxtaildrum/organisations/recognition.py
@@ -2,11 +2,13 @@
 
 An instance can't know that its tables are complete, only how old they are at most: they include
 every change that was accepted longer ago than their age. A key that is unknown here may have
-been added since, and a key that is known may have been removed since.
+been added since, and a key that is known may have been removed since, or given to another
+organisation. Tables without organisations are no exception: these may be in force since.
 """
 
 from __future__ import annotations
 
+from ..fleet.currency import CUT_OFF_AFTER_S
 from ..kinds import ErrorKind
 from ..records import Organisation, Settings
 from .keys import KeyTable
@@ -18,7 +20,8 @@
     Parameters
     ----------
     key_check_s : float
-        Age up to which a request without a known key is refused for good, in seconds.
+        Age up to which the tables say what is not in them, in seconds: that nobody has a key,
+        or that organisations are not in force.
     revocation_s : float
         Age up to which requests with keys are served, in seconds; 0 sets no limit.
     """
@@ -34,14 +37,22 @@
         """Build the limits of an instance."""
         return cls(settings.key_check_s, settings.revocation_s)
 
-    def allow_refusal(self, age_s: float | None) -> bool:
-        """Return whether the tables are recent enough to refuse an unknown key for good."""
+    def are_recent(self, age_s: float | None) -> bool:
+        """Return whether the tables are recent enough to tell what is not in them."""
         return age_s is not None and age_s <= self.key_check_s
 
     def allow_service(self, age_s: float | None) -> bool:
         """Return whether the tables are recent enough to serve a known key."""
         return not self.revocation_s or (age_s is not None and age_s <= self.revocation_s)
 
+    def allow_absence(self, age_s: float | None) -> bool:
+        """Return whether tables without organisations may be served from, however old.
+
+        At this age an instance serves only if the control group is down, which accepts no
+        organisations then; one that is cut off itself serves nobody.
+        """
+        return not self.revocation_s and age_s is not None and age_s > CUT_OFF_AFTER_S
+
 
 class Decision:
     """Whether a request is served, and for which organisation.
@@ -52,13 +63,41 @@
         Organisation of a request that is served; None if it has none.
     refusal : ErrorKind or None
         Why the request is refused; None if it is served.
+    is_certain : bool
+        Whether the tables were recent enough; newer ones may lead to another decision.
     """
 
-    __slots__ = ("organisation", "refusal")
+    __slots__ = ("is_certain", "organisation", "refusal")
 
-    def __init__(self, organisation: Organisation | None, refusal: ErrorKind | None) -> None:
+    def __init__(
+        self,
+        organisation: Organisation | None,
+        refusal: ErrorKind | None,
+        is_certain: bool = True,
+    ) -> None:
         self.organisation = organisation
         self.refusal = refusal
+        self.is_certain = is_certain
+
+
+def decide_without_organisations(
+    states_caller: bool, age_s: float | None, limits: AgeLimits
+) -> Decision:
+    """Decide on a request while the tables have no organisations.
+
+    One without a key or a name is served as on any other change of the tables: nothing of it
+    must be kept from upstreams.
+
+    Parameters
+    ----------
+    states_caller : bool
+        Whether the request has a key or the name of an organisation.
+    age_s : float or None
+        Age of the tables, in seconds; None if it is unknown.
+    """
+    if not states_caller or limits.are_recent(age_s) or limits.allow_absence(age_s):
+        return Decision(None, None)
+    return Decision(None, ErrorKind.NOT_READY, is_certain=False)
 
 
 def decide_by_key(
@@ -77,13 +116,15 @@
         Age of the tables that ``key_table`` belongs to, in seconds; None if it is unknown.
     """
     organisation = key_table.find(key) if key else None
+    is_recent = limits.are_recent(age_s)
     if is_public:
-        return Decision(organisation, None)
+        # The route may not be public any more, and the key another organisation's.
+        return Decision(organisation, None, is_recent or not key)
     if organisation is not None:
         refusal = None if limits.allow_service(age_s) else ErrorKind.NOT_READY
-        return Decision(organisation, refusal)
-    if not limits.allow_refusal(age_s):
-        return Decision(None, ErrorKind.NOT_READY)
+        return Decision(organisation, refusal, is_recent)
+    if not is_recent:
+        return Decision(None, ErrorKind.NOT_READY, is_certain=False)
     return Decision(None, ErrorKind.KEY_UNKNOWN_CALLER if key else ErrorKind.KEY_MISSING)
 
 
--- a/src/foxtaildrum/requests/proxy.py
+++ b/src/foxtaildrum/requests/proxy.py
@@ -15,10 +15,12 @@
 from ..fleet.currency import START_MAX_TABLE_AGE_S
 from ..kinds import ERROR_RESPONSES, ErrorKind, Outcome
 from ..logs import log_event
+from ..organisations.recognition import Decision
 from .account import CallerAccount
 from .answers import Proof, find_proof
 from .averages import RouteAverages
 from .callers import QUEUED_TIME_KEY, CallerRequest, read_time_limit
+from .confirmations import Confirmations
 from .dialects import Dialect
 from .dispatch import Dispatch
 from .exchange import Exchange
@@ -106,6 +108,7 @@
         self.is_starting: Callable[[], bool] = _never
         self.list_unready_reasons: Callable[[], list[str]] = list
         self.claims: ClaimService | None = None
+        self.confirmations: Confirmations | None = None
         self.account: CallerAccount | None = None
         self.quotas = Quotas()
         self.forwarder: Forwarder | None = None
@@ -134,13 +137,6 @@
         )
         if request.forward is None:
             return self._decline_unsigned(request, start_response)
-        view = self.view
-        names_organisation = bool(request.forward.organisation)
-        if request.forward.index > view.index or (
-            names_organisation and view.key_table is None
-        ):
-            # This instance has other tables than those that the request is handled by.
-            return self._send_error(request, start_response, ErrorKind.NOT_READY)
         return self._serve(request, start_response)
 
     def is_repeatable(self, host: str, path: str, method: str) -> bool:
@@ -206,7 +202,7 @@
             "version": view.version,
             "index": view.index,
             "state": "; ".join(reasons) or "ready",
-            "tables_age_s": -1 if age_s is None else round(age_s, 3),
+            "tables_age_s": _format_age(age_s),
         }
 
     def _count_refusal(
@@ -254,24 +250,58 @@
         if not self._wait_until_open():
             return self._send_error(request, start_response, ErrorKind.NOT_READY)
         view = self.view
+        decision = self._recognise(request, view)
+        if isinstance(decision, Decision) and not decision.is_certain:
+            self._wait_for_recent_tables(request)
+            view = self.view
+            decision = self._recognise(request, view)
         request.version = view.version
-        found = view.router.find_route(request.host, request.path, request.method)
-        if isinstance(found, ErrorKind):
+        if isinstance(decision, ErrorKind):
             reason = f"host {request.host}"
             if request.method not in REFUSED_METHODS:
-                found = self._settle_refusal(read_clock(), view, found)
-            return self._send_error(request, start_response, found, reason=reason)
-        request.route = found
-        request.hides_caller = view.had_organisations
-        if view.key_table is not None:
-            refusal = self.recogniser.recognise(request, view)
-            if refusal is not None:
-                retry_after_s = RETRY_AFTER_TABLES_S
-                return self._send_error(
-                    request, start_response, refusal, retry_after_s=retry_after_s
-                )
+                decision = self._settle_refusal(read_clock(), view, decision)
+            return self._send_error(request, start_response, decision, reason=reason)
+        if decision.refusal is not None:
+            return self._send_error(
+                request, start_response, decision.refusal, retry_after_s=RETRY_AFTER_TABLES_S
+            )
         return self._serve_recognised(request, start_response, view)
 
+    def _recognise(self, request: CallerRequest, view: View) -> Decision | ErrorKind:
+        """Set the route and the organisation of a request, and decide on it by a view.
+
+        Returns
+        -------
+        Decision or ErrorKind
+            The decision; the kind of the error if the request has no route.
+        """
+        forward = request.forward
+        if forward is not None and forward.index > view.index:
+            # This instance has other tables than those that the request is handled by.
+            return Decision(None, ErrorKind.NOT_READY)
+        found = view.router.find_route(request.host, request.path, request.method)
+        if isinstance(found, ErrorKind):
+            request.route = request.organisation = None
+            return found
+        request.route = found
+        now = read_clock()
+        needs_absence = self.recogniser.needs_recent_absence(request, view)
+        if needs_absence and self.confirmations is not None:
+            self.confirmations.keep_recent(now, view)
+        return self.recogniser.recognise(now, request, view)
+
+    def _wait_for_recent_tables(self, request: CallerRequest) -> None:
+        """Wait briefly for tables that a request can be decided by for certain."""
+        if self.confirmations is None or request.forward is not None:
+            # The instance that forwards a request may ask another one.
+            return
+        time_limit = request.environ.get(self._timeout_environ_key)
+        timeout_s = read_time_limit(time_limit, request.route) or 0.0
+        is_recent = self.confirmations.wait(
+            self.recogniser.limits.key_check_s, request.arrived_at + timeout_s
+        )
+        self._meter.count("tables.confirmed" if is_recent else "tables.unconfirmed")
+
     def _serve_recognised(
         self, request: CallerRequest, start_response: StartResponse, view: View
     ) -> Iterable[bytes]:
@@ -533,6 +563,8 @@
         # Tells a wrong request from one that this instance doesn't know enough to serve.
         state: dict[str, object] = {}
         # Nobody gets the status of a caller who left.
+        if kind is ErrorKind.NOT_READY:
+            state = {"tables_age_s": _format_age(self.view.compute_age(read_clock()))}
         if not failed and kind is not ErrorKind.CALLER_LEFT:
             state = {"reason": reason or "-", **self._count_refusal(request, status, None)}
         self._record(
@@ -625,6 +657,11 @@
             self._finish(kind)
 
 
+def _format_age(age_s: float | None) -> float:
+    """Return an age of the tables for the log; -1 if it is unknown."""
+    return -1 if age_s is None else round(age_s, 3)
+
+
 def _never() -> bool:
     return False
 
--- a/src/foxtaildrum/requests/recognising.py
+++ b/src/foxtaildrum/requests/recognising.py
@@ -5,12 +5,17 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from ..clock import read_clock
 from ..kinds import ErrorKind, Outcome
 from ..logs import log_event
 from ..organisations.counts import OrganisationCounts, RefusedKeys, Result
 from ..organisations.keys import KeyTable
-from ..organisations.recognition import AgeLimits, Decision, decide_by_key, decide_by_name
+from ..organisations.recognition import (
+    AgeLimits,
+    Decision,
+    decide_by_key,
+    decide_by_name,
+    decide_without_organisations,
+)
 from ..records import Settings
 from .callers import CallerRequest
 from .dialects import Dialect
@@ -64,23 +69,24 @@
 
     def holds(self, now: float) -> bool:
         """Return whether the request may still be sent by the tables that are in force now."""
-        if self._request.route.public:
-            return True
+        request = self._request
         view = self._recogniser.get_view()
-        key_table = view.key_table
-        if key_table is None:
+        if view.key_table is None and request.key_table is not None:
+            # Organisations are not in force any more, and upstreams get none of its keys.
             return True
-        if key_table is self._request.key_table:
-            return self._recogniser.limits.allow_service(view.compute_age(now))
-        decision = self._recogniser.decide(now, self._request, view, key_table)
-        known = decision.organisation
-        return decision.refusal is None and (
-            known is not None and known.name == self.organisation_name
-        )
+        if view.key_table is not None and view.key_table is request.key_table:
+            # The same keys: only their age can have changed the decision.
+            limits = self._recogniser.limits
+            return request.route.public or limits.allow_service(view.compute_age(now))
+        decision = self._recogniser.decide(now, request, view)
+        organisation = decision.organisation
+        name = organisation.name if organisation is not None else ""
+        is_prepared = request.hides_caller or not view.had_organisations
+        return decision.refusal is None and is_prepared and name == self.organisation_name
 
 
 class Recogniser:
-    """Recognises the organisations of requests while organisations are in force.
+    """Recognises the organisations of requests, and hides their keys from upstreams.
 
     Parameters
     ----------
@@ -103,30 +109,29 @@
         self.counts = OrganisationCounts()
         self._dialect = dialect
         self._refused_keys = RefusedKeys()
-        self._environ_key = "HTTP_" + dialect.key_header.upper().replace("-", "_")
+        self._environ_key = _get_environ_key(dialect.key_header)
+        self._name_environ_key = _get_environ_key(dialect.organisation_header)
         self._replaced_headers = {
             dialect.key_header.lower(),
             dialect.organisation_header.lower(),
         }
 
-    def recognise(self, request: CallerRequest, view: KeyView) -> ErrorKind | None:
-        """Set the organisation of a request; return why it is refused, or None.
-
-        Only called while organisations are in force in the view. A refused key is logged.
-        """
-        now = read_clock()
-        decision = self.decide(now, request, view, view.key_table)
+    def recognise(self, now: float, request: CallerRequest, view: KeyView) -> Decision:
+        """Decide on a request by a view, and set its organisation. A refused key is logged."""
+        decision = self.decide(now, request, view)
         request.key_table = view.key_table
         request.organisation = decision.organisation
+        request.hides_caller = view.had_organisations
         if decision.refusal in (ErrorKind.KEY_MISSING, ErrorKind.KEY_UNKNOWN_CALLER):
             self._report_refusal(now, request, decision.refusal)
-        return decision.refusal
+        return decision
 
-    def decide(
-        self, now: float, request: CallerRequest, view: KeyView, key_table: KeyTable
-    ) -> Decision:
-        """Decide on a request by the organisations of ``key_table``, of the age of the view."""
+    def decide(self, now: float, request: CallerRequest, view: KeyView) -> Decision:
+        """Decide on a request by the organisations of a view, or their absence."""
         age_s = view.compute_age(now)
+        key_table = view.key_table
+        if key_table is None:
+            return self._decide_without_organisations(request, age_s)
         is_public = request.route.public
         if request.forward is not None:
             name = request.forward.organisation
@@ -134,6 +139,10 @@
         key = request.environ.get(self._environ_key, "")
         return decide_by_key(key_table, key, is_public, age_s, self.limits)
 
+    def needs_recent_absence(self, request: CallerRequest, view: KeyView) -> bool:
+        """Return whether recent tables without organisations decide on a request."""
+        return view.key_table is None and self._states_caller(request)
+
     def prepare(
         self, request: CallerRequest, replaced_headers: frozenset[str]
     ) -> tuple[OutgoingRequest, Recognition]:
@@ -167,6 +176,19 @@
             result = Result.REFUSED if outcome == Outcome.NOT_RUN else Result.FAILED
         self.counts.record(request.organisation.name, result)
 
+    def _decide_without_organisations(
+        self, request: CallerRequest, age_s: float | None
+    ) -> Decision:
+        if request.forward is not None and request.forward.organisation:
+            # The instance that forwards it has other tables.
+            return Decision(None, ErrorKind.NOT_READY)
+        return decide_without_organisations(self._states_caller(request), age_s, self.limits)
+
+    def _states_caller(self, request: CallerRequest) -> bool:
+        """Return whether a request has a key or the name of an organisation."""
+        environ = request.environ
+        return self._environ_key in environ or self._name_environ_key in environ
+
     def _report_refusal(self, now: float, request: CallerRequest, kind: ErrorKind) -> None:
         counts = self._refused_keys.record(now, kind)
         if counts is not None:
@@ -178,3 +200,7 @@
                 route=request.route.name,
                 origin=request.environ.get("REMOTE_ADDR", ""),
             )
+
+
+def _get_environ_key(header: str) -> str:
+    return "HTTP_" + header.upper().replace("-", "_")
--- a/tests/test_recognition.py
+++ b/tests/test_recognition.py
@@ -6,6 +6,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from foxtaildrum.fleet.currency import CUT_OFF_AFTER_S
 from foxtaildrum.kinds import ERROR_RESPONSES, ErrorKind, Outcome
 from foxtaildrum.organisations.counts import (
     REPORT_PERIOD_S,
@@ -14,7 +15,12 @@
     Result,
 )
 from foxtaildrum.organisations.keys import KeyTable, KeyTableBuilder
-from foxtaildrum.organisations.recognition import AgeLimits, decide_by_key, decide_by_name
+from foxtaildrum.organisations.recognition import (
+    AgeLimits,
+    decide_by_key,
+    decide_by_name,
+    decide_without_organisations,
+)
 from foxtaildrum.requests.dialects import Dialect
 from foxtaildrum.requests.forwards import Forward
 from foxtaildrum.requests.problem import Refusal, build_problem
@@ -74,6 +80,52 @@
     assert decide(key_table, "key-1", age_s, limits=NO_REVOCATION) == ("acme", "served")
 
 
+# Guards against a decision that newer tables would change, and that is not checked again.
+@pytest.mark.parametrize(
+    ("key", "is_public", "age_s", "is_certain"),
+    [
+        ("key-1", False, 1.5, True),
+        ("key-1", False, 1.501, False),
+        ("key-4", False, 1.5, True),
+        ("key-4", False, 1.501, False),
+        ("", False, None, False),
+        ("key-1", True, 1.5, True),
+        ("key-1", True, 1.501, False),
+        ("key-4", True, None, False),
+        ("", True, None, True),
+    ],
+)
+def test_a_decision_is_certain_by_recent_tables(key_table, key, is_public, age_s, is_certain):
+    decision = decide_by_key(key_table, key, is_public, age_s, LIMITS)
+    assert decision.is_certain is is_certain
+
+
+# Guards against keys that are passed on by tables from before the organisations, and against a
+# deployment without any that refuses requests while its control group is down.
+@pytest.mark.parametrize(
+    ("states_caller", "age_s", "limits", "served", "is_certain"),
+    [
+        (True, 1.5, LIMITS, True, True),
+        (True, 1.501, LIMITS, False, False),
+        (True, None, LIMITS, False, False),
+        (True, CUT_OFF_AFTER_S + 1, LIMITS, False, False),
+        (True, 1.5, NO_REVOCATION, True, True),
+        (True, 1.501, NO_REVOCATION, False, False),
+        (True, CUT_OFF_AFTER_S, NO_REVOCATION, False, False),
+        (True, CUT_OFF_AFTER_S + 1, NO_REVOCATION, True, True),
+        (True, None, NO_REVOCATION, False, False),
+        (False, None, LIMITS, True, True),
+        (False, 99.0, NO_REVOCATION, True, True),
+    ],
+)
+def test_tables_without_organisations_are_believed_while_they_are_recent(
+    states_caller, age_s, limits, served, is_certain
+):
+    decision = decide_without_organisations(states_caller, age_s, limits)
+    assert decision.refusal == (None if served else ErrorKind.NOT_READY)
+    assert (decision.organisation, decision.is_certain) == (None, is_certain)
+
+
 @pytest.mark.parametrize(
     ("name", "is_public", "age_s", "served"),
     [
--- a/tests/test_revocation.py
+++ b/tests/test_revocation.py
@@ -17,7 +17,7 @@
 from foxtaildrum.control.desired import DesiredState
 from foxtaildrum.fleet.views import ViewPublisher
 from foxtaildrum.kinds import ErrorKind
-from foxtaildrum.organisations.recognition import decide_by_key
+from foxtaildrum.organisations.recognition import decide_by_key, decide_without_organisations
 from foxtaildrum.records import Ack, Settings
 from foxtaildrum.requests.proxy import Proxy
 
@@ -28,6 +28,7 @@
 KEYS = ("k0", "k1", "k2")
 SAMPLE_S = 0.05
 NOT_IN_FORCE = None
+PASSED_ON = "passed on"  # the decision on a request with a key, by tables without organisations
 
 
 class KeyFleet(Fleet):
@@ -96,9 +97,18 @@
     def check_decisions(self, host: Host) -> None:
         _, proxy, _ = self.get_proxy(host)
         view = proxy.view
-        if view.key_table is None:
+        if not view.is_set:
+            # It serves no callers yet.
             return
         age_s = view.compute_age(host.read_clock())
+        if view.key_table is None:
+            decision = decide_without_organisations(True, age_s, proxy.recogniser.limits)
+            self.decisions.add(PASSED_ON if decision.refusal is None else "held back")
+            possible = self.list_possible(self.now)
+            assert decision.refusal is not None or any(
+                self.proposed.get(n) is NOT_IN_FORCE for n in possible
+            ), f"{host.instance_id} passes keys on after organisations were acknowledged"
+            return
         for key in KEYS:
             decision = decide_by_key(view.key_table, key, False, age_s, proxy.recogniser.limits)
             kind = decision.refusal or "served"
@@ -189,6 +199,48 @@
     fleet.run_checked(2.0)
 
 
+# Guards against an instance that can't hear of the first organisations and passes keys on by
+# tables from before them, or takes these for recent when the organisations are acknowledged.
+@pytest.mark.parametrize("fault", ["none", "cut", "pause", "restart", "behind_a_relay"])
+@pytest.mark.parametrize("seed", range(3))
+def test_no_instance_with_a_fault_passes_keys_on_once_organisations_are_in_force(fault, seed):
+    fleet = form_key_fleet(seed)
+    fleet.put_keys("c1", NOT_IN_FORCE)
+    fleet.run_checked(4.0)
+    assert 2 in fleet.acknowledged
+    assert fleet.run_until(lambda: passes_keys_on(fleet, "e1"), 20.0)
+    break_instance(fleet, fault)
+    fleet.put_keys("c2", frozenset(KEYS))
+    if fault == "restart":
+        fleet.restart("e1")
+    fleet.run_checked(4.0)
+    assert 3 in fleet.acknowledged
+    assert PASSED_ON in fleet.decisions
+    assert not passes_keys_on(fleet, "e1")
+    fleet.heal()
+    fleet.run_checked(3.0)
+    assert decide(fleet, "e1", "k0") == "served"
+
+
+def passes_keys_on(fleet: KeyFleet, name: str) -> bool:
+    host = fleet.hosts[name]
+    _, proxy, _ = fleet.get_proxy(host)
+    age_s = proxy.view.compute_age(host.read_clock())
+    decision = decide_without_organisations(True, age_s, proxy.recogniser.limits)
+    return proxy.view.key_table is None and decision.refusal is None
+
+
+def break_instance(fleet: KeyFleet, fault: str) -> None:
+    """Keep news from an entry instance in one of the ways that it may not notice."""
+    if fault == "cut":
+        fleet.cut(["e1"])
+    elif fault == "pause":
+        fleet.pause("e1")
+    elif fault == "behind_a_relay":
+        for name in fleet.control:
+            fleet.blocked |= {(name, "e1"), ("e1", name)}
+
+
 def remove_key(fleet: KeyFleet, through: str) -> None:
     number = len(fleet.proposed) + 1
     fleet.put_keys(through, frozenset({"k1"}))
@@ -209,13 +261,7 @@
 def test_a_removed_key_is_refused_in_time_at_an_instance_with_a_fault(fault, seed):
     """The instance can't hear of the removal: it must know by itself that it may be late."""
     fleet = form_key_fleet(seed)
-    if fault == "cut":
-        fleet.cut(["e1"])
-    elif fault == "pause":
-        fleet.pause("e1")
-    elif fault == "behind_a_relay":
-        for name in fleet.control:
-            fleet.blocked |= {(name, "e1"), ("e1", name)}
+    break_instance(fleet, fault)
     remove_key(fleet, "c2")
     if fault == "restart":
         fleet.restart("e1")
