Tidy up: names of organisations in one place, and descriptions that had aged

The two lookups of an organisation's name share a function, the descriptions in Dispatch say what a recognition does since it is there for every request, and a view with organisations always counts as having had them.

Measured: test_organisations, test_absent_organisations and test_stale_tables pass.

--- a/src/foxtaildrum/requests/dispatch.py
+++ b/src/foxtaildrum/requests/dispatch.py
@@ -73,7 +73,7 @@
     table_index : int
         Index of the change that the tables include last by which the request is handled.
     recognition : Recognition or None
-        Recognition of the caller's organisation; None while organisations are not in force.
+        Recognition of the request, checked before each attempt; None checks nothing.
 
     Attributes
     ----------
@@ -200,7 +200,7 @@
         return steps.SlotGranted(action.attempt, upstream.upstream_id)
 
     def _is_unrecognised(self) -> bool:
-        """Return whether the tables no longer show that the caller's key is valid."""
+        """Return whether the tables in force no longer allow the request to be sent."""
         recognition = self._recognition
         return recognition is not None and not recognition.holds(read_clock())
 
--- a/src/foxtaildrum/requests/recognising.py
+++ b/src/foxtaildrum/requests/recognising.py
@@ -16,7 +16,7 @@
     decide_by_name,
     decide_without_organisations,
 )
-from ..records import Settings
+from ..records import Organisation, Settings
 from .callers import CallerRequest
 from .dialects import Dialect
 from .transport import OutgoingRequest
@@ -64,8 +64,7 @@
     @property
     def organisation_name(self) -> str:
         """Name of the organisation; empty without one."""
-        organisation = self._request.organisation
-        return organisation.name if organisation is not None else ""
+        return _get_name(self._request.organisation)
 
     def holds(self, now: float) -> bool:
         """Return whether the request may still be sent by the tables that are in force now."""
@@ -79,10 +78,9 @@
             limits = self._recogniser.limits
             return request.route.public or limits.allow_service(view.compute_age(now))
         decision = self._recogniser.decide(now, request, view)
-        organisation = decision.organisation
-        name = organisation.name if organisation is not None else ""
-        is_prepared = request.hides_caller or not view.had_organisations
-        return decision.refusal is None and is_prepared and name == self.organisation_name
+        if decision.refusal is not None or view.had_organisations != request.hides_caller:
+            return False
+        return _get_name(decision.organisation) == self.organisation_name
 
 
 class Recogniser:
@@ -202,5 +200,9 @@
             )
 
 
+def _get_name(organisation: Organisation | None) -> str:
+    return "" if organisation is None else organisation.name
+
+
 def _get_environ_key(header: str) -> str:
     return "HTTP_" + header.upper().replace("-", "_")
--- a/src/foxtaildrum/requests/view.py
+++ b/src/foxtaildrum/requests/view.py
@@ -28,7 +28,7 @@
     key_table : KeyTable or None
         Organisations in force; None while there are none.
     had_organisations : bool
-        Whether organisations have ever been in force.
+        Whether organisations have been in force before.
 
     Attributes
     ----------
@@ -59,7 +59,7 @@
         key_table: KeyTable | None = None,
         had_organisations: bool = False,
     ) -> None:
-        self.had_organisations = had_organisations
+        self.had_organisations = had_organisations or key_table is not None
         self.complete_up_to = float("-inf")
         self.key_table = key_table
         self.is_set = is_set
