Tables that cannot be restored are skipped, as the log says

The AttributeError was caught by the actor, so the line `record_skipped` was missing and the rest was requested only with the next ping.

Change: the right method, and a test that delivers such a piece.

Measured: the new test fails before with the AttributeError, and passes after.

--- a/src/foxtaildrum/fleet/relaying.py
+++ b/src/foxtaildrum/fleet/relaying.py
@@ -84,7 +84,7 @@
         try:
             self._actions.extend(self._follower.handle_piece(now, peer, message))
         except SnapshotError as error:
-            self._actions.append(RecordSkipped("tables", peer, str(error)))
+            self._actions.add(RecordSkipped("tables", peer, str(error)))
         self._actions.extend(self._follower.request_rest(now, peer))
 
     def _push(self, entries: list[list], sender: str) -> None:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -14,7 +14,7 @@
 from foxtaildrum.fleet.actions import RecordSkipped
 from foxtaildrum.fleet.messages import decode_message, encode_message
 from foxtaildrum.fleet.runtime import NodeActor
-from foxtaildrum.records import CrashNews, MemberNews, Ping, UpstreamNews
+from foxtaildrum.records import CrashNews, FollowPiece, MemberNews, Ping, UpstreamNews
 
 from .fleet import form_fleet
 
@@ -105,6 +105,19 @@
     assert "full" not in node.upstreams.entries
 
 
+# Guards against an error in the node when the pieces of a snapshot don't make up tables.
+def test_tables_that_cannot_be_restored_are_skipped_and_the_rest_goes_on(fleet):
+    node = fleet.hosts["e1"].node
+    index = node.follower.index
+    piece = FollowPiece(
+        group_id=node.state.group_id, index=index + 5, offset=0, piece=b"no tables", final=True
+    )
+    actions = node.receive(fleet.now, "c1", piece)
+    (skipped,) = [a for a in actions if isinstance(a, RecordSkipped)]
+    assert (skipped.subject, skipped.source) == ("tables", "c1")
+    assert node.follower.index == index
+
+
 class _Publisher:
     def publish(self, now, node):
         return None
