Quota tests name the organisation where requests are recognised

The fixture set the organisation of a request before Proxy._serve, which held only as long as requests to tables without organisations were not recognised at all. The fixture now replaces Recogniser.decide, which decides both times. Every assertion is as it was.

--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -11,13 +11,14 @@
 
 from foxtaildrum.clock import read_clock
 from foxtaildrum.kinds import ErrorKind
+from foxtaildrum.organisations.recognition import Decision
 from foxtaildrum.permits.bounds import QuotaBounds
 from foxtaildrum.permits.holder import QuotaHolder, QuotaPlan
 from foxtaildrum.permits.issuer import QuotaGrant
 from foxtaildrum.permits.quota import LIMITED_S, MAX_RETRY_AFTER_S, ReturnedPermits
 from foxtaildrum.records import Organisation
-from foxtaildrum.requests.proxy import Proxy
 from foxtaildrum.requests.quotas import QuotaClient, Quotas
+from foxtaildrum.requests.recognising import Recogniser
 
 from .sites import Reply, Site, open_site
 from .standins.processes import wait_until
@@ -226,15 +227,12 @@
 @pytest.fixture
 def organisation(site, monkeypatch):
     """Yield an organisation that may send three requests; callers name it in a header."""
-    serve = Proxy._serve
     known: dict[str, Organisation] = {}
 
-    def serve_organisation(proxy, request, start_response):
-        name = request.environ.get(TEST_HEADER, "")
-        request.organisation = known.get(name)
-        return serve(proxy, request, start_response)
+    def decide(recogniser, now, request, view):
+        return Decision(known.get(request.environ.get(TEST_HEADER, "")), None)
 
-    monkeypatch.setattr(Proxy, "_serve", serve_organisation)
+    monkeypatch.setattr(Recogniser, "decide", decide)
     name = f"a{uuid.uuid4().hex[:8]}"
     # The bucket of a single instance fills at the higher rate first.
     known[name] = Organisation(name=name, rate_per_s=FAST, burst=BURST)
