Tests pause a process until all of its threads have stopped

The stand-in sent SIGSTOP and went on at once, while threads of the process still ran.

Change: Process.pause waits until the process has stopped. No assertion is changed.

--- a/tests/standins/processes.py
+++ b/tests/standins/processes.py
@@ -85,8 +85,9 @@
         self.popen.wait()
 
     def pause(self) -> None:
-        """Suspend the process with SIGSTOP."""
+        """Suspend the process with SIGSTOP, and wait until all of its threads have stopped."""
         os.kill(self.popen.pid, signal.SIGSTOP)
+        os.waitid(os.P_PID, self.popen.pid, os.WSTOPPED)
 
     def resume(self) -> None:
         """Continue a suspended process with SIGCONT."""
