Requests that state no caller cost less, and no read confirms another group

Three things that a second reading of the change found:

- Organisations that came into force and were taken away again while a request was under way left it with the headers of its caller.
A new test fails before.
- The reply to a read names no group, so a read could confirm the tables of a group whose disks were lost by the group after it.
A read confirms nothing once another group was seen.
A new test fails before.

--- a/src/foxtaildrum/control/table_follower.py
+++ b/src/foxtaildrum/control/table_follower.py
@@ -129,7 +129,12 @@
             self._update_current_at()
 
     def record_read(self, begun_at: float) -> None:
-        """Record that the tables include every change that was accepted before a read began."""
+        """Record that the tables include every change that was accepted before a read began.
+
+        The reply to a read names no group. Where another group was seen, it may be from there.
+        """
+        if self.foreign_group:
+            return
         self._complete_up_to = max(self._complete_up_to, begun_at)
 
     def compute_age(self, now: float) -> float | None:
--- a/src/foxtaildrum/control/tables.py
+++ b/src/foxtaildrum/control/tables.py
@@ -296,7 +296,8 @@
                 [i, d, r.to_wire()] for i, (d, r) in self.remembered_answers.items()
             ]
         fields = [tables, remembered_answers, desired, evacuations]
-        if self.organisations_since or self.had_organisations > (ORGANISATIONS in self.tables):
+        were_removed = self.had_organisations and ORGANISATIONS not in self.tables
+        if were_removed or self.organisations_since:
             fields.append([self.had_organisations, self.organisations_since])
         return fields
 
--- a/src/foxtaildrum/organisations/recognition.py
+++ b/src/foxtaildrum/organisations/recognition.py
@@ -80,22 +80,15 @@
         self.is_certain = is_certain
 
 
-def decide_without_organisations(
-    states_caller: bool, age_s: float | None, limits: AgeLimits
-) -> Decision:
-    """Decide on a request while the tables have no organisations.
-
-    One without a key or a name is served as on any other change of the tables: nothing of it
-    must be kept from upstreams.
+def decide_without_organisations(age_s: float | None, limits: AgeLimits) -> Decision:
+    """Decide on a request with a key or a name while the tables have no organisations.
 
     Parameters
     ----------
-    states_caller : bool
-        Whether the request has a key or the name of an organisation.
     age_s : float or None
         Age of the tables, in seconds; None if it is unknown.
     """
-    if not states_caller or limits.are_recent(age_s) or limits.allow_absence(age_s):
+    if limits.are_recent(age_s) or limits.allow_absence(age_s):
         return Decision(None, None)
     return Decision(None, ErrorKind.NOT_READY, is_certain=False)
 
--- a/src/foxtaildrum/requests/callers.py
+++ b/src/foxtaildrum/requests/callers.py
@@ -49,6 +49,8 @@
         Organisations in force when the request was recognised; None without any.
     hides_caller : bool
         Whether upstreams get neither the caller's key nor the organisation that it names.
+    states_caller : bool
+        Whether the request has a key or the name of an organisation.
     version : int or None
         Version of the desired state that the request is handled by, once it is chosen.
     """
@@ -65,6 +67,7 @@
         "path",
         "request_id",
         "route",
+        "states_caller",
         "target",
         "version",
     )
@@ -82,6 +85,7 @@
         self.organisation: Organisation | None = None
         self.key_table: KeyTable | None = None
         self.hides_caller = False
+        self.states_caller = False
         self.version: int | None = None
 
     @property
--- a/src/foxtaildrum/requests/proxy.py
+++ b/src/foxtaildrum/requests/proxy.py
@@ -285,10 +285,11 @@
             return found
         request.route = found
         now = read_clock()
-        needs_absence = self.recogniser.needs_recent_absence(request, view)
+        decision = self.recogniser.recognise(now, request, view)
+        needs_absence = request.states_caller and view.key_table is None
         if needs_absence and self.confirmations is not None:
             self.confirmations.keep_recent(now, view)
-        return self.recogniser.recognise(now, request, view)
+        return decision
 
     def _wait_for_recent_tables(self, request: CallerRequest) -> None:
         """Wait briefly for tables that a request can be decided by for certain."""
--- a/src/foxtaildrum/requests/recognising.py
+++ b/src/foxtaildrum/requests/recognising.py
@@ -25,6 +25,10 @@
 # once a second.
 RETRY_AFTER_TABLES_S = 0.4
 
+# Upstreams may get all of a request that states no caller; without organisations it is served
+# as on any other change of the tables.
+_SERVED = Decision(None, None)
+
 
 class KeyView(Protocol):
     """Part of the view in force that recognition reads.
@@ -70,17 +74,17 @@
         """Return whether the request may still be sent by the tables that are in force now."""
         request = self._request
         view = self._recogniser.get_view()
-        if view.key_table is None and request.key_table is not None:
+        if view.had_organisations != request.hides_caller:
+            # It was prepared with the headers of its caller.
+            return False
+        if view.key_table is request.key_table:
+            return self._recogniser.allows_age(now, request, view)
+        if view.key_table is None:
             # Organisations are not in force any more, and upstreams get none of its keys.
             return True
-        if view.key_table is not None and view.key_table is request.key_table:
-            # The same keys: only their age can have changed the decision.
-            limits = self._recogniser.limits
-            return request.route.public or limits.allow_service(view.compute_age(now))
         decision = self._recogniser.decide(now, request, view)
-        if decision.refusal is not None or view.had_organisations != request.hides_caller:
-            return False
-        return _get_name(decision.organisation) == self.organisation_name
+        name = _get_name(decision.organisation)
+        return decision.refusal is None and name == self.organisation_name
 
 
 class Recogniser:
@@ -116,6 +120,7 @@
 
     def recognise(self, now: float, request: CallerRequest, view: KeyView) -> Decision:
         """Decide on a request by a view, and set its organisation. A refused key is logged."""
+        request.states_caller = self._states_caller(request)
         decision = self.decide(now, request, view)
         request.key_table = view.key_table
         request.organisation = decision.organisation
@@ -126,10 +131,10 @@
 
     def decide(self, now: float, request: CallerRequest, view: KeyView) -> Decision:
         """Decide on a request by the organisations of a view, or their absence."""
-        age_s = view.compute_age(now)
         key_table = view.key_table
         if key_table is None:
-            return self._decide_without_organisations(request, age_s)
+            return self._decide_without_organisations(now, request, view)
+        age_s = view.compute_age(now)
         is_public = request.route.public
         if request.forward is not None:
             name = request.forward.organisation
@@ -137,9 +142,11 @@
         key = request.environ.get(self._environ_key, "")
         return decide_by_key(key_table, key, is_public, age_s, self.limits)
 
-    def needs_recent_absence(self, request: CallerRequest, view: KeyView) -> bool:
-        """Return whether recent tables without organisations decide on a request."""
-        return view.key_table is None and self._states_caller(request)
+    def allows_age(self, now: float, request: CallerRequest, view: KeyView) -> bool:
+        """Return whether the tables may still be decided from that recognised a request."""
+        if view.key_table is None:
+            return self._decide_without_organisations(now, request, view).refusal is None
+        return request.route.public or self.limits.allow_service(view.compute_age(now))
 
     def prepare(
         self, request: CallerRequest, replaced_headers: frozenset[str]
@@ -175,12 +182,14 @@
         self.counts.record(request.organisation.name, result)
 
     def _decide_without_organisations(
-        self, request: CallerRequest, age_s: float | None
+        self, now: float, request: CallerRequest, view: KeyView
     ) -> Decision:
         if request.forward is not None and request.forward.organisation:
             # The instance that forwards it has other tables.
             return Decision(None, ErrorKind.NOT_READY)
-        return decide_without_organisations(self._states_caller(request), age_s, self.limits)
+        if not request.states_caller:
+            return _SERVED
+        return decide_without_organisations(view.compute_age(now), self.limits)
 
     def _states_caller(self, request: CallerRequest) -> bool:
         """Return whether a request has a key or the name of an organisation."""
--- a/tests/test_absent_organisations.py
+++ b/tests/test_absent_organisations.py
@@ -243,6 +243,20 @@
     assert site.upstreams["p"].count_runs().get(request_id, 0) == runs
 
 
+# Guards against organisations that were in force for a moment while a request was under way.
+def test_an_attempt_passes_no_key_on_after_organisations_came_and_went(site, monkeypatch):
+    holds = Recognition.holds
+
+    def put_twice_and_check(recognition: Recognition, now: float) -> bool:
+        for version, organisations in ((2, ACME), (3, None)):
+            site.client.put_tables(build_tables(version, organisations))
+        assert wait_until(lambda: site.instance.proxy.view.version == 3)
+        return holds(recognition, now)
+
+    monkeypatch.setattr(Recognition, "holds", put_twice_and_check)
+    assert_not_ready(site.send("GET", "/x", KEY_HEADER))
+
+
 # Guards against an attempt by tables that have become too old since the request arrived.
 def test_an_attempt_needs_tables_that_are_still_recent(site, monkeypatch):
     checks = itertools.count(1)
--- a/tests/test_recent_tables.py
+++ b/tests/test_recent_tables.py
@@ -7,6 +7,7 @@
 import pytest
 
 from foxtaildrum.clock import read_clock
+from foxtaildrum.control.table_follower import TableFollower, TableState
 from foxtaildrum.requests import confirmations as confirmations_module
 from foxtaildrum.requests.confirmations import (
     FAILURE_PERIOD_S,
@@ -58,6 +59,17 @@
         return is_recent, read_clock() - begun_at
 
 
+# Guards against tables of a lost group that count as recent by a read of the group after it.
+@pytest.mark.parametrize(("group_id", "age_s"), [("own", 1.0), ("other", None)])
+def test_a_read_confirms_the_tables_of_its_own_group_only(group_id, age_s):
+    state = TableState()
+    state.group_id = "own"
+    follower = TableFollower(state, 5, fetches_entries=True)
+    follower.record_beacon(group_id, 7, 1.0)
+    follower.record_read(2.0)
+    assert follower.compute_age(3.0) == age_s
+
+
 def test_nobody_waits_for_recent_tables():
     tables = Tables(1.0)
     assert tables.wait()[0]
--- a/tests/test_recognition.py
+++ b/tests/test_recognition.py
@@ -103,25 +103,23 @@
 # Guards against keys that are passed on by tables from before the organisations, and against a
 # deployment without any that refuses requests while its control group is down.
 @pytest.mark.parametrize(
-    ("states_caller", "age_s", "limits", "served", "is_certain"),
+    ("age_s", "limits", "served", "is_certain"),
     [
-        (True, 1.5, LIMITS, True, True),
-        (True, 1.501, LIMITS, False, False),
-        (True, None, LIMITS, False, False),
-        (True, CUT_OFF_AFTER_S + 1, LIMITS, False, False),
-        (True, 1.5, NO_REVOCATION, True, True),
-        (True, 1.501, NO_REVOCATION, False, False),
-        (True, CUT_OFF_AFTER_S, NO_REVOCATION, False, False),
-        (True, CUT_OFF_AFTER_S + 1, NO_REVOCATION, True, True),
-        (True, None, NO_REVOCATION, False, False),
-        (False, None, LIMITS, True, True),
-        (False, 99.0, NO_REVOCATION, True, True),
+        (1.5, LIMITS, True, True),
+        (1.501, LIMITS, False, False),
+        (None, LIMITS, False, False),
+        (CUT_OFF_AFTER_S + 1, LIMITS, False, False),
+        (1.5, NO_REVOCATION, True, True),
+        (1.501, NO_REVOCATION, False, False),
+        (CUT_OFF_AFTER_S, NO_REVOCATION, False, False),
+        (CUT_OFF_AFTER_S + 1, NO_REVOCATION, True, True),
+        (None, NO_REVOCATION, False, False),
     ],
 )
 def test_tables_without_organisations_are_believed_while_they_are_recent(
-    states_caller, age_s, limits, served, is_certain
+    age_s, limits, served, is_certain
 ):
-    decision = decide_without_organisations(states_caller, age_s, limits)
+    decision = decide_without_organisations(age_s, limits)
     assert decision.refusal == (None if served else ErrorKind.NOT_READY)
     assert (decision.organisation, decision.is_certain) == (None, is_certain)
 
--- a/tests/test_revocation.py
+++ b/tests/test_revocation.py
@@ -102,7 +102,7 @@
             return
         age_s = view.compute_age(host.read_clock())
         if view.key_table is None:
-            decision = decide_without_organisations(True, age_s, proxy.recogniser.limits)
+            decision = decide_without_organisations(age_s, proxy.recogniser.limits)
             self.decisions.add(PASSED_ON if decision.refusal is None else "held back")
             possible = self.list_possible(self.now)
             assert decision.refusal is not None or any(
@@ -226,7 +226,7 @@
     host = fleet.hosts[name]
     _, proxy, _ = fleet.get_proxy(host)
     age_s = proxy.view.compute_age(host.read_clock())
-    decision = decide_without_organisations(True, age_s, proxy.recogniser.limits)
+    decision = decide_without_organisations(age_s, proxy.recogniser.limits)
     return proxy.view.key_table is None and decision.refusal is None
 
 
